Serve a program end to end over separate processes

A caller's request goes from any entry to the owner of its shard, a permit from the dispatcher, the engine or service, and a record in the log before the answer is final. Ownership is decided by the order of claims in the log.

--- /dev/null
+++ b/benches/policy.rs
@@ -0,0 +1,3 @@
+//! Placeholder until the measurement lands.
+
+fn main() {}
--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,10 @@
+//! Configuration that operators publish on the log, and the verdict on each change.
+
+mod book;
+mod duty;
+mod value;
+
+pub use book::{Book, Change, Ruling, Verdict};
+pub use value::{Class, Engine, Fencing, Mode, Operation, Pool, Service, Snapshot, Value};
+
+pub(crate) use duty::run;
--- /dev/null
+++ b/src/dispatch/client.rs
@@ -0,0 +1,123 @@
+//! How an owner gets a permit from the VM that holds the queue of a pool.
+
+use super::duty::{Command, unreachable};
+use super::{Grant, Key};
+use crate::code::Failure;
+use crate::id::Vm;
+use crate::member::View;
+use crate::peer;
+use crate::policy::{Ask, Outcome};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{oneshot, watch};
+use tokio::time::sleep;
+
+/// The pause before a lost dispatcher is looked up again.
+const RETRY: Duration = Duration::from_millis(100);
+
+/// Asks the VM that holds the queue, wherever it is.
+#[derive(Debug, Clone)]
+pub(crate) struct Client {
+    pub(crate) me: Vm,
+    pub(crate) local: flume::Sender<Command>,
+    pub(crate) view: watch::Receiver<Arc<View>>,
+    pub(crate) links: peer::Links,
+}
+
+/// A permit in use. Dropped without [`Lease::done`], it is given back.
+#[derive(Debug)]
+pub(crate) struct Lease {
+    pub(crate) grant: Grant,
+    key: Key,
+    hold: Option<Hold>,
+}
+
+#[derive(Debug)]
+enum Hold {
+    Local(flume::Sender<Command>),
+    // The dispatcher takes the permit back when this subscription ends, so a VM that dies holds
+    // no window.
+    Remote(peer::Links, SocketAddr, peer::PermitStream),
+}
+
+impl Client {
+    /// Waits for a permit. The caller bounds the wait by dropping the future.
+    pub(crate) async fn acquire(&self, key: &Key, ask: &Ask) -> Result<Lease, Failure> {
+        loop {
+            let first = self
+                .view
+                .borrow()
+                .first(&format!("dispatch/{key}"))
+                .cloned();
+            match first {
+                Some(member) if member.vm != self.me => {
+                    match self.links.permit(member.address, key, ask).await {
+                        Ok((grant, stream)) => {
+                            let links = self.links.clone();
+                            let hold = Some(Hold::Remote(links, member.address, stream));
+                            return Ok(Lease {
+                                grant: grant?,
+                                key: key.clone(),
+                                hold,
+                            });
+                        }
+                        Err(peer::Lost) => sleep(RETRY).await,
+                    }
+                }
+                _ => return self.acquire_here(key, ask).await,
+            }
+        }
+    }
+
+    async fn acquire_here(&self, key: &Key, ask: &Ask) -> Result<Lease, Failure> {
+        let (reply, wait) = oneshot::channel();
+        let command = Command::Acquire {
+            key: key.clone(),
+            ask: Box::new(ask.clone()),
+            reply,
+        };
+        self.local.try_send(command).map_err(|_| unreachable())?;
+        let grant = wait.await.map_err(|_| unreachable())??;
+        Ok(Lease {
+            grant,
+            key: key.clone(),
+            hold: Some(Hold::Local(self.local.clone())),
+        })
+    }
+}
+
+impl Lease {
+    /// Gives the permit back and tells how the call went.
+    pub(crate) async fn done(mut self, outcome: Outcome) {
+        let (key, permit) = (self.key.clone(), self.grant.permit);
+        match self.hold.take() {
+            Some(Hold::Local(local)) => {
+                let command = Command::Done {
+                    key,
+                    permit,
+                    outcome: Some(outcome),
+                };
+                let _ = local.send_async(command).await;
+            }
+            Some(Hold::Remote(links, address, stream)) => {
+                let _ = links.done(address, &key, permit, &outcome).await;
+                drop(stream);
+            }
+            None => {}
+        }
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        if let Some(Hold::Local(local)) = self.hold.take() {
+            let (key, permit) = (self.key.clone(), self.grant.permit);
+            let _ = local.try_send(Command::Done {
+                key,
+                permit,
+                outcome: None,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,7 @@
+//! The entry: any VM takes any request of a caller and brings it to the owner.
+
+mod http;
+mod router;
+
+pub(crate) use http::{Entry, routes};
+pub(crate) use router::Router;
--- /dev/null
+++ b/src/journal/mod.rs
@@ -0,0 +1,10 @@
+//! Records of programs, and their way into the log and back.
+
+mod duty;
+mod record;
+mod stream;
+
+pub use record::{Body, Id, Record, Undecodable, decode, encode};
+
+pub(crate) use duty::{Command, Event, Numbers, Pace, Share, run};
+pub(crate) use stream::{CONFIG, stream_of};
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,25 @@
+//! A scheduler for agent programs whose callers are impatient, and the coordination parts that it
+//! is built from.
+
+pub mod cli;
+pub mod code;
+pub mod config;
+pub mod id;
+pub mod journal;
+pub mod member;
+pub mod ownership;
+pub mod policy;
+pub mod program;
+pub mod settings;
+
+mod backend;
+mod dispatch;
+mod entry;
+mod operator;
+mod owner;
+mod peer;
+mod platform;
+mod serve;
+mod standin;
+mod supervisor;
+mod telemetry;
--- /dev/null
+++ b/src/owner/duty.rs
@@ -0,0 +1,397 @@
+//! The owner thread: claims shards, folds their records and serves requests.
+
+use super::Ask;
+use super::run::Run;
+use crate::backend;
+use crate::code::{Code, Failure};
+use crate::config::Snapshot;
+use crate::dispatch;
+use crate::id::{self, Boot, Epoch, Offset, Sequence, Shard, Vm, Zone};
+use crate::journal::{Body, Command, Event, Id, Numbers, Record, stream_of};
+use crate::member::{Beat, View};
+use crate::ownership::{Claimer, Ledger, Sighting, Verdict};
+use crate::program::Table;
+use crate::telemetry::{Metrics, event};
+use serde_json::{Value, json};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, MissedTickBehavior, interval};
+use tokio_util::sync::CancellationToken;
+
+/// Time between looks at claims, limits and evictions.
+const TICK: Duration = Duration::from_millis(100);
+
+/// What the owner works with.
+#[derive(Debug, Clone)]
+pub(crate) struct Context {
+    pub(crate) me: Vm,
+    pub(crate) zone: Zone,
+    pub(crate) shards: u64,
+    pub(crate) streams: u64,
+    pub(crate) max_programs: usize,
+    pub(crate) config: watch::Receiver<Arc<Snapshot>>,
+    pub(crate) view: watch::Receiver<Arc<View>>,
+    pub(crate) local: Arc<watch::Sender<Beat>>,
+    pub(crate) journal: flume::Sender<Command>,
+    pub(crate) dispatch: dispatch::Client,
+    pub(crate) metrics: Metrics,
+    /// Cancelled when this VM hands its shards over.
+    pub(crate) leave: CancellationToken,
+}
+
+/// One shard of a stream that this VM follows.
+#[derive(Debug, Default)]
+pub(super) struct Held {
+    pub(super) ledger: Ledger,
+    pub(super) table: Table,
+    /// The epoch of this VM's claim while it is the newest.
+    pub(super) epoch: Option<Epoch>,
+    /// The shard is being handed over: no new run starts.
+    pub(super) leaving: bool,
+}
+
+pub(super) struct Owner {
+    pub(super) context: Context,
+    pub(super) boot: Boot,
+    pub(super) shards: RefCell<BTreeMap<Shard, Held>>,
+    pub(super) runs: RefCell<HashMap<id::Program, Rc<Run>>>,
+    /// Keys that are being opened, and programs that are being ended or cared for.
+    pub(super) busy: RefCell<HashSet<String>>,
+    /// Rung after each change of a table, a run or a claim.
+    pub(super) changed: Notify,
+    pub(super) engines: backend::Engines,
+    pub(super) services: backend::Services,
+    numbers: RefCell<Numbers>,
+    waiters: RefCell<HashMap<(u64, Sequence), oneshot::Sender<Verdict>>>,
+    claimer: RefCell<Claimer>,
+}
+
+/// Serves until the rings are closed or every shard has been handed over.
+pub(crate) async fn run(
+    context: Context,
+    asks: flume::Receiver<Ask>,
+    events: flume::Receiver<Event>,
+    dumps: flume::Receiver<oneshot::Sender<Value>>,
+) {
+    let boot = Boot(rand::random());
+    let owner = Rc::new(Owner {
+        boot,
+        shards: RefCell::default(),
+        runs: RefCell::default(),
+        busy: RefCell::default(),
+        changed: Notify::new(),
+        engines: backend::Engines::new(),
+        services: backend::Services::new(),
+        numbers: RefCell::new(Numbers::new(context.streams)),
+        waiters: RefCell::default(),
+        claimer: RefCell::new(Claimer::new(context.me.clone(), context.shards)),
+        context,
+    });
+    owner.start().await;
+    let mut tick = interval(TICK);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            ask = asks.recv_async() => match ask {
+                Ok(ask) => { spawn_local(owner.clone().serve(ask)); }
+                Err(_) => return,
+            },
+            event = events.recv_async() => match event {
+                Ok(event) => owner.take(event),
+                Err(_) => return,
+            },
+            dump = dumps.recv_async() => match dump {
+                Ok(reply) => { let _ = reply.send(owner.dump()); }
+                Err(_) => return,
+            },
+            _ = tick.tick() => {
+                if owner.context.leave.is_cancelled() {
+                    if owner.release() {
+                        return;
+                    }
+                } else {
+                    owner.claim();
+                }
+                owner.care();
+            }
+        }
+    }
+}
+
+impl Owner {
+    async fn start(&self) {
+        let boot = self.boot;
+        self.context.local.send_modify(|beat| {
+            beat.boot = boot;
+            beat.held.clear();
+        });
+        for stream in 0..self.context.streams {
+            let _ = self
+                .context
+                .journal
+                .send_async(Command::Follow { stream })
+                .await;
+        }
+    }
+
+    /// Appends a record under `epoch` and waits until it has been read back and judged.
+    ///
+    /// # Errors
+    /// [`Code::NotOwner`] when a newer claim stands before it: it does not count.
+    pub(super) async fn append(
+        &self,
+        shard: Shard,
+        epoch: Epoch,
+        body: Body,
+    ) -> Result<(), Failure> {
+        let wait = self.push(shard, epoch, body)?;
+        match wait.await {
+            Ok(Verdict::Valid | Verdict::Claimed(_)) => Ok(()),
+            Ok(Verdict::Void | Verdict::Duplicate) => Err(not_owner(shard)),
+            Err(_) => Err(Failure::refused(Code::Internal, "the owner was restarted")),
+        }
+    }
+
+    /// Hands a record to the journal; the receiver gets the verdict once it is read back.
+    pub(super) fn push(
+        &self,
+        shard: Shard,
+        epoch: Epoch,
+        body: Body,
+    ) -> Result<oneshot::Receiver<Verdict>, Failure> {
+        let stream = stream_of(shard, self.context.streams);
+        let sequence = self.numbers.borrow_mut().next(stream);
+        let id = Id {
+            vm: self.context.me.clone(),
+            boot: self.boot,
+            sequence,
+        };
+        let record = Record {
+            id,
+            shard,
+            epoch,
+            body,
+        };
+        self.context
+            .journal
+            .try_send(Command::Append {
+                stream,
+                record: Box::new(record),
+            })
+            .map_err(|_| {
+                Failure::refused(Code::RingFull, "the journal's queue is full")
+                    .retry_after(Duration::from_millis(500))
+            })?;
+        let (verdict, wait) = oneshot::channel();
+        self.waiters
+            .borrow_mut()
+            .insert((stream, sequence), verdict);
+        Ok(wait)
+    }
+
+    /// The epoch under which this VM owns `shard`.
+    ///
+    /// # Errors
+    /// [`Code::NotOwner`] when it doesn't.
+    pub(super) fn epoch(&self, shard: Shard) -> Result<Epoch, Failure> {
+        let shards = self.shards.borrow();
+        shards
+            .get(&shard)
+            .and_then(|held| held.epoch)
+            .ok_or_else(|| not_owner(shard))
+    }
+
+    fn take(self: &Rc<Self>, event: Event) {
+        match event {
+            Event::Entry {
+                stream,
+                offset,
+                records,
+            } => {
+                for (index, record) in records.iter().enumerate() {
+                    self.fold(stream, offset, index, record);
+                }
+            }
+            Event::Trimmed { stream, first } => {
+                event!(warn, "journal_trimmed", stream = stream, first = first);
+            }
+        }
+        self.changed.notify_waiters();
+    }
+
+    fn fold(self: &Rc<Self>, stream: u64, offset: Offset, index: usize, record: &Record) {
+        let shard = record.shard;
+        let mine = record.id.boot == self.boot && record.id.vm == self.context.me;
+        let verdict = {
+            let mut shards = self.shards.borrow_mut();
+            let held = shards.entry(shard).or_default();
+            let verdict = held.ledger.judge(offset, index, record);
+            match verdict {
+                Verdict::Valid => held.table.apply(&record.body),
+                Verdict::Claimed(epoch) => held.epoch = mine.then_some(epoch),
+                Verdict::Void | Verdict::Duplicate => {}
+            }
+            if matches!(
+                (verdict, &record.body),
+                (Verdict::Valid, Body::Release { .. })
+            ) {
+                held.epoch = None;
+            }
+            verdict
+        };
+        if let Verdict::Claimed(epoch) = verdict {
+            self.claimed(shard, epoch, mine, &record.id.vm);
+        }
+        if verdict == Verdict::Valid
+            && let Body::Release { successor } = &record.body
+        {
+            self.publish();
+            if successor.as_ref() == Some(&self.context.me) && !self.context.leave.is_cancelled() {
+                self.append_claim(shard);
+            }
+        }
+        if mine
+            && let Some(waiter) = self
+                .waiters
+                .borrow_mut()
+                .remove(&(stream, record.id.sequence))
+        {
+            let _ = waiter.send(verdict);
+        }
+    }
+
+    fn claimed(self: &Rc<Self>, shard: Shard, epoch: Epoch, mine: bool, by: &Vm) {
+        event!(
+            info,
+            "shard_claimed",
+            vm = self.context.me,
+            shard = shard,
+            epoch = epoch,
+            by = by
+        );
+        if mine {
+            self.context.metrics.claims.add(1, &[]);
+            self.settle_intents(shard, epoch);
+        } else {
+            let runs = self.runs.borrow();
+            for run in runs.values().filter(|run| run.program.shard() == shard) {
+                run.cancel.cancel();
+            }
+        }
+        self.publish();
+    }
+
+    fn publish(&self) {
+        let held = self.shards.borrow();
+        let held = held
+            .iter()
+            .filter_map(|(shard, held)| Some((*shard, held.epoch?)));
+        let held: Vec<(Shard, Epoch)> = held.collect();
+        self.context.local.send_modify(|beat| beat.held = held);
+    }
+
+    fn claim(&self) {
+        let sightings: Vec<Sighting> = {
+            let view = self.context.view.borrow();
+            let members = view.members.values().map(|member| Sighting {
+                vm: member.vm.clone(),
+                eligible: member.ready,
+                held: if member.vm == self.context.me {
+                    self.context.local.borrow().held.clone()
+                } else {
+                    member.held.clone()
+                },
+            });
+            members.collect()
+        };
+        let due = self.claimer.borrow_mut().due(Instant::now(), &sightings);
+        for shard in due {
+            self.append_claim(shard);
+        }
+    }
+
+    fn append_claim(&self, shard: Shard) {
+        if let Err(failure) = self.push(shard, Epoch::default(), Body::Claim) {
+            event!(warn, "claim_failed", shard = shard, reason = failure);
+        }
+    }
+
+    /// Hands over each shard that has no run; true once none is left.
+    fn release(&self) -> bool {
+        let mut left = false;
+        let mut due = Vec::new();
+        for (shard, held) in self.shards.borrow_mut().iter_mut() {
+            let Some(epoch) = held.epoch else { continue };
+            left = true;
+            let running = self
+                .runs
+                .borrow()
+                .values()
+                .any(|run| run.program.shard() == *shard);
+            if !held.leaving && !running {
+                due.push((*shard, epoch));
+            }
+            held.leaving = held.leaving || !running;
+        }
+        for (shard, epoch) in due {
+            let successor = self.successor(shard);
+            if let Err(failure) = self.push(shard, epoch, Body::Release { successor }) {
+                event!(warn, "release_failed", shard = shard, reason = failure);
+            }
+        }
+        !left
+    }
+
+    fn dump(&self) -> Value {
+        let shards = self.shards.borrow();
+        let runs = self.runs.borrow();
+        let owned = shards.iter().filter_map(|(shard, held)| {
+            let epoch = held.epoch?;
+            let state = json!({
+                "epoch": epoch,
+                "leaving": held.leaving,
+                "programs": held.table.iter().count(),
+                "open": held.table.open(),
+            });
+            Some((shard.to_string(), state))
+        });
+        let runs = runs
+            .iter()
+            .map(|(program, run)| (program.to_string(), run.state()));
+        json!({
+            "boot": self.boot,
+            "shards": owned.collect::<serde_json::Map<_, _>>(),
+            "runs": runs.collect::<serde_json::Map<_, _>>(),
+            "records_awaited": self.waiters.borrow().len(),
+        })
+    }
+
+    fn successor(&self, shard: Shard) -> Option<Vm> {
+        let mut view = self.context.view.borrow().as_ref().clone();
+        view.members.remove(&self.context.me);
+        view.first(&format!("shard/{shard}"))
+            .map(|member| member.vm.clone())
+    }
+}
+
+/// The failure that sends an entry to look for the owner elsewhere.
+pub(super) fn not_owner(shard: Shard) -> Failure {
+    Failure::refused(
+        Code::NotOwner,
+        format!("shard {shard} is owned by another VM"),
+    )
+    .retry_after(Duration::from_millis(200))
+}
+
+/// Milliseconds since the Unix epoch, for reports and time limits only.
+pub(super) fn wall_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
+}
--- /dev/null
+++ b/src/ownership/claimer.rs
@@ -0,0 +1,103 @@
+//! When to claim a shard: after the view has lacked its owner for a while, in rendezvous order.
+
+use crate::id::{Epoch, Shard, Vm, rendezvous};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// How long a shard lacks an owner before the first in rank claims it.
+const GRACE: Duration = Duration::from_millis(400);
+/// How much longer each next in rank waits.
+const RANK_WAIT: Duration = Duration::from_millis(600);
+/// How long a claim is given to appear in the stream before it is made again.
+const CLAIM_WAIT: Duration = Duration::from_secs(3);
+
+/// A member of the view that says it owns shards.
+#[derive(Debug, Clone)]
+pub struct Sighting {
+    /// The member.
+    pub vm: Vm,
+    /// Whether it may claim: it is ready and not stopping.
+    pub eligible: bool,
+    /// The shards it says it owns, with the epochs of its claims.
+    pub held: Vec<(Shard, Epoch)>,
+}
+
+/// Decides when this VM claims a shard.
+///
+/// A wrong decision costs an append and a takeover, never a result: the log orders the claims.
+#[derive(Debug)]
+pub struct Claimer {
+    me: Vm,
+    shards: u64,
+    lacking: BTreeMap<Shard, Instant>,
+    claimed: BTreeMap<Shard, Instant>,
+}
+
+impl Claimer {
+    /// A claimer for `me` over `shards` shards.
+    ///
+    /// ```
+    /// let claimer = vanillatrail::ownership::Claimer::new("vm-a".parse().unwrap(), 16);
+    /// assert!(format!("{claimer:?}").contains("vm-a"));
+    /// ```
+    #[must_use]
+    pub fn new(me: Vm, shards: u64) -> Self {
+        Self {
+            me,
+            shards,
+            lacking: BTreeMap::new(),
+            claimed: BTreeMap::new(),
+        }
+    }
+
+    /// The shards to claim now, given what the members say, `me` among them.
+    ///
+    /// ```
+    /// use vanillatrail::ownership::Claimer;
+    /// let mut claimer = Claimer::new("vm-a".parse().unwrap(), 1);
+    /// assert!(claimer.due(tokio::time::Instant::now(), &[]).is_empty());
+    /// ```
+    pub fn due(&mut self, now: Instant, members: &[Sighting]) -> Vec<Shard> {
+        let held: std::collections::BTreeSet<Shard> = members
+            .iter()
+            .flat_map(|member| member.held.iter().map(|(shard, _)| *shard))
+            .collect();
+        let mut due = Vec::new();
+        for shard in (0..self.shards).map(Shard) {
+            if held.contains(&shard) {
+                self.lacking.remove(&shard);
+                self.claimed.remove(&shard);
+                continue;
+            }
+            let since = *self.lacking.entry(shard).or_insert(now);
+            let Some(rank) = self.rank(shard, members) else {
+                continue;
+            };
+            let wait = GRACE + RANK_WAIT * u32::try_from(rank).unwrap_or(u32::MAX);
+            let waiting = self
+                .claimed
+                .get(&shard)
+                .is_some_and(|at| now - *at < CLAIM_WAIT);
+            if now - since >= wait && !waiting {
+                self.claimed.insert(shard, now);
+                due.push(shard);
+            }
+        }
+        due
+    }
+
+    fn rank(&self, shard: Shard, members: &[Sighting]) -> Option<usize> {
+        let key = format!("shard/{shard}");
+        let score = |vm: &Vm| (rendezvous(&key, vm.as_str()), vm.clone());
+        let mine = score(&self.me);
+        let mut eligible = members.iter().filter(|member| member.eligible).peekable();
+        eligible.clone().find(|member| member.vm == self.me)?;
+        Some(
+            eligible
+                .by_ref()
+                .filter(|member| score(&member.vm) > mine)
+                .count(),
+        )
+    }
+}
--- /dev/null
+++ b/src/program/mod.rs
@@ -0,0 +1,7 @@
+//! Programs: order of calls, history, budget and kept answers, folded from records.
+
+mod state;
+mod types;
+
+pub use state::{Admission, Intent, Kept, Program, Reserve, Table};
+pub use types::{Answer, Budget, Invocation, Message, Prompt, Request, Spawn, Usage};
--- /dev/null
+++ b/src/program/state.rs
@@ -0,0 +1,469 @@
+//! The programs of one shard, folded from the valid records of its stream.
+
+use super::types::{Answer, Budget, Message};
+use crate::code::{Code, Failure};
+use crate::id::{self, Call, Class, Digest, Server, Tokens};
+use crate::journal::Body;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Tokens that an engine may add for the frame of one message.
+const MESSAGE_FRAME: u64 = 8;
+
+/// Tokens set aside for an attempt that is under way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Reserve {
+    /// The call.
+    pub call: Call,
+    /// The most that the attempt can spend.
+    pub tokens: Tokens,
+}
+
+/// A call that must not be repeated and has no outcome yet.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Intent {
+    /// The call.
+    pub call: Call,
+    /// The digest of its body.
+    pub digest: Digest,
+    /// The service and operation.
+    pub target: String,
+}
+
+/// An answer that is kept so that asking again gives the same.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Kept {
+    /// The digest of the call's body.
+    pub digest: Digest,
+    /// The answer.
+    pub answer: Answer,
+}
+
+/// One program.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Program {
+    /// Its id.
+    pub id: id::Program,
+    /// The program that spawned it.
+    pub parent: Option<id::Program>,
+    /// The key that opened it; none for a child.
+    pub key: Option<String>,
+    /// Its class.
+    pub class: Class,
+    /// What it may spend.
+    pub budget: Budget,
+    /// When it was opened, in milliseconds since the Unix epoch.
+    pub opened_ms: u64,
+    /// When it ended, in milliseconds since the Unix epoch.
+    pub ended_ms: Option<u64>,
+    /// Why it ended, when its caller did not ask for it.
+    pub reason: Option<Code>,
+    /// Tokens spent by calls that are over, and by children that have ended.
+    pub spent: Tokens,
+    /// Tokens of the prompt and answer of the newest model call: the size of the history.
+    pub context: Tokens,
+    /// An attempt under way, or cut off by a failure.
+    pub reserve: Option<Reserve>,
+    /// Tokens carved out for children that are open.
+    pub carved: Tokens,
+    /// Calls carved out for children that are open, and made by those that have ended.
+    pub carved_calls: u64,
+    /// Messages in order.
+    pub history: Vec<Message>,
+    /// Answers in order; the next call is one more than there are.
+    pub kept: Vec<Kept>,
+    /// A call sent once that has no outcome yet.
+    pub intent: Option<Intent>,
+    /// Engines that may hold cache for this program.
+    pub resident: BTreeSet<Server>,
+    /// Children, open or ended.
+    pub children: Vec<id::Program>,
+    /// How deep it is nested; 0 for a program that a caller opened.
+    pub depth: u32,
+}
+
+/// What to do with a call.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Admission {
+    /// It is over: give the kept answer.
+    Kept(Answer),
+    /// It is the next one: run it.
+    Run,
+    /// It is after the next one: it waits for its turn.
+    Wait,
+    /// It can't run.
+    Refuse(Failure),
+}
+
+impl Program {
+    /// The number of the next call.
+    #[must_use]
+    pub fn next(&self) -> Call {
+        Call(self.kept.len() as u64 + 1)
+    }
+
+    /// Tokens that are spent, set aside or carved out.
+    #[must_use]
+    pub fn used(&self) -> Tokens {
+        let reserved = self.reserve.map_or(0, |reserve| reserve.tokens.0);
+        Tokens(self.spent.0 + reserved + self.carved.0)
+    }
+
+    /// Bytes of the history.
+    #[must_use]
+    pub fn history_bytes(&self) -> usize {
+        self.history
+            .iter()
+            .map(|message| message.content.len())
+            .sum()
+    }
+
+    /// Whether the program has ended.
+    #[must_use]
+    pub const fn is_ended(&self) -> bool {
+        self.ended_ms.is_some()
+    }
+
+    /// What to do with call `call` with a body of `digest`.
+    #[must_use]
+    pub fn admit(&self, call: Call, digest: Digest) -> Admission {
+        if call.0 == 0 {
+            return Admission::Refuse(Failure::refused(Code::BadBody, "calls count from 1"));
+        }
+        if let Some(kept) = self
+            .kept
+            .get(usize::try_from(call.0).unwrap_or(usize::MAX) - 1)
+        {
+            return if kept.digest == digest {
+                Admission::Kept(kept.answer.clone())
+            } else {
+                let message = format!("call {call} was made with another body");
+                Admission::Refuse(Failure::refused(Code::CallConflict, message))
+            };
+        }
+        if self.is_ended() {
+            let message = match self.reason {
+                Some(reason) => format!("the program ended with {reason}"),
+                None => "the program has ended".to_owned(),
+            };
+            return Admission::Refuse(Failure::refused(Code::ProgramEnded, message));
+        }
+        if call > self.next() {
+            Admission::Wait
+        } else {
+            Admission::Run
+        }
+    }
+
+    /// The most that a model call can spend, if the budget allows it.
+    ///
+    /// A byte is at least as much as a token, so the bound holds for any tokenizer that works on
+    /// bytes; what is not used is given back when the call is over.
+    ///
+    /// # Errors
+    /// [`Code::BudgetExceeded`] when the call could pass the budget.
+    pub fn reserve(&self, messages: &[Message], max_tokens: Tokens) -> Result<Tokens, Failure> {
+        let new: u64 = messages
+            .iter()
+            .map(|message| message.content.len() as u64 + MESSAGE_FRAME)
+            .sum();
+        let reserve = Tokens(new + max_tokens.0);
+        self.afford(reserve, 1)?;
+        Ok(reserve)
+    }
+
+    /// Checks that `tokens` and `calls` more stay within the budget.
+    ///
+    /// # Errors
+    /// [`Code::BudgetExceeded`] when they don't.
+    pub fn afford(&self, tokens: Tokens, calls: u64) -> Result<(), Failure> {
+        if self.used().0.saturating_add(tokens.0) > self.budget.tokens.0 {
+            let message = format!(
+                "{} tokens used of {}, and the call could take {tokens}",
+                self.used(),
+                self.budget.tokens
+            );
+            return Err(Failure::refused(Code::BudgetExceeded, message));
+        }
+        let made = self.kept.len() as u64 + self.carved_calls;
+        if self
+            .budget
+            .calls
+            .is_some_and(|most| made.saturating_add(calls) > most)
+        {
+            let message = format!("{made} calls used of the budget");
+            return Err(Failure::refused(Code::BudgetExceeded, message));
+        }
+        Ok(())
+    }
+
+    fn settle(&mut self, call: Call, tokens: Tokens) {
+        if let Some(reserve) = self.reserve.take_if(|reserve| reserve.call == call) {
+            self.spent.0 += tokens.0.min(reserve.tokens.0);
+        }
+    }
+
+    fn finish(&mut self, digest: Digest, messages: &[Message], answer: &Answer) {
+        let call = self.next();
+        self.history.extend_from_slice(messages);
+        if let Answer::Model { text, usage, .. } = answer {
+            let context = Tokens(usage.prompt.0 + usage.completion.0);
+            self.settle(call, Tokens(context.0.saturating_sub(self.context.0)));
+            self.context = context;
+            self.history.push(Message {
+                role: "assistant".to_owned(),
+                content: text.clone(),
+            });
+        }
+        self.intent = None;
+        self.kept.push(Kept {
+            digest,
+            answer: answer.clone(),
+        });
+    }
+}
+
+/// The programs of one shard.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Table {
+    programs: BTreeMap<id::Program, Program>,
+    keys: BTreeMap<String, id::Program>,
+    // Records of these programs were found without what came before: trimmed by the log. A
+    // checkpoint that stands later in the stream makes such a program whole again.
+    gaps: BTreeSet<id::Program>,
+}
+
+impl Table {
+    /// The program with this id.
+    ///
+    /// # Errors
+    /// [`Code::HistoryGap`] when the log has lost records of it, [`Code::UnknownProgram`] when
+    /// there is none.
+    pub fn get(&self, id: id::Program) -> Result<&Program, Failure> {
+        if self.gaps.contains(&id) {
+            let message = format!("the log has lost records of {id}");
+            return Err(Failure::refused(Code::HistoryGap, message));
+        }
+        self.programs.get(&id).ok_or_else(|| {
+            Failure::refused(Code::UnknownProgram, format!("there is no program {id}"))
+        })
+    }
+
+    /// The program that was opened with `key`.
+    #[must_use]
+    pub fn by_key(&self, key: &str) -> Option<&Program> {
+        self.keys.get(key).and_then(|id| self.programs.get(id))
+    }
+
+    /// Every program, in the order of ids.
+    pub fn iter(&self) -> impl Iterator<Item = &Program> {
+        self.programs.values()
+    }
+
+    /// How many programs have not ended.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.programs
+            .values()
+            .filter(|program| !program.is_ended())
+            .count()
+    }
+
+    /// Takes in one valid record.
+    ///
+    /// Every reader of the stream folds the same records in the same order, so a VM that takes
+    /// the shard over holds what the former owner held.
+    pub fn apply(&mut self, body: &Body) {
+        match body {
+            Body::Claim | Body::Release { .. } | Body::Checkpointed => {}
+            Body::Opened {
+                program,
+                key,
+                class,
+                budget,
+                at_ms,
+            } => {
+                self.keys.insert(key.clone(), *program);
+                let mut state = blank(*program, class.clone(), *budget, *at_ms);
+                state.key = Some(key.clone());
+                self.programs.insert(*program, state);
+            }
+            Body::Begun {
+                program,
+                call,
+                reserve,
+                server,
+            } => self.change(*program, |state| {
+                // An attempt that a failure cut off may have spent all it had set aside.
+                if let Some(lost) = state.reserve.take() {
+                    state.spent.0 += lost.tokens.0;
+                }
+                state.reserve = Some(Reserve {
+                    call: *call,
+                    tokens: *reserve,
+                });
+                state.resident.insert(server.clone());
+            }),
+            Body::Settled {
+                program,
+                call,
+                tokens,
+            } => {
+                self.change(*program, |state| state.settle(*call, *tokens));
+            }
+            Body::Intent {
+                program,
+                call,
+                digest,
+                target,
+            } => self.change(*program, |state| {
+                let target = target.clone();
+                state.intent = Some(Intent {
+                    call: *call,
+                    digest: *digest,
+                    target,
+                });
+            }),
+            Body::Dropped { program, call } => self.change(*program, |state| {
+                state.intent.take_if(|intent| intent.call == *call);
+            }),
+            Body::Done {
+                program,
+                call,
+                digest,
+                messages,
+                answer,
+            } => {
+                self.change(*program, |state| {
+                    if *call == state.next() && !state.is_ended() {
+                        state.finish(*digest, messages, answer);
+                    }
+                });
+            }
+            Body::Spawned {
+                program,
+                call,
+                digest,
+                child,
+                class,
+                budget,
+                at_ms,
+            } => {
+                self.spawn(*program, *call, *digest, *child, class, *budget, *at_ms);
+            }
+            Body::Ended {
+                program,
+                reason,
+                at_ms,
+            } => self.end(*program, *reason, *at_ms),
+            Body::Evicted { program, server } => self.change(*program, |state| {
+                state.resident.remove(server);
+            }),
+            Body::Forgotten { program } => {
+                if let Some(state) = self.programs.remove(program)
+                    && let Some(key) = state.key
+                {
+                    self.keys.remove(&key);
+                }
+            }
+            Body::Checkpoint { program } => {
+                self.gaps.remove(&program.id);
+                if let Some(key) = &program.key {
+                    self.keys.insert(key.clone(), program.id);
+                }
+                self.programs.insert(program.id, program.as_ref().clone());
+            }
+        }
+    }
+
+    fn change(&mut self, id: id::Program, change: impl FnOnce(&mut Program)) {
+        match self.programs.get_mut(&id) {
+            Some(program) => change(program),
+            None => {
+                self.gaps.insert(id);
+            }
+        }
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the fields of one record")]
+    fn spawn(
+        &mut self,
+        parent: id::Program,
+        call: Call,
+        digest: Digest,
+        child: id::Program,
+        class: &Class,
+        budget: Budget,
+        at_ms: u64,
+    ) {
+        let Some(state) = self.programs.get_mut(&parent) else {
+            self.gaps.insert(parent);
+            return;
+        };
+        if call != state.next() || state.is_ended() {
+            return;
+        }
+        state.finish(digest, &[], &Answer::Spawned { child });
+        state.carved.0 += budget.tokens.0;
+        state.carved_calls += budget.calls.unwrap_or(0);
+        state.children.push(child);
+        let mut opened = blank(child, class.clone(), budget, at_ms);
+        opened.parent = Some(parent);
+        opened.depth = state.depth + 1;
+        self.programs.insert(child, opened);
+    }
+
+    fn end(&mut self, id: id::Program, reason: Option<Code>, at_ms: u64) {
+        let Some(program) = self.programs.get_mut(&id) else {
+            self.gaps.insert(id);
+            return;
+        };
+        if program.is_ended() {
+            return;
+        }
+        program.ended_ms = Some(at_ms);
+        program.reason = reason;
+        for child in program.children.clone() {
+            self.end(child, reason, at_ms);
+        }
+        let program = &self.programs[&id];
+        let (parent, used) = (program.parent, program.used());
+        let carved = program.budget;
+        let calls = program.kept.len() as u64 + program.carved_calls;
+        if let Some(parent) = parent.and_then(|parent| self.programs.get_mut(&parent)) {
+            parent.carved.0 = parent.carved.0.saturating_sub(carved.tokens.0);
+            parent.spent.0 += used.0;
+            if let Some(most) = carved.calls {
+                parent.carved_calls = parent.carved_calls.saturating_sub(most) + calls.min(most);
+            }
+        }
+    }
+}
+
+fn blank(id: id::Program, class: Class, budget: Budget, at_ms: u64) -> Program {
+    Program {
+        id,
+        parent: None,
+        key: None,
+        class,
+        budget,
+        opened_ms: at_ms,
+        ended_ms: None,
+        reason: None,
+        spent: Tokens(0),
+        context: Tokens(0),
+        reserve: None,
+        carved: Tokens(0),
+        carved_calls: 0,
+        history: Vec::new(),
+        kept: Vec::new(),
+        intent: None,
+        resident: BTreeSet::new(),
+        children: Vec::new(),
+        depth: 0,
+    }
+}
--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,62 @@
+//! Small stand-ins for the platform and the backend servers, with fault switches and counters.
+
+mod engine;
+mod faults;
+mod log;
+mod service;
+mod vms;
+
+use clap::ValueEnum;
+use poem::{EndpointExt, IntoEndpoint, Server, listener::TcpAcceptor};
+use std::io;
+use std::net::SocketAddr;
+use tokio_util::sync::CancellationToken;
+
+/// Which stand-in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub(crate) enum Kind {
+    /// The append-only log service.
+    Log,
+    /// A model engine.
+    Engine,
+    /// A plain service.
+    Service,
+    /// The VM list.
+    Vms,
+}
+
+/// Serves the stand-in on `listener` until `stop`.
+pub(crate) async fn serve(
+    kind: Kind,
+    listener: std::net::TcpListener,
+    stop: CancellationToken,
+) -> io::Result<()> {
+    match kind {
+        Kind::Log => run(listener, log::routes(), stop).await,
+        Kind::Engine => run(listener, engine::routes(), stop).await,
+        Kind::Service => run(listener, service::routes(), stop).await,
+        Kind::Vms => run(listener, vms::routes(), stop).await,
+    }
+}
+
+async fn run(
+    listener: std::net::TcpListener,
+    routes: impl IntoEndpoint<Endpoint: 'static>,
+    stop: CancellationToken,
+) -> io::Result<()> {
+    listener.set_nonblocking(true)?;
+    let acceptor = TcpAcceptor::from_std(listener)?;
+    let endpoint = routes.into_endpoint().map_to_response();
+    Server::new_with_acceptor(acceptor)
+        .run_with_graceful_shutdown(
+            endpoint,
+            async move { stop.cancelled().await },
+            Some(std::time::Duration::ZERO),
+        )
+        .await
+}
+
+/// Binds `address` for a stand-in or a VM.
+pub(crate) fn bind(address: SocketAddr) -> io::Result<std::net::TcpListener> {
+    std::net::TcpListener::bind(address)
+}
--- /dev/null
+++ b/src/telemetry.rs
@@ -0,0 +1,127 @@
+//! Logs, one line of key=value pairs for each event, and metrics.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+use spdlog::formatter::{PatternFormatter, pattern};
+use spdlog::sink::StdStreamSink;
+use spdlog::{LevelFilter, Logger};
+use std::fmt;
+use std::sync::Arc;
+
+/// Writes one event as a line of key=value pairs.
+macro_rules! event {
+    ($level:ident, $name:literal $(, $key:ident = $value:expr)* $(,)?) => {
+        spdlog::$level!(
+            "event={}{}",
+            $name,
+            $crate::telemetry::Pairs(&[$((stringify!($key), &$value as &dyn std::fmt::Display)),*])
+        )
+    };
+}
+pub(crate) use event;
+
+/// Pairs in the form ` key=value`, with quotes where a value holds a space.
+pub(crate) struct Pairs<'a>(pub(crate) &'a [(&'static str, &'a dyn fmt::Display)]);
+
+impl fmt::Display for Pairs<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (key, value) in self.0 {
+            let text = value.to_string();
+            if text.is_empty() || text.contains([' ', '"', '=', '\n']) {
+                write!(f, " {key}={text:?}")?;
+            } else {
+                write!(f, " {key}={text}")?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Sends events of `level` and above to standard error.
+pub(crate) fn log_to_stderr(level: LevelFilter) {
+    let formatter = PatternFormatter::new(pattern!(
+        "ts={date}T{time}.{millisecond} level={level} {payload}{eol}"
+    ));
+    let sink = StdStreamSink::builder()
+        .stderr()
+        .formatter(formatter)
+        .build_arc();
+    let logger = sink.and_then(|sink| Logger::builder().sink(sink).level_filter(level).build_arc());
+    if let Ok(logger) = logger {
+        drop(spdlog::swap_default_logger(logger));
+    }
+}
+
+/// The metrics of one VM.
+#[derive(Clone)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    _provider: Arc<SdkMeterProvider>,
+    /// Requests answered, by result code.
+    pub(crate) answers: Counter<u64>,
+    /// Calls that ran here as owner.
+    pub(crate) calls: Counter<u64>,
+    /// Time from a call's admission to its final answer, in milliseconds.
+    pub(crate) call_ms: Histogram<f64>,
+    /// Appends to the log.
+    pub(crate) appends: Counter<u64>,
+    /// Records in those appends.
+    pub(crate) records: Counter<u64>,
+    /// Shards claimed.
+    pub(crate) claims: Counter<u64>,
+    /// Caches evicted for ended programs.
+    pub(crate) evictions: Counter<u64>,
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Metrics").finish_non_exhaustive()
+    }
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .expect("a fresh registry takes the exporter");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("vanillatrail");
+        let counter = |name: &'static str, about: &'static str| {
+            meter.u64_counter(name).with_description(about).build()
+        };
+        Self {
+            answers: counter("answers", "Requests answered, by result code"),
+            calls: counter("calls", "Calls run as owner"),
+            call_ms: meter
+                .f64_histogram("call_ms")
+                .with_description("Milliseconds from admission to final answer")
+                .build(),
+            appends: counter("appends", "Appends to the log"),
+            records: counter("records", "Records appended"),
+            claims: counter("claims", "Shards claimed"),
+            evictions: counter("evictions", "Caches evicted for ended programs"),
+            registry,
+            _provider: Arc::new(provider),
+        }
+    }
+
+    /// Counts an answer under `code`, `ok` for a success.
+    pub(crate) fn answer(&self, code: &str) {
+        self.answers
+            .add(1, &[KeyValue::new("code", code.to_owned())]);
+    }
+
+    /// The text for `/metrics`.
+    pub(crate) fn text(&self) -> String {
+        let mut bytes = Vec::new();
+        let families = self.registry.gather();
+        if TextEncoder::new().encode(&families, &mut bytes).is_err() {
+            return String::new();
+        }
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,368 @@
+//! A small test environment: the built binary as separate processes on loopback.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use serde_json::{Value, json};
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+
+/// How long a poll goes on before the test fails; far more than any step takes.
+const LIMIT: Duration = Duration::from_secs(60);
+
+/// A process that is killed when the test is over.
+pub struct Process {
+    child: Child,
+    pub address: SocketAddr,
+    pub log: PathBuf,
+}
+
+impl Process {
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill")
+            .args([&format!("-{name}"), &pid])
+            .status();
+        assert!(status.expect("kill runs").success(), "kill -{name} {pid}");
+    }
+
+    /// SIGKILL, and waits until the process is gone.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the process is ours");
+        self.child.wait().expect("the process is ours");
+    }
+
+    /// Waits until the process has ended by itself.
+    pub fn wait(&mut self) -> std::process::ExitStatus {
+        let until = Instant::now() + LIMIT;
+        loop {
+            if let Some(status) = self.child.try_wait().expect("the process is ours") {
+                return status;
+            }
+            assert!(Instant::now() < until, "the process does not end");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// One VM: its process and its addresses.
+pub struct Vm {
+    pub process: Process,
+    pub callers: SocketAddr,
+    pub peers: SocketAddr,
+    pub operators: SocketAddr,
+    settings: PathBuf,
+}
+
+/// The platform, the backend servers and the VMs of one test.
+pub struct Environment {
+    dir: TempDir,
+    http: reqwest::blocking::Client,
+    pub log: Process,
+    pub engines: Vec<Process>,
+    pub service: Process,
+    pub vms: Vec<Vm>,
+}
+
+/// An address that nobody listens on.
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener
+        .local_addr()
+        .expect("a bound listener has an address")
+}
+
+impl Environment {
+    /// Stand-ins, configuration, and so many VMs, ready to serve.
+    pub fn start(engines: usize, vms: usize) -> Self {
+        let mut environment = Self::platform(engines);
+        environment.configure();
+        environment.start_vms(vms);
+        environment
+    }
+
+    /// Stand-ins only.
+    pub fn platform(engines: usize) -> Self {
+        let dir = tempfile::tempdir().expect("a temporary folder");
+        let log = standin(&dir, "log", 0);
+        let service = standin(&dir, "service", 0);
+        let engines = (0..engines)
+            .map(|index| standin(&dir, "engine", index))
+            .collect();
+        let http = reqwest::blocking::Client::builder()
+            .timeout(LIMIT)
+            .pool_max_idle_per_host(0)
+            .build()
+            .expect("a client");
+        Self {
+            dir,
+            http,
+            log,
+            engines,
+            service,
+            vms: Vec::new(),
+        }
+    }
+
+    /// Publishes two classes, a pool of the engines and a service.
+    pub fn configure(&self) {
+        let engines: Vec<Value> = self
+            .engines
+            .iter()
+            .enumerate()
+            .map(
+                |(index, engine)| json!({ "name": format!("e{index}"), "address": engine.address }),
+            )
+            .collect();
+        self.publish("class/quick", json!({ "target_ms": 5000 }), None);
+        self.publish("class/rework", json!({ "target_ms": 9000 }), None);
+        self.publish(
+            "pool/main",
+            json!({ "model": "small", "engines": engines }),
+            None,
+        );
+        let operations = json!({
+            "receipt": { "mode": "once" },
+            "book": { "mode": "keyed" },
+            "rates": { "mode": "repeatable" },
+        });
+        let servers = json!([{ "name": "s0", "address": self.service.address }]);
+        self.publish(
+            "service/filing",
+            json!({ "servers": servers, "operations": operations }),
+            None,
+        );
+    }
+
+    /// Publishes a configuration change and gives its offset.
+    pub fn publish(&self, key: &str, value: Value, base: Option<u64>) -> u64 {
+        let change = json!({ "schema": 1, "key": key, "base": base, "value": value, "by": "ama" });
+        let url = format!("http://{}/streams/config", self.log.address);
+        let reply = self
+            .http
+            .post(url)
+            .body(change.to_string())
+            .send()
+            .expect("the log answers");
+        let reply: Value = reply.json().expect("JSON");
+        reply["offset"].as_u64().expect("an offset")
+    }
+
+    /// Starts VMs and waits until each is ready and every shard has an owner.
+    pub fn start_vms(&mut self, count: usize) {
+        let listen: Vec<[SocketAddr; 3]> = (0..count)
+            .map(|_| [free_address(), free_address(), free_address()])
+            .collect();
+        let seeds: Vec<SocketAddr> = listen.iter().map(|[_, peers, _]| *peers).collect();
+        for (index, [callers, peers, operators]) in listen.iter().enumerate() {
+            let settings = json!({
+                "vm": format!("vm-{index}"),
+                "zone": format!("zone-{}", index % 3),
+                "listen": { "callers": callers, "peers": peers, "operators": operators },
+                "seeds": seeds,
+                "peer_key": "a key for tests only",
+                "log": format!("http://{}", self.log.address),
+            });
+            let path = self.dir.path().join(format!("vm-{index}.json"));
+            std::fs::write(&path, settings.to_string()).expect("the folder is ours");
+            let process = serve(&self.dir, &path, *callers);
+            let (callers, peers, operators) = (*callers, *peers, *operators);
+            self.vms.push(Vm {
+                process,
+                callers,
+                peers,
+                operators,
+                settings: path,
+            });
+        }
+        self.wait_owned();
+    }
+
+    /// Starts a VM that was killed or has stopped again.
+    pub fn restart_vm(&mut self, index: usize) {
+        let vm = &self.vms[index];
+        let (settings, callers) = (vm.settings.clone(), vm.callers);
+        self.vms[index].process = serve(&self.dir, &settings, callers);
+    }
+
+    /// Waits until every shard has an owner among the VMs that answer.
+    pub fn wait_owned(&self) {
+        poll("every shard has an owner", || {
+            let owned: usize = self.vms.iter().map(|vm| self.owned(vm)).sum();
+            (owned >= 16).then_some(())
+        });
+    }
+
+    fn owned(&self, vm: &Vm) -> usize {
+        let state = self.try_get(&format!("http://{}/state", vm.operators));
+        state
+            .and_then(|state| Some(state["owner"]["shards"].as_object()?.len()))
+            .unwrap_or(0)
+    }
+
+    fn try_get(&self, url: &str) -> Option<Value> {
+        let request = self.http.get(url).timeout(Duration::from_secs(3));
+        request.send().ok()?.json().ok()
+    }
+
+    /// The VM that owns a program.
+    pub fn owner(&self, program: &str) -> usize {
+        poll("the program has an owner", || {
+            let seen = self.vms.iter().find_map(|vm| {
+                let url = format!("http://{}/v1/programs/{program}", vm.callers);
+                self.try_get(&url)?["owner"].as_str().map(str::to_owned)
+            })?;
+            (0..self.vms.len()).find(|index| format!("vm-{index}") == seen)
+        })
+    }
+
+    pub fn get(&self, address: SocketAddr, path: &str) -> (u16, Value) {
+        let reply = self
+            .http
+            .get(format!("http://{address}{path}"))
+            .send()
+            .expect("it answers");
+        let status = reply.status().as_u16();
+        (status, reply.json().unwrap_or(Value::Null))
+    }
+
+    pub fn post(&self, address: SocketAddr, path: &str, body: &Value) -> (u16, Value) {
+        self.try_post(address, path, body).expect("it answers")
+    }
+
+    pub fn try_post(&self, address: SocketAddr, path: &str, body: &Value) -> Option<(u16, Value)> {
+        let url = format!("http://{address}{path}");
+        let reply = self.http.post(url).body(body.to_string()).send().ok()?;
+        let status = reply.status().as_u16();
+        Some((status, reply.json().ok()?))
+    }
+
+    /// Sets fault switches of a stand-in.
+    pub fn faults(&self, address: SocketAddr, faults: &Value) {
+        let url = format!("http://{address}/faults");
+        let reply = self
+            .http
+            .post(url)
+            .json(faults)
+            .send()
+            .expect("the stand-in answers");
+        assert!(reply.status().is_success(), "{faults}");
+    }
+
+    pub fn counters(&self, address: SocketAddr) -> Value {
+        self.get(address, "/counters").1
+    }
+
+    /// Opens a program at a VM and gives its id.
+    pub fn open(&self, vm: usize, class: &str, key: &str, tokens: u64) -> String {
+        let body = json!({ "class": class, "key": key, "budget": { "tokens": tokens } });
+        let (status, reply) = self.post(self.vms[vm].callers, "/v1/programs", &body);
+        assert_eq!(status, 200, "{reply}");
+        reply["program"].as_str().expect("an id").to_owned()
+    }
+
+    /// Makes a call at a VM.
+    pub fn call(&self, vm: usize, program: &str, body: &Value) -> (u16, Value) {
+        self.post(
+            self.vms[vm].callers,
+            &format!("/v1/programs/{program}/calls"),
+            body,
+        )
+    }
+
+    /// Ends a program at a VM.
+    pub fn end(&self, vm: usize, program: &str) -> (u16, Value) {
+        self.post(
+            self.vms[vm].callers,
+            &format!("/v1/programs/{program}/end"),
+            &json!({}),
+        )
+    }
+
+    /// How often the effect of a call took place at the service.
+    pub fn effects(&self, program: &str, call: u64) -> u64 {
+        let counters = self.counters(self.service.address);
+        counters["effects"][format!("{program}/{call}")]
+            .as_u64()
+            .unwrap_or(0)
+    }
+}
+
+/// The body of a model call.
+pub fn model(call: u64, text: &str, max_tokens: u64) -> Value {
+    let messages = json!([{ "role": "user", "content": text }]);
+    json!({ "call": call, "model": { "messages": messages, "max_tokens": max_tokens } })
+}
+
+/// The body of a service call.
+pub fn service(call: u64, operation: &str, body: &Value) -> Value {
+    json!({ "call": call, "service": { "service": "filing", "operation": operation, "body": body } })
+}
+
+/// Asks again until there is a value; fails the test after a long time.
+pub fn poll<T>(what: &str, mut ask: impl FnMut() -> Option<T>) -> T {
+    let until = Instant::now() + LIMIT;
+    loop {
+        if let Some(value) = ask() {
+            return value;
+        }
+        assert!(Instant::now() < until, "never came: {what}");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+fn standin(dir: &TempDir, kind: &str, index: usize) -> Process {
+    let address = free_address();
+    let log = dir.path().join(format!("{kind}-{index}.log"));
+    let process = spawn(
+        &["standin", kind, "--listen", &address.to_string()],
+        &log,
+        address,
+    );
+    poll("the stand-in listens", || {
+        std::net::TcpStream::connect(address).ok()
+    });
+    process
+}
+
+fn serve(dir: &TempDir, settings: &std::path::Path, callers: SocketAddr) -> Process {
+    let name = settings
+        .file_stem()
+        .expect("a file")
+        .to_string_lossy()
+        .into_owned();
+    let log = dir.path().join(format!("{name}.log"));
+    spawn(
+        &["serve", "--settings", &settings.to_string_lossy()],
+        &log,
+        callers,
+    )
+}
+
+fn spawn(arguments: &[&str], log: &std::path::Path, address: SocketAddr) -> Process {
+    let file = std::fs::OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(log)
+        .expect("our file");
+    let child = Command::new(env!("CARGO_BIN_EXE_vanillatrail"))
+        .args(arguments)
+        .stdout(Stdio::null())
+        .stderr(file)
+        .spawn()
+        .expect("the binary runs");
+    Process {
+        child,
+        address,
+        log: log.to_path_buf(),
+    }
+}
