--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -10,7 +10,7 @@
 use tempfile::TempDir;
 
 /// How long a poll goes on before the test fails; far more than any step takes.
-const LIMIT: Duration = Duration::from_secs(60);
+const LIMIT: Duration = Duration::from_mins(1);
 
 /// A process that is killed when the test is over.
 pub struct Process {
