Hand shards over on a planned stop without an error to any caller

Ruled out: the entry (its own readiness was checked) and the claimer (it asks the view for readiness). Change: an offer is noted while the log is folded and taken up only on a tick of a ready VM, and only if no claim stands after it.

--- a/src/owner/duty.rs
+++ b/src/owner/duty.rs
@@ -53,6 +53,8 @@
     pub(super) epoch: Option<Epoch>,
     /// The shard is being handed over: no new run starts.
     pub(super) leaving: bool,
+    /// The newest holder has released the shard to this VM.
+    offered: bool,
 }
 
 pub(super) struct Owner {
@@ -233,27 +235,25 @@
             let verdict = held.ledger.judge(offset, index, record);
             match verdict {
                 Verdict::Valid => held.table.apply(&record.body),
-                Verdict::Claimed(epoch) => held.epoch = mine.then_some(epoch),
+                Verdict::Claimed(epoch) => {
+                    held.epoch = mine.then_some(epoch);
+                    held.offered = false;
+                }
                 Verdict::Void | Verdict::Duplicate => {}
             }
-            if matches!(
-                (verdict, &record.body),
-                (Verdict::Valid, Body::Release { .. })
-            ) {
+            if verdict == Verdict::Valid
+                && let Body::Release { successor } = &record.body
+            {
                 held.epoch = None;
+                held.offered = successor.as_ref() == Some(&self.context.me);
             }
             verdict
         };
         if let Verdict::Claimed(epoch) = verdict {
             self.claimed(shard, epoch, mine, &record.id.vm);
         }
-        if verdict == Verdict::Valid
-            && let Body::Release { successor } = &record.body
-        {
+        if verdict == Verdict::Valid && matches!(record.body, Body::Release { .. }) {
             self.publish();
-            if successor.as_ref() == Some(&self.context.me) && !self.context.leave.is_cancelled() {
-                self.append_claim(shard);
-            }
         }
         if mine
             && let Some(waiter) = self
@@ -295,7 +295,15 @@
         self.context.local.send_modify(|beat| beat.held = held);
     }
 
+    /// Claims what has been released to this VM, and what has lacked an owner for a while.
     fn claim(&self) {
+        // Only once ready: a VM that starts reads old offers in the log, long since taken by
+        // others, and has no configuration yet to serve programs with.
+        if self.context.local.borrow().ready {
+            for shard in self.offered() {
+                self.append_claim(shard);
+            }
+        }
         let sightings: Vec<Sighting> = {
             let view = self.context.view.borrow();
             let members = view.members.values().map(|member| Sighting {
@@ -315,6 +323,14 @@
         }
     }
 
+    fn offered(&self) -> Vec<Shard> {
+        let mut shards = self.shards.borrow_mut();
+        let taken = shards
+            .iter_mut()
+            .filter_map(|(shard, held)| std::mem::take(&mut held.offered).then_some(*shard));
+        taken.collect()
+    }
+
     fn append_claim(&self, shard: Shard) {
         if let Err(failure) = self.push(shard, Epoch::default(), Body::Claim) {
             event!(warn, "claim_failed", shard = shard, reason = failure);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -214,6 +214,13 @@
         request.send().ok()?.json().ok()
     }
 
+    /// The status that a path gives, if anything listens.
+    pub fn try_status(&self, address: SocketAddr, path: &str) -> Option<u16> {
+        let request = self.http.get(format!("http://{address}{path}"));
+        let reply = request.timeout(Duration::from_secs(3)).send().ok()?;
+        Some(reply.status().as_u16())
+    }
+
     /// The VM that owns a program.
     pub fn owner(&self, program: &str) -> usize {
         poll("the program has an owner", || {
