--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -4,7 +4,7 @@
 mod duty;
 mod value;
 
-pub use book::{Book, Change, Ruling, Verdict};
+pub use book::{Book, Change, Checkpoint, Ruling, Setting, Verdict};
 pub use value::{Class, Engine, Fencing, Mode, Operation, Pool, Service, Snapshot, Value};
 
-pub(crate) use duty::run;
+pub(crate) use duty::{Context, run};
--- a/src/config/value.rs
+++ b/src/config/value.rs
@@ -259,9 +259,21 @@
     pub caught_up: bool,
     /// A record of a newer schema was met: this build must not judge what follows.
     pub newer_schema: bool,
+    /// Neither the log nor any peer has been seen for a while.
+    pub cut_off: bool,
 }
 
 impl Snapshot {
+    /// Whether programs may be admitted under this configuration.
+    ///
+    /// ```
+    /// assert!(!vanillatrail::config::Snapshot::default().admits());
+    /// ```
+    #[must_use]
+    pub const fn admits(&self) -> bool {
+        self.caught_up && !self.newer_schema && !self.cut_off
+    }
+
     /// The class of this name.
     ///
     /// # Errors
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -234,7 +234,7 @@
 
 fn ready(entry: &Entry) -> Result<(), Failure> {
     let config = entry.config.borrow();
-    if config.caught_up && !config.newer_schema {
+    if config.admits() {
         return Ok(());
     }
     let failure = Failure::refused(Code::NotReady, Code::NotReady.meaning());
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -1,6 +1,7 @@
 //! Kept connections to the other VMs.
 
 use crate::code::Failure;
+use crate::config::Book;
 use crate::dispatch::{Grant, Key};
 use crate::id::Permit;
 use crate::owner::{Frame, Request};
@@ -82,6 +83,15 @@
         }
     }
 
+    /// The configuration as the peer at `to` has folded it.
+    pub(crate) async fn config(&self, to: SocketAddr) -> Result<Book, Lost> {
+        let client = self.client(to).await?;
+        client
+            .request("config", rpc_params![&self.key])
+            .await
+            .map_err(|_| Lost)
+    }
+
     /// Tells the dispatcher at `to` how a call went.
     pub(crate) async fn done(
         &self,
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -1,6 +1,7 @@
 //! The peer thread: takes requests of the other VMs.
 
 use crate::code::{Code, Failure};
+use crate::config::Book;
 use crate::dispatch::{self, Grant, Key};
 use crate::id::Permit;
 use crate::owner::{Ask, Frame, Request};
@@ -13,8 +14,9 @@
 };
 use jsonrpsee::types::{ErrorObjectOwned, Params};
 use serde::Serialize;
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -29,6 +31,7 @@
     pub(crate) key: String,
     pub(crate) owner: flume::Sender<Ask>,
     pub(crate) dispatch: flume::Sender<dispatch::Command>,
+    pub(crate) books: watch::Receiver<Arc<Book>>,
 }
 
 impl Service {
@@ -109,6 +112,13 @@
         })
         .expect("the name is free");
     module
+        .register_method("config", |params, service, _| {
+            let key: String = params.one()?;
+            service.check(&key)?;
+            Ok::<Book, ErrorObjectOwned>(service.books.borrow().as_ref().clone())
+        })
+        .expect("the name is free");
+    module
 }
 
 async fn ask(
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,7 +1,7 @@
 //! One VM: its sockets, its duties and their order of stopping.
 
 use crate::code::{Code, Failure};
-use crate::config::{self, Snapshot};
+use crate::config::{self, Book, Snapshot};
 use crate::entry::{self, Entry, Router};
 use crate::id::{Boot, Offset};
 use crate::journal::{self, Pace, Share};
@@ -144,6 +144,7 @@
     local: Arc<watch::Sender<Beat>>,
     config: watch::Receiver<Arc<Snapshot>>,
     view: watch::Receiver<Arc<View>>,
+    books: watch::Receiver<Arc<Book>>,
     owner: flume::Sender<owner::Ask>,
     dispatch: flume::Sender<dispatch::Command>,
     stages: Stages,
@@ -157,6 +158,7 @@
     stages: &Stages,
 ) {
     let (config, config_seen) = watch::channel(Arc::new(Snapshot::default()));
+    let (books, books_seen) = watch::channel(Arc::new(Book::default()));
     let (view, view_seen) = watch::channel(Arc::new(View::default()));
     let (owner, asks) = flume::bounded(RING);
     let (dumps, owner_dumps) = flume::bounded(RING);
@@ -171,11 +173,12 @@
         local: local.clone(),
         config: config_seen,
         view: view_seen,
+        books: books_seen,
         owner,
         dispatch,
         stages: stages.clone(),
     };
-    wiring.config(supervisor, config);
+    wiring.config(supervisor, config, books);
     wiring.member(supervisor, sockets.gossip, view);
     wiring.journal(supervisor, journaled, events);
     wiring.dispatch(supervisor, dispatched);
@@ -186,11 +189,28 @@
 }
 
 impl Wiring {
-    fn config(&self, supervisor: &mut Supervisor, published: watch::Sender<Arc<Snapshot>>) {
-        let (log, rest) = (self.log.clone(), self.stages.rest.clone());
-        supervisor.duty("config", move || {
-            config::run(log.clone(), published.clone(), rest.clone())
-        });
+    fn config(
+        &self,
+        supervisor: &mut Supervisor,
+        snapshots: watch::Sender<Arc<Snapshot>>,
+        books: watch::Sender<Arc<Book>>,
+    ) {
+        let context = config::Context {
+            me: self.settings.vm.clone(),
+            log: self.log.clone(),
+            links: self.links.clone(),
+            view: self.view.clone(),
+            has_peers: self
+                .settings
+                .seeds
+                .iter()
+                .any(|seed| *seed != self.settings.listen.peers),
+            retention: Duration::from_millis(self.settings.log_retention_ms),
+            snapshots,
+            books,
+            stop: self.stages.rest.clone(),
+        };
+        supervisor.duty("config", move || config::run(context.clone()));
     }
 
     fn member(
@@ -283,6 +303,7 @@
             key: self.settings.peer_key.clone(),
             owner: self.owner.clone(),
             dispatch: self.dispatch.clone(),
+            books: self.books.clone(),
         };
         let rest = self.stages.rest.clone();
         supervisor.duty("peer", move || {
@@ -354,7 +375,7 @@
 ) {
     loop {
         let snapshot = config.borrow_and_update().clone();
-        let ready = snapshot.caught_up && !snapshot.newer_schema && !stopping.is_cancelled();
+        let ready = snapshot.admits() && !stopping.is_cancelled();
         local.send_modify(|beat| {
             beat.applied = snapshot.applied;
             beat.ready = ready;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -50,6 +50,9 @@
     /// Appends a second that all VMs together may make.
     #[serde(default = "Settings::default_appends")]
     pub appends_per_second: u64,
+    /// How long the log keeps entries, in milliseconds.
+    #[serde(default = "Settings::default_retention")]
+    pub log_retention_ms: u64,
     /// How long a planned stop may take, in milliseconds.
     #[serde(default = "Settings::default_stop")]
     pub stop_ms: u64,
@@ -74,6 +77,10 @@
         300
     }
 
+    const fn default_retention() -> u64 {
+        24 * 3_600_000
+    }
+
     const fn default_stop() -> u64 {
         10_000
     }
@@ -119,6 +126,11 @@
                 "appends_per_second",
                 "zero",
             ),
+            (
+                settings.log_retention_ms >= 1000,
+                "log_retention_ms",
+                "under 1000",
+            ),
             (settings.max_programs >= 1, "max_programs", "zero"),
             (
                 settings.max_body_bytes >= 1024,
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,9 +3,10 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 use serde_json::{Value, json};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
 
@@ -34,6 +35,20 @@
         self.child.wait().expect("the process is ours");
     }
 
+    /// How many lines of its log hold `text`.
+    pub fn logged(&self, text: &str) -> usize {
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        log.lines().filter(|line| line.contains(text)).count()
+    }
+
+    /// The value of `offset=` in the newest line of its log that holds `text`.
+    pub fn offset_of(&self, text: &str) -> Option<u64> {
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        let line = log.lines().rfind(|line| line.contains(text))?;
+        let (_, rest) = line.split_once("offset=")?;
+        rest.split_whitespace().next()?.parse().ok()
+    }
+
     /// Waits until the process has ended by itself.
     pub fn wait(&mut self) -> std::process::ExitStatus {
         let until = Instant::now() + LIMIT;
@@ -73,12 +88,33 @@
     pub vms: Vec<Vm>,
 }
 
+/// The addresses that a VM is to listen on.
+struct Listen {
+    callers: SocketAddr,
+    peers: SocketAddr,
+    operators: SocketAddr,
+}
+
+impl Listen {
+    fn free() -> Self {
+        Self {
+            callers: free_address(),
+            peers: free_address(),
+            operators: free_address(),
+        }
+    }
+}
+
 /// An address that nobody listens on.
+///
+/// A port that was free a moment ago can be taken by another test or by an outgoing connection,
+/// and the test then talks to a stranger. Each test process has a loopback address of its own, and
+/// ports below those of outgoing connections.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener
-        .local_addr()
-        .expect("a bound listener has an address")
+    static NEXT: AtomicU16 = AtomicU16::new(10_000);
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, 1 + high, middle, low.max(1));
+    SocketAddr::from((ip, NEXT.fetch_add(1, Ordering::Relaxed)))
 }
 
 impl Environment {
@@ -159,34 +195,50 @@
 
     /// Starts VMs and waits until each is ready and every shard has an owner.
     pub fn start_vms(&mut self, count: usize) {
-        let listen: Vec<[SocketAddr; 3]> = (0..count)
-            .map(|_| [free_address(), free_address(), free_address()])
-            .collect();
-        let seeds: Vec<SocketAddr> = listen.iter().map(|[_, peers, _]| *peers).collect();
-        for (index, [callers, peers, operators]) in listen.iter().enumerate() {
-            let settings = json!({
-                "vm": format!("vm-{index}"),
-                "zone": format!("zone-{}", index % 3),
-                "listen": { "callers": callers, "peers": peers, "operators": operators },
-                "seeds": seeds,
-                "peer_key": "a key for tests only",
-                "log": format!("http://{}", self.log.address),
-            });
-            let path = self.dir.path().join(format!("vm-{index}.json"));
-            std::fs::write(&path, settings.to_string()).expect("the folder is ours");
-            let process = serve(&self.dir, &path, *callers);
-            let (callers, peers, operators) = (*callers, *peers, *operators);
-            self.vms.push(Vm {
-                process,
-                callers,
-                peers,
-                operators,
-                settings: path,
-            });
+        let listen: Vec<Listen> = (0..count).map(|_| Listen::free()).collect();
+        let seeds: Vec<SocketAddr> = listen.iter().map(|listen| listen.peers).collect();
+        for listen in &listen {
+            self.start_vm(listen, &seeds, &json!({}));
         }
         self.wait_owned();
     }
 
+    /// Starts one more VM, with other settings where `patch` names them.
+    pub fn add_vm(&mut self, patch: &Value) {
+        let seeds: Vec<SocketAddr> = self.vms.iter().map(|vm| vm.peers).collect();
+        self.start_vm(&Listen::free(), &seeds, patch);
+    }
+
+    fn start_vm(&mut self, listen: &Listen, seeds: &[SocketAddr], other: &Value) {
+        let Listen {
+            callers,
+            peers,
+            operators,
+        } = *listen;
+        let index = self.vms.len();
+        let mut settings = json!({
+            "vm": format!("vm-{index}"),
+            "zone": format!("zone-{}", index % 3),
+            "listen": { "callers": callers, "peers": peers, "operators": operators },
+            "seeds": seeds,
+            "peer_key": "a key for tests only",
+            "log": format!("http://{}", self.log.address),
+        });
+        if let (Some(all), Some(other)) = (settings.as_object_mut(), other.as_object().cloned()) {
+            all.extend(other);
+        }
+        let path = self.dir.path().join(format!("vm-{index}.json"));
+        std::fs::write(&path, settings.to_string()).expect("the folder is ours");
+        let process = serve(&self.dir, &path, callers);
+        self.vms.push(Vm {
+            process,
+            callers,
+            peers,
+            operators,
+            settings: path,
+        });
+    }
+
     /// Starts a VM that was killed or has stopped again.
     pub fn restart_vm(&mut self, index: usize) {
         let vm = &self.vms[index];
@@ -203,30 +255,31 @@
     }
 
     fn owned(&self, vm: &Vm) -> usize {
-        let state = self.try_get(&format!("http://{}/state", vm.operators));
+        let state = self.try_get(vm.operators, "/state");
         state
-            .and_then(|state| Some(state["owner"]["shards"].as_object()?.len()))
+            .and_then(|(_, state)| Some(state["owner"]["shards"].as_object()?.len()))
             .unwrap_or(0)
     }
 
-    fn try_get(&self, url: &str) -> Option<Value> {
-        let request = self.http.get(url).timeout(Duration::from_secs(3));
-        request.send().ok()?.json().ok()
+    /// The status and body that a path gives, if anything answers.
+    pub fn try_get(&self, address: SocketAddr, path: &str) -> Option<(u16, Value)> {
+        let request = self.http.get(format!("http://{address}{path}"));
+        let reply = request.timeout(Duration::from_secs(3)).send().ok()?;
+        let status = reply.status().as_u16();
+        Some((status, reply.json().unwrap_or(Value::Null)))
     }
 
     /// The status that a path gives, if anything listens.
     pub fn try_status(&self, address: SocketAddr, path: &str) -> Option<u16> {
-        let request = self.http.get(format!("http://{address}{path}"));
-        let reply = request.timeout(Duration::from_secs(3)).send().ok()?;
-        Some(reply.status().as_u16())
+        self.try_get(address, path).map(|(status, _)| status)
     }
 
     /// The VM that owns a program.
     pub fn owner(&self, program: &str) -> usize {
         poll("the program has an owner", || {
             let seen = self.vms.iter().find_map(|vm| {
-                let url = format!("http://{}/v1/programs/{program}", vm.callers);
-                self.try_get(&url)?["owner"].as_str().map(str::to_owned)
+                let (_, look) = self.try_get(vm.callers, &format!("/v1/programs/{program}"))?;
+                look["owner"].as_str().map(str::to_owned)
             })?;
             (0..self.vms.len()).find(|index| format!("vm-{index}") == seen)
         })
@@ -265,6 +318,19 @@
         assert!(reply.status().is_success(), "{faults}");
     }
 
+    /// Makes the log forget the entries of a stream before an offset.
+    pub fn trim(&self, stream: &str, before: u64) {
+        let body = json!({ "stream": stream, "before": before });
+        let url = format!("http://{}/trim", self.log.address);
+        let reply = self
+            .http
+            .post(url)
+            .json(&body)
+            .send()
+            .expect("the log answers");
+        assert!(reply.status().is_success(), "{reply:?}");
+    }
+
     pub fn counters(&self, address: SocketAddr) -> Value {
         self.get(address, "/counters").1
     }
