Bring engines to what their pool asks for, by reading their state back

Orders for weights, adapters and role follow the state that an engine tells, under the epoch of the shard that the pool falls into. Where engines ignore fencing numbers a late order of a former holder shows in the next reading and is undone. The weight store's limit is split evenly over the pools; a new holder waits a whole interval, so the limit holds across VMs.

Ruled out: a shared bucket asked over the network (one more request before each load, and nobody to ask when its holder is lost). Left: a holder that is paused between its check and its sending can start one load too many on engines that ignore fencing numbers.

--- a/src/backend/engine.rs
+++ b/src/backend/engine.rs
@@ -1,6 +1,7 @@
 //! Model engines in the published chat-completions shape, with event-stream chunks.
 
-use crate::id::{Model, Tokens};
+use crate::id::{Epoch, Model, Tokens};
+use crate::order::Goal;
 use crate::program::{Message, Usage};
 use eventsource_stream::Eventsource;
 use futures::StreamExt;
@@ -17,6 +18,8 @@
 const CONNECT: Duration = Duration::from_secs(1);
 /// Silence of a stream past which the engine counts as stuck.
 const SILENCE: Duration = Duration::from_secs(15);
+/// How long an order, or a reading of the state, may take.
+const ORDER: Duration = Duration::from_millis(1500);
 /// How long an eviction may take.
 const EVICT: Duration = Duration::from_secs(2);
 
@@ -152,6 +155,29 @@
         }
     }
 
+    /// What an engine says it is.
+    pub(crate) async fn state(&self, address: SocketAddr) -> Result<Goal, Fault> {
+        let request = self
+            .client
+            .get(format!("http://{address}/v1/state"))
+            .timeout(ORDER);
+        Ok(request.send().await?.error_for_status()?.json().await?)
+    }
+
+    /// Orders an engine to become `goal`, under the fencing number `fence`.
+    pub(crate) async fn order(
+        &self,
+        address: SocketAddr,
+        fence: Epoch,
+        goal: &Goal,
+    ) -> Result<(), Fault> {
+        let body = json!({ "fence": fence, "goal": goal });
+        let url = format!("http://{address}/v1/orders");
+        let request = self.client.post(url).json(&body).timeout(ORDER);
+        request.send().await?.error_for_status()?;
+        Ok(())
+    }
+
     /// Asks an engine to drop the cache of a program.
     pub(crate) async fn evict(&self, address: SocketAddr, key: &str) -> Result<(), Fault> {
         let url = format!("http://{address}/v1/cache/evict");
--- a/src/config/book.rs
+++ b/src/config/book.rs
@@ -322,6 +322,7 @@
                         fresh.services.insert(name, service.clone());
                     }
                 }
+                Some(Value::Store(store)) => fresh.store = Some(store.clone()),
                 None => {}
             }
         }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -5,6 +5,6 @@
 mod value;
 
 pub use book::{Book, Change, Checkpoint, Ruling, Setting, Verdict};
-pub use value::{Class, Engine, Fencing, Mode, Operation, Pool, Service, Snapshot, Value};
+pub use value::{Class, Engine, Fencing, Mode, Operation, Pool, Service, Snapshot, Store, Value};
 
 pub(crate) use duty::{Context, run};
--- a/src/config/value.rs
+++ b/src/config/value.rs
@@ -4,10 +4,13 @@
 use crate::id;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Loads of weights a minute where the configuration says nothing of the store.
+const DEFAULT_LOADS: u32 = 10;
+
 /// A class of programs. Operators state the target; the limits have defaults.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -112,6 +115,23 @@
     /// Whether they check fencing numbers.
     #[serde(default)]
     pub fencing: Fencing,
+    /// The version of the weights that they should have loaded.
+    #[serde(default)]
+    pub weights: Option<String>,
+    /// The adapters that they should have loaded.
+    #[serde(default)]
+    pub adapters: BTreeSet<String>,
+    /// The role that they should have.
+    #[serde(default)]
+    pub role: Option<String>,
+}
+
+/// The store that engines load weights from, under `store/weights`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Store {
+    /// Loads that all pools together may start in a minute.
+    pub loads_per_minute: u32,
 }
 
 /// How a call of an operation may be repeated.
@@ -173,6 +193,8 @@
     Pool(Pool),
     /// A service, under `service/NAME`.
     Service(Service),
+    /// The weight store, under `store/weights`.
+    Store(Store),
 }
 
 impl Value {
@@ -216,7 +238,18 @@
                 distinct(key, "servers", &service.servers)?;
                 Ok(Self::Service(service))
             }
-            _ => Err(bad(key, ".", "the key is not class/…, pool/… or service/…")),
+            "store" if name == "weights" => {
+                let store: Store = read(key, value)?;
+                if store.loads_per_minute == 0 {
+                    return Err(bad(key, "loads_per_minute", "zero"));
+                }
+                Ok(Self::Store(store))
+            }
+            _ => Err(bad(
+                key,
+                ".",
+                "the key is not class/…, pool/…, service/… or store/weights",
+            )),
         }
     }
 }
@@ -255,6 +288,8 @@
     pub pools: BTreeMap<id::Model, Pool>,
     /// Services by name.
     pub services: BTreeMap<id::Service, Service>,
+    /// The weight store.
+    pub store: Option<Store>,
     /// Whether the log has been read to its end since the start.
     pub caught_up: bool,
     /// A record of a newer schema was met: this build must not judge what follows.
@@ -274,6 +309,26 @@
         self.caught_up && !self.newer_schema && !self.cut_off
     }
 
+    /// The least time between two loads that one pool starts.
+    ///
+    /// The store's limit is split evenly over the pools, so that their controllers, on whichever
+    /// VMs, keep to it together without asking each other.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let snapshot = vanillatrail::config::Snapshot::default();
+    /// assert_eq!(snapshot.load_interval(), Duration::from_secs(6));
+    /// ```
+    #[must_use]
+    pub fn load_interval(&self) -> Duration {
+        let loads = self
+            .store
+            .as_ref()
+            .map_or(DEFAULT_LOADS, |store| store.loads_per_minute);
+        let pools = u32::try_from(self.pools.len().max(1)).unwrap_or(u32::MAX);
+        Duration::from_mins(1) * pools / loads.max(1)
+    }
+
     /// The class of this name.
     ///
     /// # Errors
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod id;
 pub mod journal;
 pub mod member;
+pub mod order;
 pub mod ownership;
 pub mod policy;
 pub mod program;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -7,6 +7,7 @@
 use crate::journal::{self, Pace, Share};
 use crate::member::{self, Beat, View};
 use crate::operator::{self, Operator};
+use crate::order;
 use crate::owner;
 use crate::peer::{self, Links};
 use crate::platform::Http;
@@ -182,6 +183,7 @@
     wiring.member(supervisor, sockets.gossip, view);
     wiring.journal(supervisor, journaled, events);
     wiring.dispatch(supervisor, dispatched);
+    wiring.order(supervisor);
     wiring.owner(supervisor, journal, asks, owner_events, owner_dumps);
     wiring.peer(supervisor, sockets.peers);
     wiring.entry(supervisor, sockets.callers);
@@ -259,6 +261,16 @@
         });
     }
 
+    fn order(&self, supervisor: &mut Supervisor) {
+        let context = order::Context {
+            shards: self.settings.shards,
+            config: self.config.clone(),
+            local: self.local.subscribe(),
+            stop: self.stages.rest.clone(),
+        };
+        supervisor.duty("order", move || order::run(context.clone()));
+    }
+
     fn owner(
         &self,
         supervisor: &mut Supervisor,
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -4,6 +4,7 @@
 //! from a limited cache, and what the published shape lacks (evict, load, orders) is small JSON.
 
 use super::faults::{self, Switches};
+use crate::order::Goal;
 use futures::StreamExt;
 use poem::http::StatusCode;
 use poem::web::sse::{Event, SSE};
@@ -54,6 +55,7 @@
     /// Answers begun, by program.
     begun: BTreeMap<String, u64>,
     stale_orders: u64,
+    loads: u64,
 }
 
 #[derive(Debug, Default)]
@@ -62,6 +64,7 @@
     cache: BTreeMap<String, Cached>,
     clock: u64,
     order: u64,
+    state: Goal,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -130,6 +133,7 @@
         .at("/v1/chat/completions", post(complete))
         .at("/v1/cache/evict", post(evict))
         .at("/v1/orders", post(order))
+        .at("/v1/state", get(get_state))
         .at("/load", get(load))
         .at("/faults", post(faults::set))
         .at("/counters", get(get_counters))
@@ -259,6 +263,14 @@
 #[derive(Debug, Deserialize)]
 struct Order {
     fence: u64,
+    #[serde(default)]
+    goal: Goal,
+}
+
+#[handler]
+async fn get_state(state: Data<&State>, switches: Data<&Switches>) -> poem::Result<Json<Goal>> {
+    switches.enter().await?;
+    Ok(Json(state.with(|inner| inner.state.clone())))
 }
 
 #[handler]
@@ -268,11 +280,17 @@
     body: Json<Order>,
 ) -> poem::Result<Json<serde_json::Value>> {
     switches.enter().await?;
+    let ignores = switches.get().ignore_fence;
     let refused = state.with(|inner| {
         let older = body.fence < inner.order;
         inner.order = inner.order.max(body.fence);
         inner.counters.stale_orders += u64::from(older);
-        older
+        let refused = older && !ignores;
+        if !refused {
+            inner.counters.loads += u64::from(inner.state.weights != body.goal.weights);
+            inner.state = body.goal.clone();
+        }
+        refused
     });
     if refused {
         return Err(poem::Error::from_status(StatusCode::CONFLICT));
--- a/src/standin/faults.rs
+++ b/src/standin/faults.rs
@@ -26,6 +26,8 @@
     pub(crate) slower: u64,
     /// Share of cache events that are lost, in percent (engine).
     pub(crate) lose_events: u64,
+    /// Orders with an old fencing number are taken (engine).
+    pub(crate) ignore_fence: bool,
     /// Milliseconds between an effect and its reply (service).
     pub(crate) reply_after_ms: u64,
 }
--- /dev/null
+++ b/tests/orders.rs
@@ -0,0 +1,126 @@
+//! Orders to engines, with and without engines that check fencing numbers.
+
+mod support;
+
+use proptest::prelude::*;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use support::{Environment, poll};
+use tokio::time::Instant;
+use vanillatrail::id::Server;
+use vanillatrail::order::{Control, Goal, Step};
+
+fn goal(weights: &str) -> Goal {
+    Goal {
+        weights: Some(weights.to_owned()),
+        ..Goal::default()
+    }
+}
+
+proptest! {
+    /// Two holders believe that they control one engine, which takes any order. The former is
+    /// paused at times and then sends what it held for right. Once it has sent its last order,
+    /// the engine ends at the goal of the newest holder and stays there.
+    #[test]
+    fn an_engine_that_ignores_fencing_ends_at_the_newest_goal(
+        schedule in prop::collection::vec((any::<bool>(), 1_u64..900), 1..60),
+    ) {
+        let server: Server = "e1".parse().expect("a name");
+        let start = Instant::now();
+        let mut now = start;
+        let mut engine = goal("v0");
+        let mut holders = ["v1", "v2"].map(|weights| {
+            let mut control = Control::new(now, Duration::from_secs(2), Duration::ZERO);
+            control.aim(now, &BTreeMap::from([(server.clone(), goal(weights))]));
+            control
+        });
+        let mut act = |control: &mut Control, now: Instant| {
+            for (server, step) in control.due(now) {
+                match step {
+                    Step::Read => control.read(now, &server, engine.clone()),
+                    Step::Order(goal) => engine = goal,
+                }
+            }
+            engine.clone()
+        };
+        for (newest, wait) in schedule {
+            now += Duration::from_millis(wait);
+            act(&mut holders[usize::from(newest)], now);
+        }
+        for _ in 0..12 {
+            now += Duration::from_millis(500);
+            act(&mut holders[1], now);
+        }
+        prop_assert_eq!(act(&mut holders[1], now), goal("v2"));
+    }
+
+    /// Ten engines want new weights while holders succeed each other. Loads never start closer
+    /// to each other than the store allows, whoever starts them.
+    #[test]
+    fn the_rate_of_the_weight_store_holds_across_holders(
+        schedule in prop::collection::vec((0_u8..8, 1_u64..2000), 20..120),
+    ) {
+        let interval = Duration::from_secs(3);
+        let goals: BTreeMap<Server, Goal> =
+            (0..10).map(|n| (format!("e{n}").parse().expect("a name"), goal("v1"))).collect();
+        let mut now = Instant::now();
+        let mut loads: Vec<Instant> = Vec::new();
+        let mut control = Control::new(now, Duration::from_secs(5), interval);
+        for (change, wait) in schedule {
+            now += Duration::from_millis(wait);
+            if change == 0 {
+                control = Control::new(now, Duration::from_secs(5), interval);
+            }
+            control.aim(now, &goals);
+            for (server, step) in control.due(now) {
+                match step {
+                    Step::Read => control.read(now, &server, goal("v0")),
+                    Step::Order(_) => loads.push(now),
+                }
+            }
+        }
+        prop_assert!(loads.windows(2).all(|pair| pair[1] - pair[0] >= interval), "{loads:?}");
+    }
+}
+
+fn weights(environment: &Environment) -> Value {
+    environment
+        .get(environment.engines[0].address, "/v1/state")
+        .1["weights"]
+        .clone()
+}
+
+/// The engine takes any order. An operator asks for v1, then v2; then an order of a former holder
+/// for v1, delayed on the way, reaches the engine with its old fencing number. The holder reads v1
+/// back where it wants v2 and orders again, so the engine ends at v2.
+#[test]
+fn a_late_order_of_a_former_holder_is_undone() {
+    let environment = Environment::start(1, 3);
+    environment.faults(
+        environment.engines[0].address,
+        &json!({ "ignore_fence": true }),
+    );
+    environment.publish("store/weights", json!({ "loads_per_minute": 600 }), None);
+    let pool = |weights: &str| {
+        let engine = json!({ "name": "e0", "address": environment.engines[0].address });
+        json!({ "model": "small", "engines": [engine], "fencing": "ignored", "weights": weights })
+    };
+    let first = environment.publish("pool/main", pool("v1"), Some(2));
+    poll("v1 is loaded", || {
+        (weights(&environment) == "v1").then_some(())
+    });
+    environment.publish("pool/main", pool("v2"), Some(first));
+    poll("v2 is loaded", || {
+        (weights(&environment) == "v2").then_some(())
+    });
+    let late = json!({ "fence": 1, "goal": { "weights": "v1" } });
+    let order = environment.post_json(environment.engines[0].address, "/v1/orders", &late);
+    assert_eq!(order.0, 200, "{order:?}");
+    assert_eq!(weights(&environment), "v1");
+    poll("v2 is loaded again", || {
+        (weights(&environment) == "v2").then_some(())
+    });
+    let counters = environment.counters(environment.engines[0].address);
+    assert_eq!(counters["stale_orders"], 1);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -306,6 +306,17 @@
         Some((status, reply.json().ok()?))
     }
 
+    /// Posts to a stand-in, which wants to be told that the body is JSON.
+    pub fn post_json(&self, address: SocketAddr, path: &str, body: &Value) -> (u16, Value) {
+        let reply = self
+            .http
+            .post(format!("http://{address}{path}"))
+            .json(body)
+            .send();
+        let reply = reply.expect("the stand-in answers");
+        (reply.status().as_u16(), reply.json().unwrap_or(Value::Null))
+    }
+
     /// Sets fault switches of a stand-in.
     pub fn faults(&self, address: SocketAddr, faults: &Value) {
         let url = format!("http://{address}/faults");
