Split the owner's runs by kind of call

Change: model, service and spawn calls move into files of their own; only visibility and imports changed.

--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -2,8 +2,11 @@
 
 mod care;
 mod duty;
+mod model;
 mod run;
 mod serve;
+mod service;
+mod spawn;
 
 pub(crate) use duty::{Context, run};
 
--- /dev/null
+++ b/src/owner/spawn.rs
@@ -0,0 +1,54 @@
+//! A call that opens a child program.
+
+use super::duty::{Owner, not_owner, wall_ms};
+use super::run::{Run, Work};
+use crate::code::{Code, Failure};
+use crate::id::Program;
+use crate::journal::Body;
+use crate::program::{Answer, Spawn};
+
+impl Owner {
+    pub(super) async fn run_spawn(&self, work: &Work, spawn: Spawn) -> Result<Answer, Failure> {
+        let Run {
+            program,
+            call,
+            digest,
+            ..
+        } = *work.run.as_ref();
+        let Spawn { class, budget } = spawn;
+        self.context.config.borrow().class(&class)?;
+        {
+            let shards = self.shards.borrow();
+            let held = shards
+                .get(&program.shard())
+                .ok_or_else(|| not_owner(program.shard()))?;
+            let parent = held.table.get(program)?;
+            parent.afford(budget.tokens, 1 + budget.calls.unwrap_or(0))?;
+            if parent.depth >= work.class.depth {
+                return Err(Failure::refused(
+                    Code::DepthLimit,
+                    Code::DepthLimit.meaning(),
+                ));
+            }
+            if parent.children.len() >= work.class.children {
+                return Err(Failure::refused(
+                    Code::ChildLimit,
+                    Code::ChildLimit.meaning(),
+                ));
+            }
+        }
+        let child = Program::new(program.shard(), rand::random());
+        let at_ms = wall_ms();
+        let body = Body::Spawned {
+            program,
+            call,
+            digest,
+            child,
+            class,
+            budget,
+            at_ms,
+        };
+        self.recorded(work, body).await?;
+        Ok(Answer::Spawned { child })
+    }
+}
