Send a receipt once when its owner is lost

Cause: a VM that takes a shard over appends the outcome "unknown" for each open intent, and admitted the call again before that record was read back. The second run's intent stood behind the outcome, was valid under the epoch, and was sent. Besides: a full queue lost the outcome of a call that had run; the end of a parent ignored the answer of a child's call under way; a deadline dropped the gates of open and end half way; an owner that was restarted folded entries read for the one before; a release whose append found the queue full was never tried again. Ruled out: the HTTP client (one request on the wire per sending, no retry). Change: the decision moves to the pure `effect` module. A run starts only when no intent is open; an intent counts only when the program has it as the open one of its next call; its age is counted from when the read that showed it was sent. Outcomes are appended until the queue takes them, and the caller is given the answer that the history has. An end waits for the runs and intents of the whole tree. Open intents without a run are settled at each tick. Entries are folded only in order of offset.

--- a/src/journal/duty.rs
+++ b/src/journal/duty.rs
@@ -34,6 +34,8 @@
         stream: u64,
         offset: Offset,
         records: Vec<Record>,
+        /// When the read that gave it was sent.
+        asked: Instant,
     },
     /// Entries before this offset are gone, and the owner has not seen them.
     Trimmed { stream: u64, first: Offset },
@@ -150,6 +152,7 @@
     let name = format!("journal-{stream}");
     let mut next = Offset(0);
     loop {
+        let asked = Instant::now();
         let page = match log.read(&name, next, READ_WAIT).await {
             Ok(page) => page,
             Err(fault) => {
@@ -187,6 +190,7 @@
                 stream,
                 offset: entry.offset,
                 records,
+                asked,
             };
             if events.send_async(event).await.is_err() {
                 return;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod cli;
 pub mod code;
 pub mod config;
+pub mod effect;
 pub mod id;
 pub mod journal;
 pub mod member;
--- a/src/owner/care.rs
+++ b/src/owner/care.rs
@@ -4,7 +4,7 @@
 use crate::code::Code;
 use crate::id::{Epoch, Program, Server, Shard};
 use crate::journal::Body;
-use crate::program::{self, Answer};
+use crate::program::{self, Answer, Intent};
 use crate::telemetry::event;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -18,6 +18,7 @@
     Evict(Program, Server, Option<SocketAddr>),
     Expire(Program),
     Forget(Program),
+    Settle(Program, Intent),
 }
 
 impl Owner {
@@ -28,6 +29,7 @@
                 Step::Evict(program, server, _) => format!("evict/{program}/{server}"),
                 Step::Expire(program) => format!("expire/{program}"),
                 Step::Forget(program) => format!("forget/{program}"),
+                Step::Settle(program, _) => format!("settle/{program}"),
             };
             if !self.busy.borrow_mut().insert(gate.clone()) {
                 continue;
@@ -61,6 +63,12 @@
     }
 
     fn steps(&self, program: &program::Program, now: u64) -> Vec<Step> {
+        if let Some(intent) = &program.intent
+            && !program.is_ended()
+            && !self.runs.borrow().contains_key(&program.id)
+        {
+            return vec![Step::Settle(program.id, intent.clone())];
+        }
         let config = self.context.config.borrow();
         let class = config.class(&program.class).ok();
         let Some(ended) = program.ended_ms else {
@@ -101,6 +109,7 @@
                 return;
             }
             Step::Forget(program) => Body::Forgotten { program },
+            Step::Settle(program, intent) => unknown(program, intent),
             Step::Evict(program, server, address) => {
                 // An engine that is no longer configured holds nothing that could be asked for.
                 if let Some(address) = address
@@ -122,46 +131,25 @@
         };
         let _ = self.append(shard, epoch, body).await;
     }
+}
 
-    /// Gives each call that a former owner had sent, or was about to send, its outcome: unknown.
-    ///
-    /// The former owner may have died before sending, or after the effect; from the log alone
-    /// both look alike, so the call is never sent again.
-    pub(super) fn settle_intents(self: &Rc<Self>, shard: Shard, epoch: Epoch) {
-        let open: Vec<_> = {
-            let shards = self.shards.borrow();
-            let table = shards.get(&shard).map(|held| &held.table);
-            let programs = table.into_iter().flat_map(program::Table::iter);
-            programs
-                .filter_map(|program| Some((program.id, program.intent.clone()?)))
-                .collect()
-        };
-        for (program, intent) in open {
-            let message = format!(
-                "the VM that sent {} was lost before its reply",
-                intent.target
-            );
-            let body = Body::Done {
-                program,
-                call: intent.call,
-                digest: intent.digest,
-                messages: Vec::new(),
-                answer: Answer::Unknown { message },
-            };
-            event!(
-                warn,
-                "outcome_unknown",
-                program = program,
-                call = intent.call
-            );
-            if let Err(failure) = self.push(shard, epoch, body) {
-                event!(
-                    error,
-                    "outcome_unrecorded",
-                    program = program,
-                    reason = failure
-                );
-            }
-        }
+/// The outcome of a call that a former owner had sent or was about to send: unknown.
+///
+/// The former owner may have died before sending, or after the effect; from the log alone both
+/// look alike, so the call is never sent again.
+fn unknown(program: Program, intent: Intent) -> Body {
+    let Intent {
+        call,
+        digest,
+        target,
+    } = intent;
+    event!(warn, "outcome_unknown", program = program, call = call);
+    let message = format!("the VM that sent {target} was lost before its reply");
+    Body::Done {
+        program,
+        call,
+        digest,
+        messages: Vec::new(),
+        answer: Answer::Unknown { message },
     }
 }
--- a/src/owner/duty.rs
+++ b/src/owner/duty.rs
@@ -20,7 +20,7 @@
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, MissedTickBehavior, interval};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 use tokio_util::sync::CancellationToken;
 
 /// Time between looks at claims, limits and evictions.
@@ -57,6 +57,14 @@
     offered: bool,
 }
 
+/// What reading a record back has told.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Receipt {
+    pub(super) verdict: Verdict,
+    /// When the read that showed it was sent.
+    pub(super) asked: Instant,
+}
+
 pub(super) struct Owner {
     pub(super) context: Context,
     pub(super) boot: Boot,
@@ -69,7 +77,9 @@
     pub(super) engines: backend::Engines,
     pub(super) services: backend::Services,
     numbers: RefCell<Numbers>,
-    waiters: RefCell<HashMap<(u64, Sequence), oneshot::Sender<Verdict>>>,
+    waiters: RefCell<HashMap<(u64, Sequence), oneshot::Sender<Receipt>>>,
+    /// The offset that each stream's next entry has.
+    next: RefCell<HashMap<u64, Offset>>,
     claimer: RefCell<Claimer>,
 }
 
@@ -91,6 +101,7 @@
         services: backend::Services::new(),
         numbers: RefCell::new(Numbers::new(context.streams)),
         waiters: RefCell::default(),
+        next: RefCell::default(),
         claimer: RefCell::new(Claimer::new(context.me.clone(), context.shards)),
         context,
     });
@@ -141,7 +152,8 @@
         }
     }
 
-    /// Appends a record under `epoch` and waits until it has been read back and judged.
+    /// Appends a record under `epoch` and waits until it has been read back and judged; gives
+    /// the time at which the read was sent.
     ///
     /// # Errors
     /// [`Code::NotOwner`] when a newer claim stands before it: it does not count.
@@ -150,22 +162,38 @@
         shard: Shard,
         epoch: Epoch,
         body: Body,
-    ) -> Result<(), Failure> {
+    ) -> Result<Instant, Failure> {
         let wait = self.push(shard, epoch, body)?;
-        match wait.await {
-            Ok(Verdict::Valid | Verdict::Claimed(_)) => Ok(()),
-            Ok(Verdict::Void | Verdict::Duplicate) => Err(not_owner(shard)),
+        match wait.await.map(|receipt| (receipt.verdict, receipt.asked)) {
+            Ok((Verdict::Valid | Verdict::Claimed(_), asked)) => Ok(asked),
+            Ok((Verdict::Void | Verdict::Duplicate, _)) => Err(not_owner(shard)),
             Err(_) => Err(Failure::refused(Code::Internal, "the owner was restarted")),
         }
     }
 
+    /// As [`Owner::append`], for a record that has to follow what was done: a full queue is
+    /// waited for. Given up, the outcome of a call that ran would be lost.
+    pub(super) async fn append_surely(
+        &self,
+        shard: Shard,
+        epoch: Epoch,
+        body: Body,
+    ) -> Result<Instant, Failure> {
+        loop {
+            match self.append(shard, epoch, body.clone()).await {
+                Err(failure) if failure.code == Code::RingFull => sleep(TICK).await,
+                appended => return appended,
+            }
+        }
+    }
+
     /// Hands a record to the journal; the receiver gets the verdict once it is read back.
     pub(super) fn push(
         &self,
         shard: Shard,
         epoch: Epoch,
         body: Body,
-    ) -> Result<oneshot::Receiver<Verdict>, Failure> {
+    ) -> Result<oneshot::Receiver<Receipt>, Failure> {
         let stream = stream_of(shard, self.context.streams);
         let sequence = self.numbers.borrow_mut().next(stream);
         let id = Id {
@@ -189,10 +217,10 @@
                 Failure::refused(Code::RingFull, "the journal's queue is full")
                     .retry_after(Duration::from_millis(500))
             })?;
-        let (verdict, wait) = oneshot::channel();
+        let (receipt, wait) = oneshot::channel();
         self.waiters
             .borrow_mut()
-            .insert((stream, sequence), verdict);
+            .insert((stream, sequence), receipt);
         Ok(wait)
     }
 
@@ -214,19 +242,45 @@
                 stream,
                 offset,
                 records,
+                asked,
             } => {
+                if !self.follows(stream, offset) {
+                    return;
+                }
                 for (index, record) in records.iter().enumerate() {
-                    self.fold(stream, offset, index, record);
+                    self.fold(stream, offset, index, record, asked);
                 }
             }
             Event::Trimmed { stream, first } => {
                 event!(warn, "journal_trimmed", stream = stream, first = first);
+                self.next.borrow_mut().insert(stream, first);
             }
         }
         self.changed.notify_waiters();
     }
 
-    fn fold(self: &Rc<Self>, stream: u64, offset: Offset, index: usize, record: &Record) {
+    /// Whether this entry is the next of its stream.
+    ///
+    /// An owner that was restarted finds entries in the ring that were read for the one before.
+    /// Folded ahead of the older ones, they would make those look like copies: history lost.
+    fn follows(&self, stream: u64, offset: Offset) -> bool {
+        let mut next = self.next.borrow_mut();
+        let next = next.entry(stream).or_default();
+        let follows = offset == *next;
+        if follows {
+            next.0 += 1;
+        }
+        follows
+    }
+
+    fn fold(
+        self: &Rc<Self>,
+        stream: u64,
+        offset: Offset,
+        index: usize,
+        record: &Record,
+        asked: Instant,
+    ) {
         let shard = record.shard;
         let mine = record.id.boot == self.boot && record.id.vm == self.context.me;
         let verdict = {
@@ -261,7 +315,7 @@
                 .borrow_mut()
                 .remove(&(stream, record.id.sequence))
         {
-            let _ = waiter.send(verdict);
+            let _ = waiter.send(Receipt { verdict, asked });
         }
     }
 
@@ -276,7 +330,7 @@
         );
         if mine {
             self.context.metrics.claims.add(1, &[]);
-            self.settle_intents(shard, epoch);
+            self.care();
         } else {
             let runs = self.runs.borrow();
             for run in runs.values().filter(|run| run.program.shard() == shard) {
@@ -352,13 +406,17 @@
             if !held.leaving && !running {
                 due.push((*shard, epoch));
             }
-            held.leaving = held.leaving || !running;
         }
         for (shard, epoch) in due {
             let successor = self.successor(shard);
-            if let Err(failure) = self.push(shard, epoch, Body::Release { successor }) {
+            // With the journal's queue full, the next tick tries again.
+            let pushed = self.push(shard, epoch, Body::Release { successor });
+            if let Err(failure) = &pushed {
                 event!(warn, "release_failed", shard = shard, reason = failure);
             }
+            if let Some(held) = self.shards.borrow_mut().get_mut(&shard) {
+                held.leaving = pushed.is_ok();
+            }
         }
         !left
     }
--- a/src/owner/model.rs
+++ b/src/owner/model.rs
@@ -139,6 +139,7 @@
         chat: &backend::Chat,
     ) -> Result<(Arc<str>, Usage), Broken> {
         let run = &work.run;
+        run.sent.set(true);
         let sent = Instant::now();
         let first = Cell::new(None);
         let count = Cell::new(0);
--- a/src/owner/run.rs
+++ b/src/owner/run.rs
@@ -33,6 +33,8 @@
     attempt: Cell<usize>,
     pub(super) stage: Cell<&'static str>,
     since: Instant,
+    /// Whether a backend server may have got any of it.
+    pub(super) sent: Cell<bool>,
     result: RefCell<Option<Result<Answer, Failure>>>,
     progress: Notify,
 }
@@ -75,6 +77,23 @@
         }
     }
 
+    /// Gives those who wait for the call its result; the first one counts.
+    pub(super) fn tell(&self, result: Result<Answer, Failure>) {
+        let honest = |failure: Failure| {
+            // A later attempt may be refused; the earlier one has reached a server all the same.
+            let no = failure.ran == Ran::No && self.sent.get();
+            if no {
+                failure.ran(Ran::Unknown)
+            } else {
+                failure
+            }
+        };
+        let mut told = self.result.borrow_mut();
+        told.get_or_insert_with(|| result.map_err(honest));
+        drop(told);
+        self.progress.notify_waiters();
+    }
+
     /// What the run does now, for an operator.
     pub(super) fn state(&self) -> Value {
         json!({
@@ -131,6 +150,7 @@
             attempt: Cell::new(0),
             stage: Cell::new("admission"),
             since: Instant::now(),
+            sent: Cell::new(false),
             result: RefCell::new(None),
             progress: Notify::new(),
         });
@@ -154,9 +174,8 @@
                     reason = failure
                 );
             }
-            *run.result.borrow_mut() = Some(result);
+            run.tell(result);
             owner.runs.borrow_mut().remove(&program);
-            run.progress.notify_waiters();
             owner.changed.notify_waiters();
         });
     }
@@ -219,15 +238,8 @@
     }
 
     /// Appends a record of the run and waits for its verdict, up to the deadline.
-    pub(super) async fn recorded(&self, work: &Work, body: Body) -> Result<(), Failure> {
+    pub(super) async fn recorded(&self, work: &Work, body: Body) -> Result<Instant, Failure> {
         let append = self.append(work.run.program.shard(), work.epoch, body);
-        let unavailable = || {
-            Failure::refused(
-                Code::LogUnavailable,
-                "the log did not take the record in time",
-            )
-            .retry_after(Duration::from_secs(1))
-        };
         timeout_at(work.until, append)
             .await
             .unwrap_or_else(|_| Err(unavailable()))
@@ -252,8 +264,11 @@
             messages,
             answer: answer.clone(),
         };
-        self.append(program.shard(), work.epoch, body).await?;
-        Ok(answer)
+        self.append_surely(program.shard(), work.epoch, body)
+            .await?;
+        // The caller gets what the history has, so that two answers to one call are never told.
+        self.kept(program, call)
+            .map_err(|failure| failure.ran(Ran::Unknown))
     }
 
     pub(super) fn cancelled(&self, work: &Work) -> Failure {
@@ -266,3 +281,9 @@
         }
     }
 }
+
+/// The failure when a record is not in the log by the deadline.
+pub(super) fn unavailable() -> Failure {
+    let message = "the log did not take the record in time";
+    Failure::refused(Code::LogUnavailable, message).retry_after(Duration::from_secs(1))
+}
--- a/src/owner/serve.rs
+++ b/src/owner/serve.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
+use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout_at};
 
 impl Owner {
@@ -22,7 +23,9 @@
         } = ask;
         let answer = match request {
             Request::Open { key, class, budget } => {
-                bounded(until, Ran::Unknown, self.open(key, class, budget)).await
+                let owner = self.clone();
+                let open = async move { owner.open(key, class, budget).await };
+                bounded(until, Ran::Unknown, detached(open)).await
             }
             Request::Call {
                 program,
@@ -38,7 +41,11 @@
                 call,
                 from,
             } => self.read(program, call, from, &frames, until).await,
-            Request::End { program } => bounded(until, Ran::Unknown, self.end(program, None)).await,
+            Request::End { program } => {
+                let owner = self.clone();
+                let end = async move { owner.end(program, None).await };
+                bounded(until, Ran::Unknown, detached(end)).await
+            }
             Request::Look { program } => self.look(program),
         };
         let last = match answer {
@@ -137,9 +144,9 @@
                     None if self.starts(id)? => {
                         self.start_run(id, call, digest, &request, epoch, until);
                     }
-                    None => wait(changed, until).await?,
+                    None => wait(changed, until, self.may_have_run(id, call)).await?,
                 },
-                Admission::Wait => wait(changed, until).await?,
+                Admission::Wait => wait(changed, until, Ran::No).await?,
             }
         }
     }
@@ -166,17 +173,38 @@
     }
 
     /// Whether a new run may start: the shard stays here and nothing of the program is under way.
+    ///
+    /// An open intent counts as under way: a VM that has just taken the shard over finds the
+    /// intent of the former owner, and has first to record its outcome as unknown. A run started
+    /// before that would send the call a second time.
     fn starts(&self, id: Program) -> Result<bool, Failure> {
-        if self
-            .shards
-            .borrow()
+        let shards = self.shards.borrow();
+        let held = shards
             .get(&id.shard())
-            .is_some_and(|held| held.leaving)
-        {
-            return Err(not_owner(id.shard()));
+            .filter(|held| !held.leaving)
+            .ok_or_else(|| not_owner(id.shard()))?;
+        let open = held.table.get(id)?.intent.is_some();
+        let busy = self.busy.borrow();
+        let ending = held
+            .table
+            .line(id)
+            .into_iter()
+            .any(|id| busy.contains(&end_gate(id)));
+        Ok(!open && !ending && !self.runs.borrow().contains_key(&id))
+    }
+
+    /// What can be said of a call that waits behind an open intent.
+    fn may_have_run(&self, id: Program, call: Call) -> Ran {
+        let shards = self.shards.borrow();
+        let program = shards
+            .get(&id.shard())
+            .and_then(|held| held.table.get(id).ok());
+        let intent = program.and_then(|program| program.intent.as_ref());
+        if intent.is_some_and(|intent| intent.call == call) {
+            Ran::Unknown
+        } else {
+            Ran::No
         }
-        let ending = self.busy.borrow().contains(&format!("end/{id}"));
-        Ok(!ending && !self.runs.borrow().contains_key(&id))
     }
 
     async fn read(
@@ -201,7 +229,7 @@
         answer.body(call)
     }
 
-    fn kept(&self, id: Program, call: Call) -> Result<Answer, Failure> {
+    pub(super) fn kept(&self, id: Program, call: Call) -> Result<Answer, Failure> {
         let shards = self.shards.borrow();
         let held = shards
             .get(&id.shard())
@@ -221,26 +249,20 @@
         })
     }
 
-    /// Ends a program: its run is cancelled, unless it is one that must not be repeated.
+    /// Ends a program and all that it has spawned: their runs are cancelled, unless they must not
+    /// be repeated; those are waited for.
     pub(super) async fn end(
         self: &Rc<Self>,
         id: Program,
         reason: Option<Code>,
     ) -> Result<Value, Failure> {
-        let gate = format!("end/{id}");
         loop {
             let changed = self.changed.notified();
             let epoch = self.epoch(id.shard())?;
             if self.ended(id)? {
                 return self.account(id);
             }
-            let running = self.runs.borrow().get(&id).cloned();
-            if let Some(run) = running {
-                run.cancel.cancel();
-                changed.await;
-                continue;
-            }
-            if !self.busy.borrow_mut().insert(gate.clone()) {
+            if !self.quiet(id) || !self.busy.borrow_mut().insert(end_gate(id)) {
                 changed.await;
                 continue;
             }
@@ -250,12 +272,35 @@
                 at_ms: wall_ms(),
             };
             let ended = self.append(id.shard(), epoch, body).await;
-            self.busy.borrow_mut().remove(&gate);
+            self.busy.borrow_mut().remove(&end_gate(id));
             self.changed.notify_waiters();
             ended?;
         }
     }
 
+    /// Cancels the runs of a program and of all that it has spawned; true once there is none.
+    ///
+    /// A child that was ended with a call under way would lose its answer: the record of the
+    /// answer comes behind the end and counts for nothing.
+    fn quiet(&self, id: Program) -> bool {
+        let shards = self.shards.borrow();
+        let Some(held) = shards.get(&id.shard()) else {
+            return true;
+        };
+        let runs = self.runs.borrow();
+        let mut quiet = true;
+        for program in held.table.tree(id) {
+            if let Some(run) = runs.get(&program) {
+                run.cancel.cancel();
+                quiet = false;
+            }
+            // A child may have been forgotten.
+            let state = held.table.get(program);
+            quiet &= state.map_or(true, |state| state.intent.is_none());
+        }
+        quiet
+    }
+
     fn ended(&self, id: Program) -> Result<bool, Failure> {
         let shards = self.shards.borrow();
         let held = shards
@@ -307,11 +352,24 @@
     }
 }
 
-/// Waits for a change; past `until` the call has not run.
-async fn wait(changed: impl Future<Output = ()>, until: Instant) -> Result<(), Failure> {
-    timeout_at(until, changed)
-        .await
-        .map_err(|_| passed(Ran::No))
+/// Held while a program is being ended, so that no run of it starts.
+fn end_gate(id: Program) -> String {
+    format!("end/{id}")
+}
+
+/// Waits for a change, up to `until`.
+async fn wait(changed: impl Future<Output = ()>, until: Instant, ran: Ran) -> Result<(), Failure> {
+    timeout_at(until, changed).await.map_err(|_| passed(ran))
+}
+
+/// Runs on when its caller's deadline has passed: what it has appended may still count, and until
+/// that is known its gate has to stay closed.
+async fn detached(
+    work: impl Future<Output = Result<Value, Failure>> + 'static,
+) -> Result<Value, Failure> {
+    spawn_local(work).await.unwrap_or_else(|error| {
+        Err(Failure::refused(Code::Internal, error.to_string()).ran(Ran::Unknown))
+    })
 }
 
 async fn bounded<T>(
--- a/src/owner/service.rs
+++ b/src/owner/service.rs
@@ -1,22 +1,21 @@
 //! A call of a plain service, and what keeps one that must not be repeated to one sending.
 
-use super::duty::{Owner, not_owner, wall_ms};
-use super::run::{Run, Work};
+use super::duty::{Owner, Receipt, not_owner, wall_ms};
+use super::run::{Run, Work, unavailable};
 use crate::backend;
-use crate::code::{Code, Failure, Ran};
+use crate::code::{Code, Failure};
 use crate::config::{Mode, Operation};
 use crate::dispatch::{Key, Lease};
+use crate::effect::{Action, Effect, Event};
 use crate::id::{Program, Tokens};
 use crate::journal::Body;
+use crate::ownership::Verdict;
 use crate::policy::{Ask, Outcome};
 use crate::program::{self, Answer, Invocation};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Time between the read-back of an intent and its sending, past which it is dropped.
-const SEND_WINDOW: Duration = Duration::from_millis(500);
-
 impl Owner {
     pub(super) async fn run_service(
         self: &Rc<Self>,
@@ -46,6 +45,7 @@
         let sending = self
             .services
             .call(address, &invocation, &call_key, found.timeout());
+        let before = work.run.sent.replace(true);
         let reply = tokio::select! {
             reply = sending => reply,
             () = work.run.cancel.cancelled() => return Err(self.cancelled(work)),
@@ -61,9 +61,9 @@
                 self.finish(work, Vec::new(), Answer::Service { status, body })
                     .await
             }
-            Err(backend::Broken { reason, .. }) => {
+            Err(backend::Broken { sent, reason }) => {
+                work.run.sent.set(before || sent);
                 Err(Failure::refused(Code::ServiceFailed, reason)
-                    .ran(Ran::Unknown)
                     .retry_after(Duration::from_secs(1)))
             }
         }
@@ -77,69 +77,99 @@
         operation: &Operation,
         lease: Lease,
     ) -> Result<Answer, Failure> {
-        let Run {
-            program,
-            call,
-            digest,
-            ..
-        } = *work.run.as_ref();
+        let mut effect = Effect::default();
         work.run.stage.set("journal_intent");
-        let target = format!("{}/{}", invocation.service, invocation.operation);
-        let intent = Body::Intent {
-            program,
-            call,
-            digest,
-            target,
-        };
-        let recorded = self.recorded(work, intent).await;
-        let read_back = Instant::now();
-        if let Err(failure) = recorded {
-            // The intent may still reach the log. Only this process could send it, and it will
-            // not: it says so, in the stream right behind the intent.
-            let _ = self.push(program.shard(), work.epoch, Body::Dropped { program, call });
-            return Err(failure);
-        }
-        // A process that was paused here may have been succeeded by another that has told the
-        // caller "unknown". That stays true, but nothing is to be sent late.
-        if work.run.cancel.is_cancelled() || read_back.elapsed() > SEND_WINDOW {
-            self.recorded(work, Body::Dropped { program, call }).await?;
-            return Err(
-                Failure::refused(Code::DeadlinePassed, "not sent within its window")
-                    .retry_after(Duration::from_millis(500)),
-            );
+        let event = self.intend(work, invocation).await?;
+        match effect.take(event) {
+            Action::Send => {}
+            Action::Drop => return self.drop_intent(work, unsent(event)).await,
+            _ => return Err(not_owner(work.run.program.shard())),
         }
         work.run.stage.set("send");
-        let key = format!("{program}/{call}");
+        work.run.sent.set(true);
+        let key = format!("{}/{}", work.run.program, work.run.call);
         let address = lease.grant.address;
-        let reply = self
+        let sending = self
             .services
-            .call(address, invocation, &key, operation.timeout())
-            .await;
+            .call(address, invocation, &key, operation.timeout());
+        let reply = sending.await;
+        let failed = reply.is_err();
         lease
             .done(Outcome {
-                failed: reply.is_err(),
+                failed,
                 ..Outcome::default()
             })
             .await;
         work.run.stage.set("journal_done");
-        match reply {
-            Ok(backend::Reply { status, body }) => {
-                self.finish(work, Vec::new(), Answer::Service { status, body })
-                    .await
-            }
-            Err(backend::Broken {
-                sent: false,
-                reason,
-            }) => {
-                self.recorded(work, Body::Dropped { program, call }).await?;
-                Err(Failure::refused(Code::ServiceFailed, reason)
-                    .retry_after(Duration::from_secs(1)))
+        let event = match &reply {
+            Ok(_) => Event::Replied,
+            Err(broken) => Event::Broken { sent: broken.sent },
+        };
+        let answer = match (effect.take(event), reply) {
+            (Action::Record, Ok(backend::Reply { status, body })) => {
+                Answer::Service { status, body }
             }
-            Err(backend::Broken { sent: true, reason }) => {
-                self.finish(work, Vec::new(), Answer::Unknown { message: reason })
-                    .await
+            (Action::Drop, Err(broken)) => {
+                work.run.sent.set(false);
+                let failure = Failure::refused(Code::ServiceFailed, broken.reason);
+                return self
+                    .drop_intent(work, failure.retry_after(Duration::from_secs(1)))
+                    .await;
             }
-        }
+            (_, Err(broken)) => Answer::Unknown {
+                message: broken.reason,
+            },
+            (_, Ok(_)) => Answer::Unknown {
+                message: "the reply came too late".to_owned(),
+            },
+        };
+        self.finish(work, Vec::new(), answer).await
+    }
+
+    /// Appends the intent and waits until it has been read back.
+    async fn intend(&self, work: &Work, invocation: &Invocation) -> Result<Event, Failure> {
+        let run = &work.run;
+        let intent = Body::Intent {
+            program: run.program,
+            call: run.call,
+            digest: run.digest,
+            target: format!("{}/{}", invocation.service, invocation.operation),
+        };
+        let wait = self.push(run.program.shard(), work.epoch, intent)?;
+        let receipt = tokio::select! {
+            receipt = wait => receipt,
+            () = run.cancel.cancelled() => return Ok(Event::Withdrawn),
+            () = tokio::time::sleep_until(work.until) => return Ok(Event::Withdrawn),
+        };
+        let Receipt { verdict, asked } =
+            receipt.map_err(|_| Failure::refused(Code::Internal, "the owner was restarted"))?;
+        let counts = verdict == Verdict::Valid && self.intends(run);
+        let now = Instant::now();
+        Ok(Event::ReadBack { counts, asked, now })
+    }
+
+    /// Whether the program has this run's intent as the open one of its next call.
+    ///
+    /// A valid intent may stand behind the outcome that this VM gave the call when it took the
+    /// shard over; sent then, the call would take effect a second time.
+    fn intends(&self, run: &Run) -> bool {
+        let shards = self.shards.borrow();
+        let held = shards.get(&run.program.shard());
+        let program = held.and_then(|held| held.table.get(run.program).ok());
+        let intent = program.and_then(|program| program.intent.as_ref());
+        intent.is_some_and(|intent| intent.call == run.call && intent.digest == run.digest)
+    }
+
+    /// Refuses the call at once, and keeps its program busy until the log says so too: another
+    /// run before that would find the intent open.
+    async fn drop_intent(&self, work: &Work, failure: Failure) -> Result<Answer, Failure> {
+        let (program, call) = (work.run.program, work.run.call);
+        work.run.stage.set("journal_dropped");
+        work.run.tell(Err(failure.clone()));
+        let dropped = Body::Dropped { program, call };
+        self.append_surely(program.shard(), work.epoch, dropped)
+            .await?;
+        Err(failure)
     }
 
     fn afford_call(&self, id: Program) -> Result<(), Failure> {
@@ -171,3 +201,14 @@
         })
     }
 }
+
+/// The failure of a call whose intent was dropped before it was sent.
+fn unsent(event: Event) -> Failure {
+    match event {
+        Event::ReadBack { .. } => {
+            let message = "not sent within its window";
+            Failure::refused(Code::DeadlinePassed, message).retry_after(Duration::from_millis(500))
+        }
+        _ => unavailable(),
+    }
+}
--- a/src/program/state.rs
+++ b/src/program/state.rs
@@ -207,6 +207,19 @@
         }
     }
 
+    /// Opens an intent, unless it comes behind the outcome of its call: then its writer must not
+    /// send.
+    fn intend(&mut self, call: Call, digest: Digest, target: &str) {
+        if call == self.next() && !self.is_ended() {
+            let target = target.to_owned();
+            self.intent = Some(Intent {
+                call,
+                digest,
+                target,
+            });
+        }
+    }
+
     fn finish(&mut self, digest: Digest, messages: &[Message], answer: &Answer) {
         let call = self.next();
         self.history.extend_from_slice(messages);
@@ -273,6 +286,26 @@
             .count()
     }
 
+    /// The program and all that it has spawned, at any depth.
+    #[must_use]
+    pub fn tree(&self, id: id::Program) -> Vec<id::Program> {
+        let mut tree = vec![id];
+        let mut at = 0;
+        while let Some(next) = tree.get(at) {
+            let children = self.programs.get(next).map(|program| &program.children);
+            tree.extend(children.into_iter().flatten());
+            at += 1;
+        }
+        tree
+    }
+
+    /// The program and those that it descends from.
+    #[must_use]
+    pub fn line(&self, id: id::Program) -> Vec<id::Program> {
+        let parent = |id: &id::Program| self.programs.get(id)?.parent;
+        std::iter::successors(Some(id), parent).collect()
+    }
+
     /// Takes in one valid record.
     ///
     /// Every reader of the stream folds the same records in the same order, so a VM that takes
@@ -320,14 +353,7 @@
                 call,
                 digest,
                 target,
-            } => self.change(*program, |state| {
-                let target = target.clone();
-                state.intent = Some(Intent {
-                    call: *call,
-                    digest: *digest,
-                    target,
-                });
-            }),
+            } => self.change(*program, |state| state.intend(*call, *digest, target)),
             Body::Dropped { program, call } => self.change(*program, |state| {
                 state.intent.take_if(|intent| intent.call == *call);
             }),
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -152,14 +152,19 @@
         .collect();
     let key = body.prompt_cache_key.clone().unwrap_or_default();
     let prompt_tokens = tokens(prompt.len());
-    let cached = state.with(|inner| {
+    let (cached, salt) = state.with(|inner| {
         inner.counters.requests += 1;
+        let salt = if switches.get().vary {
+            inner.counters.requests
+        } else {
+            0
+        };
         inner.counters.in_flight += 1;
         *inner.counters.begun.entry(key.clone()).or_default() += 1;
         let cached = inner.admit(&key, &prompt).min(prompt_tokens);
         inner.counters.prompt_tokens += prompt_tokens;
         inner.counters.cached_tokens += cached;
-        cached
+        (cached, salt)
     });
     let flight = Flight(state.clone());
     let wanted = body.max_tokens + switches.get().extra_tokens;
@@ -179,7 +184,7 @@
             if switches.get().cut_after.is_some_and(|most| index >= most) {
                 return;
             }
-            let word = word(&prompt, index);
+            let word = word(&prompt, index, salt);
             text.push_str(&word);
             state.with(|inner| inner.counters.completion_tokens += 1);
             let chunk = json!({
@@ -228,8 +233,8 @@
 }
 
 /// A word that depends on the prompt, so that answers to different prompts differ.
-fn word(prompt: &str, index: u64) -> String {
-    let seed = xxhash_rust::xxh3::xxh3_64_with_seed(prompt.as_bytes(), index);
+fn word(prompt: &str, index: u64, salt: u64) -> String {
+    let seed = xxhash_rust::xxh3::xxh3_64_with_seed(prompt.as_bytes(), index + (salt << 32));
     format!("{:03x} ", seed % 4096)
 }
 
--- a/src/standin/faults.rs
+++ b/src/standin/faults.rs
@@ -9,6 +9,7 @@
 /// The faults in force; `POST /faults` replaces those it names.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
+#[expect(clippy::struct_excessive_bools, reason = "independent switches")]
 pub(crate) struct Faults {
     /// Every request fails before it takes effect.
     pub(crate) down: bool,
@@ -28,6 +29,12 @@
     pub(crate) lose_events: u64,
     /// Milliseconds between an effect and its reply (service).
     pub(crate) reply_after_ms: u64,
+    /// So many coming replies are cut after their first byte (service).
+    pub(crate) cut_replies: u64,
+    /// Reads of the journal hang, while appends take effect (log).
+    pub(crate) hold_reads: bool,
+    /// Each answer differs from the one before to the same prompt (engine).
+    pub(crate) vary: bool,
 }
 
 mod parking {
@@ -81,6 +88,15 @@
         Ok(())
     }
 
+    /// Whether the reply of a request that took effect is to be cut after its first byte.
+    pub(crate) fn cuts_reply(&self) -> bool {
+        self.0.with(|faults| {
+            let cut = faults.cut_replies > 0;
+            faults.cut_replies = faults.cut_replies.saturating_sub(1);
+            cut
+        })
+    }
+
     /// Whether the reply of a request that took effect is to be lost.
     pub(crate) fn loses_reply(&self) -> bool {
         self.0.with(|faults| {
--- a/src/standin/log.rs
+++ b/src/standin/log.rs
@@ -127,13 +127,17 @@
     state.counters.lock().expect("no holder panics").reads += 1;
     let until = tokio::time::Instant::now() + Duration::from_millis(from.wait_ms.min(30_000));
     loop {
+        while switches.get().hold_reads && stream.starts_with("journal") {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
         let grown = state.grown.notified();
         let page = {
             let mut streams = state.streams.lock().expect("no holder panics");
             streams.entry(stream.clone()).or_default().page(from.from)
         };
         let waited = tokio::time::timeout_at(until, grown);
-        if !page.entries.is_empty() || waited.await.is_err() {
+        let held = switches.get().hold_reads && stream.starts_with("journal");
+        if !held && (!page.entries.is_empty() || waited.await.is_err()) {
             return Ok(Json(page));
         }
         switches.enter().await?;
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -1,9 +1,10 @@
 //! A stand-in for a plain service: each operation counts how often its effect took place.
 
 use super::faults::{self, Switches};
+use bytes::Bytes;
 use poem::http::StatusCode;
 use poem::web::{Data, Json, Path};
-use poem::{EndpointExt, IntoEndpoint, Request, Route, get, handler, post};
+use poem::{EndpointExt, IntoEndpoint, IntoResponse, Request, Response, Route, get, handler, post};
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
@@ -46,7 +47,7 @@
     Path(operation): Path<String>,
     request: &Request,
     body: String,
-) -> poem::Result<Json<Receipt>> {
+) -> poem::Result<Response> {
     switches.enter().await?;
     let key = request
         .header("idempotency-key")
@@ -68,11 +69,17 @@
     if switches.loses_reply() {
         return Err(poem::Error::from_status(StatusCode::BAD_GATEWAY));
     }
-    Ok(Json(Receipt {
+    if switches.cuts_reply() {
+        let reset = std::io::Error::from(std::io::ErrorKind::ConnectionReset);
+        let parts = futures::stream::iter([Ok(Bytes::from_static(b"{")), Err(reset)]);
+        return Ok(Response::builder().body(poem::Body::from_bytes_stream(parts)));
+    }
+    let receipt = Receipt {
         operation,
         key,
         number,
-    }))
+    };
+    Ok(Json(receipt).into_response())
 }
 
 #[handler]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -361,6 +361,24 @@
         )
     }
 
+    /// What the run of a program does at a VM now.
+    pub fn stage(&self, vm: usize, program: &str) -> Option<String> {
+        let state = self.try_get(&format!("http://{}/state", self.vms[vm].operators))?;
+        let run = &state["owner"]["runs"][program];
+        run["stage"].as_str().map(str::to_owned)
+    }
+
+    /// Waits until the run of a program has come to `stage`.
+    pub fn wait_stage(&self, vm: usize, program: &str, stage: &str) {
+        poll(stage, || (self.stage(vm, program)? == stage).then_some(()));
+    }
+
+    /// Appends to the journal that the log has taken.
+    pub fn appends(&self) -> u64 {
+        let counters = self.counters(self.log.address);
+        counters["appends"].as_u64().expect("a count")
+    }
+
     /// How often the effect of a call took place at the service.
     pub fn effects(&self, program: &str, call: u64) -> u64 {
         let counters = self.counters(self.service.address);
