Stay unready while stopping when a configuration record arrives

Cause: the task that keeps readiness in step with the configuration judged it by a token that is cancelled one second after SIGTERM; a configuration checkpoint in that second made the VM ready again, and the balancer sent it callers until its listener was gone. Ruled out: the hand-over (the failures were refused and reset connections), and the changes to the owner (the same failures came from the configuration change alone).

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -77,6 +77,8 @@
 /// The order in which the duties stop.
 #[derive(Debug, Clone)]
 struct Stages {
+    /// The VM says that it is not ready, whatever else changes.
+    unready: CancellationToken,
     /// No new connections of callers; those in flight are finished.
     entry: CancellationToken,
     /// Cancelled once the last caller has its answer.
@@ -92,6 +94,7 @@
 /// Serves as one VM until `stop`, then stops without cutting what is in flight.
 pub(crate) fn run(settings: &Settings, sockets: Sockets, stop: &CancellationToken) {
     let stages = Stages {
+        unready: CancellationToken::new(),
         entry: CancellationToken::new(),
         entry_over: CancellationToken::new(),
         owner: CancellationToken::new(),
@@ -109,6 +112,7 @@
     runtime.block_on(async {
         stop.cancelled().await;
         event!(info, "vm_stopping", vm = settings.vm);
+        stages.unready.cancel();
         local.send_modify(|beat| beat.ready = false);
         let bound = Duration::from_millis(settings.stop_ms);
         tokio::time::sleep(UNREADY.min(bound)).await;
@@ -368,7 +372,7 @@
             let listener = listener.try_clone().expect("the system gives a handle");
             let routes = operator::routes(operator.clone());
             let (config, local) = (wiring.config.clone(), wiring.local.clone());
-            tokio::task::spawn_local(readiness(config, local, wiring.stages.entry.clone()));
+            tokio::task::spawn_local(readiness(config, local, wiring.stages.unready.clone()));
             http(
                 listener,
                 routes,
@@ -387,10 +391,11 @@
 ) {
     loop {
         let snapshot = config.borrow_and_update().clone();
-        let ready = snapshot.admits() && !stopping.is_cancelled();
+        // Judged under the lock: a configuration that comes while the VM begins to stop must not
+        // make it ready again, or the balancer sends it callers until it is gone.
         local.send_modify(|beat| {
             beat.applied = snapshot.applied;
-            beat.ready = ready;
+            beat.ready = snapshot.admits() && !stopping.is_cancelled();
         });
         tokio::select! {
             changed = config.changed() => if changed.is_err() { return },
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -374,7 +374,7 @@
 
     /// What the run of a program does at a VM now.
     pub fn stage(&self, vm: usize, program: &str) -> Option<String> {
-        let state = self.try_get(&format!("http://{}/state", self.vms[vm].operators))?;
+        let state = self.try_get(self.vms[vm].operators, "/state")?.1;
         let run = &state["owner"]["runs"][program];
         run["stage"].as_str().map(str::to_owned)
     }
