Replace full heartbeats by gossip with suspicion and refutation

Every VM sent its whole state, with each shard that it owns, to every other VM five times a second, which grows with the square of the group and does not fit a datagram once a VM owns many shards. Members now probe one another in a shuffled order, directly and through others, and pass news on a bounded number of times in datagrams of at most 1,200 bytes; a periodic exchange of digests repairs what was lost. A suspicion is refuted by a new incarnation and costs no shard. That a member is gone is concluded by each VM for itself and never taken over from another, so that the first contact after a partition does not remove anybody.

Owned shards spread as single claims, the highest epoch counting. The VM list is read when it is configured: it adds addresses to contact and leaving backend servers, and removes nobody.

--- a/src/id.rs
+++ b/src/id.rs
@@ -147,6 +147,11 @@
     "process number",
     "A random number that tells two runs of one VM apart."
 );
+number!(
+    Incarnation,
+    "incarnation",
+    "A number that a VM raises whenever it says something new of itself; the highest counts."
+);
 number!(
     Shard,
     "shard",
--- a/src/member/duty.rs
+++ b/src/member/duty.rs
@@ -1,8 +1,11 @@
-//! The membership thread: heartbeats over UDP, sealed with the peer key.
+//! The membership thread: drives the protocol over UDP.
 
-use super::table::{Beat, Table, View};
+use super::gossip::{Action, Gossip};
+use super::list::{self, List};
+use super::view::{Beat, View};
+use super::wire::{DATAGRAM, Sealer, State};
+use crate::id::Incarnation;
 use crate::telemetry::event;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,73 +14,111 @@
 use tokio::time::{Instant, MissedTickBehavior, interval};
 use tokio_util::sync::CancellationToken;
 
-/// Time between heartbeats.
-const PERIOD: Duration = Duration::from_millis(200);
-/// Bytes of the seal in front of a datagram.
-const SEAL: usize = 16;
-/// Bytes that a datagram may have.
-const DATAGRAM: usize = 65_507;
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(50);
+/// Lists that may wait.
+const LISTS: usize = 2;
 
-/// What this VM says of itself; other duties keep it up to date.
-pub(crate) type Local = watch::Receiver<Beat>;
+/// What the membership thread works with.
+#[derive(Debug)]
+pub(crate) struct Setup {
+    pub(crate) socket: std::net::UdpSocket,
+    pub(crate) key: String,
+    pub(crate) seeds: Vec<SocketAddr>,
+    /// Base address of the VM list.
+    pub(crate) list: Option<String>,
+    /// What this VM says of itself; other duties keep it up to date.
+    pub(crate) local: watch::Receiver<Beat>,
+    pub(crate) published: watch::Sender<Arc<View>>,
+    pub(crate) stop: CancellationToken,
+}
+
+/// Takes part in the membership until it is stopped.
+pub(crate) async fn run(setup: Setup) {
+    let (lists, listed) = flume::bounded(LISTS);
+    let follow = list::follow(setup.list.clone(), lists);
+    tokio::select! {
+        () = follow => {},
+        () = drive(setup, listed) => {},
+    }
+}
 
-/// Sends and takes heartbeats until `stop`.
-pub(crate) async fn run(
-    socket: std::net::UdpSocket,
-    key: String,
-    seeds: Vec<SocketAddr>,
-    local: Local,
-    published: watch::Sender<Arc<View>>,
-    stop: CancellationToken,
-) {
-    let key = blake3::derive_key("vanillatrail peer key", key.as_bytes());
+async fn drive(setup: Setup, listed: flume::Receiver<List>) {
+    let Setup {
+        socket,
+        key,
+        seeds,
+        mut local,
+        published,
+        stop,
+        ..
+    } = setup;
     let socket = UdpSocket::from_std(socket).expect("the socket is bound and non-blocking");
-    let mut table = Table::default();
-    let mut buffer = vec![0; DATAGRAM];
-    let mut tick = interval(PERIOD);
+    let sealer = Sealer::new(&key);
+    let beat = local.borrow_and_update().clone();
+    let now = Instant::now();
+    let mut gossip = Gossip::new(now, beat, first_incarnation(), seeds, rand::random());
+    // One byte more than a datagram may have, so that a longer one is seen to be too long.
+    let mut buffer = vec![0; DATAGRAM + 1];
+    let mut tick = interval(TICK);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             _ = tick.tick() => {
-                let beat = local.borrow().clone();
-                table.heard(Instant::now(), beat.clone());
-                let view = table.view(Instant::now());
-                let known = view.members.values().map(|member| member.address);
-                let targets: BTreeSet<SocketAddr> =
-                    known.chain(seeds.iter().copied()).filter(|to| *to != beat.address).collect();
-                let datagram = seal(&key, &beat);
-                for target in targets {
-                    let _ = socket.send_to(&datagram, target).await;
+                if local.has_changed().unwrap_or(false) {
+                    gossip.local(&local.borrow_and_update());
+                }
+                let actions = gossip.tick(Instant::now());
+                perform(&socket, &sealer, actions).await;
+                // Not at each datagram: after a partition hundreds of them change the view.
+                if gossip.changed() {
+                    published.send_replace(Arc::new(gossip.view(Instant::now())));
                 }
-                publish(&published, view);
             }
             received = socket.recv_from(&mut buffer) => {
                 let Ok((size, from)) = received else { continue };
-                if let Some(beat) = open(&key, &buffer[..size]) { table.heard(Instant::now(), beat) } else { event!(warn, "datagram_refused", from = from, bytes = size) }
+                if let Some(message) = sealer.open(&buffer[..size]) {
+                    let actions = gossip.on_message(Instant::now(), from, message);
+                    perform(&socket, &sealer, actions).await;
+                } else {
+                    event!(warn, "datagram_refused", from = from, bytes = size);
+                }
+            }
+            list = listed.recv_async() => {
+                let Ok(list) = list else { continue };
+                gossip.contact(list.vms);
+                for server in &list.leaving {
+                    gossip.leaving(Instant::now(), server);
+                }
+            }
+            () = stop.cancelled() => {
+                let actions = gossip.leave(Instant::now());
+                perform(&socket, &sealer, actions).await;
+                return;
             }
-            () = stop.cancelled() => return,
         }
     }
 }
 
-fn publish(published: &watch::Sender<Arc<View>>, view: View) {
-    if **published.borrow() != view {
-        published.send_replace(Arc::new(view));
+async fn perform(socket: &UdpSocket, sealer: &Sealer, actions: Vec<Action>) {
+    for action in actions {
+        match action {
+            Action::Send { to, message } => {
+                let _ = socket.send_to(&sealer.seal(&message), to).await;
+            }
+            Action::Tell { vm, state } => match state {
+                State::Alive => event!(info, "member_alive", vm = vm),
+                State::Suspect => event!(warn, "member_suspect", vm = vm),
+                State::Gone => event!(warn, "member_gone", vm = vm),
+                State::Left => event!(info, "member_left", vm = vm),
+            },
+        }
     }
 }
 
-fn seal(key: &[u8; 32], beat: &Beat) -> Vec<u8> {
-    let body = rmp_serde::to_vec(beat).expect("a heartbeat can be encoded");
-    let mut datagram = blake3::keyed_hash(key, &body).as_bytes()[..SEAL].to_vec();
-    datagram.extend(body);
-    datagram
-}
-
-/// The heartbeat in a datagram, if it was sealed with the key.
-fn open(key: &[u8; 32], datagram: &[u8]) -> Option<Beat> {
-    let (seal, body) = datagram.split_at_checked(SEAL)?;
-    if blake3::keyed_hash(key, body).as_bytes()[..SEAL] != *seal {
-        return None;
-    }
-    rmp_serde::from_slice(body).ok()
+/// An incarnation that exceeds those of earlier runs, as long as the wall clock goes forward;
+/// where it does not, the VM learns of the earlier run from its peers and raises it.
+fn first_incarnation() -> Incarnation {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    Incarnation(since.map_or(1, |since| since.as_secs()))
 }
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -1,8 +1,18 @@
 //! Membership of the system's own VMs: who is alive, ready, and owns what.
 
 mod duty;
-mod table;
+mod gossip;
+mod hints;
+mod list;
+mod probe;
+mod queue;
+mod roster;
+mod sync;
+mod view;
+mod wire;
 
-pub use table::{Beat, Member, Table, View};
+pub use gossip::{Action, Counts, Gossip};
+pub use view::{Beat, Member, View};
+pub use wire::{DATAGRAM, Digest, Header, Kind, Message, News, Profile, Sealer, State};
 
-pub(crate) use duty::run;
+pub(crate) use duty::{Setup, run};
--- a/src/member/table.rs
+++ b/src/member/view.rs
@@ -1,14 +1,9 @@
-//! The member view, folded from heartbeats.
+//! What other duties see of the membership.
 
-use crate::id::{Boot, Epoch, Offset, Shard, Vm, Zone};
+use crate::id::{Boot, Epoch, Offset, Server, Shard, Vm, Zone, rendezvous};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::time::Duration;
-use tokio::time::Instant;
-
-/// Silence after which a member leaves the view.
-const SILENCE: Duration = Duration::from_secs(2);
 
 /// What a VM says of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -31,17 +26,45 @@
 }
 
 /// A member of the view.
-pub type Member = Beat;
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Member {
+    /// Its name.
+    pub vm: Vm,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// The run of its process.
+    pub boot: Boot,
+    /// Where its peers reach it.
+    pub address: SocketAddr,
+    /// Whether it takes on shards: it has caught up and is not stopping.
+    pub ready: bool,
+    /// The newest configuration offset that it is known to have applied.
+    pub applied: Offset,
+    /// The shards that it is known to own.
+    pub held: Vec<(Shard, Epoch)>,
+    /// Whether it is under suspicion; it keeps its shards until the suspicion is confirmed.
+    pub suspect: bool,
+}
 
-/// The members that were heard of lately, this VM among them.
+/// The members that are held to be alive, this VM among them.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
 pub struct View {
     /// Members by name.
     pub members: BTreeMap<Vm, Member>,
+    /// Backend servers that some VM knows to be leaving.
+    pub leaving: BTreeSet<Server>,
+    /// The newest configuration offset that any VM has applied.
+    pub newest: Offset,
 }
 
 impl View {
     /// The member that says it owns `shard`, with the newest claim.
+    ///
+    /// ```
+    /// use vanillatrail::{id::Shard, member::View};
+    /// assert!(View::default().owner(Shard(3)).is_none());
+    /// ```
     #[must_use]
     pub fn owner(&self, shard: Shard) -> Option<&Member> {
         let claims = self.members.values().filter_map(|member| {
@@ -54,34 +77,13 @@
     }
 
     /// The ready member that comes first for `key` in rendezvous order.
+    ///
+    /// ```
+    /// assert!(vanillatrail::member::View::default().first("pool/main").is_none());
+    /// ```
     #[must_use]
     pub fn first(&self, key: &str) -> Option<&Member> {
         let ready = self.members.values().filter(|member| member.ready);
-        ready.max_by_key(|member| crate::id::rendezvous(key, member.vm.as_str()))
-    }
-}
-
-/// Folds heartbeats into a view.
-#[derive(Debug, Default)]
-pub struct Table {
-    heard: BTreeMap<Vm, (Instant, Beat)>,
-}
-
-impl Table {
-    /// Takes in a heartbeat.
-    pub fn heard(&mut self, now: Instant, beat: Beat) {
-        self.heard.insert(beat.vm.clone(), (now, beat));
-    }
-
-    /// The view at `now`.
-    pub fn view(&mut self, now: Instant) -> View {
-        self.heard.retain(|_, (at, _)| now - *at < SILENCE);
-        let members = self
-            .heard
-            .iter()
-            .map(|(vm, (_, beat))| (vm.clone(), beat.clone()));
-        View {
-            members: members.collect(),
-        }
+        ready.max_by_key(|member| rendezvous(key, member.vm.as_str()))
     }
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -201,12 +201,16 @@
     ) {
         let wiring = self.clone();
         supervisor.duty("member", move || {
-            let socket = socket.try_clone().expect("the system gives a handle");
-            let Settings {
-                peer_key, seeds, ..
-            } = wiring.settings.clone();
-            let (local, rest) = (wiring.local.subscribe(), wiring.stages.rest.clone());
-            member::run(socket, peer_key, seeds, local, published.clone(), rest)
+            let settings = wiring.settings.clone();
+            member::run(member::Setup {
+                socket: socket.try_clone().expect("the system gives a handle"),
+                key: settings.peer_key,
+                seeds: settings.seeds,
+                list: settings.vms,
+                local: wiring.local.subscribe(),
+                published: published.clone(),
+                stop: wiring.stages.rest.clone(),
+            })
         });
     }
 
