Run a trial in one process and drive the VMs from the command line

Cause: the README's first command did not exist, and operators had only curl. Change: `trial` embeds the stand-ins and three VMs, runs a seeded mix of five kinds of programs and counts at the stand-ins and the callers what must always hold; each model answer is compared with the one that the engine gives to exactly the caller's own history. `config`, `state`, `program`, `completions` and `man`; exit codes by kind of failure. cli.rs alone knows clap; src/command does the work.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,21 +1,24 @@
 //! The command line; nothing else knows of its library.
 
 use crate::code::{Code, Failure};
-use crate::serve::{self, Sockets};
-use crate::settings::Settings;
-use crate::standin;
-use crate::telemetry::log_to_stderr;
-use clap::{Parser, Subcommand};
-use spdlog::LevelFilter;
+use crate::command::config::Apply;
+use crate::command::program::Action;
+use crate::command::{self, Exit};
+use crate::id::{Call, Class, Offset, Program, Tokens};
+use crate::{standin, trial};
+use clap::{Args, CommandFactory, Parser, Subcommand, ValueEnum};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use tokio::signal::unix::{SignalKind, signal};
-use tokio_util::sync::CancellationToken;
+use std::time::Duration;
+
+const EXIT_CODES: &str = "Exit codes: 0 done; 1 failed; 2 malformed input; 3 an invariant was \
+    broken (trial); 4 an address does not answer; 5 refused, it did not run; 6 sent, its outcome \
+    is not known";
 
 /// A scheduler for agent programs whose callers are impatient.
 #[derive(Debug, Parser)]
-#[command(version, max_term_width = 100)]
+#[command(version, max_term_width = 100, after_help = EXIT_CODES)]
 struct Arguments {
     #[command(subcommand)]
     command: Command,
@@ -23,116 +26,330 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
+    /// Run stand-ins, three VMs and their callers in this process, and count what happened.
+    #[command(after_help = "Example: vanillatrail trial --seed 7 --programs 500 --json")]
+    Trial(Trial),
     /// Serve as one VM.
+    #[command(after_help = "Example: vanillatrail serve --settings vm-a.json")]
     Serve {
         /// The settings file.
         #[arg(long)]
         settings: PathBuf,
     },
     /// Run a small stand-in for the platform or a backend server.
+    #[command(after_help = "Example: vanillatrail standin engine --listen 127.0.0.1:7011")]
     Standin {
         /// Which.
         #[arg(value_enum)]
-        kind: standin::Kind,
+        kind: Standin,
         /// Where it listens.
         #[arg(long)]
         listen: SocketAddr,
     },
-    /// Check a settings file.
+    /// Check a settings file, or a configuration file.
+    #[command(after_help = "Example: vanillatrail check --config config.json")]
     Check {
-        /// The settings file.
-        settings: PathBuf,
+        /// The file.
+        file: PathBuf,
+        /// The file holds configuration values by key.
+        #[arg(long)]
+        config: bool,
+        /// Print JSON.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Show or change the configuration on the log.
+    #[command(subcommand)]
+    Config(Config),
+    /// Show what VMs hold in memory.
+    #[command(after_help = "Example: vanillatrail state 127.0.0.1:7301 127.0.0.1:7302")]
+    State {
+        /// Addresses of VMs for operators.
+        #[arg(required = true)]
+        vms: Vec<SocketAddr>,
+        /// Print JSON, complete.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Drive or look at one program.
+    Program(ProgramArguments),
+    /// Print a completion script for a shell.
+    #[command(after_help = "Example: vanillatrail completions bash > vanillatrail.bash")]
+    Completions {
+        /// The shell.
+        shell: clap_complete::Shell,
+    },
+    /// Write the manual pages.
+    #[command(after_help = "Example: vanillatrail man --out /usr/local/share/man/man1")]
+    Man {
+        /// The folder; without it the main page goes to standard output.
+        #[arg(long)]
+        out: Option<PathBuf>,
     },
 }
 
-/// How the process ends.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Exit {
-    Success,
-    Failed,
-    BadInput,
+#[derive(Debug, Args)]
+struct Trial {
+    /// The seed of the mix of programs.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// How many programs are opened.
+    #[arg(long, default_value_t = 300)]
+    programs: usize,
+    /// Over how many seconds they are opened.
+    #[arg(long, default_value_t = 20.0)]
+    seconds: f64,
+    /// Pairs of calls by which the path is measured.
+    #[arg(long, default_value_t = 60)]
+    pairs: usize,
+    /// Print JSON.
+    #[arg(long)]
+    json: bool,
+    /// Write the events of the VMs to standard error.
+    #[arg(long)]
+    verbose: bool,
 }
 
-impl From<Exit> for ExitCode {
-    fn from(exit: Exit) -> Self {
-        match exit {
-            Exit::Success => Self::SUCCESS,
-            Exit::Failed => Self::FAILURE,
-            Exit::BadInput => Self::from(2),
-        }
-    }
+#[derive(Debug, Clone, Copy, ValueEnum)]
+enum Standin {
+    /// The append-only log service.
+    Log,
+    /// A model engine.
+    Engine,
+    /// A plain service.
+    Service,
+    /// The VM list.
+    Vms,
+}
+
+#[derive(Debug, Subcommand)]
+enum Config {
+    /// Print the values in force and the offset to base a change on.
+    #[command(after_help = "Example: vanillatrail config show --log http://127.0.0.1:7000")]
+    Show(LogArguments),
+    /// Print the verdict on each change.
+    #[command(after_help = "Example: vanillatrail config history --log http://127.0.0.1:7000")]
+    History(LogArguments),
+    /// Publish the values of a file that differ from those in force.
+    #[command(
+        after_help = "Example: vanillatrail config apply config.json --base 4 --log \
+            http://127.0.0.1:7000 --wait 127.0.0.1:7301 --wait 127.0.0.1:7302"
+    )]
+    Apply(ApplyArguments),
+}
+
+#[derive(Debug, Args)]
+struct LogArguments {
+    /// Base address of the log service.
+    #[arg(long)]
+    log: String,
+    /// Print JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+#[derive(Debug, Args)]
+struct ApplyArguments {
+    /// A JSON object of values by key; null removes a key.
+    file: PathBuf,
+    /// Base address of the log service.
+    #[arg(long)]
+    log: String,
+    /// The offset that `config show` printed: a key changed since is not overwritten.
+    #[arg(long)]
+    base: Option<Offset>,
+    /// Who makes the change.
+    #[arg(long, env = "USER", default_value = "operator")]
+    by: String,
+    /// A VM's address for operators; waits until the change is in force there.
+    #[arg(long)]
+    wait: Vec<SocketAddr>,
+    /// How long to wait, in milliseconds.
+    #[arg(long, default_value_t = 9000)]
+    wait_ms: u64,
+    /// Print JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+#[derive(Debug, Args)]
+#[command(after_help = "Example: vanillatrail program --vm 127.0.0.1:7101 why p5-0c36…")]
+struct ProgramArguments {
+    /// A VM's address for callers; any will do.
+    #[arg(long)]
+    vm: SocketAddr,
+    /// Print JSON.
+    #[arg(long, global = true)]
+    json: bool,
+    #[command(subcommand)]
+    action: ProgramCommand,
+}
+
+#[derive(Debug, Subcommand)]
+enum ProgramCommand {
+    /// Open a program; the same key opens the same program.
+    Open {
+        /// Its class.
+        #[arg(long)]
+        class: Class,
+        /// Its opening key.
+        #[arg(long)]
+        key: String,
+        /// Tokens that it may spend.
+        #[arg(long)]
+        tokens: Tokens,
+        /// Calls that it may make.
+        #[arg(long)]
+        calls: Option<u64>,
+    },
+    /// Make a call.
+    Call {
+        /// The program.
+        program: Program,
+        /// The number of the call.
+        call: Call,
+        /// JSON with `model`, `service` or `spawn`.
+        body: String,
+    },
+    /// Follow the answer of a call.
+    Watch {
+        /// The program.
+        program: Program,
+        /// The number of the call.
+        call: Call,
+    },
+    /// Tell the state of a program.
+    Show {
+        /// The program.
+        program: Program,
+    },
+    /// Tell why a program waits.
+    Why {
+        /// The program.
+        program: Program,
+        /// Addresses of VMs for operators, to tell the queues as well.
+        #[arg(long)]
+        operators: Vec<SocketAddr>,
+    },
+    /// End a program.
+    End {
+        /// The program.
+        program: Program,
+    },
 }
 
 /// Runs the command line of this process.
 #[must_use]
 pub fn main() -> ExitCode {
     match run(Arguments::parse().command) {
-        Ok(()) => Exit::Success.into(),
+        Ok(exit) => exit.into(),
         Err(failure) => {
             eprintln!("vanillatrail: {failure}");
-            exit_of(&failure).into()
+            Exit::from(&failure).into()
         }
     }
 }
 
-fn exit_of(failure: &Failure) -> Exit {
-    match failure.code {
-        Code::BadSettings | Code::BadConfig | Code::BadBody => Exit::BadInput,
-        _ => Exit::Failed,
-    }
-}
-
-fn run(command: Command) -> Result<(), Failure> {
+fn run(command: Command) -> Result<Exit, Failure> {
     match command {
-        Command::Serve { settings } => {
-            let settings = Settings::load(&settings)?;
-            log_to_stderr(LevelFilter::MoreSevereEqual(spdlog::Level::Info));
-            let sockets = Sockets::bind(&settings.listen)?;
-            serve::run(&settings, sockets, &stop_on_signal()?);
-            Ok(())
+        Command::Trial(trial) => {
+            let spread = Duration::try_from_secs_f64(trial.seconds)
+                .map_err(|error| Failure::refused(Code::BadBody, format!("--seconds: {error}")))?;
+            let options = trial::Options {
+                seed: trial.seed,
+                programs: trial.programs,
+                spread,
+                pairs: trial.pairs,
+            };
+            command::trial::run(&options, trial.verbose, trial.json)
+        }
+        Command::Serve { settings } => command::serve::run(&settings),
+        Command::Standin { kind, listen } => command::standin::run(kind.into(), listen),
+        Command::Check { file, config, json } => {
+            let kind = if config {
+                command::check::Kind::Config
+            } else {
+                command::check::Kind::Settings
+            };
+            command::check::run(&file, kind, json)
         }
-        Command::Standin { kind, listen } => {
-            let listener = standin::bind(listen).map_err(|error| internal(&error))?;
-            let stop = stop_on_signal()?;
-            runtime()?
-                .block_on(standin::serve(kind, listener, stop))
-                .map_err(|error| internal(&error))
+        Command::Config(Config::Show(of)) => command::config::show(&of.log, of.json),
+        Command::Config(Config::History(of)) => command::config::history(&of.log, of.json),
+        Command::Config(Config::Apply(apply)) => command::config::apply(&apply.into()),
+        Command::State { vms, json } => command::state::run(&vms, json),
+        Command::Program(of) => command::program::run(of.vm, of.action.into(), of.json),
+        Command::Completions { shell } => {
+            let mut command = Arguments::command();
+            clap_complete::generate(shell, &mut command, "vanillatrail", &mut std::io::stdout());
+            Ok(Exit::Success)
         }
-        Command::Check { settings } => {
-            Settings::load(&settings)?;
-            println!("{}: ok", settings.display());
-            Ok(())
+        Command::Man { out } => {
+            manual(out).map_err(|error| Failure::refused(Code::Internal, error.to_string()))
         }
     }
 }
 
-fn internal(error: &std::io::Error) -> Failure {
-    Failure::refused(Code::Internal, error.to_string())
+fn manual(out: Option<PathBuf>) -> std::io::Result<Exit> {
+    let command = Arguments::command();
+    match out {
+        Some(folder) => clap_mangen::generate_to(command, folder)?,
+        None => clap_mangen::Man::new(command).render(&mut std::io::stdout())?,
+    }
+    Ok(Exit::Success)
 }
 
-fn runtime() -> Result<tokio::runtime::Runtime, Failure> {
-    tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(|error| internal(&error))
+impl From<Standin> for standin::Kind {
+    fn from(kind: Standin) -> Self {
+        match kind {
+            Standin::Log => Self::Log,
+            Standin::Engine => Self::Engine,
+            Standin::Service => Self::Service,
+            Standin::Vms => Self::Vms,
+        }
+    }
 }
 
-/// A token that is cancelled at the first SIGTERM or SIGINT.
-fn stop_on_signal() -> Result<CancellationToken, Failure> {
-    let stop = CancellationToken::new();
-    let token = stop.clone();
-    let runtime = runtime()?;
-    std::thread::spawn(move || {
-        runtime.block_on(async {
-            let (Ok(mut terminate), Ok(mut interrupt)) = (
-                signal(SignalKind::terminate()),
-                signal(SignalKind::interrupt()),
-            ) else {
-                return;
-            };
-            tokio::select! { _ = terminate.recv() => {}, _ = interrupt.recv() => {} }
-            token.cancel();
-        });
-    });
-    Ok(stop)
+impl From<ApplyArguments> for Apply {
+    fn from(of: ApplyArguments) -> Self {
+        Self {
+            log: of.log,
+            file: of.file,
+            base: of.base,
+            by: of.by,
+            wait: of.wait,
+            limit: Duration::from_millis(of.wait_ms),
+            json: of.json,
+        }
+    }
+}
+
+impl From<ProgramCommand> for Action {
+    fn from(command: ProgramCommand) -> Self {
+        match command {
+            ProgramCommand::Open {
+                class,
+                key,
+                tokens,
+                calls,
+            } => Self::Open {
+                class,
+                key,
+                tokens,
+                calls,
+            },
+            ProgramCommand::Call {
+                program,
+                call,
+                body,
+            } => Self::Call {
+                program,
+                call,
+                body,
+            },
+            ProgramCommand::Watch { program, call } => Self::Watch { program, call },
+            ProgramCommand::Show { program } => Self::Show { program },
+            ProgramCommand::Why { program, operators } => Self::Why { program, operators },
+            ProgramCommand::End { program } => Self::End { program },
+        }
+    }
 }
--- a/src/code.rs
+++ b/src/code.rs
@@ -113,6 +113,7 @@
     BadConfig = 5003, 422, "A configuration value is malformed or unsafe.";
     NewerSchema = 5004, 422, "A configuration record has a newer schema than this VM knows.";
     BadPeer = 5005, 403, "A peer did not prove itself with the key.";
+    Unreachable = 5006, 502, "An address does not answer.";
     Internal = 9001, 500, "A fault inside the VM.";
 }
 
--- /dev/null
+++ b/src/command/mod.rs
@@ -0,0 +1,96 @@
+//! What the commands do; the command line only reads their options.
+
+pub(crate) mod check;
+mod client;
+pub(crate) mod config;
+mod paint;
+pub(crate) mod program;
+pub(crate) mod serve;
+pub(crate) mod standin;
+pub(crate) mod state;
+pub(crate) mod trial;
+
+use crate::code::{Code, Failure, Ran};
+use std::process::ExitCode;
+use tokio::runtime::Runtime;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+
+/// How a command ends; the number is the exit code of the process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Exit {
+    /// It did what was asked.
+    Success = 0,
+    /// A fault.
+    Failed = 1,
+    /// The input is malformed: arguments, a file, or a body.
+    BadInput = 2,
+    /// Something that must always hold did not.
+    Broken = 3,
+    /// An address does not answer.
+    Unreachable = 4,
+    /// Refused: it did not run.
+    Refused = 5,
+    /// It was sent and its outcome is not known.
+    Unknown = 6,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        Self::from(exit as u8)
+    }
+}
+
+impl From<&Failure> for Exit {
+    fn from(failure: &Failure) -> Self {
+        match (failure.code, failure.ran) {
+            (Code::BadSettings | Code::BadConfig | Code::BadBody | Code::NewerSchema, _) => {
+                Self::BadInput
+            }
+            (Code::Unreachable, _) => Self::Unreachable,
+            (Code::OutcomeUnknown, _) | (_, Ran::Unknown) => Self::Unknown,
+            (Code::Internal, _) | (_, Ran::Yes) => Self::Failed,
+            (_, Ran::No) => Self::Refused,
+        }
+    }
+}
+
+/// A runtime for a command that waits for few things.
+fn runtime() -> Result<Runtime, Failure> {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| internal(&error))
+}
+
+fn internal(error: &std::io::Error) -> Failure {
+    Failure::refused(Code::Internal, error.to_string())
+}
+
+/// A token that is cancelled at the first SIGTERM or SIGINT.
+fn stop_on_signal() -> Result<CancellationToken, Failure> {
+    let stop = CancellationToken::new();
+    let token = stop.clone();
+    let runtime = runtime()?;
+    std::thread::spawn(move || {
+        runtime.block_on(async {
+            let (Ok(mut terminate), Ok(mut interrupt)) = (
+                signal(SignalKind::terminate()),
+                signal(SignalKind::interrupt()),
+            ) else {
+                return;
+            };
+            tokio::select! { _ = terminate.recv() => {}, _ = interrupt.recv() => {} }
+            token.cancel();
+        });
+    });
+    Ok(stop)
+}
+
+/// Writes a JSON value for a machine.
+fn print_json(value: &impl serde::Serialize) -> Result<(), Failure> {
+    let text = serde_json::to_string_pretty(value)
+        .map_err(|error| Failure::refused(Code::Internal, error.to_string()))?;
+    println!("{text}");
+    Ok(())
+}
--- /dev/null
+++ b/src/command/state.rs
@@ -0,0 +1,73 @@
+//! `state`: what VMs hold in memory.
+
+use super::client::Client;
+use super::{Exit, paint, print_json, runtime};
+use crate::code::Failure;
+use serde_json::{Map, Value};
+use std::fmt::Write;
+use std::net::SocketAddr;
+
+/// Prints the state of each VM, by its address for operators.
+pub(crate) fn run(vms: &[SocketAddr], json: bool) -> Result<Exit, Failure> {
+    let client = Client::new();
+    let runtime = runtime()?;
+    let mut all = Map::new();
+    let mut exit = Exit::Success;
+    for vm in vms {
+        match runtime.block_on(client.get(*vm, "/state")) {
+            Ok(state) => {
+                if !json {
+                    print!("{}", summary(&state));
+                }
+                all.insert(vm.to_string(), state);
+            }
+            // The state of the others is still of use.
+            Err(failure) => {
+                eprintln!("vanillatrail: {vm}: {failure}");
+                exit = Exit::from(&failure);
+            }
+        }
+    }
+    if json {
+        print_json(&all)?;
+    }
+    Ok(exit)
+}
+
+fn summary(state: &Value) -> String {
+    let local = &state["local"];
+    let ready = if local["ready"] == true {
+        paint::good("ready")
+    } else {
+        paint::bad("not ready")
+    };
+    let shards = state["owner"]["shards"].as_object();
+    let open: u64 = shards
+        .into_iter()
+        .flat_map(Map::values)
+        .filter_map(|shard| shard["open"].as_u64())
+        .sum();
+    let count = |value: &Value| value.as_object().map_or(0, Map::len);
+    let mut text = format!(
+        "{} in {}: {ready}, configuration {}, {} members, {} shards, {open} programs open, {} calls running\n",
+        plain(&local["vm"]),
+        plain(&local["zone"]),
+        plain(&local["applied"]),
+        count(&state["view"]["members"]),
+        shards.map_or(0, Map::len),
+        count(&state["owner"]["runs"]),
+    );
+    for (pool, queue) in state["dispatch"].as_object().into_iter().flatten() {
+        let waiting = plain(&queue["waiting"]);
+        let running = &queue["running"];
+        let _ = writeln!(text, "  {pool}: {waiting} waiting, running {running}");
+    }
+    text
+}
+
+/// A JSON value without the quotes of a string.
+pub(super) fn plain(value: &Value) -> String {
+    value
+        .as_str()
+        .map_or_else(|| value.to_string(), str::to_owned)
+}
--- /dev/null
+++ b/src/command/trial.rs
@@ -0,0 +1,28 @@
+//! `trial`: the stand-ins, three VMs and their callers in one process.
+
+use super::{Exit, print_json};
+use crate::code::Failure;
+use crate::telemetry::log_to_stderr;
+use crate::trial::{self, Options};
+use spdlog::{Level, LevelFilter};
+
+/// Runs a trial and prints its report; broken invariants are an exit code of their own.
+pub(crate) fn run(options: &Options, verbose: bool, json: bool) -> Result<Exit, Failure> {
+    let level = if verbose {
+        Level::Info
+    } else {
+        Level::Critical
+    };
+    log_to_stderr(LevelFilter::MoreSevereEqual(level));
+    let report = trial::run(options)?;
+    if json {
+        print_json(&report)?;
+    } else {
+        print!("{report}");
+    }
+    Ok(if report.holds() {
+        Exit::Success
+    } else {
+        Exit::Broken
+    })
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -7,4 +7,5 @@
 pub use book::{Book, Change, Checkpoint, Ruling, Setting, Verdict};
 pub use value::{Class, Engine, Fencing, Mode, Operation, Pool, Service, Snapshot, Store, Value};
 
+pub(crate) use book::SCHEMA;
 pub(crate) use duty::{Context, run};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod settings;
 
 mod backend;
+mod command;
 mod dispatch;
 mod entry;
 mod operator;
@@ -25,3 +26,4 @@
 mod standin;
 mod supervisor;
 mod telemetry;
+mod trial;
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -149,11 +149,7 @@
 ) -> poem::Result<Response> {
     switches.enter().await?;
     let (state, switches) = (state.0.clone(), switches.0.clone());
-    let prompt: String = body
-        .messages
-        .iter()
-        .flat_map(|message| [message.role.as_str(), ":", &message.content, "\n"])
-        .collect();
+    let prompt = prompt_of(&body.messages);
     let key = body.prompt_cache_key.clone().unwrap_or_default();
     let prompt_tokens = tokens(prompt.len());
     let (cached, salt) = state.with(|inner| {
@@ -236,6 +232,23 @@
     .map(Event::message)
 }
 
+/// The text of a prompt.
+fn prompt_of(messages: &[crate::program::Message]) -> String {
+    messages
+        .iter()
+        .flat_map(|message| [message.role.as_str(), ":", &message.content, "\n"])
+        .collect()
+}
+
+/// The whole answer to `messages`: a caller that knows its history can tell that the engine was
+/// given exactly this history.
+pub(crate) fn answer(messages: &[crate::program::Message], max_tokens: u64) -> String {
+    let prompt = prompt_of(messages);
+    (0..max_tokens)
+        .map(|index| word(&prompt, index, 0))
+        .collect()
+}
+
 /// A word that depends on the prompt, so that answers to different prompts differ.
 fn word(prompt: &str, index: u64, salt: u64) -> String {
     let seed = xxhash_rust::xxh3::xxh3_64_with_seed(prompt.as_bytes(), index + (salt << 32));
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -6,14 +6,15 @@
 mod service;
 mod vms;
 
-use clap::ValueEnum;
+pub(crate) use engine::answer;
+
 use poem::{EndpointExt, IntoEndpoint, Server, listener::TcpAcceptor};
 use std::io;
 use std::net::SocketAddr;
 use tokio_util::sync::CancellationToken;
 
 /// Which stand-in.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Kind {
     /// The append-only log service.
     Log,
