Publish the member view when a header tells a newer offset

Cause: the offset in a message's header was stored without marking the view as changed; the news that followed was then no newer, and the view stayed as it was until something else changed. A VM cut off from the log did not see that its peers had a newer configuration. Seen once in 5 runs of tests/config.rs, 'never came: the change is in force'; ruled out: the base of the change and the transfer between peers (both passed alone). Left: a test of the pure state machine that makes this order of messages.

--- a/src/member/gossip.rs
+++ b/src/member/gossip.rs
@@ -553,11 +553,13 @@
             actions.push(self.send(from, Kind::Doubt { incarnation }, Vec::new()));
             return false;
         };
-        record.applied = record.applied.max(header.applied);
         if record.standing.state == State::Suspect && record.incarnation == header.incarnation {
             let (vm, incarnation) = (header.vm.clone(), header.incarnation);
             self.doubt(now, &vm, incarnation, actions);
         }
+        // Not set in passing: a view that is not published anew hides from the other duties that a
+        // peer has a newer configuration, for as long as nothing else changes.
+        self.learn_applied(&header.vm, header.applied);
         known && self.roster.records[&header.vm].live()
     }
 
