Take up a changed pace of orders without a new holder

Cause: the times between readings and loads were fixed when a pool was first held; a pool that was later declared to ignore fencing numbers kept the longer time.

--- a/src/order/control.rs
+++ b/src/order/control.rs
@@ -75,6 +75,21 @@
         }
     }
 
+    /// Takes up other times; a load that was put off longer than the new interval is moved up.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use vanillatrail::order::Control;
+    /// let now = tokio::time::Instant::now();
+    /// let mut control = Control::new(now, Duration::from_secs(5), Duration::from_secs(60));
+    /// control.pace(now, Duration::from_secs(2), Duration::from_secs(6));
+    /// ```
+    pub fn pace(&mut self, now: Instant, settled: Duration, load_interval: Duration) {
+        self.settled = settled;
+        self.load_interval = load_interval;
+        self.next_load = self.next_load.min(now + load_interval);
+    }
+
     /// Sets what each engine should be.
     ///
     /// ```
--- a/src/order/duty.rs
+++ b/src/order/duty.rs
@@ -83,17 +83,19 @@
             let Some(epoch) = epoch_of(model) else {
                 continue;
             };
+            let settled = match pool.fencing {
+                Fencing::Checked => CHECKED,
+                Fencing::Ignored => IGNORED,
+            };
+            let interval = config.load_interval();
             let held = held.entry(model.clone()).or_insert_with(|| {
-                let settled = match pool.fencing {
-                    Fencing::Checked => CHECKED,
-                    Fencing::Ignored => IGNORED,
-                };
-                let control = Control::new(now, settled, config.load_interval());
+                let control = Control::new(now, settled, interval);
                 Held {
                     epoch,
                     control: Rc::new(RefCell::new(control)),
                 }
             });
+            held.control.borrow_mut().pace(now, settled, interval);
             held.control.borrow_mut().aim(now, &goals(pool));
         }
     }
