--- a/benches/policy.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! Placeholder until the measurement lands.
-
-fn main() {}
--- a/src/dispatch/duty.rs
+++ b/src/dispatch/duty.rs
@@ -48,6 +48,7 @@
         let mut actions = std::collections::VecDeque::from(actions);
         while let Some(action) = actions.pop_front() {
             match action {
+                Action::Export(..) => {}
                 Action::Refuse(permit, failure) => {
                     if let Some(reply) = self.replies.remove(&permit) {
                         let _ = reply.send(Err(failure));
--- a/src/owner/model.rs
+++ b/src/owner/model.rs
@@ -117,6 +117,7 @@
             program: id,
             class: Some(program.class.clone()),
             slack_ms: target.saturating_sub(i64::try_from(elapsed).unwrap_or(i64::MAX)),
+            remaining_ms: 0,
             prompt: Tokens(bytes as u64 / 4),
             max_tokens: prompt.max_tokens,
             resident: program.resident.iter().cloned().collect(),
--- a/src/owner/service.rs
+++ b/src/owner/service.rs
@@ -193,6 +193,7 @@
             program: id,
             class: Some(program.class.clone()),
             slack_ms: target.saturating_sub(i64::try_from(elapsed).unwrap_or(i64::MAX)),
+            remaining_ms: 0,
             prompt: Tokens(0),
             max_tokens: Tokens(0),
             resident: Vec::new(),
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,5 +1,15 @@
 //! Which call goes to which backend server, and when.
+//!
+//! Everything here is pure: events and the time come in, actions go out.
 
-mod pool;
+pub mod admit;
+pub mod ask;
+pub mod cache;
+pub mod estimate;
+pub mod pace;
+pub mod pool;
+mod queue;
+mod server;
 
-pub use pool::{Action, Ask, Outcome, Pool};
+pub use ask::{Action, Ask, Outcome};
+pub use pool::Pool;
--- /dev/null
+++ b/src/policy/pace.rs
@@ -0,0 +1,165 @@
+//! How fast the engines of a pool are, learned from the calls that they finished.
+
+/// Weight of the newest call in the learned averages.
+const NEWEST: f64 = 0.02;
+/// Weight of the newest call in the speed of one server.
+const NEWEST_OF_SERVER: f64 = 0.08;
+/// Time per token of a lone call before anything has been measured, in milliseconds.
+const ALONE_MS: f64 = 20.0;
+/// What each further call adds before anything has been measured, in milliseconds.
+const STEP_MS: f64 = 1.0;
+/// Time per prompt token that is not cached, before anything has been measured, in milliseconds.
+const PREFILL_MS: f64 = 0.1;
+/// How strongly the values assumed at first count, in calls.
+const PRIOR: f64 = 20.0;
+
+/// Time per token as a line over the calls in flight, and time per token of prefill.
+///
+/// The line is a least-squares fit whose older samples fade.
+///
+/// ```
+/// use vanillatrail::policy::pace::Pace;
+/// let mut pace = Pace::default();
+/// for running in [1.0, 10.0, 20.0, 40.0].into_iter().cycle().take(4000) {
+///     pace.token(running, 10.0 + running);
+/// }
+/// assert!((pace.token_ms(30.0) - 40.0).abs() < 1.0);
+/// ```
+#[derive(Debug, Clone)]
+pub struct Pace {
+    weight: f64,
+    running: f64,
+    time: f64,
+    running_squared: f64,
+    product: f64,
+    prefill_ms: f64,
+    share: f64,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        let mut pace = Self {
+            weight: 0.0,
+            running: 0.0,
+            time: 0.0,
+            running_squared: 0.0,
+            product: 0.0,
+            prefill_ms: PREFILL_MS,
+            share: 0.5,
+        };
+        for running in [0.0, 32.0] {
+            pace.add(running, ALONE_MS + STEP_MS * running, PRIOR / 2.0);
+        }
+        pace
+    }
+}
+
+impl Pace {
+    fn add(&mut self, running: f64, time: f64, weight: f64) {
+        self.weight += weight;
+        self.running += weight * running;
+        self.time += weight * time;
+        self.running_squared += weight * running * running;
+        self.product += weight * running * time;
+    }
+
+    /// Takes in the time per token of a call that ran among `running` calls.
+    pub fn token(&mut self, running: f64, time_ms: f64) {
+        let keep = 1.0 - NEWEST / 4.0;
+        for sum in [
+            &mut self.weight,
+            &mut self.running,
+            &mut self.time,
+            &mut self.running_squared,
+            &mut self.product,
+        ] {
+            *sum *= keep;
+        }
+        self.add(running, time_ms, 1.0);
+    }
+
+    /// Takes in the time per token of prompt that was not cached.
+    pub fn prefill(&mut self, time_ms: f64) {
+        self.prefill_ms += NEWEST * (time_ms - self.prefill_ms);
+    }
+
+    /// Takes in how much of the most tokens allowed a call generated.
+    pub fn generated(&mut self, share: f64) {
+        self.share += NEWEST * (share - self.share);
+    }
+
+    fn line(&self) -> (f64, f64) {
+        let spread = self.weight * self.running_squared - self.running * self.running;
+        let step = if spread > f64::EPSILON {
+            (self.weight * self.product - self.running * self.time) / spread
+        } else {
+            0.0
+        };
+        let step = step.max(0.01);
+        let alone = (self.time - step * self.running) / self.weight;
+        (alone.max(0.1), step)
+    }
+
+    /// Time per token among `running` calls, in milliseconds.
+    #[must_use]
+    pub fn token_ms(&self, running: f64) -> f64 {
+        let (alone, step) = self.line();
+        alone + step * running
+    }
+
+    /// Time per token of prefill, in milliseconds.
+    #[must_use]
+    pub const fn prefill_ms(&self) -> f64 {
+        self.prefill_ms
+    }
+
+    /// Tokens that a call is expected to generate.
+    #[must_use]
+    pub fn expected(&self, max_tokens: f64) -> f64 {
+        max_tokens * self.share
+    }
+
+    /// Calls at which a token takes `stretch` times as long as alone.
+    #[must_use]
+    pub fn calls_at(&self, stretch: f64) -> f64 {
+        let (alone, step) = self.line();
+        (stretch - 1.0) * alone / step
+    }
+
+    /// Engine time that a call costs when the engine runs `running` calls, in milliseconds.
+    #[must_use]
+    pub fn work_ms(&self, running: f64, fresh: f64, generated: f64) -> f64 {
+        fresh * self.prefill_ms + generated * self.token_ms(running) / running.max(1.0)
+    }
+}
+
+/// The speed of one server against the others of its pool; above one it is slower.
+#[derive(Debug, Clone, Copy)]
+pub struct Ratio(f64);
+
+impl Default for Ratio {
+    fn default() -> Self {
+        Self(1.0)
+    }
+}
+
+impl Ratio {
+    /// Takes in a call that took `measured` where the pool's line says `expected`.
+    ///
+    /// ```
+    /// use vanillatrail::policy::pace::Ratio;
+    /// let mut ratio = Ratio::default();
+    /// (0..100).for_each(|_| ratio.take(90.0, 30.0));
+    /// assert!(ratio.get() > 2.9);
+    /// ```
+    pub fn take(&mut self, measured: f64, expected: f64) {
+        let sample = (measured / expected.max(0.001)).clamp(0.2, 10.0);
+        self.0 += NEWEST_OF_SERVER * (sample - self.0);
+    }
+
+    /// The ratio.
+    #[must_use]
+    pub const fn get(self) -> f64 {
+        self.0
+    }
+}
--- a/src/policy/pool.rs
+++ b/src/policy/pool.rs
@@ -1,107 +1,88 @@
 //! The queue before the servers of one pool, and the window of each server.
 
+use super::ask::{Action, Ask, Outcome};
+use super::pace::Pace;
+use super::queue::{Queue, Waiting};
+use super::server::Server;
 use crate::code::{Code, Failure};
-use crate::id::{self, Permit, Server, Tokens, Zone};
-use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use crate::id::{Permit, Program, Server as Name};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Calls that one server is given at a time, before anything has been measured.
-const WINDOW: usize = 8;
 /// Calls that may wait for one pool.
-const QUEUE: usize = 4096;
-/// How long a refused server is left alone.
-const REST: Duration = Duration::from_secs(1);
-
-/// A call that asks for a server.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Ask {
-    /// The program.
-    pub program: id::Program,
-    /// Its class.
-    pub class: Option<id::Class>,
-    /// Time left of the class target, less the estimate of what the program still has to do, in
-    /// milliseconds; below zero when it is late.
-    pub slack_ms: i64,
-    /// Tokens of the whole prompt, estimated.
-    pub prompt: Tokens,
-    /// The most tokens to generate.
-    pub max_tokens: Tokens,
-    /// Servers that may hold cache for the program.
-    pub resident: Vec<Server>,
-    /// Servers not to be given: they have failed this call.
-    pub avoid: Vec<Server>,
-    /// The availability zone of the VM that asks.
-    pub zone: Option<Zone>,
-}
-
-/// How a granted call ended.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct Outcome {
-    /// Whether the server refused or broke the call.
-    pub failed: bool,
-    /// Milliseconds from sending to the first token.
-    pub first_ms: f64,
-    /// Milliseconds from the first token to the last.
-    pub rest_ms: f64,
-    /// Tokens of the prompt.
-    pub prompt: Tokens,
-    /// Tokens of the prompt that were cached.
-    pub cached: Tokens,
-    /// Tokens generated.
-    pub completion: Tokens,
-}
-
-/// What the pool decides.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Action {
-    /// The call goes to this server now.
-    Grant(Permit, Server),
-    /// The call is given up.
-    Refuse(Permit, Failure),
-}
-
-#[derive(Debug)]
-struct Window {
-    size: usize,
-    running: BTreeMap<Permit, id::Program>,
-    rests_until: Option<Instant>,
-    leaving: bool,
-}
+const QUEUE: usize = 100_000;
+/// Calls that are looked at for each chance to grant.
+const SCAN: usize = 32;
+/// Servers that are weighed for a call beside those that may hold its cache.
+const CHOICES: usize = 4;
+/// A program whose slack is so many times what remains only fills what others leave.
+const FILLS: f64 = 6.0;
+/// Cost of a server that has failed the call already; it is better than none.
+const AVOID_MS: f64 = 1e7;
+/// Programs whose place is remembered.
+const PLACES: usize = 200_000;
 
 /// The servers of one pool and the calls that wait for them.
+///
+/// ```
+/// use tokio::time::Instant;
+/// use vanillatrail::id::{Permit, Program, Shard, Tokens};
+/// use vanillatrail::policy::{Action, Ask, Pool};
+/// let mut pool = Pool::default();
+/// let server = "engine-1".parse().unwrap();
+/// pool.configure(&[server]);
+/// let ask = Ask {
+///     program: Program::new(Shard(0), 1),
+///     class: None,
+///     slack_ms: 1000,
+///     remaining_ms: 500,
+///     prompt: Tokens(100),
+///     max_tokens: Tokens(50),
+///     resident: Vec::new(),
+///     avoid: Vec::new(),
+///     zone: None,
+/// };
+/// let actions = pool.ask(Instant::now(), Permit(1), ask);
+/// assert!(matches!(actions[..], [Action::Grant(Permit(1), _)]));
+/// ```
 #[derive(Debug, Default)]
 pub struct Pool {
-    windows: BTreeMap<Server, Window>,
-    queue: BTreeMap<Permit, Ask>,
+    servers: Vec<Server>,
+    index: HashMap<Name, usize>,
+    /// Servers that have room, by the time that a token would take.
+    open: BTreeSet<(u64, usize)>,
+    keys: Vec<Option<u64>>,
+    resting: BTreeSet<(Instant, usize)>,
+    running: HashMap<Permit, usize>,
+    places: HashMap<Program, Vec<usize>>,
+    queue: Queue,
+    pace: Pace,
+    epoch: Option<Instant>,
 }
 
 impl Pool {
     /// Sets the servers; calls that run on one that is gone are left to end.
-    pub fn configure(&mut self, servers: &[Server]) {
-        self.windows
-            .retain(|name, window| servers.contains(name) || !window.running.is_empty());
-        for (name, window) in &mut self.windows {
-            window.leaving = !servers.contains(name);
-        }
-        for name in servers {
-            let fresh = || Window {
-                size: WINDOW,
-                running: BTreeMap::new(),
-                rests_until: None,
-                leaving: false,
-            };
-            self.windows.entry(name.clone()).or_insert_with(fresh);
+    pub fn configure(&mut self, names: &[Name]) {
+        for name in names {
+            if !self.index.contains_key(name) {
+                self.index.insert(name.clone(), self.servers.len());
+                self.servers.push(Server::new(name.clone()));
+                self.keys.push(None);
+            }
+        }
+        let staying: BTreeSet<&Name> = names.iter().collect();
+        for index in 0..self.servers.len() {
+            self.servers[index].leaving = !staying.contains(&self.servers[index].name);
+            self.refresh(index);
         }
     }
 
     /// Notes that a server is leaving: it gets nothing new.
-    pub fn leave(&mut self, server: &Server) {
-        if let Some(window) = self.windows.get_mut(server) {
-            window.leaving = true;
+    pub fn leave(&mut self, server: &Name) {
+        if let Some(&index) = self.index.get(server) {
+            self.servers[index].leaving = true;
+            self.refresh(index);
         }
     }
 
@@ -112,71 +93,245 @@
                 .retry_after(Duration::from_secs(1));
             return vec![Action::Refuse(permit, failure)];
         }
-        if self.windows.values().all(|window| window.leaving) {
+        if self.servers.iter().all(|server| server.leaving) {
             let failure = Failure::refused(Code::NoServer, "the pool has no server")
                 .retry_after(Duration::from_secs(1));
             return vec![Action::Refuse(permit, failure)];
         }
-        self.queue.insert(permit, ask);
+        let asked = self.clock(now);
+        for &place in self.places.get(&ask.program).into_iter().flatten() {
+            self.servers[place].cache.resume(ask.program);
+        }
+        let waiting = Waiting {
+            start_by: asked.saturating_add(ask.slack_ms),
+            asked,
+            ask,
+        };
+        self.queue.push(permit, waiting);
         self.grant(now)
     }
 
     /// Takes a call out, whether it waits or runs.
     pub fn done(&mut self, now: Instant, permit: Permit, outcome: Option<&Outcome>) -> Vec<Action> {
-        self.queue.remove(&permit);
-        for window in self.windows.values_mut() {
-            if window.running.remove(&permit).is_some() && outcome.is_some_and(|end| end.failed) {
-                window.rests_until = Some(now + REST);
-            }
+        let max = self
+            .queue
+            .remove(permit)
+            .map(|waiting| waiting.ask.max_tokens);
+        let Some(index) = self.running.remove(&permit) else {
+            return max.map_or_else(Vec::new, |_| self.grant(now));
+        };
+        let server = &mut self.servers[index];
+        if let Some(program) = server.end(now, permit, outcome, &mut self.pace) {
+            self.place_again(program, index, outcome);
         }
+        if let Some(until) = self.servers[index].rests_until {
+            self.resting.insert((until, index));
+        }
+        self.refresh(index);
         self.grant(now)
     }
 
+    /// The newest call of a program ran here: what other servers hold is behind.
+    fn place_again(&mut self, program: Program, index: usize, outcome: Option<&Outcome>) {
+        if outcome.is_none_or(|end| end.failed) {
+            return;
+        }
+        if self.places.len() >= PLACES {
+            self.places.clear();
+        }
+        let places = self.places.entry(program).or_default();
+        if !places.contains(&index) {
+            places.push(index);
+        }
+    }
+
+    /// A program has ended: nothing is held for it any more.
+    pub fn ended(&mut self, program: Program) {
+        for place in self.places.remove(&program).unwrap_or_default() {
+            self.servers[place].cache.forget(program);
+        }
+    }
+
+    /// A cache event: the server has dropped what it held for a program.
+    pub fn dropped(&mut self, server: &Name, program: Program) {
+        if let Some(&index) = self.index.get(server) {
+            self.servers[index].cache.dropped(program);
+        }
+    }
+
+    /// A program pauses for about `pause`: its cache, or that of one that pauses longer, may
+    /// have to move out.
+    pub fn pause(&mut self, now: Instant, program: Program, pause: Duration) -> Vec<Action> {
+        let until = i64::try_from(pause.as_millis()).unwrap_or(i64::MAX);
+        let until = self.clock(now).saturating_add(until);
+        let places = self.places.get(&program).cloned().unwrap_or_default();
+        let mut actions = Vec::new();
+        for place in places {
+            let server = &mut self.servers[place];
+            server.cache.pause(program, until);
+            let out = server.cache.excess().into_iter();
+            actions.extend(out.map(|program| Action::Export(server.name.clone(), program)));
+        }
+        actions
+    }
+
     /// Grants what can be granted now.
     pub fn grant(&mut self, now: Instant) -> Vec<Action> {
+        self.wake(now);
         let mut actions = Vec::new();
-        let mut order: Vec<Permit> = self.queue.keys().copied().collect();
-        order.sort_by_key(|permit| (self.queue[permit].slack_ms, *permit));
-        for permit in order {
-            let Some(server) = self.place(now, &self.queue[&permit]) else {
+        if self.queue.is_empty() || self.open.is_empty() {
+            return actions;
+        }
+        let clock = self.clock(now);
+        for permit in self.queue.first(clock, SCAN) {
+            if self.open.is_empty() {
+                break;
+            }
+            let Some(waiting) = self.queue.get(permit) else {
                 continue;
             };
-            let Some(ask) = self.queue.remove(&permit) else {
+            let Some(index) = self.place(clock, waiting) else {
                 continue;
             };
-            if let Some(window) = self.windows.get_mut(&server) {
-                window.running.insert(permit, ask.program);
+            if let Some(waiting) = self.queue.remove(permit) {
+                self.start(permit, index, &waiting.ask);
+                actions.push(Action::Grant(permit, self.servers[index].name.clone()));
             }
-            actions.push(Action::Grant(permit, server));
         }
         actions
     }
 
+    fn start(&mut self, permit: Permit, index: usize, ask: &Ask) {
+        let tokens = ask.prompt.0 + ask.max_tokens.0;
+        self.servers[index].start(permit, ask.program, tokens);
+        self.running.insert(permit, index);
+        self.queue.granted();
+        self.refresh(index);
+    }
+
+    /// The server to give a call to now; none when it should rather wait.
+    fn place(&self, clock: i64, waiting: &Waiting) -> Option<usize> {
+        let ask = &waiting.ask;
+        let slack = waiting.start_by.saturating_sub(clock) as f64;
+        let fills = slack > FILLS * ask.remaining_ms as f64;
+        let homes = self.homes(ask);
+        let choices = self.open.iter().map(|(_, index)| *index).take(CHOICES);
+        let open = homes.iter().copied().chain(choices).filter(|index| {
+            let server = &self.servers[*index];
+            self.keys[*index].is_some() && server.has_room(&self.pace, fills)
+        });
+        let (cost, best) = open
+            .map(|index| (self.cost(index, ask), index))
+            .min_by(|a, b| a.0.total_cmp(&b.0))?;
+        let waits = homes.iter().any(|home| {
+            let server = &self.servers[*home];
+            let away = server.leaving || server.rests_until.is_some();
+            !away && !ask.avoid.contains(&server.name) && self.wait_ms(*home, ask) < cost
+        });
+        (homes.contains(&best) || !waits).then_some(best)
+    }
+
+    /// Servers that may hold the program's cache.
+    fn homes(&self, ask: &Ask) -> Vec<usize> {
+        let mut homes = self.places.get(&ask.program).cloned().unwrap_or_default();
+        if homes.is_empty() {
+            homes.extend(ask.resident.iter().filter_map(|name| self.index.get(name)));
+        }
+        homes
+    }
+
+    fn cost(&self, index: usize, ask: &Ask) -> f64 {
+        let server = &self.servers[index];
+        let mut cost = server.call_ms(&self.pace, ask.program, ask.prompt.0, ask.max_tokens.0);
+        let more =
+            (ask.prompt.0 + ask.max_tokens.0).saturating_sub(server.cache.tokens(ask.program));
+        if !server.cache.fits(more) {
+            cost += more as f64 * self.pace.prefill_ms();
+        }
+        if ask.avoid.contains(&server.name) {
+            cost += AVOID_MS;
+        }
+        cost
+    }
+
+    /// Expected time until a full server has run this call.
+    fn wait_ms(&self, index: usize, ask: &Ask) -> f64 {
+        let cost = self.cost(index, ask);
+        cost + cost / (self.servers[index].running() as f64).max(1.0)
+    }
+
     /// Calls that wait, and calls that run by server.
     #[must_use]
-    pub fn load(&self) -> (usize, BTreeMap<Server, usize>) {
+    pub fn load(&self) -> (usize, BTreeMap<Name, usize>) {
         let running = self
-            .windows
+            .servers
             .iter()
-            .map(|(name, window)| (name.clone(), window.running.len()));
+            .filter(|server| !server.leaving || server.running() > 0)
+            .map(|server| (server.name.clone(), server.running()));
         (self.queue.len(), running.collect())
     }
 
-    fn place(&self, now: Instant, ask: &Ask) -> Option<Server> {
-        let open = self.windows.iter().filter(|(_, window)| {
-            !window.leaving
-                && window.running.len() < window.size
-                && window.rests_until.is_none_or(|until| until <= now)
-        });
-        let cost = |(name, window): &(&Server, &Window)| {
-            let avoided = ask.avoid.contains(name);
-            let cold = !ask.resident.contains(name);
-            (
-                avoided,
-                cold && window.running.len() + 1 < window.size,
-                window.running.len(),
-            )
-        };
-        open.min_by_key(cost).map(|(name, _)| name.clone())
+    /// How fast the engines are.
+    #[must_use]
+    pub const fn pace(&self) -> &Pace {
+        &self.pace
+    }
+
+    /// Engine time that the pool gives in each unit of time.
+    #[must_use]
+    pub fn capacity(&self) -> f64 {
+        let usable = self
+            .servers
+            .iter()
+            .filter(|server| !server.leaving && server.rests_until.is_none());
+        usable.map(|server| 1.0 / server.ratio.get().max(1.0)).sum()
+    }
+
+    /// Calls that a server of usual speed is given at a time.
+    #[must_use]
+    pub fn window(&self) -> f64 {
+        let sizes = self.servers.iter().map(|server| server.size(&self.pace));
+        sizes.sum::<f64>() / (self.servers.len() as f64).max(1.0)
+    }
+
+    fn wake(&mut self, now: Instant) {
+        while let Some(&(until, index)) = self.resting.first() {
+            if until > now {
+                return;
+            }
+            self.resting.remove(&(until, index));
+            if self.servers[index].rests_until == Some(until) {
+                self.servers[index].rests_until = None;
+                self.refresh(index);
+            }
+        }
+    }
+
+    /// Sets anew whether a server is among those with room.
+    fn refresh(&mut self, index: usize) {
+        let server = &self.servers[index];
+        let usable = !server.leaving && server.rests_until.is_none();
+        let running = server.running() as f64 + 1.0;
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "microseconds"
+        )]
+        let key = (usable && server.has_room(&self.pace, false))
+            .then(|| (self.pace.token_ms(running) * server.ratio.get() * 1000.0) as u64);
+        if let Some(old) = self.keys[index] {
+            self.open.remove(&(old, index));
+        }
+        if let Some(key) = key {
+            self.open.insert((key, index));
+        }
+        self.keys[index] = key;
+    }
+
+    /// Milliseconds since the pool was first used.
+    fn clock(&mut self, now: Instant) -> i64 {
+        let epoch = *self.epoch.get_or_insert(now);
+        let since = now.saturating_duration_since(epoch).as_millis();
+        i64::try_from(since).unwrap_or(i64::MAX)
     }
 }
