Prove that a receipt runs at most once at every step

Cause: an owner that was stopped with its intent in the log and woken after a takeover found the intent and the newer claim in one page of the log, and could send between folding the two. A caller's own deadline passed before that of its run, so that a receipt that waited for the log was told as "unknown" where "not run" was true. A run that was deposed before it had sent anything was refused instead of being brought to the next owner. Change: the owner gets a whole page at a time and tells verdicts after folding it; an intent counts only under the epoch that still holds. A call that waits for the log is withdrawn a little before its caller's deadline. Stand-ins: held reads, cut replies, a count of entries that hold given texts.

--- a/src/journal/duty.rs
+++ b/src/journal/duty.rs
@@ -2,7 +2,7 @@
 
 use super::record::{Record, decode, encode};
 use crate::id::{Offset, Sequence};
-use crate::platform::Log;
+use crate::platform::{Entry, Log};
 use crate::telemetry::{Metrics, event};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -29,12 +29,11 @@
 /// What the journal tells the owner.
 #[derive(Debug)]
 pub(crate) enum Event {
-    /// The next entry of a stream.
-    Entry {
+    /// The next entries of a stream, all that one read gave.
+    Page {
         stream: u64,
-        offset: Offset,
-        records: Vec<Record>,
-        /// When the read that gave it was sent.
+        entries: Vec<(Offset, Vec<Record>)>,
+        /// When the read was sent.
         asked: Instant,
     },
     /// Entries before this offset are gone, and the owner has not seen them.
@@ -174,31 +173,38 @@
                 return;
             }
         }
-        for entry in page.entries {
+        if page.entries.is_empty() {
+            continue;
+        }
+        let entries = page.entries.into_iter().map(|entry| {
             next = Offset(entry.offset.0 + 1);
-            let records = decode(&entry.data).unwrap_or_else(|fault| {
-                event!(
-                    error,
-                    "entry_undecodable",
-                    stream = name,
-                    offset = entry.offset,
-                    reason = fault
-                );
-                Vec::new()
-            });
-            let event = Event::Entry {
-                stream,
-                offset: entry.offset,
-                records,
-                asked,
-            };
-            if events.send_async(event).await.is_err() {
-                return;
-            }
+            (entry.offset, records(&name, &entry))
+        });
+        let entries = entries.collect();
+        let page = Event::Page {
+            stream,
+            entries,
+            asked,
+        };
+        if events.send_async(page).await.is_err() {
+            return;
         }
     }
 }
 
+fn records(stream: &str, entry: &Entry) -> Vec<Record> {
+    decode(&entry.data).unwrap_or_else(|fault| {
+        event!(
+            error,
+            "entry_undecodable",
+            stream = stream,
+            offset = entry.offset,
+            reason = fault
+        );
+        Vec::new()
+    })
+}
+
 /// Numbers records of one process and stream.
 #[derive(Debug, Default)]
 pub(crate) struct Numbers(Vec<u64>);
--- a/src/owner/duty.rs
+++ b/src/owner/duty.rs
@@ -238,17 +238,21 @@
 
     fn take(self: &Rc<Self>, event: Event) {
         match event {
-            Event::Entry {
+            Event::Page {
                 stream,
-                offset,
-                records,
+                entries,
                 asked,
             } => {
-                if !self.follows(stream, offset) {
-                    return;
+                // Verdicts are told after the whole page: one that waits for its record learns of
+                // a newer claim that was read with it.
+                let mut told = Vec::new();
+                for (offset, records) in entries {
+                    if self.follows(stream, offset) {
+                        told.extend(self.fold_entry(stream, offset, &records));
+                    }
                 }
-                for (index, record) in records.iter().enumerate() {
-                    self.fold(stream, offset, index, record, asked);
+                for (waiter, verdict) in told {
+                    let _ = waiter.send(Receipt { verdict, asked });
                 }
             }
             Event::Trimmed { stream, first } => {
@@ -273,14 +277,23 @@
         follows
     }
 
-    fn fold(
+    fn fold_entry(
         self: &Rc<Self>,
         stream: u64,
         offset: Offset,
-        index: usize,
-        record: &Record,
-        asked: Instant,
-    ) {
+        records: &[Record],
+    ) -> Vec<(oneshot::Sender<Receipt>, Verdict)> {
+        let fold = |(index, record): (usize, &Record)| {
+            let verdict = self.fold(offset, index, record);
+            let mine = record.id.boot == self.boot && record.id.vm == self.context.me;
+            let waiters = &mut self.waiters.borrow_mut();
+            let waiter = mine.then(|| waiters.remove(&(stream, record.id.sequence)))?;
+            Some((waiter?, verdict))
+        };
+        records.iter().enumerate().filter_map(fold).collect()
+    }
+
+    fn fold(self: &Rc<Self>, offset: Offset, index: usize, record: &Record) -> Verdict {
         let shard = record.shard;
         let mine = record.id.boot == self.boot && record.id.vm == self.context.me;
         let verdict = {
@@ -309,14 +322,7 @@
         if verdict == Verdict::Valid && matches!(record.body, Body::Release { .. }) {
             self.publish();
         }
-        if mine
-            && let Some(waiter) = self
-                .waiters
-                .borrow_mut()
-                .remove(&(stream, record.id.sequence))
-        {
-            let _ = waiter.send(Receipt { verdict, asked });
-        }
+        verdict
     }
 
     fn claimed(self: &Rc<Self>, shard: Shard, epoch: Epoch, mine: bool, by: &Vm) {
--- a/src/owner/run.rs
+++ b/src/owner/run.rs
@@ -127,6 +127,9 @@
     pub(super) run: Rc<Run>,
     pub(super) epoch: Epoch,
     pub(super) class: Class,
+    /// The deadline of the request that started the run.
+    pub(super) asked: Instant,
+    /// The deadline of the run, which goes on when its caller has gone.
     pub(super) until: Instant,
 }
 
@@ -193,6 +196,7 @@
             run: run.clone(),
             epoch,
             class,
+            asked: asked_until,
             until,
         };
         match request {
--- a/src/owner/service.rs
+++ b/src/owner/service.rs
@@ -3,7 +3,7 @@
 use super::duty::{Owner, Receipt, not_owner, wall_ms};
 use super::run::{Run, Work, unavailable};
 use crate::backend;
-use crate::code::{Code, Failure};
+use crate::code::{Code, Failure, Ran};
 use crate::config::{Mode, Operation};
 use crate::dispatch::{Key, Lease};
 use crate::effect::{Action, Effect, Event};
@@ -16,6 +16,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// How long before its caller's deadline a call that is not in the log is refused as not run.
+const MARGIN: Duration = Duration::from_millis(100);
+
 impl Owner {
     pub(super) async fn run_service(
         self: &Rc<Self>,
@@ -82,7 +85,7 @@
         let event = self.intend(work, invocation).await?;
         match effect.take(event) {
             Action::Send => {}
-            Action::Drop => return self.drop_intent(work, unsent(event)).await,
+            Action::Drop => return self.drop_intent(work, self.unsent(work, event)).await,
             _ => return Err(not_owner(work.run.program.shard())),
         }
         work.run.stage.set("send");
@@ -136,14 +139,19 @@
             target: format!("{}/{}", invocation.service, invocation.operation),
         };
         let wait = self.push(run.program.shard(), work.epoch, intent)?;
+        // Ahead of the caller's own deadline, which could only say "unknown".
+        let until = work.asked.checked_sub(MARGIN).unwrap_or(work.asked);
         let receipt = tokio::select! {
+            biased;
             receipt = wait => receipt,
             () = run.cancel.cancelled() => return Ok(Event::Withdrawn),
-            () = tokio::time::sleep_until(work.until) => return Ok(Event::Withdrawn),
+            () = tokio::time::sleep_until(until) => return Ok(Event::Withdrawn),
         };
         let Receipt { verdict, asked } =
             receipt.map_err(|_| Failure::refused(Code::Internal, "the owner was restarted"))?;
-        let counts = verdict == Verdict::Valid && self.intends(run);
+        // A takeover may have been read with the intent: the next owner has its word on the call.
+        let held = self.epoch(run.program.shard()) == Ok(work.epoch);
+        let counts = verdict == Verdict::Valid && held && self.intends(run);
         let now = Instant::now();
         Ok(Event::ReadBack { counts, asked, now })
     }
@@ -160,6 +168,19 @@
         intent.is_some_and(|intent| intent.call == run.call && intent.digest == run.digest)
     }
 
+    /// The failure of a call whose intent was dropped before it was sent.
+    fn unsent(&self, work: &Work, event: Event) -> Failure {
+        if matches!(event, Event::ReadBack { .. }) {
+            let message = "not sent within its window";
+            return Failure::refused(Code::DeadlinePassed, message)
+                .retry_after(Duration::from_millis(500));
+        }
+        if work.run.cancel.is_cancelled() {
+            return self.cancelled(work).ran(Ran::No);
+        }
+        unavailable()
+    }
+
     /// Refuses the call at once, and keeps its program busy until the log says so too: another
     /// run before that would find the intent open.
     async fn drop_intent(&self, work: &Work, failure: Failure) -> Result<Answer, Failure> {
@@ -201,14 +222,3 @@
         })
     }
 }
-
-/// The failure of a call whose intent was dropped before it was sent.
-fn unsent(event: Event) -> Failure {
-    match event {
-        Event::ReadBack { .. } => {
-            let message = "not sent within its window";
-            Failure::refused(Code::DeadlinePassed, message).retry_after(Duration::from_millis(500))
-        }
-        _ => unavailable(),
-    }
-}
--- a/src/standin/log.rs
+++ b/src/standin/log.rs
@@ -85,6 +85,7 @@
         .at("/faults", post(faults::set))
         .at("/trim", post(trim))
         .at("/counters", get(get_counters))
+        .at("/entries", get(count_entries))
         .data(State::default())
         .data(Switches::default())
 }
@@ -156,6 +157,24 @@
     })
 }
 
+#[derive(Debug, Deserialize)]
+struct Texts {
+    /// Texts that an entry has to hold, parted by commas.
+    holding: String,
+}
+
+/// How many entries of all streams hold the texts, faults or not.
+#[handler]
+fn count_entries(state: Data<&State>, Query(texts): Query<Texts>) -> Json<usize> {
+    let streams = state.streams.lock().expect("no holder panics");
+    let holds = |entry: &&Bytes| {
+        let entry = String::from_utf8_lossy(entry);
+        texts.holding.split(',').all(|text| entry.contains(text))
+    };
+    let entries = streams.values().flat_map(|stream| &stream.entries);
+    Json(entries.filter(holds).count())
+}
+
 #[handler]
 fn get_counters(state: Data<&State>) -> Json<Counters> {
     Json(state.counters.lock().expect("no holder panics").clone())
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -72,7 +72,10 @@
     if switches.cuts_reply() {
         let reset = std::io::Error::from(std::io::ErrorKind::ConnectionReset);
         let parts = futures::stream::iter([Ok(Bytes::from_static(b"{")), Err(reset)]);
-        return Ok(Response::builder().body(poem::Body::from_bytes_stream(parts)));
+        let body = poem::Body::from_bytes_stream(parts);
+        return Ok(Response::builder()
+            .header("content-length", "64")
+            .body(body));
     }
     let receipt = Receipt {
         operation,
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -254,6 +254,14 @@
         });
     }
 
+    /// Waits until a VM takes new programs on.
+    pub fn wait_ready(&self, index: usize) {
+        poll("the VM is ready", || {
+            let status = self.try_status(self.vms[index].operators, "/readyz");
+            (status == Some(200)).then_some(())
+        });
+    }
+
     fn owned(&self, vm: &Vm) -> usize {
         let state = self.try_get(vm.operators, "/state");
         state
@@ -374,7 +382,7 @@
 
     /// What the run of a program does at a VM now.
     pub fn stage(&self, vm: usize, program: &str) -> Option<String> {
-        let state = self.try_get(self.vms[vm].operators, "/state")?.1;
+        let (_, state) = self.try_get(self.vms[vm].operators, "/state")?;
         let run = &state["owner"]["runs"][program];
         run["stage"].as_str().map(str::to_owned)
     }
@@ -384,10 +392,24 @@
         poll(stage, || (self.stage(vm, program)? == stage).then_some(()));
     }
 
-    /// Appends to the journal that the log has taken.
-    pub fn appends(&self) -> u64 {
-        let counters = self.counters(self.log.address);
-        counters["appends"].as_u64().expect("a count")
+    /// Makes the log and the service work as they should again.
+    pub fn heal(&self) {
+        let well = json!({ "down": false, "slow_ms": 0, "frozen": false, "lose_replies": 0 });
+        self.faults(self.log.address, &well);
+        self.faults(self.log.address, &json!({ "hold_reads": false }));
+        self.faults(self.service.address, &well);
+        self.faults(self.service.address, &json!({ "reply_after_ms": 0 }));
+    }
+
+    /// Entries of the log that hold each of the texts.
+    pub fn entries(&self, texts: &[&str]) -> u64 {
+        let path = format!("/entries?holding={}", texts.join(","));
+        self.get(self.log.address, &path).1.as_u64().unwrap_or(0)
+    }
+
+    /// Waits until the log has a record of a kind for a program.
+    pub fn wait_record(&self, program: &str, kind: &str) {
+        poll(kind, || (self.entries(&[program, kind]) > 0).then_some(()));
     }
 
     /// How often the effect of a call took place at the service.
