--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod program;
 pub mod settings;
 
+mod acceptor;
 mod backend;
 mod command;
 mod dispatch;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,5 +1,6 @@
 //! One VM: its sockets, its duties and their order of stopping.
 
+use crate::acceptor::NoDelay;
 use crate::code::{Code, Failure};
 use crate::config::{self, Book, Snapshot};
 use crate::entry::{self, Entry, Router};
@@ -15,7 +16,6 @@
 use crate::supervisor::Supervisor;
 use crate::telemetry::{Metrics, event};
 use crate::{dispatch, standin};
-use poem::listener::TcpAcceptor;
 use poem::{EndpointExt, IntoEndpoint, Server};
 use std::net::{TcpListener, UdpSocket};
 use std::sync::Arc;
@@ -410,7 +410,7 @@
     stop: CancellationToken,
     bound: Duration,
 ) {
-    let acceptor = match TcpAcceptor::from_std(listener) {
+    let acceptor = match NoDelay::new(listener) {
         Ok(acceptor) => acceptor,
         Err(error) => {
             event!(error, "listen_failed", reason = error);
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -8,7 +8,8 @@
 
 pub(crate) use engine::answer;
 
-use poem::{EndpointExt, IntoEndpoint, Server, listener::TcpAcceptor};
+use crate::acceptor::NoDelay;
+use poem::{EndpointExt, IntoEndpoint, Server};
 use std::io;
 use std::net::SocketAddr;
 use tokio_util::sync::CancellationToken;
@@ -46,7 +47,7 @@
     stop: CancellationToken,
 ) -> io::Result<()> {
     listener.set_nonblocking(true)?;
-    let acceptor = TcpAcceptor::from_std(listener)?;
+    let acceptor = NoDelay::new(listener)?;
     let endpoint = routes.into_endpoint().map_to_response();
     Server::new_with_acceptor(acceptor)
         .run_with_graceful_shutdown(
