Give a leaving backend server nothing new, whichever VM learns of it

What a load report or the platform's list says reaches every VM with the membership's news; the dispatcher takes the server out of its pool, and an owner gives back a permit that is older than the news. Ruled out: reading the list at each dispatcher alone (it lags, and a VM may not reach it).

--- a/src/dispatch/duty.rs
+++ b/src/dispatch/duty.rs
@@ -1,9 +1,10 @@
 //! The dispatch thread: drives the pools whose queue this VM holds.
 
-use super::{Grant, Key};
+use super::{Grant, Key, report};
 use crate::code::{Code, Failure};
 use crate::config::{Engine, Snapshot};
-use crate::id::Permit;
+use crate::id::{Permit, Server};
+use crate::member::View;
 use crate::policy::{Action, Ask, Outcome, Pool};
 use crate::telemetry::event;
 use serde_json::json;
@@ -11,6 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
+use tokio::task::spawn_local;
 use tokio::time::{Instant, interval};
 use tokio_util::sync::CancellationToken;
 
@@ -77,6 +79,18 @@
         }
     }
 
+    fn configure(&mut self, key: &Key, snapshot: &Snapshot, view: &View) {
+        let servers = match key {
+            Key::Model(model) => snapshot.pools.get(model).map(|pool| &pool.engines),
+            Key::Service(service) => snapshot.services.get(service).map(|found| &found.servers),
+        };
+        self.servers = servers.cloned().unwrap_or_default();
+        // A server that is leaving gets nothing new; the calls that run on it are left to end.
+        let names = self.servers.iter().map(|engine| engine.name.clone());
+        let names: Vec<_> = names.filter(|name| !view.leaving.contains(name)).collect();
+        self.pool.configure(&names);
+    }
+
     /// Drops the calls whose owner has gone, and grants what can be granted.
     fn tick(&mut self, now: Instant) {
         let closed = self.replies.iter().filter(|(_, reply)| reply.is_closed());
@@ -91,102 +105,131 @@
     }
 }
 
-/// Serves permits until `stop`.
-pub(crate) async fn run(
-    commands: flume::Receiver<Command>,
-    mut config: watch::Receiver<Arc<Snapshot>>,
-    stop: CancellationToken,
-) {
-    let mut queues: BTreeMap<Key, Queue> = BTreeMap::new();
-    let mut last = 0;
+/// What the dispatch thread works with.
+#[derive(Debug, Clone)]
+pub(crate) struct Context {
+    pub(crate) commands: flume::Receiver<Command>,
+    pub(crate) config: watch::Receiver<Arc<Snapshot>>,
+    pub(crate) view: watch::Receiver<Arc<View>>,
+    /// Takes the servers that say they are leaving, so that every VM learns of them.
+    pub(crate) leaving: flume::Sender<Server>,
+    pub(crate) stop: CancellationToken,
+}
+
+/// Serves permits until the token is cancelled.
+pub(crate) async fn run(context: Context) {
+    let mut desk = Desk::default();
+    spawn_local(report::follow(
+        desk.reported.clone(),
+        context.leaving.clone(),
+    ));
+    let Context {
+        commands,
+        mut config,
+        mut view,
+        stop,
+        ..
+    } = context;
     let mut tick = interval(TICK);
     loop {
         tokio::select! {
             command = commands.recv_async() => match command {
-                Ok(command) => take(&mut queues, &mut last, command, &config),
+                Ok(command) => desk.take(command),
                 Err(_) => return,
             },
-            _ = tick.tick() => {
-                let now = Instant::now();
-                for queue in queues.values_mut() {
-                    queue.tick(now);
-                }
-            }
+            _ = tick.tick() => desk.tick(),
             changed = config.changed() => {
                 if changed.is_err() {
                     return;
                 }
-                let snapshot = config.borrow_and_update().clone();
-                for (key, queue) in &mut queues {
-                    configure(queue, key, &snapshot);
+                desk.config = config.borrow_and_update().clone();
+                desk.configure();
+            }
+            changed = view.changed() => {
+                if changed.is_err() {
+                    return;
                 }
+                desk.view = view.borrow_and_update().clone();
+                desk.configure();
             }
             () = stop.cancelled() => return,
         }
     }
 }
 
-fn take(
-    queues: &mut BTreeMap<Key, Queue>,
-    last: &mut u64,
-    command: Command,
-    config: &watch::Receiver<Arc<Snapshot>>,
-) {
-    let now = Instant::now();
-    match command {
-        Command::Acquire { key, ask, reply } => {
-            let fresh = !queues.contains_key(&key);
-            let queue = queues.entry(key.clone()).or_default();
-            if fresh {
-                configure(queue, &key, &config.borrow());
-            }
-            *last += 1;
-            let permit = Permit(*last);
-            queue.replies.insert(permit, reply);
-            let actions = queue.pool.ask(now, permit, *ask);
-            queue.carry_out(now, actions);
+/// The queues of this VM, and what they are configured by.
+#[derive(Default)]
+struct Desk {
+    queues: BTreeMap<Key, Queue>,
+    last: u64,
+    config: Arc<Snapshot>,
+    view: Arc<View>,
+    reported: report::Servers,
+}
+
+impl Desk {
+    fn tick(&mut self) {
+        let now = Instant::now();
+        for queue in self.queues.values_mut() {
+            queue.tick(now);
         }
-        Command::Done {
-            key,
-            permit,
-            outcome,
-        } => {
-            if let Some(queue) = queues.get_mut(&key) {
+    }
+
+    fn configure(&mut self) {
+        for (key, queue) in &mut self.queues {
+            queue.configure(key, &self.config, &self.view);
+        }
+        let servers = self.queues.values().flat_map(|queue| &queue.servers);
+        *self.reported.borrow_mut() = servers
+            .map(|engine| (engine.name.clone(), engine.address))
+            .collect();
+    }
+
+    fn take(&mut self, command: Command) {
+        let now = Instant::now();
+        match command {
+            Command::Acquire { key, ask, reply } => {
+                if !self.queues.contains_key(&key) {
+                    self.queues.insert(key.clone(), Queue::default());
+                    self.configure();
+                }
+                self.last += 1;
+                let permit = Permit(self.last);
+                let queue = self.queues.entry(key).or_default();
+                queue.replies.insert(permit, reply);
+                let actions = queue.pool.ask(now, permit, *ask);
+                queue.carry_out(now, actions);
+            }
+            Command::Done {
+                key,
+                permit,
+                outcome,
+            } => {
+                let Some(queue) = self.queues.get_mut(&key) else {
+                    return;
+                };
                 if outcome.as_ref().is_some_and(|outcome| outcome.failed) {
                     event!(warn, "call_failed", pool = key, permit = permit);
                 }
                 let actions = queue.pool.done(now, permit, outcome.as_ref());
                 queue.carry_out(now, actions);
             }
-        }
-        Command::Dump(reply) => {
-            let dump = queues.iter().map(|(key, queue)| {
-                let (waiting, running) = queue.pool.load();
-                (
-                    key.to_string(),
-                    json!({ "waiting": waiting, "running": running }),
-                )
-            });
-            let _ = reply.send(dump.collect());
+            Command::Dump(reply) => {
+                let _ = reply.send(self.dump());
+            }
         }
     }
-}
 
-fn configure(queue: &mut Queue, key: &Key, snapshot: &Snapshot) {
-    queue.servers = match key {
-        Key::Model(model) => snapshot.pools.get(model).map(|pool| pool.engines.clone()),
-        Key::Service(service) => snapshot
-            .services
-            .get(service)
-            .map(|found| found.servers.clone()),
+    fn dump(&self) -> serde_json::Value {
+        let dump = self.queues.iter().map(|(key, queue)| {
+            let (waiting, running) = queue.pool.load();
+            (
+                key.to_string(),
+                json!({ "waiting": waiting, "running": running }),
+            )
+        });
+        dump.collect()
     }
-    .unwrap_or_default();
-    let names: Vec<_> = queue
-        .servers
-        .iter()
-        .map(|engine| engine.name.clone())
-        .collect();
-    queue.pool.configure(&names);
 }
 
 /// The failure when the dispatch thread does not answer.
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -2,9 +2,10 @@
 
 mod client;
 mod duty;
+mod report;
 
 pub(crate) use client::{Client, Lease};
-pub(crate) use duty::{Command, run};
+pub(crate) use duty::{Command, Context, run};
 
 use crate::id::{Model, Permit, Server, Service};
 use serde::{Deserialize, Serialize};
--- a/src/member/duty.rs
+++ b/src/member/duty.rs
@@ -4,7 +4,7 @@
 use super::list::{self, List};
 use super::view::{Beat, View};
 use super::wire::{DATAGRAM, Sealer, State};
-use crate::id::Incarnation;
+use crate::id::{Incarnation, Server};
 use crate::telemetry::event;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -30,6 +30,8 @@
     /// What this VM says of itself; other duties keep it up to date.
     pub(crate) local: watch::Receiver<Beat>,
     pub(crate) published: watch::Sender<Arc<View>>,
+    /// Backend servers that other duties know to be leaving.
+    pub(crate) leaving: flume::Receiver<Server>,
     pub(crate) stop: CancellationToken,
 }
 
@@ -50,6 +52,7 @@
         seeds,
         mut local,
         published,
+        leaving,
         stop,
         ..
     } = setup;
@@ -91,6 +94,10 @@
                     gossip.leaving(Instant::now(), server);
                 }
             }
+            server = leaving.recv_async() => {
+                let Ok(server) = server else { continue };
+                gossip.leaving(Instant::now(), &server);
+            }
             () = stop.cancelled() => {
                 let actions = gossip.leave(Instant::now());
                 perform(&socket, &sealer, actions).await;
--- a/src/owner/model.rs
+++ b/src/owner/model.rs
@@ -54,6 +54,13 @@
                 server: server.clone(),
             };
             self.recorded(work, begun).await?;
+            if self.is_leaving(&server) {
+                // The permit is older than the news; nothing was sent, so it is given back.
+                drop(lease);
+                self.settled(work, Tokens(0)).await?;
+                avoid.push(server);
+                continue;
+            }
             run.stage.set("stream");
             match self.stream(work, lease, &chat).await {
                 Ok((text, usage)) => {
@@ -68,16 +75,7 @@
                 Err(Broken::Cancelled) => return Err(self.cancelled(work)),
                 Err(Broken::Failed(reason, tokens)) => {
                     event!(warn, "engine_failed", server = server, reason = reason);
-                    let (program, call) = (run.program, run.call);
-                    self.recorded(
-                        work,
-                        Body::Settled {
-                            program,
-                            call,
-                            tokens,
-                        },
-                    )
-                    .await?;
+                    self.settled(work, tokens).await?;
                     avoid.push(server);
                     if avoid.len() >= ATTEMPTS {
                         return Err(Failure::refused(Code::EngineFailed, reason)
@@ -90,6 +88,20 @@
         }
     }
 
+    async fn settled(&self, work: &Work, tokens: Tokens) -> Result<(), Failure> {
+        let (program, call) = (work.run.program, work.run.call);
+        let body = Body::Settled {
+            program,
+            call,
+            tokens,
+        };
+        self.recorded(work, body).await.map(|_| ())
+    }
+
+    fn is_leaving(&self, server: &Server) -> bool {
+        self.context.view.borrow().leaving.contains(server)
+    }
+
     fn prepare(
         &self,
         work: &Work,
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -4,7 +4,7 @@
 use crate::code::{Code, Failure};
 use crate::config::{self, Book, Snapshot};
 use crate::entry::{self, Entry, Router};
-use crate::id::{Boot, Offset};
+use crate::id::{self, Boot, Offset};
 use crate::journal::{self, Pace, Share};
 use crate::member::{self, Beat, View};
 use crate::operator::{self, Operator};
@@ -169,6 +169,7 @@
     let (dumps, owner_dumps) = flume::bounded(RING);
     let (dispatch, dispatched) = flume::bounded(RING);
     let (journal, journaled) = flume::bounded(RING);
+    let (leaving, left) = flume::bounded(RING);
     let (events, owner_events) = flume::bounded(RING);
     let wiring = Wiring {
         settings: settings.clone(),
@@ -184,9 +185,9 @@
         stages: stages.clone(),
     };
     wiring.config(supervisor, config, books);
-    wiring.member(supervisor, sockets.gossip, view);
+    wiring.member(supervisor, sockets.gossip, view, left);
     wiring.journal(supervisor, journaled, events);
-    wiring.dispatch(supervisor, dispatched);
+    wiring.dispatch(supervisor, dispatched, leaving);
     wiring.order(supervisor);
     wiring.owner(supervisor, journal, asks, owner_events, owner_dumps);
     wiring.peer(supervisor, sockets.peers);
@@ -224,6 +225,7 @@
         supervisor: &mut Supervisor,
         socket: UdpSocket,
         published: watch::Sender<Arc<View>>,
+        leaving: flume::Receiver<id::Server>,
     ) {
         let wiring = self.clone();
         supervisor.duty("member", move || {
@@ -235,6 +237,7 @@
                 list: settings.vms,
                 local: wiring.local.subscribe(),
                 published: published.clone(),
+                leaving: leaving.clone(),
                 stop: wiring.stages.rest.clone(),
             })
         });
@@ -262,11 +265,20 @@
         });
     }
 
-    fn dispatch(&self, supervisor: &mut Supervisor, commands: flume::Receiver<dispatch::Command>) {
-        let (config, rest) = (self.config.clone(), self.stages.rest.clone());
-        supervisor.duty("dispatch", move || {
-            dispatch::run(commands.clone(), config.clone(), rest.clone())
-        });
+    fn dispatch(
+        &self,
+        supervisor: &mut Supervisor,
+        commands: flume::Receiver<dispatch::Command>,
+        leaving: flume::Sender<id::Server>,
+    ) {
+        let context = dispatch::Context {
+            commands,
+            config: self.config.clone(),
+            view: self.view.clone(),
+            leaving,
+            stop: self.stages.rest.clone(),
+        };
+        supervisor.duty("dispatch", move || dispatch::run(context.clone()));
     }
 
     fn order(&self, supervisor: &mut Supervisor) {
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -323,7 +323,8 @@
 ) -> poem::Result<Json<serde_json::Value>> {
     switches.enter().await?;
     let in_flight = state.with(|inner| inner.counters.in_flight);
-    Ok(Json(json!({ "in_flight": in_flight, "leaving": false })))
+    let leaving = switches.get().leaving;
+    Ok(Json(json!({ "in_flight": in_flight, "leaving": leaving })))
 }
 
 #[handler]
--- a/src/standin/faults.rs
+++ b/src/standin/faults.rs
@@ -27,6 +27,8 @@
     pub(crate) slower: u64,
     /// Share of cache events that are lost, in percent (engine).
     pub(crate) lose_events: u64,
+    /// The load report says that the server is leaving.
+    pub(crate) leaving: bool,
     /// Orders with an old fencing number are taken (engine).
     pub(crate) ignore_fence: bool,
     /// Milliseconds between an effect and its reply (service).
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -101,8 +101,8 @@
 }
 
 #[handler]
-fn load() -> Json<serde_json::Value> {
-    Json(serde_json::json!({ "in_flight": 0, "leaving": false }))
+fn load(switches: Data<&Switches>) -> Json<serde_json::Value> {
+    Json(serde_json::json!({ "leaving": switches.get().leaving }))
 }
 
 #[handler]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -85,6 +85,7 @@
     pub log: Process,
     pub engines: Vec<Process>,
     pub service: Process,
+    list: Option<Process>,
     pub vms: Vec<Vm>,
 }
 
@@ -145,6 +146,7 @@
             log,
             engines,
             service,
+            list: None,
             vms: Vec::new(),
         }
     }
@@ -179,6 +181,14 @@
         );
     }
 
+    /// Starts a VM list of the platform and gives its address.
+    pub fn vm_list(&mut self) -> SocketAddr {
+        let list = standin(&self.dir, "vms", 0);
+        let address = list.address;
+        self.list = Some(list);
+        address
+    }
+
     /// Publishes a configuration change and gives its offset.
     pub fn publish(&self, key: &str, value: Value, base: Option<u64>) -> u64 {
         let change = json!({ "schema": 1, "key": key, "base": base, "value": value, "by": "ama" });
