Keep answers whole, refusals honest and budgets kept

Causes, each found by reading and then shown by a test: - The stream of an answer was resumed by position alone; after a takeover the rest of the next owner's attempt was joined to the first half of the former one's. - An entry passed on "not run" from the next owner although the one before may have sent the call; it said "unknown" at its deadline although nothing had reached an owner. Change: each attempt has a stream number, which goes with positions (`from` and `stream`); the router keeps what it knows of earlier tries; a failed attempt is charged its whole reserve; the size of the context grows by what was counted.

--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -4,7 +4,7 @@
 use crate::code::{Code, Failure};
 use crate::config::Snapshot;
 use crate::id::{self, Call, Operation, Program, Service};
-use crate::owner::{Frame, Request};
+use crate::owner::{Frame, Position, Request};
 use crate::program::{self, Budget, Invocation};
 use crate::telemetry::Metrics;
 use futures::StreamExt;
@@ -69,9 +69,12 @@
 }
 
 #[derive(Debug, Deserialize)]
-struct From {
+struct Rest {
     #[serde(default)]
     from: u64,
+    /// The stream of which the caller has that many parts.
+    #[serde(default)]
+    stream: u32,
     #[serde(default)]
     timeout_ms: Option<u64>,
 }
@@ -121,7 +124,7 @@
             program,
             call: numbered.call,
             request,
-            from: 0,
+            from: Position::default(),
         })
     };
     let asked = asked.await;
@@ -135,7 +138,7 @@
 async fn read(
     entry: Data<&Entry>,
     Path((program, call)): Path<(String, String)>,
-    Query(from): Query<From>,
+    Query(rest): Query<Rest>,
     request: &poem::Request,
 ) -> Response {
     let asked = parameter::<Program>(&program).and_then(|program| {
@@ -143,13 +146,16 @@
         Ok(Request::Read {
             program,
             call,
-            from: from.from,
+            from: Position {
+                stream: rest.stream,
+                at: rest.from,
+            },
         })
     });
     if wants_stream(request) {
-        return stream(&entry, asked, from.timeout_ms);
+        return stream(&entry, asked, rest.timeout_ms);
     }
-    answer(&entry, asked, from.timeout_ms).await
+    answer(&entry, asked, rest.timeout_ms).await
 }
 
 #[handler]
@@ -223,7 +229,7 @@
         program,
         call: Call(1),
         request,
-        from: 0,
+        from: Position::default(),
     };
     let answered = last(entry, call, WAIT).await;
     if answered.is_ok() {
@@ -351,7 +357,8 @@
 fn event_of(frame: &Frame) -> Event {
     match frame {
         Frame::Delta { at, text } => {
-            let body = serde_json::json!({ "at": at, "text": text });
+            let Position { stream, at } = at;
+            let body = serde_json::json!({ "stream": stream, "at": at, "text": text });
             Event::message(body.to_string()).event_type("delta")
         }
         Frame::Restart => Event::message("{}").event_type("restart"),
--- a/src/entry/router.rs
+++ b/src/entry/router.rs
@@ -1,9 +1,9 @@
 //! The way from an entry to the owner of a shard, here or on another VM.
 
-use crate::code::{Code, Failure};
+use crate::code::{Code, Failure, Ran};
 use crate::id::Vm;
 use crate::member::View;
-use crate::owner::{Ask, Frame, Request};
+use crate::owner::{Ask, Frame, Position, Request};
 use crate::peer::Links;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -56,19 +56,19 @@
     /// change of owner gives the kept answer, or the rest of the stream, and runs nothing twice.
     async fn bring(&self, request: Request, wait: Duration, frames: mpsc::Sender<Frame>) {
         let until = Instant::now() + wait;
-        let mut passed = 0;
+        let mut tries = Tries::default();
         loop {
             if Instant::now() >= until {
                 let failure = Failure::refused(Code::NoOwner, "no owner answered in time")
-                    .ran(crate::code::Ran::Unknown)
+                    .ran(tries.ran())
                     .retry_after(Duration::from_secs(1));
                 let _ = frames.send(Frame::Failed(failure)).await;
                 return;
             }
             let end = match self.place(&request) {
-                Some(Place::Here) => self.here(&request, until, &frames, &mut passed).await,
+                Some(Place::Here) => self.here(&request, until, &frames, &mut tries).await,
                 Some(Place::There(to)) => {
-                    self.there(to, &request, until, &frames, &mut passed).await
+                    self.there(to, &request, until, &frames, &mut tries).await
                 }
                 None => End::Again,
             };
@@ -97,10 +97,10 @@
         request: &Request,
         until: Instant,
         frames: &mpsc::Sender<Frame>,
-        passed: &mut u64,
+        tries: &mut Tries,
     ) -> End {
         let (sender, mut receiver) = mpsc::channel(FRAMES);
-        let request = resumed(request, *passed);
+        let request = resumed(request, tries.passed);
         let until_owner = until.checked_sub(MARGIN).unwrap_or(until);
         let ask = Ask {
             request,
@@ -109,15 +109,17 @@
         };
         if self.owner.try_send(ask).is_err() {
             let full = Failure::refused(Code::RingFull, "the owner's queue is full")
+                .ran(tries.ran())
                 .retry_after(Duration::from_millis(500));
             let _ = frames.send(Frame::Failed(full)).await;
             return End::Over;
         }
         while let Some(frame) = receiver.recv().await {
-            if let Some(end) = pass(frame, frames, passed).await {
+            if let Some(end) = pass(frame, frames, tries).await {
                 return end;
             }
         }
+        tries.lost = true;
         End::Again
     }
 
@@ -127,51 +129,79 @@
         request: &Request,
         until: Instant,
         frames: &mpsc::Sender<Frame>,
-        passed: &mut u64,
+        tries: &mut Tries,
     ) -> End {
         let wait = until
             .saturating_duration_since(Instant::now())
             .saturating_sub(MARGIN);
-        let asked = self.links.ask(to, &resumed(request, *passed), wait).await;
+        let asked = self
+            .links
+            .ask(to, &resumed(request, tries.passed), wait)
+            .await;
         let Ok(mut stream) = asked else {
+            tries.lost = true;
             return End::Again;
         };
         loop {
-            match timeout_at(until, stream.next()).await {
-                Ok(Some(Ok(frame))) => {
-                    if let Some(end) = pass(frame, frames, passed).await {
-                        return end;
-                    }
-                }
-                _ => return End::Again,
+            let Ok(Some(Ok(frame))) = timeout_at(until, stream.next()).await else {
+                tries.lost = true;
+                return End::Again;
+            };
+            if let Some(end) = pass(frame, frames, tries).await {
+                return end;
             }
         }
     }
 }
 
+/// What the tries so far have done.
+#[derive(Debug, Default)]
+struct Tries {
+    /// What the caller has of the stream.
+    passed: Position,
+    /// An owner may have acted without an answer that reached this entry.
+    lost: bool,
+}
+
+impl Tries {
+    const fn ran(&self) -> Ran {
+        if self.lost { Ran::Unknown } else { Ran::No }
+    }
+}
+
 /// Passes a frame on; `Some` when the try is over.
-async fn pass(frame: Frame, frames: &mpsc::Sender<Frame>, passed: &mut u64) -> Option<End> {
-    let last = match &frame {
-        Frame::Failed(failure) if failure.code == Code::NotOwner => return Some(End::Again),
-        Frame::Final(_) | Frame::Failed(_) => true,
-        Frame::Delta { at, .. } => {
-            *passed = at + 1;
-            false
-        }
-        Frame::Restart => {
-            *passed = 0;
-            false
+async fn pass(frame: Frame, frames: &mpsc::Sender<Frame>, tries: &mut Tries) -> Option<End> {
+    let frame = match frame {
+        Frame::Failed(failure) if failure.code == Code::NotOwner => {
+            tries.lost |= failure.ran != Ran::No;
+            return Some(End::Again);
         }
+        // The refusing owner speaks for itself; one that was lost before it may have acted.
+        Frame::Failed(failure) if failure.ran == Ran::No => Frame::Failed(failure.ran(tries.ran())),
+        frame => frame,
     };
+    let last = matches!(frame, Frame::Final(_) | Frame::Failed(_));
+    match &frame {
+        Frame::Delta { at, .. } => {
+            tries.passed = Position {
+                at: at.at + 1,
+                ..*at
+            };
+        }
+        Frame::Restart => tries.passed = Position::default(),
+        Frame::Final(_) | Frame::Failed(_) => {}
+    }
     let sent = frames.send(frame).await;
     (last || sent.is_err()).then_some(End::Over)
 }
 
 /// The request, asking for the stream from where the caller has it.
-fn resumed(request: &Request, passed: u64) -> Request {
+fn resumed(request: &Request, passed: Position) -> Request {
     let mut request = request.clone();
-    if let Request::Call { from, .. } | Request::Read { from, .. } = &mut request {
-        *from = (*from).max(passed);
+    if let Request::Call { from, .. } | Request::Read { from, .. } = &mut request
+        && passed.at > 0
+    {
+        *from = passed;
     }
     request
 }
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -17,6 +17,19 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+/// A place in the stream of an answer.
+///
+/// Each attempt at an answer has a stream of its own: an engine gives other words to the same
+/// prompt, and the rest of one attempt behind the start of another would be nobody's answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Position {
+    /// Tells the attempts at an answer apart.
+    pub(crate) stream: u32,
+    /// How many parts of it the reader has.
+    pub(crate) at: u64,
+}
+
 /// What a caller asks, as the entry hands it to the owner.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
@@ -32,13 +45,13 @@
         program: Program,
         call: Call,
         request: program::Request,
-        from: u64,
+        from: Position,
     },
     /// Give a call's answer, or the rest of its stream from position `from` on.
     Read {
         program: Program,
         call: Call,
-        from: u64,
+        from: Position,
     },
     /// End a program.
     End { program: Program },
@@ -63,8 +76,8 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
 pub(crate) enum Frame {
-    /// Text, and its position among the parts of the answer.
-    Delta { at: u64, text: String },
+    /// Text, and its place among the parts of the answer.
+    Delta { at: Position, text: String },
     /// The text so far is void: the call runs again and the answer starts anew.
     Restart,
     /// The final answer.
--- a/src/owner/model.rs
+++ b/src/owner/model.rs
@@ -21,7 +21,7 @@
 
 enum Broken {
     Cancelled,
-    Failed(String, Tokens),
+    Failed(String),
 }
 
 impl Owner {
@@ -66,9 +66,11 @@
                     return self.finish(work, prompt.messages, answer).await;
                 }
                 Err(Broken::Cancelled) => return Err(self.cancelled(work)),
-                Err(Broken::Failed(reason, tokens)) => {
+                Err(Broken::Failed(reason)) => {
                     event!(warn, "engine_failed", server = server, reason = reason);
                     let (program, call) = (run.program, run.call);
+                    // The engine may have gone on behind what reached us, up to its bound.
+                    let tokens = reserve;
                     self.recorded(
                         work,
                         Body::Settled {
@@ -182,13 +184,7 @@
         lease.done(outcome).await;
         match usage {
             Ok(usage) => Ok((run.deltas.borrow().concat().into(), usage)),
-            Err(backend::Fault(reason)) => {
-                let new: usize = chat
-                    .messages
-                    .last()
-                    .map_or(0, |message| message.content.len());
-                Err(Broken::Failed(reason, Tokens(count.get() + new as u64)))
-            }
+            Err(backend::Fault(reason)) => Err(Broken::Failed(reason)),
         }
     }
 }
--- a/src/owner/run.rs
+++ b/src/owner/run.rs
@@ -1,8 +1,8 @@
 //! One call under way: its permit, its records, its stream and its result.
 
-use super::Frame;
 use super::duty::{Owner, not_owner};
 use super::serve::passed;
+use super::{Frame, Position};
 use crate::code::{Code, Failure, Ran};
 use crate::config::Class;
 use crate::dispatch::{Key, Lease};
@@ -31,6 +31,7 @@
     pub(super) cancel: CancellationToken,
     pub(super) deltas: RefCell<Vec<Arc<str>>>,
     attempt: Cell<usize>,
+    stream: Cell<u32>,
     pub(super) stage: Cell<&'static str>,
     since: Instant,
     /// Whether a backend server may have got any of it.
@@ -40,32 +41,28 @@
 }
 
 impl Run {
-    /// Passes the stream on from position `from`, then the result.
+    /// Passes the stream on from a position, then the result.
     pub(super) async fn attend(
         &self,
-        from: u64,
+        mut from: Position,
         frames: &mpsc::Sender<Frame>,
         until: Instant,
     ) -> Result<Value, Failure> {
-        let mut at = usize::try_from(from).unwrap_or(usize::MAX);
-        let mut attempt = self.attempt.get();
         loop {
             let progress = self.progress.notified();
-            if self.attempt.get() != attempt {
-                attempt = self.attempt.get();
-                if at > 0 {
-                    at = 0;
+            let stream = self.stream.get();
+            if from.stream != stream {
+                if from.at > 0 {
                     send(frames, Frame::Restart).await?;
                 }
+                from = Position { stream, at: 0 };
             }
-            let next = self.deltas.borrow().get(at).cloned();
+            let index = usize::try_from(from.at).unwrap_or(usize::MAX);
+            let next = self.deltas.borrow().get(index).cloned();
             if let Some(text) = next {
-                let frame = Frame::Delta {
-                    at: at as u64,
-                    text: text.as_ref().to_owned(),
-                };
-                at += 1;
-                send(frames, frame).await?;
+                let text = text.as_ref().to_owned();
+                send(frames, Frame::Delta { at: from, text }).await?;
+                from.at += 1;
                 continue;
             }
             if let Some(result) = self.result.borrow().as_ref() {
@@ -113,6 +110,7 @@
     pub(super) fn restart(&self) {
         self.deltas.borrow_mut().clear();
         self.attempt.set(self.attempt.get() + 1);
+        self.stream.set(rand::random());
         self.progress.notify_waiters();
     }
 }
@@ -151,6 +149,7 @@
             cancel: CancellationToken::new(),
             deltas: RefCell::default(),
             attempt: Cell::new(0),
+            stream: Cell::new(rand::random()),
             stage: Cell::new("admission"),
             since: Instant::now(),
             sent: Cell::new(false),
--- a/src/owner/serve.rs
+++ b/src/owner/serve.rs
@@ -2,7 +2,7 @@
 
 use super::duty::{Owner, not_owner, wall_ms};
 use super::run::Run;
-use super::{Ask, Frame, Request};
+use super::{Ask, Frame, Position, Request};
 use crate::code::{Code, Failure, Ran};
 use crate::id::{Call, Class, Digest, Program, shard_of};
 use crate::journal::Body;
@@ -128,7 +128,7 @@
         id: Program,
         call: Call,
         request: program::Request,
-        from: u64,
+        from: Position,
         frames: &mpsc::Sender<Frame>,
         until: Instant,
     ) -> Result<Value, Failure> {
@@ -211,7 +211,7 @@
         self: &Rc<Self>,
         id: Program,
         call: Call,
-        from: u64,
+        from: Position,
         frames: &mpsc::Sender<Frame>,
         until: Instant,
     ) -> Result<Value, Failure> {
--- a/src/owner/spawn.rs
+++ b/src/owner/spawn.rs
@@ -23,6 +23,11 @@
                 .get(&program.shard())
                 .ok_or_else(|| not_owner(program.shard()))?;
             let parent = held.table.get(program)?;
+            // Without a limit of its own the child could make calls that its parent has not got.
+            if parent.budget.calls.is_some() && budget.calls.is_none() {
+                let message = "the child of a program with a budget of calls needs one";
+                return Err(Failure::refused(Code::BudgetExceeded, message));
+            }
             parent.afford(budget.tokens, 1 + budget.calls.unwrap_or(0))?;
             if parent.depth >= work.class.depth {
                 return Err(Failure::refused(
--- a/src/program/state.rs
+++ b/src/program/state.rs
@@ -201,10 +201,14 @@
         Ok(())
     }
 
-    fn settle(&mut self, call: Call, tokens: Tokens) {
-        if let Some(reserve) = self.reserve.take_if(|reserve| reserve.call == call) {
-            self.spent.0 += tokens.0.min(reserve.tokens.0);
-        }
+    /// Counts what an attempt has spent, at most what it had set aside, and gives it.
+    fn settle(&mut self, call: Call, tokens: Tokens) -> Tokens {
+        let Some(reserve) = self.reserve.take_if(|reserve| reserve.call == call) else {
+            return Tokens(0);
+        };
+        let spent = tokens.min(reserve.tokens);
+        self.spent.0 += spent.0;
+        spent
     }
 
     /// Opens an intent, unless it comes behind the outcome of its call: then its writer must not
@@ -224,9 +228,11 @@
         let call = self.next();
         self.history.extend_from_slice(messages);
         if let Answer::Model { text, usage, .. } = answer {
-            let context = Tokens(usage.prompt.0 + usage.completion.0);
-            self.settle(call, Tokens(context.0.saturating_sub(self.context.0)));
-            self.context = context;
+            // Grows by what was counted and no more: an engine that once reports too much would
+            // otherwise make the tokens of later calls look as if they had been counted.
+            let context = usage.prompt.0 + usage.completion.0;
+            let counted = self.settle(call, Tokens(context.saturating_sub(self.context.0)));
+            self.context.0 += counted.0;
             self.history.push(Message {
                 role: "assistant".to_owned(),
                 content: text.clone(),
@@ -346,7 +352,9 @@
                 call,
                 tokens,
             } => {
-                self.change(*program, |state| state.settle(*call, *tokens));
+                self.change(*program, |state| {
+                    state.settle(*call, *tokens);
+                });
             }
             Body::Intent {
                 program,
