--- a/src/owner/model.rs
+++ b/src/owner/model.rs
@@ -21,7 +21,7 @@
 
 enum Broken {
     Cancelled,
-    Failed(String, Tokens),
+    Failed(String),
 }
 
 impl Owner {
@@ -73,9 +73,10 @@
                     return self.finish(work, prompt.messages, answer).await;
                 }
                 Err(Broken::Cancelled) => return Err(self.cancelled(work)),
-                Err(Broken::Failed(reason, tokens)) => {
+                Err(Broken::Failed(reason)) => {
                     event!(warn, "engine_failed", server = server, reason = reason);
-                    self.settled(work, tokens).await?;
+                    // The engine may have gone on behind what reached us, up to its bound.
+                    self.settled(work, reserve).await?;
                     avoid.push(server);
                     if avoid.len() >= ATTEMPTS {
                         return Err(Failure::refused(Code::EngineFailed, reason)
@@ -194,13 +195,7 @@
         lease.done(outcome).await;
         match usage {
             Ok(usage) => Ok((run.deltas.borrow().concat().into(), usage)),
-            Err(backend::Fault(reason)) => {
-                let new: usize = chat
-                    .messages
-                    .last()
-                    .map_or(0, |message| message.content.len());
-                Err(Broken::Failed(reason, Tokens(count.get() + new as u64)))
-            }
+            Err(backend::Fault(reason)) => Err(Broken::Failed(reason)),
         }
     }
 }
