--- a/src/cli.rs
+++ b/src/cli.rs
@@ -94,7 +94,7 @@
     #[arg(long, default_value_t = 1)]
     seed: u64,
     /// How many programs are opened.
-    #[arg(long, default_value_t = 300)]
+    #[arg(long, default_value_t = 600)]
     programs: usize,
     /// Over how many seconds they are opened.
     #[arg(long, default_value_t = 20.0)]
@@ -105,11 +105,22 @@
     /// Print JSON.
     #[arg(long)]
     json: bool,
+    /// Plant a fault, to see that the checks find it.
+    #[arg(long, value_enum)]
+    plant: Vec<Plant>,
     /// Write the events of the VMs to standard error.
     #[arg(long)]
     verbose: bool,
 }
 
+#[derive(Debug, Clone, Copy, ValueEnum)]
+enum Plant {
+    /// A confirmed effect takes place a second time.
+    DoubledEffect,
+    /// An engine holds memory for a program that has ended.
+    HeldMemory,
+}
+
 #[derive(Debug, Clone, Copy, ValueEnum)]
 enum Standin {
     /// The append-only log service.
@@ -260,6 +271,7 @@
                 programs: trial.programs,
                 spread,
                 pairs: trial.pairs,
+                plants: trial.plant.into_iter().map(Into::into).collect(),
             };
             command::trial::run(&options, trial.verbose, trial.json)
         }
@@ -298,6 +310,15 @@
     Ok(Exit::Success)
 }
 
+impl From<Plant> for trial::Plant {
+    fn from(plant: Plant) -> Self {
+        match plant {
+            Plant::DoubledEffect => Self::DoubledEffect,
+            Plant::HeldMemory => Self::HeldMemory,
+        }
+    }
+}
+
 impl From<Standin> for standin::Kind {
     fn from(kind: Standin) -> Self {
         match kind {
--- a/src/trial/audit.rs
+++ b/src/trial/audit.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, sleep};
 
 /// How long evictions may take after the last program has ended.
-const EVICTION: Duration = Duration::from_secs(20);
+const EVICTION: Duration = Duration::from_secs(10);
 /// Time between looks at what the engines hold.
 const LOOK: Duration = Duration::from_millis(200);
 /// Answers that are asked again at a time.
--- a/src/trial/mod.rs
+++ b/src/trial/mod.rs
@@ -4,9 +4,11 @@
 mod caller;
 mod latency;
 mod plan;
+mod plant;
 mod report;
 mod site;
 
+pub(crate) use plant::Plant;
 pub(crate) use report::Report;
 
 use crate::code::{Code, Failure};
@@ -24,7 +26,7 @@
 const CALLER_THREADS: usize = 2;
 
 /// What a trial runs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Options {
     /// The seed of the mix.
     pub(crate) seed: u64,
@@ -34,6 +36,8 @@
     pub(crate) spread: Duration,
     /// Pairs of calls, direct and through the path, by which the path is measured.
     pub(crate) pairs: usize,
+    /// Faults to plant.
+    pub(crate) plants: Vec<Plant>,
 }
 
 /// Runs a trial and counts what happened, at the stand-ins and at the callers.
@@ -62,9 +66,12 @@
     let outcomes = load(site, plans).await;
     let took = started.elapsed();
     let appends = site.journal_appends().await? - before;
+    for plant in &options.plants {
+        plant.put(site, &outcomes).await?;
+    }
     let audit = Audit::take(site, &outcomes).await?;
     Ok(Report::new(Run {
-        options: *options,
+        options: options.clone(),
         took,
         appends,
         outcomes,
--- a/src/trial/site.rs
+++ b/src/trial/site.rs
@@ -122,6 +122,23 @@
         reply.json().await.map_err(|error| silent(&error))
     }
 
+    /// Posts to a stand-in and reads its whole reply.
+    pub(super) async fn post(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        key: &str,
+        body: &Value,
+    ) -> Result<(), Failure> {
+        let request = self.http.post(format!("http://{address}{path}"));
+        let request = request.header("idempotency-key", key).json(body);
+        let reply = request.timeout(ANSWER).send().await;
+        let reply = reply.and_then(reqwest::Response::error_for_status);
+        let reply = reply.map_err(|error| silent(&error))?;
+        reply.bytes().await.map_err(|error| silent(&error))?;
+        Ok(())
+    }
+
     /// Appends to the journal so far, as the log stand-in counts them.
     pub(super) async fn journal_appends(&self) -> Result<u64, Failure> {
         let counters = self.get(self.log, "/counters").await?;
--- a/tests/trial.rs
+++ b/tests/trial.rs
@@ -37,3 +37,21 @@
         assert!(invariant["of"].as_u64() > Some(0), "{invariant}");
     }
 }
+
+/// Once the load is over, an effect that was confirmed takes place again and an engine is given
+/// the history of an ended program, both behind the scheduler's back. Callers see nothing of it;
+/// the counters of the stand-ins do, so the trial names both and its exit code says so.
+#[test]
+fn a_trial_finds_what_is_planted() {
+    let plants = ["--plant", "doubled-effect", "--plant", "held-memory"];
+    let (code, text) = trial(&[&["--programs", "20"], &plants[..]].concat());
+    assert_eq!(code, Some(3), "{text}");
+    let broken: Vec<_> = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("BROKEN "))
+        .collect();
+    assert_eq!(broken.len(), 2, "{text}");
+    assert!(broken[0].starts_with("effects run twice: 1 of"), "{text}");
+    let held = "ended programs that still hold memory: 1 of";
+    assert!(broken[1].starts_with(held), "{text}");
+}
