--- a/src/cli.rs
+++ b/src/cli.rs
@@ -152,7 +152,7 @@
 #[derive(Debug, Args)]
 struct LogArguments {
     /// Base address of the log service.
-    #[arg(long)]
+    #[arg(long, env = "VANILLATRAIL_LOG")]
     log: String,
     /// Print JSON.
     #[arg(long)]
@@ -164,7 +164,7 @@
     /// A JSON object of values by key; null removes a key.
     file: PathBuf,
     /// Base address of the log service.
-    #[arg(long)]
+    #[arg(long, env = "VANILLATRAIL_LOG")]
     log: String,
     /// The offset that `config show` printed: a key changed since is not overwritten.
     #[arg(long)]
@@ -184,10 +184,15 @@
 }
 
 #[derive(Debug, Args)]
-#[command(after_help = "Example: vanillatrail program --vm 127.0.0.1:7101 why p5-0c36…")]
+#[command(after_help = "Example: vanillatrail program why p5-0c36249f16b20510098b55b06f20c3ba")]
 struct ProgramArguments {
     /// A VM's address for callers; any will do.
-    #[arg(long)]
+    #[arg(
+        long,
+        global = true,
+        env = "VANILLATRAIL_VM",
+        default_value = "127.0.0.1:7101"
+    )]
     vm: SocketAddr,
     /// Print JSON.
     #[arg(long, global = true)]
