--- a/src/cli.rs
+++ b/src/cli.rs
@@ -73,6 +73,19 @@
     },
     /// Drive or look at one program.
     Program(ProgramArguments),
+    /// Print the table of result codes, or what one code means.
+    #[command(after_help = "Example: vanillatrail codes VT4003")]
+    Codes {
+        /// The code.
+        code: Option<Code>,
+    },
+    /// Print the JSON schema of a settings file or a configuration file.
+    #[command(after_help = "Example: vanillatrail schema config > config.schema.json")]
+    Schema {
+        /// Of which.
+        #[arg(value_enum)]
+        of: Schema,
+    },
     /// Print a completion script for a shell.
     #[command(after_help = "Example: vanillatrail completions bash > vanillatrail.bash")]
     Completions {
@@ -113,6 +126,14 @@
     verbose: bool,
 }
 
+#[derive(Debug, Clone, Copy, ValueEnum)]
+enum Schema {
+    /// The settings of one VM.
+    Settings,
+    /// Configuration values by key.
+    Config,
+}
+
 #[derive(Debug, Clone, Copy, ValueEnum)]
 enum Plant {
     /// A confirmed effect takes place a second time.
@@ -295,6 +316,8 @@
         Command::Config(Config::Apply(apply)) => command::config::apply(&apply.into()),
         Command::State { vms, json } => command::state::run(&vms, json),
         Command::Program(of) => command::program::run(of.vm, of.action.into(), of.json),
+        Command::Codes { code } => Ok(command::describe::codes(code)),
+        Command::Schema { of } => command::describe::schema(of.into()),
         Command::Completions { shell } => {
             let mut command = Arguments::command();
             clap_complete::generate(shell, &mut command, "vanillatrail", &mut std::io::stdout());
@@ -315,6 +338,15 @@
     Ok(Exit::Success)
 }
 
+impl From<Schema> for command::describe::Schema {
+    fn from(of: Schema) -> Self {
+        match of {
+            Schema::Settings => Self::Settings,
+            Schema::Config => Self::Config,
+        }
+    }
+}
+
 impl From<Plant> for trial::Plant {
     fn from(plant: Plant) -> Self {
         match plant {
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod check;
 mod client;
 pub(crate) mod config;
+pub(crate) mod describe;
 mod paint;
 pub(crate) mod program;
 pub(crate) mod serve;
