--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -26,6 +26,10 @@
 /// How long a body may take to arrive.
 const BODY: Duration = Duration::from_secs(10);
 
+/// The largest number of tokens or calls that a caller may name. Sums of such numbers stay far from
+/// the end of their type, where they would wrap to a small number and let a budget be passed.
+const MOST: u64 = 1 << 40;
+
 /// What the handlers work with.
 #[derive(Debug, Clone)]
 pub(crate) struct Entry {
@@ -86,6 +90,7 @@
                 "at `key`: not of 1 to 256 bytes",
             ));
         }
+        check_budget("budget", open.budget)?;
         ready(&entry)?;
         Ok(Request::Open {
             key: open.key,
@@ -109,9 +114,15 @@
         let numbered: Numbered = parse(&entry, body).await?;
         wait = numbered.timeout_ms;
         let request = match (numbered.model, numbered.service, numbered.spawn) {
-            (Some(model), None, None) => program::Request::Model(model),
+            (Some(model), None, None) => {
+                check("model.max_tokens", model.max_tokens.0)?;
+                program::Request::Model(model)
+            }
             (None, Some(service), None) => program::Request::Service(service),
-            (None, None, Some(spawn)) => program::Request::Spawn(spawn),
+            (None, None, Some(spawn)) => {
+                check_budget("spawn.budget", spawn.budget)?;
+                program::Request::Spawn(spawn)
+            }
             _ => {
                 let message = "exactly one of `model`, `service` and `spawn` is needed";
                 return Err(Failure::refused(Code::BadBody, message));
@@ -246,6 +257,19 @@
         .map_err(|error: id::Malformed| Failure::refused(Code::BadBody, error.to_string()))
 }
 
+fn check_budget(path: &str, budget: Budget) -> Result<(), Failure> {
+    check(&format!("{path}.tokens"), budget.tokens.0)?;
+    check(&format!("{path}.calls"), budget.calls.unwrap_or(0))
+}
+
+fn check(path: &str, number: u64) -> Result<(), Failure> {
+    if number > MOST {
+        let message = format!("at `{path}`: more than {MOST}");
+        return Err(Failure::refused(Code::BadBody, message));
+    }
+    Ok(())
+}
+
 async fn parse<T: DeserializeOwned>(entry: &Entry, body: Body) -> Result<T, Failure> {
     let limit = entry.max_body;
     let reading = tokio::time::timeout(BODY, body.into_bytes_limit(limit)).await;
