--- a/src/owner/duty.rs
+++ b/src/owner/duty.rs
@@ -437,6 +437,7 @@
                 "leaving": held.leaving,
                 "programs": held.table.iter().count(),
                 "open": held.table.open(),
+                "open_programs": open_programs(&held.table),
             });
             Some((shard.to_string(), state))
         });
@@ -459,6 +460,21 @@
     }
 }
 
+/// What each program that has not ended waits for, as far as its records tell.
+fn open_programs(table: &Table) -> Value {
+    let open = table.iter().filter(|program| !program.is_ended());
+    let told = open.map(|program| {
+        let state = json!({
+            "class": program.class,
+            "next_call": program.next(),
+            "opened_ms": program.opened_ms,
+            "intent": program.intent,
+        });
+        (program.id.to_string(), state)
+    });
+    Value::Object(told.collect())
+}
+
 /// The failure that sends an entry to look for the owner elsewhere.
 pub(super) fn not_owner(shard: Shard) -> Failure {
     Failure::refused(
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -266,6 +266,11 @@
     for part in ["local", "view", "config", "dispatch", "owner"] {
         assert!(state[part].is_object(), "{part} in {state}");
     }
+    let shards = state["owner"]["shards"].as_object().expect("shards");
+    let mut open = shards
+        .values()
+        .filter_map(|shard| shard["open_programs"].get(&program));
+    assert_eq!(open.next().expect("the program")["next_call"], 1, "{state}");
     let nobody = support::free_address().to_string();
     let (code, text) = told(&["state", &vms[0], &nobody]);
     assert_eq!(code, 4, "{text}");
