--- a/src/command/describe.rs
+++ b/src/command/describe.rs
@@ -2,7 +2,7 @@
 
 use super::{Exit, print_json};
 use crate::code::{Code, Failure};
-use crate::config::{Class, Pool, Service};
+use crate::config::{Class, Pool, Service, Store};
 use crate::settings::Settings;
 use schemars::{JsonSchema, SchemaGenerator, schema_for};
 use serde_json::{Value, json};
@@ -74,6 +74,7 @@
     let class = removable::<Class>(&mut generator);
     let pool = removable::<Pool>(&mut generator);
     let service = removable::<Service>(&mut generator);
+    let store = removable::<Store>(&mut generator);
     json!({
         "$schema": "https://json-schema.org/draft/2020-12/schema",
         "title": "Configuration",
@@ -84,6 +85,7 @@
             "^class/[A-Za-z0-9._:/-]+$": class,
             "^pool/[A-Za-z0-9._:/-]+$": pool,
             "^service/[A-Za-z0-9._:/-]+$": service,
+            "^store/weights$": store,
         },
         "$defs": generator.take_definitions(true),
     })
