--- a/src/cli.rs
+++ b/src/cli.rs
@@ -73,6 +73,19 @@
     },
     /// Drive or look at one program.
     Program(ProgramArguments),
+    /// Print the table of result codes, or what one code means.
+    #[command(after_help = "Example: vanillatrail codes VT4003")]
+    Codes {
+        /// The code.
+        code: Option<Code>,
+    },
+    /// Print the JSON schema of a settings file or a configuration file.
+    #[command(after_help = "Example: vanillatrail schema config > config.schema.json")]
+    Schema {
+        /// Of which.
+        #[arg(value_enum)]
+        of: Schema,
+    },
     /// Print a completion script for a shell.
     #[command(after_help = "Example: vanillatrail completions bash > vanillatrail.bash")]
     Completions {
@@ -94,7 +107,7 @@
     #[arg(long, default_value_t = 1)]
     seed: u64,
     /// How many programs are opened.
-    #[arg(long, default_value_t = 300)]
+    #[arg(long, default_value_t = 600)]
     programs: usize,
     /// Over how many seconds they are opened.
     #[arg(long, default_value_t = 20.0)]
@@ -105,11 +118,30 @@
     /// Print JSON.
     #[arg(long)]
     json: bool,
+    /// Plant a fault, to see that the checks find it.
+    #[arg(long, value_enum)]
+    plant: Vec<Plant>,
     /// Write the events of the VMs to standard error.
     #[arg(long)]
     verbose: bool,
 }
 
+#[derive(Debug, Clone, Copy, ValueEnum)]
+enum Schema {
+    /// The settings of one VM.
+    Settings,
+    /// Configuration values by key.
+    Config,
+}
+
+#[derive(Debug, Clone, Copy, ValueEnum)]
+enum Plant {
+    /// A confirmed effect takes place a second time.
+    DoubledEffect,
+    /// An engine holds memory for a program that has ended.
+    HeldMemory,
+}
+
 #[derive(Debug, Clone, Copy, ValueEnum)]
 enum Standin {
     /// The append-only log service.
@@ -141,7 +173,7 @@
 #[derive(Debug, Args)]
 struct LogArguments {
     /// Base address of the log service.
-    #[arg(long)]
+    #[arg(long, env = "VANILLATRAIL_LOG")]
     log: String,
     /// Print JSON.
     #[arg(long)]
@@ -153,7 +185,7 @@
     /// A JSON object of values by key; null removes a key.
     file: PathBuf,
     /// Base address of the log service.
-    #[arg(long)]
+    #[arg(long, env = "VANILLATRAIL_LOG")]
     log: String,
     /// The offset that `config show` printed: a key changed since is not overwritten.
     #[arg(long)]
@@ -173,10 +205,15 @@
 }
 
 #[derive(Debug, Args)]
-#[command(after_help = "Example: vanillatrail program --vm 127.0.0.1:7101 why p5-0c36…")]
+#[command(after_help = "Example: vanillatrail program why p5-0c36249f16b20510098b55b06f20c3ba")]
 struct ProgramArguments {
     /// A VM's address for callers; any will do.
-    #[arg(long)]
+    #[arg(
+        long,
+        global = true,
+        env = "VANILLATRAIL_VM",
+        default_value = "127.0.0.1:7101"
+    )]
     vm: SocketAddr,
     /// Print JSON.
     #[arg(long, global = true)]
@@ -260,6 +297,7 @@
                 programs: trial.programs,
                 spread,
                 pairs: trial.pairs,
+                plants: trial.plant.into_iter().map(Into::into).collect(),
             };
             command::trial::run(&options, trial.verbose, trial.json)
         }
@@ -278,6 +316,8 @@
         Command::Config(Config::Apply(apply)) => command::config::apply(&apply.into()),
         Command::State { vms, json } => command::state::run(&vms, json),
         Command::Program(of) => command::program::run(of.vm, of.action.into(), of.json),
+        Command::Codes { code } => Ok(command::describe::codes(code)),
+        Command::Schema { of } => command::describe::schema(of.into()),
         Command::Completions { shell } => {
             let mut command = Arguments::command();
             clap_complete::generate(shell, &mut command, "vanillatrail", &mut std::io::stdout());
@@ -298,6 +338,24 @@
     Ok(Exit::Success)
 }
 
+impl From<Schema> for command::describe::Schema {
+    fn from(of: Schema) -> Self {
+        match of {
+            Schema::Settings => Self::Settings,
+            Schema::Config => Self::Config,
+        }
+    }
+}
+
+impl From<Plant> for trial::Plant {
+    fn from(plant: Plant) -> Self {
+        match plant {
+            Plant::DoubledEffect => Self::DoubledEffect,
+            Plant::HeldMemory => Self::HeldMemory,
+        }
+    }
+}
+
 impl From<Standin> for standin::Kind {
     fn from(kind: Standin) -> Self {
         match kind {
