Let calls with slack only fill, move cache by export, and learn the gate's share

Cause: exports filled the engines beside waiting callers and were recomputed at every move; the gate learned of a miss only after the program had ended.

Change: calls with six times the slack they need wait in a band of their own, shortest rest first, and only fill up to 1.2 times the lone time per token; a program that changes its engine has its cache exported and imported; the gate counts a program as missed when it is seen to be late.

--- a/benches/policy/ours.rs
+++ b/benches/policy/ours.rs
@@ -15,6 +15,9 @@
 /// Share of the target that an unknown program is taken to need.
 const UNKNOWN: f64 = 0.3;
 
+/// Share of the remaining time past which a program is taken as late.
+const LATE: f64 = 0.7;
+
 struct Live {
     class: usize,
     parent: Option<usize>,
@@ -43,7 +46,7 @@
 }
 
 fn pool(servers: &[Server]) -> Pool {
-    let mut pool = Pool::default();
+    let mut pool = Pool::default().with_exports();
     pool.configure(servers);
     pool
 }
@@ -176,6 +179,9 @@
                 .as_secs_f64();
         let slack = left - rest.time.as_secs_f64();
         self.promise(request.program);
+        if slack < -LATE * rest.time.as_secs_f64() && self.waiting[self.live[&request.root].class] {
+            self.gate.late(id(request.root));
+        }
         let name = |engine: &usize| self.servers[*engine].clone();
         let ask = Ask {
             program: id(request.program),
--- a/src/policy/admit.rs
+++ b/src/policy/admit.rs
@@ -10,11 +10,11 @@
 /// Share of the capacity that is promised at first.
 const START: f64 = 0.9;
 /// The bounds of that share.
-const SHARE: (f64, f64) = (0.4, 1.3);
+const SHARE: (f64, f64) = (0.2, 1.3);
 /// What a program that made its target adds to the share.
-const GAIN: f64 = 0.0005;
+const GAIN: f64 = 0.0006;
 /// What one that missed it takes away.
-const LOSS: f64 = 0.01;
+const LOSS: f64 = 0.02;
 /// The longest time to come back that is told.
 const LONGEST: Duration = Duration::from_mins(10);
 /// The shortest one.
@@ -24,6 +24,7 @@
 struct Promise {
     slot: i64,
     work_ms: f64,
+    late: bool,
 }
 
 /// The engine time promised to programs under way, by the time when it is due.
@@ -97,15 +98,31 @@
 
     /// Notes what a program under way still needs, and by when; replaces what was noted before.
     pub fn promise(&mut self, now: Instant, program: Program, deadline: Instant, work_ms: f64) {
+        let late = self.promises.get(&program).is_some_and(|old| old.late);
         self.drop(program);
         let slot = slot(self.clock(now), self.clock(deadline));
         *self.slots.entry(slot).or_default() += work_ms;
-        self.promises.insert(program, Promise { slot, work_ms });
+        let promise = Promise {
+            slot,
+            work_ms,
+            late,
+        };
+        self.promises.insert(program, promise);
+    }
+
+    /// A program is seen to miss its target. Learned at once, since its end may be far off.
+    pub fn late(&mut self, program: Program) {
+        if let Some(promise) = self.promises.get_mut(&program)
+            && !promise.late
+        {
+            promise.late = true;
+            self.learn(-LOSS);
+        }
     }
 
     /// A program has ended, or is no longer waited for.
     pub fn drop(&mut self, program: Program) {
-        let Some(Promise { slot, work_ms }) = self.promises.remove(&program) else {
+        let Some(Promise { slot, work_ms, .. }) = self.promises.remove(&program) else {
             return;
         };
         if let Some(work) = self.slots.get_mut(&slot) {
@@ -118,8 +135,15 @@
 
     /// Learns from an admitted program that has ended.
     pub fn ended(&mut self, program: Program, in_target: bool) {
+        if in_target {
+            self.learn(GAIN);
+        } else {
+            self.late(program);
+        }
         self.drop(program);
-        let change = if in_target { GAIN } else { -LOSS };
+    }
+
+    fn learn(&mut self, change: f64) {
         self.share = (self.share + change).clamp(SHARE.0, SHARE.1);
     }
 
--- a/src/policy/cache.rs
+++ b/src/policy/cache.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeSet, HashMap};
 
 /// Share of a server's cache that paused programs may fill before some are exported.
-const FULL: f64 = 0.85;
+const FULL: f64 = 0.9;
 /// How much the believed size grows with each answer whose cache was all there.
 const GROWTH: f64 = 1.002;
 /// How far the believed size falls when something was dropped.
@@ -114,15 +114,6 @@
         }
     }
 
-    /// Notes that a program runs again.
-    pub fn resume(&mut self, program: Program) {
-        if let Some(entry) = self.entries.get_mut(&program)
-            && let Some(at) = entry.resume_ms.take()
-        {
-            self.paused.remove(&(at, program));
-        }
-    }
-
     /// Paused programs to export, those that pause longest first, until the rest fits.
     pub fn excess(&mut self) -> Vec<Program> {
         let mut out = Vec::new();
--- a/src/policy/pool.rs
+++ b/src/policy/pool.rs
@@ -2,7 +2,7 @@
 
 use super::ask::{Action, Ask, Outcome};
 use super::pace::Pace;
-use super::queue::{Queue, Waiting};
+use super::queue::{Band, Queue, Waiting};
 use super::server::Server;
 use crate::code::{Code, Failure};
 use crate::id::{Permit, Program, Server as Name};
@@ -16,8 +16,6 @@
 const SCAN: usize = 32;
 /// Servers that are weighed for a call beside those that may hold its cache.
 const CHOICES: usize = 4;
-/// A program whose slack is so many times what remains only fills what others leave.
-const FILLS: f64 = 6.0;
 /// Cost of a server that has failed the call already; it is better than none.
 const AVOID_MS: f64 = 1e7;
 /// Programs whose place is remembered.
@@ -59,9 +57,17 @@
     queue: Queue,
     pace: Pace,
     epoch: Option<Instant>,
+    exports: bool,
 }
 
 impl Pool {
+    /// Lets the pool move cache between its servers, which must all export and import it.
+    #[must_use]
+    pub fn with_exports(mut self) -> Self {
+        self.exports = true;
+        self
+    }
+
     /// Sets the servers; calls that run on one that is gone are left to end.
     pub fn configure(&mut self, names: &[Name]) {
         for name in names {
@@ -99,15 +105,17 @@
             return vec![Action::Refuse(permit, failure)];
         }
         let asked = self.clock(now);
+        // A call that waits long holds cache as idle as that of a paused program.
+        let until = asked.saturating_add(ask.slack_ms.max(0));
         for &place in self.places.get(&ask.program).into_iter().flatten() {
-            self.servers[place].cache.resume(ask.program);
+            self.servers[place].cache.pause(ask.program, until);
         }
         let waiting = Waiting {
             start_by: asked.saturating_add(ask.slack_ms),
             asked,
             ask,
         };
-        self.queue.push(permit, waiting);
+        self.queue.push(asked, permit, waiting);
         self.grant(now)
     }
 
@@ -167,14 +175,22 @@
         let places = self.places.get(&program).cloned().unwrap_or_default();
         let mut actions = Vec::new();
         for place in places {
-            let server = &mut self.servers[place];
-            server.cache.pause(program, until);
-            let out = server.cache.excess().into_iter();
-            actions.extend(out.map(|program| Action::Export(server.name.clone(), program)));
+            self.servers[place].cache.pause(program, until);
+            self.export(place, &mut actions);
         }
         actions
     }
 
+    /// Moves idle cache out of a server before the server drops what it used longest ago.
+    fn export(&mut self, index: usize, actions: &mut Vec<Action>) {
+        if !self.exports {
+            return;
+        }
+        let server = &mut self.servers[index];
+        let out = server.cache.excess().into_iter();
+        actions.extend(out.map(|program| Action::Export(server.name.clone(), program)));
+    }
+
     /// Grants what can be granted now.
     pub fn grant(&mut self, now: Instant) -> Vec<Action> {
         self.wake(now);
@@ -187,20 +203,36 @@
             if self.open.is_empty() {
                 break;
             }
-            let Some(waiting) = self.queue.get(permit) else {
+            let Some((waiting, band)) = self.queue.get(permit) else {
                 continue;
             };
-            let Some(index) = self.place(clock, waiting) else {
+            let Some(index) = self.place(&waiting.ask, band == Band::Fills) else {
                 continue;
             };
             if let Some(waiting) = self.queue.remove(permit) {
+                self.fetch(waiting.ask.program, index, &mut actions);
                 self.start(permit, index, &waiting.ask);
+                self.export(index, &mut actions);
                 actions.push(Action::Grant(permit, self.servers[index].name.clone()));
             }
         }
         actions
     }
 
+    /// Moves a program's cache out of the servers that it leaves.
+    fn fetch(&mut self, program: Program, to: usize, actions: &mut Vec<Action>) {
+        if !self.exports {
+            return;
+        }
+        for place in self.places.get(&program).into_iter().flatten() {
+            let server = &mut self.servers[*place];
+            if *place != to && server.cache.tokens(program) > 0 {
+                server.cache.forget(program);
+                actions.push(Action::Export(server.name.clone(), program));
+            }
+        }
+    }
+
     fn start(&mut self, permit: Permit, index: usize, ask: &Ask) {
         let tokens = ask.prompt.0 + ask.max_tokens.0;
         self.servers[index].start(permit, ask.program, tokens);
@@ -210,10 +242,7 @@
     }
 
     /// The server to give a call to now; none when it should rather wait.
-    fn place(&self, clock: i64, waiting: &Waiting) -> Option<usize> {
-        let ask = &waiting.ask;
-        let slack = waiting.start_by.saturating_sub(clock) as f64;
-        let fills = slack > FILLS * ask.remaining_ms as f64;
+    fn place(&self, ask: &Ask, fills: bool) -> Option<usize> {
         let homes = self.homes(ask);
         let choices = self.open.iter().map(|(_, index)| *index).take(CHOICES);
         let open = homes.iter().copied().chain(choices).filter(|index| {
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -8,6 +8,19 @@
 const LATE_SHARE: u64 = 8;
 /// Share of the remaining time by which the estimate may be off before a program counts as late.
 const TOLERANCE: f64 = 0.5;
+/// A program whose slack is so many times what remains only fills what others leave.
+const FILLS: f64 = 6.0;
+
+/// Where a call stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Band {
+    /// It makes its target with much to spare, and only fills what others leave.
+    Fills,
+    /// It makes its target if it goes in order of slack.
+    OnTime,
+    /// It can no longer make its target.
+    Late,
+}
 
 /// A call that waits. Times are milliseconds of the pool's clock.
 #[derive(Debug, Clone)]
@@ -19,90 +32,134 @@
 }
 
 impl Waiting {
-    fn late_at(&self) -> i64 {
-        #[expect(clippy::cast_possible_truncation, reason = "milliseconds")]
-        let tolerance = (self.ask.remaining_ms as f64 * TOLERANCE) as i64;
-        self.start_by.saturating_add(tolerance)
+    fn rest(&self) -> i64 {
+        i64::try_from(self.ask.remaining_ms).unwrap_or(i64::MAX)
     }
 
-    /// Among late calls the shortest rest goes first, and waiting counts against it, so that
-    /// none starves.
-    fn late_key(&self) -> i64 {
-        let rest = i64::try_from(self.ask.remaining_ms).unwrap_or(i64::MAX);
-        self.asked.saturating_add(rest)
+    #[expect(clippy::cast_possible_truncation, reason = "milliseconds")]
+    fn shifted(&self, share: f64) -> i64 {
+        let shift = (self.rest() as f64 * share) as i64;
+        self.start_by.saturating_add(shift)
+    }
+
+    /// The band at a time, and when that ends.
+    fn band(&self, now: i64) -> (Band, i64) {
+        let tightens = self.shifted(-FILLS);
+        let late = self.shifted(TOLERANCE);
+        if now <= tightens {
+            (Band::Fills, tightens)
+        } else if now <= late {
+            (Band::OnTime, late)
+        } else {
+            (Band::Late, i64::MAX)
+        }
+    }
+
+    fn key(&self, band: Band) -> i64 {
+        match band {
+            // The shortest rest first: what has begun ends, and its cache is not held for long.
+            Band::Fills => self.rest(),
+            Band::OnTime => self.start_by,
+            // The same, but waiting counts against it, so that none starves.
+            Band::Late => self.asked.saturating_add(self.rest()),
+        }
     }
 }
 
-/// The calls that wait: those that can make their target by least slack, then the late ones.
+#[derive(Debug)]
+struct Place {
+    waiting: Waiting,
+    band: Band,
+    until: i64,
+}
+
+/// The calls that wait: by least slack those that can make their target, then the late ones,
+/// then those that only fill.
 #[derive(Debug, Default)]
 pub(super) struct Queue {
-    waiting: HashMap<Permit, Waiting>,
+    places: HashMap<Permit, Place>,
+    fills: BTreeSet<(i64, Permit)>,
     on_time: BTreeSet<(i64, Permit)>,
-    turns_late: BTreeSet<(i64, Permit)>,
     late: BTreeSet<(i64, Permit)>,
+    changes: BTreeSet<(i64, Permit)>,
     grants: u64,
 }
 
 impl Queue {
     pub(super) fn len(&self) -> usize {
-        self.waiting.len()
+        self.places.len()
     }
 
     pub(super) fn is_empty(&self) -> bool {
-        self.waiting.is_empty()
+        self.places.is_empty()
     }
 
-    pub(super) fn get(&self, permit: Permit) -> Option<&Waiting> {
-        self.waiting.get(&permit)
+    pub(super) fn get(&self, permit: Permit) -> Option<(&Waiting, Band)> {
+        let place = self.places.get(&permit)?;
+        Some((&place.waiting, place.band))
     }
 
-    pub(super) fn push(&mut self, permit: Permit, waiting: Waiting) {
-        self.on_time.insert((waiting.start_by, permit));
-        self.turns_late.insert((waiting.late_at(), permit));
-        self.waiting.insert(permit, waiting);
+    pub(super) fn push(&mut self, now: i64, permit: Permit, waiting: Waiting) {
+        let (band, until) = waiting.band(now);
+        self.order(band).insert((waiting.key(band), permit));
+        if until < i64::MAX {
+            self.changes.insert((until, permit));
+        }
+        let place = Place {
+            waiting,
+            band,
+            until,
+        };
+        self.places.insert(permit, place);
     }
 
     pub(super) fn remove(&mut self, permit: Permit) -> Option<Waiting> {
-        let waiting = self.waiting.remove(&permit)?;
-        self.on_time.remove(&(waiting.start_by, permit));
-        self.turns_late.remove(&(waiting.late_at(), permit));
-        self.late.remove(&(waiting.late_key(), permit));
+        let Place {
+            waiting,
+            band,
+            until,
+        } = self.places.remove(&permit)?;
+        self.order(band).remove(&(waiting.key(band), permit));
+        self.changes.remove(&(until, permit));
         Some(waiting)
     }
 
+    fn order(&mut self, band: Band) -> &mut BTreeSet<(i64, Permit)> {
+        match band {
+            Band::Fills => &mut self.fills,
+            Band::OnTime => &mut self.on_time,
+            Band::Late => &mut self.late,
+        }
+    }
+
     /// Counts a grant, which decides when late calls have their turn.
     pub(super) fn granted(&mut self) {
         self.grants += 1;
     }
 
-    /// The first calls to look at, most urgent first, at most `count`.
+    /// The first calls to look at, most urgent first, at most `count` of those that compete and
+    /// as many of those that fill.
     pub(super) fn first(&mut self, now: i64, count: usize) -> Vec<Permit> {
         self.sort_out(now);
-        let late_first = self.grants % LATE_SHARE == LATE_SHARE - 1;
-        let late = self.late.iter().map(|(_, permit)| *permit);
-        let on_time = self.on_time.iter().map(|(_, permit)| *permit);
-        if late_first {
-            late.clone()
-                .take(1)
-                .chain(on_time)
-                .chain(late.skip(1))
-                .take(count)
-                .collect()
-        } else {
-            on_time.chain(late).take(count).collect()
-        }
+        let turn = usize::from(self.grants % LATE_SHARE == LATE_SHARE - 1);
+        let late = self.late.iter().take(turn);
+        let on_time = self.on_time.iter();
+        let competing = late
+            .chain(on_time)
+            .chain(self.late.iter().skip(turn))
+            .take(count);
+        let fills = self.fills.iter().take(count);
+        competing.chain(fills).map(|(_, permit)| *permit).collect()
     }
 
-    /// Moves the calls whose time has passed to the late ones.
+    /// Moves the calls whose band has changed with time.
     fn sort_out(&mut self, now: i64) {
-        while let Some(&(at, permit)) = self.turns_late.first() {
-            if at >= now {
+        while let Some(&(until, permit)) = self.changes.first() {
+            if until >= now {
                 return;
             }
-            self.turns_late.remove(&(at, permit));
-            if let Some(waiting) = self.waiting.get(&permit) {
-                self.on_time.remove(&(waiting.start_by, permit));
-                self.late.insert((waiting.late_key(), permit));
+            if let Some(waiting) = self.remove(permit) {
+                self.push(now, permit, waiting);
             }
         }
     }
--- a/src/policy/server.rs
+++ b/src/policy/server.rs
@@ -13,9 +13,9 @@
 /// The fewest calls of a window.
 const LEAST: f64 = 2.0;
 /// How many times as long as alone a token may take.
-const STRETCH: f64 = 3.5;
-/// Share of the window that calls with much slack may fill.
-const FILL: f64 = 0.6;
+const STRETCH: f64 = 2.2;
+/// How many times as long as alone a token may take when calls with much slack are added.
+const FILL: f64 = 1.2;
 /// How long a server rests after a failure; doubled with each further one.
 const REST: Duration = Duration::from_millis(500);
 /// The longest rest.
@@ -70,7 +70,10 @@
 
     /// Whether another call may be given; `fills` when it has so much slack that it only fills.
     pub(super) fn has_room(&self, pace: &Pace, fills: bool) -> bool {
-        let size = self.size(pace) * if fills { FILL } else { 1.0 };
+        let mut size = self.size(pace);
+        if fills {
+            size = size.min(pace.calls_at(FILL / self.ratio.get().max(1.0)));
+        }
         (self.running() as f64) < size.max(1.0)
     }
 
