Test the failures of membership and measure it against heartbeats

The tests found a rumor that died early: every header from a member counted as a copy of what was queued about it, also when it said alive and the queued news said suspect. Only the same state counts now. Claims of one owner travel together, refutations go before claims, and a VM that missed a suspicion probes the doubted member next.

--- /dev/null
+++ b/benches/control/measure.rs
@@ -0,0 +1,246 @@
+//! What is measured at each size.
+
+use crate::exchange::{Exchange, Peer, Sealed, address, beat};
+use crate::heartbeats::Heartbeats;
+use serde_json::{Map, Value, json};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+use vanillatrail::id::{Offset, Shard};
+
+/// Shards for each VM.
+const SHARDS: u64 = 5;
+/// Time between two changes of the configuration: 15,000 a day.
+const CHANGE: Duration = Duration::from_millis(5760);
+/// More than anything takes that is measured.
+const LIMIT: Duration = Duration::from_mins(5);
+/// VMs that are killed, one after the other.
+const KILLED: usize = 5;
+
+/// Figures of the gossip at one size.
+pub fn gossip(size: usize) -> Value {
+    let started = std::time::Instant::now();
+    let shards = SHARDS * size as u64;
+    let memory = resident();
+    let mut exchange = Exchange::gossip(size, shards, 1);
+    let mut row = Map::new();
+    row.insert("way".into(), json!("gossip"));
+    row.insert("vms".into(), json!(size));
+    let joined = exchange.until(LIMIT, Exchange::whole);
+    row.insert("join_s".into(), time(joined));
+    let owned = exchange.until(LIMIT, |exchange| {
+        exchange.all(|view| (0..shards).all(|shard| view.owner(Shard(shard)).is_some()))
+    });
+    row.insert(
+        "all_claims_known_s".into(),
+        time(owned.and(Some(exchange.elapsed()))),
+    );
+    exchange.run(Duration::from_secs(20));
+    steady(&mut exchange, Duration::from_secs(30), &mut row);
+    row.insert(
+        "memory_kb".into(),
+        json!((resident() - memory) / size as u64),
+    );
+    changes(&mut exchange, &mut row);
+    leaving(&mut exchange, &mut row);
+    for (name, loss) in [("loss_5", 0.05), ("loss_20", 0.2)] {
+        lossy(&mut exchange, name, loss, &mut row);
+    }
+    partition(&mut exchange, &mut row);
+    failures(&mut exchange, &mut row);
+    let largest = exchange.nodes.iter().map(|node| node.largest).max();
+    row.insert("largest_datagram".into(), json!(largest));
+    row.insert("measured_in_s".into(), time(Some(started.elapsed())));
+    Value::Object(row)
+}
+
+/// Figures of full heartbeats at one size, over a shorter time since they are so many.
+pub fn heartbeats(size: usize) -> Value {
+    let now = Instant::now();
+    // Heartbeats tell of nobody but their sender, so every VM has to be given every address.
+    let seeds: Vec<SocketAddr> = (0..size).map(address).collect();
+    let memory = resident();
+    let peers = (0..size).map(|index| {
+        let beat = beat(index, size, SHARDS * size as u64);
+        (beat.clone(), Heartbeats::new(now, beat, seeds.clone()))
+    });
+    let mut exchange = Exchange::new(now, peers.collect(), 1);
+    let mut row = Map::new();
+    row.insert("way".into(), json!("heartbeats"));
+    row.insert("vms".into(), json!(size));
+    row.insert(
+        "join_s".into(),
+        time(exchange.until(LIMIT, Exchange::whole)),
+    );
+    exchange.run(Duration::from_secs(1));
+    steady(&mut exchange, Duration::from_secs(2), &mut row);
+    row.insert(
+        "memory_kb".into(),
+        json!((resident() - memory) / size as u64),
+    );
+    changes(&mut exchange, &mut row);
+    exchange.kill(size / 2);
+    row.insert(
+        "failure_known_max_s".into(),
+        time(exchange.until(LIMIT, Exchange::whole)),
+    );
+    Value::Object(row)
+}
+
+/// Traffic and processor time with a configuration that changes at the target's rate.
+fn steady<P: Peer>(exchange: &mut Exchange<P>, time: Duration, row: &mut Map<String, Value>) {
+    exchange.reset();
+    let mut applied = 1_000_000;
+    let start = exchange.now;
+    while exchange.now - start < time {
+        applied += 1;
+        for index in 0..exchange.nodes.len() {
+            exchange.tell(index, |beat| beat.applied = Offset(applied));
+        }
+        exchange.run(CHANGE.min(time));
+    }
+    let seconds = (exchange.now - start).as_secs_f64();
+    let size = exchange.nodes.len() as f64;
+    let nodes = || exchange.nodes.iter();
+    let mean = |total: u64| json!(round(total as f64 / seconds / size));
+    row.insert(
+        "sent_bytes_s".into(),
+        mean(nodes().map(|node| node.sent_bytes).sum()),
+    );
+    row.insert(
+        "received_bytes_s".into(),
+        mean(nodes().map(|node| node.received_bytes).sum()),
+    );
+    row.insert(
+        "sent_messages_s".into(),
+        mean(nodes().map(|node| node.sent).sum()),
+    );
+    let most = nodes().map(|node| node.sent_bytes).max().unwrap_or(0);
+    row.insert(
+        "sent_bytes_s_max".into(),
+        json!(round(most as f64 / seconds)),
+    );
+    let spent: f64 = nodes().map(|node| node.spent.as_secs_f64()).sum();
+    let share = spent / seconds / size * 100.0;
+    row.insert(
+        "core_percent".into(),
+        json!((share * 1000.0).round() / 1000.0),
+    );
+}
+
+/// Time until all know of a configuration offset that one VM has applied.
+fn changes<P: Peer>(exchange: &mut Exchange<P>, row: &mut Map<String, Value>) {
+    let mut worst = Some(Duration::ZERO);
+    for step in 1..=5 {
+        let newest = Offset(2_000_000 + step);
+        let teller = exchange.nodes.len() / 2;
+        exchange.tell(teller, |beat| beat.applied = newest);
+        let known = exchange.until(LIMIT, |exchange| exchange.all(|view| view.newest >= newest));
+        worst = worst.max(known);
+    }
+    row.insert("change_known_max_s".into(), time(worst));
+}
+
+/// Time until all know of a backend server that is leaving.
+fn leaving(exchange: &mut Exchange<Sealed>, row: &mut Map<String, Value>) {
+    let mut worst = Some(Duration::ZERO);
+    for step in 0..5 {
+        let server = format!("engine-{step}").parse().expect("a plain name");
+        let now = exchange.now;
+        let teller = exchange.nodes.len() / 2;
+        exchange.nodes[teller].peer.gossip.leaving(now, &server);
+        let known = exchange.until(LIMIT, |exchange| {
+            exchange.all(|view| view.leaving.contains(&server))
+        });
+        worst = worst.max(known);
+    }
+    row.insert("leaving_known_max_s".into(), time(worst));
+}
+
+/// Suspicions and removals of VMs that are well, in a minute with loss.
+fn lossy(exchange: &mut Exchange<Sealed>, name: &str, loss: f64, row: &mut Map<String, Value>) {
+    let before = exchange.counts();
+    exchange.loss = loss;
+    exchange.reset();
+    let minute = Duration::from_mins(1);
+    exchange.run(minute);
+    exchange.loss = 0.0;
+    let after = exchange.counts();
+    let size = exchange.nodes.len() as f64;
+    let sent: u64 = exchange.nodes.iter().map(|node| node.sent_bytes).sum();
+    let bytes = round(sent as f64 / minute.as_secs_f64() / size);
+    row.insert(
+        format!("{name}_suspicions"),
+        json!(after.suspicions - before.suspicions),
+    );
+    row.insert(
+        format!("{name}_removals"),
+        json!(after.removals - before.removals),
+    );
+    row.insert(format!("{name}_sent_bytes_s"), json!(bytes));
+    exchange.run(Duration::from_secs(20));
+}
+
+/// Time until both regions hold only themselves, and until all are one group again.
+fn partition(exchange: &mut Exchange<Sealed>, row: &mut Map<String, Value>) {
+    let size = exchange.nodes.len();
+    exchange.cut(|from, to| from % 2 != to % 2);
+    let split = exchange.until(LIMIT, |exchange| {
+        exchange.all(|view| view.members.len() == size / 2)
+    });
+    row.insert("region_cut_known_s".into(), time(split));
+    exchange.run(Duration::from_mins(1));
+    let removals = exchange.counts().removals;
+    exchange.reset();
+    exchange.heal();
+    let merged = exchange.until(LIMIT, Exchange::whole);
+    row.insert("merge_s".into(), time(merged));
+    row.insert(
+        "merge_removals".into(),
+        json!(exchange.counts().removals - removals),
+    );
+    let most = exchange
+        .nodes
+        .iter()
+        .map(|node| node.sent_bytes)
+        .max()
+        .unwrap_or(0);
+    let seconds = merged.unwrap_or(LIMIT).as_secs_f64().max(0.05);
+    row.insert(
+        "merge_sent_bytes_s_max".into(),
+        json!(round(most as f64 / seconds)),
+    );
+    exchange.run(Duration::from_secs(20));
+}
+
+/// Time until all know that a VM has failed, over some failures.
+fn failures(exchange: &mut Exchange<Sealed>, row: &mut Map<String, Value>) {
+    let mut times = Vec::new();
+    let size = exchange.nodes.len();
+    for index in (0..KILLED).map(|index| size - 1 - index) {
+        exchange.kill(index);
+        times.push(exchange.until(LIMIT, Exchange::whole));
+        exchange.run(Duration::from_secs(5));
+    }
+    times.sort();
+    row.insert("failure_known_median_s".into(), time(times[KILLED / 2]));
+    row.insert("failure_known_max_s".into(), time(times[KILLED - 1]));
+}
+
+fn time(time: Option<Duration>) -> Value {
+    time.map_or(Value::Null, |time| {
+        json!((time.as_secs_f64() * 100.0).round() / 100.0)
+    })
+}
+
+fn round(figure: f64) -> f64 {
+    (figure * 10.0).round() / 10.0
+}
+
+/// Kilobytes of this process in memory, as the system counts them.
+fn resident() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let field = line.and_then(|line| line.split_whitespace().nth(1));
+    field.and_then(|field| field.parse().ok()).unwrap_or(0)
+}
--- a/src/member/hints.rs
+++ b/src/member/hints.rs
@@ -1,7 +1,7 @@
 //! What rides on the membership: owners of shards, leaving backend servers, the newest offset.
 
 use super::roster::Change;
-use super::wire::News;
+use super::wire::{Claim, News};
 use crate::id::{Boot, Epoch, Offset, Server, Shard, Vm};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -23,6 +23,22 @@
     pub(super) released: bool,
 }
 
+impl Hint {
+    /// The claim as news.
+    pub(super) fn news(&self, shard: Shard) -> News {
+        let claim = Claim {
+            shard,
+            epoch: self.epoch,
+            released: self.released,
+        };
+        News::Claims {
+            vm: self.vm.clone(),
+            boot: self.boot,
+            claims: vec![claim],
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Mark {
     serial: u64,
@@ -55,16 +71,10 @@
         change
     }
 
-    /// The claim of a shard, as news.
-    pub(super) fn claim_news(&self, shard: Shard) -> Option<News> {
-        let hint = self.shards.get(&shard)?;
-        Some(News::Claim {
-            shard,
-            epoch: hint.epoch,
-            vm: hint.vm.clone(),
-            boot: hint.boot,
-            released: hint.released,
-        })
+    /// The claim of a shard, as news, if `vm` still has the newest.
+    pub(super) fn claim_news(&self, vm: &Vm, shard: Shard) -> Option<News> {
+        let hint = self.shards.get(&shard).filter(|hint| hint.vm == *vm)?;
+        Some(hint.news(shard))
     }
 
     /// Announces that a server leaves, or renews the announcement; false when it still holds.
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -3,6 +3,7 @@
 mod duty;
 mod gossip;
 mod hints;
+mod learn;
 mod list;
 mod probe;
 mod queue;
@@ -13,6 +14,6 @@
 
 pub use gossip::{Action, Counts, Gossip};
 pub use view::{Beat, Member, View};
-pub use wire::{DATAGRAM, Digest, Header, Kind, Message, News, Profile, Sealer, State};
+pub use wire::{Claim, DATAGRAM, Digest, Header, Kind, Message, News, Profile, Sealer, State};
 
 pub(crate) use duty::{Setup, run};
--- a/src/member/probe.rs
+++ b/src/member/probe.rs
@@ -80,6 +80,12 @@
         silent < QUIET || silent >= ALONE
     }
 
+    /// Probes a member next.
+    pub(super) fn next(&mut self, vm: &Vm) {
+        self.order.retain(|other| other != vm);
+        self.order.push(vm.clone());
+    }
+
     /// Moves everything later by the time for which this process stood still.
     pub(super) fn shift(&mut self, now: Instant, by: Duration) {
         self.due = now;
@@ -129,14 +135,16 @@
                 self.probes.acked = now;
             }
         }
-        let Some(vm) = self.probes.order.pop() else {
-            return;
-        };
-        let Some(record) = self.roster.records.get(&vm).filter(|record| record.live()) else {
+        // A suspect is told so and has to refute it; an answer to a probe would not settle it.
+        let record = std::iter::from_fn(|| self.probes.order.pop()).find_map(|vm| {
+            let record = self.roster.records.get(&vm)?;
+            (record.standing.state == State::Alive).then_some(record)
+        });
+        let Some(record) = record else {
             return;
         };
         let probe = Probe {
-            vm,
+            vm: record.profile.vm.clone(),
             address: record.profile.address,
             since: now,
             pings: 0,
@@ -155,7 +163,12 @@
             }
         }
         for (number, vm, address, pings) in due {
-            let news = self.pack(now);
+            // Only the first ping carries news, which would be spent on a VM that does not answer.
+            let news = if pings == 0 {
+                self.pack(now)
+            } else {
+                Vec::new()
+            };
             let to = Some(vm.clone());
             actions.push(self.send(address, Kind::Ping { number, to }, news));
             if pings >= INDIRECT {
--- a/src/member/queue.rs
+++ b/src/member/queue.rs
@@ -2,6 +2,7 @@
 
 use crate::id::{Server, Shard, Vm};
 use std::collections::BTreeMap;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// What a piece of news is about; its content is looked up when it is sent.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -9,17 +10,36 @@
     Status(Vm),
     Profile(Vm),
     Applied(Vm),
-    Claim(Shard),
+    /// A shard and who owns it; claims of one owner are sent together.
+    Claim(Vm, Shard),
     Leaving(Server),
 }
 
+impl Item {
+    /// Claims come last. A refutation that waits behind the claims of a large takeover comes too
+    /// late, and the VM is dropped.
+    fn rank(&self, salt: u64) -> (bool, u64) {
+        match self {
+            Self::Claim(vm, _) => (true, xxh3_64_with_seed(vm.as_str().as_bytes(), salt)),
+            _ => (false, 0),
+        }
+    }
+}
+
 /// News by how often they were passed on or heard again.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Queue {
+    salt: u64,
     items: BTreeMap<Item, u32>,
 }
 
 impl Queue {
+    /// An empty queue; `salt` differs from VM to VM.
+    pub(super) fn new(salt: u64) -> Self {
+        let items = BTreeMap::new();
+        Self { salt, items }
+    }
+
     /// Passes an item on from now.
     pub(super) fn push(&mut self, item: Item) {
         if let Item::Profile(vm) = &item {
@@ -50,15 +70,13 @@
         self.items.remove(item);
     }
 
-    /// The items, those passed on least first.
+    /// The items, urgent ones first, then those passed on least; claims of one owner stand
+    /// together, the owners in an order that differs from VM to VM.
     pub(super) fn fresh(&self) -> Vec<Item> {
-        let mut items: Vec<(u32, &Item)> = self
-            .items
-            .iter()
-            .map(|(item, sent)| (*sent, item))
-            .collect();
-        items.sort();
-        items.into_iter().map(|(_, item)| item.clone()).collect()
+        let ranked = |(item, sent): (&Item, &u32)| (item.rank(self.salt), *sent, item.clone());
+        let mut items: Vec<((bool, u64), u32, Item)> = self.items.iter().map(ranked).collect();
+        items.sort_by(|a, b| (a.0.0, a.1, a.0.1, &a.2).cmp(&(b.0.0, b.1, b.0.1, &b.2)));
+        items.into_iter().map(|(_, _, item)| item).collect()
     }
 
     pub(super) fn is_empty(&self) -> bool {
--- a/src/member/roster.rs
+++ b/src/member/roster.rs
@@ -208,7 +208,8 @@
             (Gone, Alive | Suspect) | (Alive | Suspect, Gone) => {
                 return Change::Doubt(told.incarnation);
             }
-            _ => return Change::Known,
+            (told, held) if told == held => return Change::Known,
+            _ => return Change::Stale,
         }
     };
     record.incarnation = told.incarnation;
--- a/src/member/sync.rs
+++ b/src/member/sync.rs
@@ -1,15 +1,14 @@
 //! The exchange of what differs between two members, by digests of buckets.
 
 use super::gossip::{Action, Gossip};
-use super::roster::Record;
-use super::wire::{DATAGRAM, Digest, ENVELOPE, Kind, News};
-use crate::id::Shard;
+use super::wire::{DATAGRAM, Digest, ENVELOPE, Kind, News, Profile};
+use crate::id::Vm;
 use rand::RngExt;
 use std::net::SocketAddr;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Buckets of members, and of shards.
+/// Buckets of members, and of claims by owner.
 const BUCKETS: usize = 64;
 /// Datagrams with contents that one side of an exchange sends.
 const DATAGRAMS: usize = 3;
@@ -34,21 +33,17 @@
     ) -> Vec<Action> {
         let mine = self.digest(now, theirs.salt);
         let members = differing(&mine.members, &theirs.members);
-        let shards = differing(&mine.shards, &theirs.shards);
-        let leaving = mine.leaving != theirs.leaving;
-        if members.is_empty() && shards.is_empty() && !leaving {
+        let claims = differing(&mine.claims, &theirs.claims);
+        if members.is_empty() && claims.is_empty() && mine.leaving == theirs.leaving {
             return Vec::new();
         }
-        self.behind |= members.len() > MANY;
-        let mut datagrams = self.collect(now, &members, &shards);
+        self.behind |= members.len() + claims.len() > MANY;
+        let mut datagrams = self.collect(now, &members, &claims);
         if datagrams.is_empty() {
             datagrams.push(Vec::new());
         }
-        let differ = |members: &[u8], shards: &[u8]| Kind::Differ {
-            members: members.to_vec(),
-            shards: shards.to_vec(),
-        };
-        let first = self.send(from, differ(&members, &shards), datagrams.remove(0));
+        let differ = Kind::Differ { members, claims };
+        let first = self.send(from, differ, datagrams.remove(0));
         let rest = datagrams.into_iter();
         let rest = rest.map(|news| self.send(from, Kind::Contents, news));
         std::iter::once(first).chain(rest).collect()
@@ -60,55 +55,39 @@
         now: Instant,
         from: SocketAddr,
         members: &[u8],
-        shards: &[u8],
+        claims: &[u8],
     ) -> Vec<Action> {
-        self.behind |= members.len() > MANY;
-        let datagrams = self.collect(now, members, shards).into_iter();
+        self.behind |= members.len() + claims.len() > MANY;
+        let datagrams = self.collect(now, members, claims).into_iter();
         datagrams
             .map(|news| self.send(from, Kind::Contents, news))
             .collect()
     }
 
     /// What is known in the given buckets, from a random one on, in a bounded number of datagrams.
-    fn collect(&mut self, now: Instant, members: &[u8], shards: &[u8]) -> Vec<Vec<News>> {
-        let mut news: Vec<News> = Vec::new();
-        let leaving: Vec<_> = self
-            .hints
-            .announced(now)
-            .map(|(server, _)| server)
-            .collect();
-        news.extend(
-            leaving
-                .iter()
-                .filter_map(|server| self.hints.leaving_news(now, server)),
-        );
-        let skip = self.rng.random_range(0..BUCKETS);
-        let turned = |buckets: &[u8]| {
-            let mut buckets = buckets.to_vec();
-            let count = buckets.len();
-            buckets.rotate_left(skip % count.max(1));
-            buckets
-        };
-        let mut of_members: Vec<Vec<News>> = vec![Vec::new(); BUCKETS];
+    fn collect(&mut self, now: Instant, members: &[u8], claims: &[u8]) -> Vec<Vec<News>> {
+        let mut profiles: Vec<Vec<News>> = vec![Vec::new(); BUCKETS];
         for record in self.roster.records.values() {
-            of_members[bucket_of(record)].push(record.full());
+            profiles[bucket(&record.profile.vm)].push(record.full());
         }
-        let mut of_shards: Vec<Vec<News>> = vec![Vec::new(); BUCKETS];
-        for shard in self.hints.shards.keys() {
-            of_shards[bucket_of_shard(*shard)].extend(self.hints.claim_news(*shard));
+        let mut owned: Vec<Vec<News>> = vec![Vec::new(); BUCKETS];
+        for (shard, hint) in &self.hints.shards {
+            News::join(&mut owned[bucket(&hint.vm)], hint.news(*shard));
         }
+        let leaving = self.hints.servers(now);
+        let leaving = leaving.iter();
+        let mut news: Vec<News> = leaving
+            .filter_map(|server| self.hints.leaving_news(now, server))
+            .collect();
         // The two kinds take turns, or a long list of members would keep every claim away.
-        let mut members = turned(members).into_iter();
-        let mut shards = turned(shards).into_iter();
-        loop {
-            let (member, shard) = (members.next(), shards.next());
-            if member.is_none() && shard.is_none() {
-                break;
+        let start = self.rng.random_range(0..BUCKETS);
+        for index in (start..BUCKETS).chain(0..start) {
+            let named = |buckets: &[u8]| buckets.iter().any(|name| usize::from(*name) == index);
+            if named(members) {
+                news.append(&mut profiles[index]);
             }
-            for (bucket, of) in [(member, &mut of_members), (shard, &mut of_shards)] {
-                if let Some(of) = bucket.and_then(|bucket| of.get_mut(usize::from(bucket))) {
-                    news.append(of);
-                }
+            if named(claims) {
+                news.append(&mut owned[index]);
             }
         }
         self.split(news)
@@ -122,12 +101,15 @@
         for news in news {
             let size = news.size();
             if size > left {
-                if datagrams.len() == DATAGRAMS || !self.spend(DATAGRAM) {
+                if datagrams.len() == DATAGRAMS {
                     break;
                 }
                 left = room(datagrams.len());
                 datagrams.push(Vec::new());
             }
+            if !self.spend(size) {
+                break;
+            }
             left = left.saturating_sub(size);
             if let Some(last) = datagrams.last_mut() {
                 last.push(news);
@@ -139,18 +121,14 @@
     fn digest(&self, now: Instant, salt: u16) -> Digest {
         let mut members = vec![0; BUCKETS];
         for record in self.roster.live() {
-            let Record {
-                profile,
-                incarnation,
-                ..
-            } = record;
-            let text = format!("{salt}/{}/{incarnation}/{}", profile.vm, profile.version);
-            members[bucket_of(record)] ^= short(&text);
+            let Profile { vm, version, .. } = &record.profile;
+            let text = format!("{salt}/{vm}/{}/{version}", record.incarnation);
+            members[bucket(vm)] ^= short(&text);
         }
-        let mut shards = vec![0; BUCKETS];
+        let mut claims = vec![0; BUCKETS];
         for (shard, hint) in &self.hints.shards {
             let text = format!("{salt}/{shard}/{}/{}", hint.epoch, hint.released);
-            shards[bucket_of_shard(*shard)] ^= short(&text);
+            claims[bucket(&hint.vm)] ^= short(&text);
         }
         let announced = self.hints.announced(now);
         let leaving = announced.fold(0, |sum, (server, serial)| {
@@ -159,7 +137,7 @@
         Digest {
             salt,
             members,
-            shards,
+            claims,
             leaving,
         }
     }
@@ -181,15 +159,7 @@
     xxh3_64(text.as_bytes()) as u16
 }
 
-#[expect(
-    clippy::cast_possible_truncation,
-    reason = "a part of the hash is enough"
-)]
-fn bucket_of(record: &Record) -> usize {
-    xxh3_64(record.profile.vm.as_str().as_bytes()) as usize % BUCKETS
-}
-
 #[expect(clippy::cast_possible_truncation, reason = "the remainder is small")]
-fn bucket_of_shard(shard: Shard) -> usize {
-    (shard.0 % BUCKETS as u64) as usize
+fn bucket(vm: &Vm) -> usize {
+    (xxh3_64(vm.as_str().as_bytes()) % BUCKETS as u64) as usize
 }
--- a/src/member/wire.rs
+++ b/src/member/wire.rs
@@ -11,6 +11,11 @@
 /// Bytes of a datagram that are kept for its seal, header and kind.
 pub(super) const ENVELOPE: usize = 120;
 
+/// Claims that are sent together at most, so that they fit a datagram.
+const CLAIMS: usize = 48;
+/// Bytes of one claim among those of its owner, at most.
+const CLAIM: usize = 20;
+
 // Variants and the fields of maps are named in one letter: the codec writes variant names out.
 
 /// One datagram.
@@ -78,8 +83,8 @@
     Differ {
         /// The buckets of members that differ.
         members: Vec<u8>,
-        /// The buckets of shards that differ.
-        shards: Vec<u8>,
+        /// The buckets of claims that differ.
+        claims: Vec<u8>,
     },
     /// Ends an exchange: the news are the sender's contents of the buckets that differ.
     #[serde(rename = "c")]
@@ -100,8 +105,8 @@
     pub salt: u16,
     /// Of the members that are held to be alive.
     pub members: Vec<u16>,
-    /// Of the owners of shards.
-    pub shards: Vec<u16>,
+    /// Of the claims of shards, by owner.
+    pub claims: Vec<u16>,
     /// Of the leaving backend servers.
     pub leaving: u16,
 }
@@ -142,6 +147,18 @@
     pub version: Incarnation,
 }
 
+/// A claim of a shard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Claim {
+    /// The shard.
+    pub shard: Shard,
+    /// Where the claim stands; the highest counts.
+    pub epoch: Epoch,
+    /// Whether the owner has given the shard up since.
+    pub released: bool,
+}
+
 /// One piece of news.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -176,19 +193,15 @@
         /// The offset.
         applied: Offset,
     },
-    /// A VM owns a shard.
+    /// A VM owns shards.
     #[serde(rename = "c")]
-    Claim {
-        /// The shard.
-        shard: Shard,
-        /// Where the claim stands; the highest counts.
-        epoch: Epoch,
+    Claims {
         /// The owner.
         vm: Vm,
         /// The run of its process.
         boot: Boot,
-        /// Whether it has given the shard up since.
-        released: bool,
+        /// Its claims.
+        claims: Vec<Claim>,
     },
     /// A backend server is leaving.
     #[serde(rename = "b")]
@@ -203,6 +216,39 @@
 }
 
 impl News {
+    /// Adds `more` to `news`; claims go to those of the same owner, where there are some.
+    pub(super) fn join(news: &mut Vec<Self>, more: Self) {
+        if more.joins(news)
+            && let Some(Self::Claims { claims, .. }) = news.last_mut()
+            && let Self::Claims { claims: more, .. } = more
+        {
+            claims.extend(more);
+        } else {
+            news.push(more);
+        }
+    }
+
+    /// Whether these are claims of the owner that the last of `news` is about.
+    fn joins(&self, news: &[Self]) -> bool {
+        let (
+            Self::Claims { vm, boot, .. },
+            Some(Self::Claims {
+                vm: owner,
+                boot: run,
+                claims,
+            }),
+        ) = (self, news.last())
+        else {
+            return false;
+        };
+        owner == vm && run == boot && claims.len() < CLAIMS
+    }
+
+    /// Bytes on the wire when joined to `news`.
+    pub(super) fn size_in(&self, news: &[Self]) -> usize {
+        if self.joins(news) { CLAIM } else { self.size() }
+    }
+
     /// Bytes on the wire.
     pub(super) fn size(&self) -> usize {
         rmp_serde::to_vec(self).map_or(DATAGRAM, |bytes| bytes.len())
