Hand idle shards over to VMs that joined, one at a time

A VM that started first, or took shards over, kept them for ever, since nothing moved a shard but a failure or a stop. A VM with more than its even share now releases one idle shard every five seconds at most to a member below its share that has been seen for 30 s without a break, so a flapping VM is handed nothing. A suspected member is not counted on to claim.

--- a/src/owner/duty.rs
+++ b/src/owner/duty.rs
@@ -368,7 +368,7 @@
             let view = self.context.view.borrow();
             let members = view.members.values().map(|member| Sighting {
                 vm: member.vm.clone(),
-                eligible: member.ready,
+                eligible: member.ready && !member.suspect,
                 held: if member.vm == self.context.me {
                     self.context.local.borrow().held.clone()
                 } else {
@@ -381,6 +381,34 @@
         for shard in due {
             self.append_claim(shard);
         }
+        let mut claimer = self.claimer.borrow_mut();
+        let spare = claimer.spare(Instant::now(), &sightings, |shard| self.idle(shard));
+        if let Some((shard, successor)) = spare {
+            self.hand_over(shard, Some(successor));
+        }
+    }
+
+    /// Whether nothing of a shard is under way and it is not being handed over.
+    fn idle(&self, shard: Shard) -> bool {
+        let shards = self.shards.borrow();
+        let held = shards.get(&shard);
+        let stays = held.is_some_and(|held| held.epoch.is_some() && !held.leaving);
+        let runs = self.runs.borrow();
+        stays && !runs.values().any(|run| run.program.shard() == shard)
+    }
+
+    /// Releases a shard in favour of a successor; with the journal's queue full, a later tick
+    /// tries again.
+    fn hand_over(&self, shard: Shard, successor: Option<Vm>) {
+        let epoch = self.shards.borrow().get(&shard).and_then(|held| held.epoch);
+        let Some(epoch) = epoch else { return };
+        let pushed = self.push(shard, epoch, Body::Release { successor });
+        if let Err(failure) = &pushed {
+            event!(warn, "release_failed", shard = shard, reason = failure);
+        }
+        if let Some(held) = self.shards.borrow_mut().get_mut(&shard) {
+            held.leaving = pushed.is_ok();
+        }
     }
 
     fn offered(&self) -> Vec<Shard> {
@@ -399,32 +427,14 @@
 
     /// Hands over each shard that has no run; true once none is left.
     fn release(&self) -> bool {
-        let mut left = false;
-        let mut due = Vec::new();
-        for (shard, held) in self.shards.borrow_mut().iter_mut() {
-            let Some(epoch) = held.epoch else { continue };
-            left = true;
-            let running = self
-                .runs
-                .borrow()
-                .values()
-                .any(|run| run.program.shard() == *shard);
-            if !held.leaving && !running {
-                due.push((*shard, epoch));
-            }
-        }
-        for (shard, epoch) in due {
-            let successor = self.successor(shard);
-            // With the journal's queue full, the next tick tries again.
-            let pushed = self.push(shard, epoch, Body::Release { successor });
-            if let Err(failure) = &pushed {
-                event!(warn, "release_failed", shard = shard, reason = failure);
-            }
-            if let Some(held) = self.shards.borrow_mut().get_mut(&shard) {
-                held.leaving = pushed.is_ok();
-            }
+        let shards = self.shards.borrow();
+        let held = shards.iter().filter(|(_, held)| held.epoch.is_some());
+        let held: Vec<Shard> = held.map(|(shard, _)| *shard).collect();
+        drop(shards);
+        for shard in held.iter().filter(|shard| self.idle(**shard)) {
+            self.hand_over(*shard, self.successor(*shard));
         }
-        !left
+        held.is_empty()
     }
 
     fn dump(&self) -> Value {
--- a/src/ownership/claimer.rs
+++ b/src/ownership/claimer.rs
@@ -9,6 +9,10 @@
 const GRACE: Duration = Duration::from_millis(400);
 /// How much longer each next in rank waits.
 const RANK_WAIT: Duration = Duration::from_millis(600);
+/// How long a member must have been seen, without a break, before shards are handed over to it.
+const STEADY: Duration = Duration::from_secs(30);
+/// Time between two shards that one VM hands over to even out the load.
+const HANDOVER: Duration = Duration::from_secs(5);
 /// How long a claim is given to appear in the stream before it is made again.
 const CLAIM_WAIT: Duration = Duration::from_secs(3);
 
@@ -32,6 +36,9 @@
     shards: u64,
     lacking: BTreeMap<Shard, Instant>,
     claimed: BTreeMap<Shard, Instant>,
+    /// Since when each member has been seen to be eligible without a break.
+    steady: BTreeMap<Vm, Instant>,
+    handed: Option<Instant>,
 }
 
 impl Claimer {
@@ -48,6 +55,8 @@
             shards,
             lacking: BTreeMap::new(),
             claimed: BTreeMap::new(),
+            steady: BTreeMap::new(),
+            handed: None,
         }
     }
 
@@ -87,6 +96,48 @@
         due
     }
 
+    /// The shard to hand over now, and to whom; `idle` tells which shards have nothing under way.
+    ///
+    /// Ownership is sticky: a shard moves only from a VM that has more than its even share to one
+    /// that has less, one at a time with a pause between. A member counts only after it has been
+    /// seen for a while without a break, so one that comes and goes moves nothing; each move would
+    /// cost callers of the shard the time of a takeover.
+    ///
+    /// ```
+    /// use vanillatrail::ownership::Claimer;
+    /// let mut claimer = Claimer::new("vm-a".parse().unwrap(), 1);
+    /// assert!(claimer.spare(tokio::time::Instant::now(), &[], |_| true).is_none());
+    /// ```
+    pub fn spare(
+        &mut self,
+        now: Instant,
+        members: &[Sighting],
+        idle: impl Fn(Shard) -> bool,
+    ) -> Option<(Shard, Vm)> {
+        let eligible = || members.iter().filter(|member| member.eligible);
+        self.steady
+            .retain(|vm, _| eligible().any(|member| member.vm == *vm));
+        for member in eligible() {
+            self.steady.entry(member.vm.clone()).or_insert(now);
+        }
+        if self.handed.is_some_and(|at| now - at < HANDOVER) {
+            return None;
+        }
+        let even = self.shards.div_ceil(eligible().count().max(1) as u64);
+        let mine = &eligible().find(|member| member.vm == self.me)?.held;
+        if mine.len() as u64 <= even {
+            return None;
+        }
+        let (shard, _) = mine.iter().find(|(shard, _)| idle(*shard))?;
+        let takers = eligible().filter(|member| {
+            now - self.steady[&member.vm] >= STEADY && (member.held.len() as u64) < even
+        });
+        let key = format!("shard/{shard}");
+        let taker = takers.max_by_key(|member| rendezvous(&key, member.vm.as_str()))?;
+        self.handed = Some(now);
+        Some((*shard, taker.vm.clone()))
+    }
+
     fn rank(&self, shard: Shard, members: &[Sighting]) -> Option<usize> {
         let key = format!("shard/{shard}");
         let score = |vm: &Vm| (rendezvous(&key, vm.as_str()), vm.clone());
