--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -15,6 +15,8 @@
 struct Counters {
     /// Effects by the key of the call.
     effects: BTreeMap<String, u64>,
+    /// Keys in the order of their effects.
+    order: Vec<String>,
     /// Requests that came in, by operation.
     requests: BTreeMap<String, u64>,
 }
@@ -62,6 +64,7 @@
         let mut counters = state.0.0.lock().expect("no holder panics");
         *counters.requests.entry(operation.clone()).or_default() += 1;
         *counters.effects.entry(key.clone()).or_default() += 1;
+        counters.order.push(key.clone());
         counters.effects.len() as u64
     };
     let wait = switches.get().reply_after_ms;
