Check the promises under random schedules

A proptest over the pure parts: three VMs with ledger, table and effect, a log and backend servers in memory. Steps kill, pause and wake VMs, lose replies, bring late copies of records, take the log down, claim at any time and withdraw calls; one history, budget, order of sendings, one effect at most, honest refusals and one final answer are checked after each. With the epoch of records not checked: "Serve { which: 1 }: (0, Call(1)) took effect 2 times". Ruled out by the same runs as safeguards that stand alone: without the check for copies, or with the intents of later calls opened, the schedules stay green, since the open intent and the number of the next call catch the same failures.

--- /dev/null
+++ b/tests/world/mod.rs
@@ -0,0 +1,577 @@
+//! VMs, a log and backend servers in memory, driven step by step.
+
+mod check;
+mod step;
+
+pub use step::{Seen, Step};
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+use tokio::time::Instant;
+use vanillatrail::effect::{Action, Effect, Event};
+use vanillatrail::id::{self, Boot, Call, Digest, Epoch, Offset, Sequence, Shard, Tokens};
+use vanillatrail::journal::{Body, Id, Record};
+use vanillatrail::ownership::{Ledger, Verdict};
+use vanillatrail::program::{Admission, Answer, Budget, Message, Table, Usage};
+
+const SHARD: Shard = Shard(0);
+const BUDGET: Tokens = Tokens(400);
+
+#[derive(Debug, Clone)]
+enum Kind {
+    Receipt(Effect),
+    Model { tokens: u64 },
+}
+
+#[derive(Debug, Clone)]
+struct Run {
+    number: u64,
+    call: Call,
+    digest: Digest,
+    epoch: Epoch,
+    kind: Kind,
+    /// The record that the run waits for.
+    awaits: Option<Sequence>,
+}
+
+/// A page in a socket: entries up to this place, asked for at this time.
+type Page = (usize, Instant);
+
+#[derive(Debug, Default)]
+struct Vm {
+    boot: u64,
+    paused: bool,
+    at: usize,
+    page: Option<Page>,
+    ledger: Ledger,
+    table: Table,
+    epoch: Option<Epoch>,
+    sequence: u64,
+    queue: VecDeque<Record>,
+    runs: BTreeMap<usize, Run>,
+    settling: BTreeSet<(usize, Sequence)>,
+}
+
+#[derive(Debug)]
+struct Sent {
+    vm: usize,
+    boot: u64,
+    program: usize,
+    run: u64,
+    call: Call,
+    served: bool,
+}
+
+/// Everything.
+pub struct World {
+    now: Instant,
+    up: bool,
+    log: Vec<Record>,
+    copies: Vec<Record>,
+    vms: Vec<Vm>,
+    wire: Vec<Sent>,
+    /// What a reader that misses nothing holds after each record.
+    truth: (Ledger, Vec<Table>),
+    effects: BTreeMap<(usize, Call), u64>,
+    spent: BTreeMap<usize, u64>,
+    told: BTreeMap<(usize, Call), Answer>,
+    refused: BTreeSet<u64>,
+    started: BTreeSet<u64>,
+    runs: u64,
+    broken: Option<String>,
+    pub seen: Seen,
+}
+
+fn program(index: usize) -> id::Program {
+    id::Program::new(SHARD, index as u128 + 1)
+}
+
+fn name(vm: usize) -> id::Vm {
+    format!("vm-{vm}").parse().expect("a name")
+}
+
+impl World {
+    pub fn new() -> Self {
+        let mut world = Self {
+            now: Instant::now(),
+            up: true,
+            log: Vec::new(),
+            copies: Vec::new(),
+            vms: (0..3).map(|_| Vm::default()).collect(),
+            wire: Vec::new(),
+            truth: (Ledger::default(), vec![Table::default()]),
+            effects: BTreeMap::new(),
+            spent: BTreeMap::new(),
+            told: BTreeMap::new(),
+            refused: BTreeSet::new(),
+            started: BTreeSet::new(),
+            runs: 0,
+            broken: None,
+            seen: Seen::default(),
+        };
+        world.open();
+        world
+    }
+
+    /// The first VM claims the shard and opens two programs.
+    fn open(&mut self) {
+        self.push(0, Epoch::default(), Body::Claim);
+        let epoch = Epoch::at(Offset(0), 0);
+        for index in 0..2 {
+            let class = "quick".parse().expect("a name");
+            let budget = Budget {
+                tokens: BUDGET,
+                calls: None,
+            };
+            let key = format!("key-{index}");
+            let opened = Body::Opened {
+                program: program(index),
+                key,
+                class,
+                budget,
+                at_ms: 0,
+            };
+            self.push(0, epoch, opened);
+        }
+        for _ in 0..3 {
+            self.append(0, false, false);
+        }
+        for vm in 0..3 {
+            self.fetch(vm);
+            self.page(vm);
+        }
+    }
+
+    pub fn take(&mut self, step: &Step) {
+        self.seen.steps += 1;
+        match *step {
+            Step::Receipt { vm, program } => self.start(vm, program, None),
+            Step::Model {
+                vm,
+                program,
+                tokens,
+            } => self.start(vm, program, Some(tokens)),
+            Step::Append { vm, lost, copied } => self.append(vm, lost, copied),
+            Step::Fetch { vm } => self.fetch(vm),
+            Step::Take { vm } => self.page(vm),
+            Step::Turn { vm } => {
+                for _ in 0..self.vms[vm].queue.len() {
+                    self.append(vm, false, false);
+                }
+                self.fetch(vm);
+                self.page(vm);
+            }
+            Step::Settle { vm } => self.settle(vm),
+            Step::Claim { vm } => {
+                if !self.vms[vm].paused && self.vms[vm].epoch.is_none() {
+                    self.push(vm, Epoch::default(), Body::Claim);
+                }
+            }
+            Step::Withdraw { vm, program } => self.withdraw(vm, program),
+            Step::Kill { vm } => {
+                let boot = self.vms[vm].boot + 1;
+                self.vms[vm] = Vm {
+                    boot,
+                    ..Vm::default()
+                };
+            }
+            Step::Pause { vm } => self.vms[vm].paused = true,
+            Step::Wake { vm } => self.vms[vm].paused = false,
+            Step::Copy { which } => {
+                if self.up && which < self.copies.len() {
+                    let copy = self.copies.remove(which);
+                    self.place(copy);
+                }
+            }
+            Step::Serve { which } => self.serve(which),
+            Step::Reply { which, lost } => self.reply(which, lost),
+            Step::Log { up } => self.up = up,
+            Step::Time { ms } => self.now += Duration::from_millis(ms),
+        }
+    }
+
+    fn push(&mut self, vm: usize, epoch: Epoch, body: Body) -> Sequence {
+        let state = &mut self.vms[vm];
+        state.sequence += 1;
+        let sequence = Sequence(state.sequence);
+        let boot = Boot(state.boot * 10 + vm as u64);
+        let id = Id {
+            vm: name(vm),
+            boot,
+            sequence,
+        };
+        state.queue.push_back(Record {
+            id,
+            shard: SHARD,
+            epoch,
+            body,
+        });
+        sequence
+    }
+
+    fn append(&mut self, vm: usize, lost: bool, copied: bool) {
+        if !self.up || self.vms[vm].paused {
+            return;
+        }
+        let Some(record) = self.vms[vm].queue.front().cloned() else {
+            return;
+        };
+        if copied {
+            self.copies.push(record.clone());
+        }
+        self.place(record);
+        if !lost {
+            self.vms[vm].queue.pop_front();
+        }
+    }
+
+    fn place(&mut self, record: Record) {
+        let (ledger, tables) = &mut self.truth;
+        let mut table = tables.last().expect("one for the start").clone();
+        match ledger.judge(Offset(self.log.len() as u64), 0, &record) {
+            Verdict::Valid => table.apply(&record.body),
+            Verdict::Claimed(_) => self.seen.takeovers += 1,
+            Verdict::Void => self.seen.void += 1,
+            Verdict::Duplicate => {}
+        }
+        tables.push(table);
+        self.log.push(record);
+    }
+
+    fn start(&mut self, vm: usize, index: usize, model: Option<u64>) {
+        let state = &self.vms[vm];
+        let Some(epoch) = state.epoch.filter(|_| !state.paused) else {
+            return;
+        };
+        let Ok(table) = state.table.get(program(index)) else {
+            return;
+        };
+        if state.runs.contains_key(&index) || table.intent.is_some() {
+            return;
+        }
+        let call = table.next();
+        let digest = Digest::of(b"body");
+        // The caller also asks again for the call before: it has to get the same answer.
+        if call.0 > 1
+            && let Admission::Kept(answer) = table.admit(Call(call.0 - 1), digest)
+        {
+            self.tell(index, Call(call.0 - 1), &answer);
+        }
+        let state = &self.vms[vm];
+        let Ok(table) = state.table.get(program(index)) else {
+            return;
+        };
+        let Admission::Run = table.admit(call, digest) else {
+            return;
+        };
+        let (kind, body) = match model {
+            None => {
+                let target = "filing/receipt".to_owned();
+                let intent = Body::Intent {
+                    program: program(index),
+                    call,
+                    digest,
+                    target,
+                };
+                (Kind::Receipt(Effect::default()), intent)
+            }
+            Some(tokens) => {
+                let Ok(reserve) = table.reserve(&[question()], Tokens(tokens)) else {
+                    return;
+                };
+                let server = "e0".parse().expect("a name");
+                let begun = Body::Begun {
+                    program: program(index),
+                    call,
+                    reserve,
+                    server,
+                };
+                (Kind::Model { tokens }, begun)
+            }
+        };
+        self.runs += 1;
+        let awaits = Some(self.push(vm, epoch, body));
+        let run = Run {
+            number: self.runs,
+            call,
+            digest,
+            epoch,
+            kind,
+            awaits,
+        };
+        self.vms[vm].runs.insert(index, run);
+    }
+
+    fn fetch(&mut self, vm: usize) {
+        if self.up && !self.vms[vm].paused && self.vms[vm].page.is_none() {
+            self.vms[vm].page = Some((self.log.len(), self.now));
+        }
+    }
+
+    /// Folds the page that waits, then tells the runs whose records were in it.
+    fn page(&mut self, vm: usize) {
+        if self.vms[vm].paused {
+            return;
+        }
+        let Some((end, asked)) = self.vms[vm].page.take() else {
+            return;
+        };
+        let mut read = Vec::new();
+        for at in self.vms[vm].at..end {
+            let record = self.log[at].clone();
+            let state = &mut self.vms[vm];
+            let mine = record.id.boot == Boot(state.boot * 10 + vm as u64);
+            let verdict = state.ledger.judge(Offset(at as u64), 0, &record);
+            match verdict {
+                Verdict::Valid => state.table.apply(&record.body),
+                Verdict::Claimed(epoch) => state.epoch = mine.then_some(epoch),
+                Verdict::Void | Verdict::Duplicate => {}
+            }
+            if mine && verdict != Verdict::Duplicate {
+                read.push((record.id.sequence, verdict));
+            }
+        }
+        self.vms[vm].at = end;
+        for (sequence, verdict) in read {
+            self.vms[vm]
+                .settling
+                .retain(|(_, awaited)| *awaited != sequence);
+            let found = self.vms[vm]
+                .runs
+                .iter()
+                .find(|(_, run)| run.awaits == Some(sequence));
+            if let Some(index) = found.map(|(index, _)| *index) {
+                self.read_back(vm, index, verdict, asked);
+            }
+        }
+    }
+
+    fn read_back(&mut self, vm: usize, index: usize, verdict: Verdict, asked: Instant) {
+        let state = &mut self.vms[vm];
+        let mut run = state.runs.remove(&index).expect("found");
+        run.awaits = None;
+        let valid = verdict == Verdict::Valid;
+        let held = state.epoch == Some(run.epoch);
+        let Ok(table) = state.table.get(program(index)) else {
+            return;
+        };
+        if table.next() > run.call {
+            // What the history has is what the caller gets.
+            if valid && let Admission::Kept(answer) = table.admit(run.call, run.digest) {
+                self.tell(index, run.call, &answer);
+            }
+            return;
+        }
+        match &mut run.kind {
+            Kind::Receipt(effect) => {
+                let open = table.intent.as_ref();
+                let open = open.is_some_and(|intent| intent.call == run.call);
+                let counts = valid && held && open;
+                let now = self.now;
+                match effect.take(Event::ReadBack { counts, asked, now }) {
+                    Action::Send => self.send(vm, index, run),
+                    Action::Drop => self.drop_intent(vm, index, run),
+                    _ => {}
+                }
+            }
+            Kind::Model { tokens } if valid && held => {
+                let tokens = *tokens;
+                *self.spent.entry(index).or_default() += tokens + question().content.len() as u64;
+                self.finish_model(vm, index, run, tokens);
+            }
+            Kind::Model { .. } => {}
+        }
+    }
+
+    fn finish_model(&mut self, vm: usize, index: usize, mut run: Run, tokens: u64) {
+        let context = self.vms[vm]
+            .table
+            .get(program(index))
+            .expect("open")
+            .context;
+        let prompt = Tokens(context.0 + question().content.len() as u64);
+        let usage = Usage {
+            prompt,
+            cached: Tokens(0),
+            completion: Tokens(tokens),
+        };
+        let server = "e0".parse().expect("a name");
+        let text = format!("answer {} of {vm}", run.number).into();
+        let answer = Answer::Model {
+            text,
+            usage,
+            server,
+        };
+        run.awaits = Some(self.push(vm, run.epoch, done(index, &run, vec![question()], answer)));
+        self.vms[vm].runs.insert(index, run);
+    }
+
+    fn send(&mut self, vm: usize, index: usize, run: Run) {
+        let next = self
+            .truth
+            .1
+            .last()
+            .expect("one")
+            .get(program(index))
+            .expect("open")
+            .next();
+        if run.call > next {
+            self.broken = Some(format!("call {} sent before {next} was over", run.call));
+        }
+        self.started.insert(run.number);
+        let boot = self.vms[vm].boot;
+        let (program, call) = (index, run.call);
+        self.wire.push(Sent {
+            vm,
+            boot,
+            program,
+            run: run.number,
+            call,
+            served: false,
+        });
+        self.vms[vm].runs.insert(index, run);
+    }
+
+    fn drop_intent(&mut self, vm: usize, index: usize, mut run: Run) {
+        self.seen.dropped += 1;
+        self.refused.insert(run.number);
+        let dropped = Body::Dropped {
+            program: program(index),
+            call: run.call,
+        };
+        run.awaits = Some(self.push(vm, run.epoch, dropped));
+        self.vms[vm].runs.insert(index, run);
+    }
+
+    fn withdraw(&mut self, vm: usize, index: usize) {
+        if self.vms[vm].paused {
+            return;
+        }
+        let Some(mut run) = self.vms[vm].runs.remove(&index) else {
+            return;
+        };
+        let action = match &mut run.kind {
+            Kind::Receipt(effect) => effect.take(Event::Withdrawn),
+            Kind::Model { .. } => Action::Wait,
+        };
+        if action == Action::Drop {
+            self.drop_intent(vm, index, run);
+        } else {
+            self.vms[vm].runs.insert(index, run);
+        }
+    }
+
+    fn serve(&mut self, which: usize) {
+        let Some(sent) = self.wire.get_mut(which).filter(|sent| !sent.served) else {
+            return;
+        };
+        sent.served = true;
+        self.seen.effects += 1;
+        *self.effects.entry((sent.program, sent.call)).or_default() += 1;
+    }
+
+    fn reply(&mut self, which: usize, lost: bool) {
+        let Some(sent) = self.wire.get(which) else {
+            return;
+        };
+        let (vm, index, number, served) = (sent.vm, sent.program, sent.run, sent.served);
+        let alive = self.vms[vm].boot == sent.boot && !self.vms[vm].paused;
+        if !alive || !(served || lost) {
+            return;
+        }
+        // A connection that breaks before the effect leaves the request on the wire.
+        if served {
+            self.wire.remove(which);
+        }
+        let Some(mut run) = self.vms[vm].runs.remove(&index) else {
+            return;
+        };
+        let Kind::Receipt(effect) = &mut run.kind else {
+            self.vms[vm].runs.insert(index, run);
+            return;
+        };
+        if run.number != number {
+            self.vms[vm].runs.insert(index, run);
+            return;
+        }
+        let event = if lost {
+            Event::Broken { sent: true }
+        } else {
+            Event::Replied
+        };
+        let answer = match effect.take(event) {
+            Action::Record => Answer::Service {
+                status: 200,
+                body: format!("receipt {number}"),
+            },
+            Action::RecordUnknown => Answer::Unknown {
+                message: "cut".to_owned(),
+            },
+            _ => {
+                self.vms[vm].runs.insert(index, run);
+                return;
+            }
+        };
+        run.awaits = Some(self.push(vm, run.epoch, done(index, &run, Vec::new(), answer)));
+        self.vms[vm].runs.insert(index, run);
+    }
+
+    fn settle(&mut self, vm: usize) {
+        let state = &self.vms[vm];
+        let Some(epoch) = state.epoch.filter(|_| !state.paused) else {
+            return;
+        };
+        for index in 0..2 {
+            let state = &self.vms[vm];
+            let busy = state.runs.contains_key(&index)
+                || state.settling.iter().any(|(program, _)| *program == index);
+            let Ok(table) = state.table.get(program(index)) else {
+                continue;
+            };
+            let Some(intent) = table.intent.clone().filter(|_| !busy) else {
+                continue;
+            };
+            self.seen.unknown += 1;
+            let body = Body::Done {
+                program: program(index),
+                call: intent.call,
+                digest: intent.digest,
+                messages: Vec::new(),
+                answer: Answer::Unknown {
+                    message: "lost".to_owned(),
+                },
+            };
+            let sequence = self.push(vm, epoch, body);
+            self.vms[vm].settling.insert((index, sequence));
+        }
+    }
+
+    fn tell(&mut self, index: usize, call: Call, answer: &Answer) {
+        self.seen.answered += 1;
+        let first = self
+            .told
+            .entry((index, call))
+            .or_insert_with(|| answer.clone());
+        if first != answer {
+            self.broken = Some(format!("call {call} was told {first:?}, then {answer:?}"));
+        }
+    }
+}
+
+fn done(index: usize, run: &Run, messages: Vec<Message>, answer: Answer) -> Body {
+    let (call, digest) = (run.call, run.digest);
+    Body::Done {
+        program: program(index),
+        call,
+        digest,
+        messages,
+        answer,
+    }
+}
+
+fn question() -> Message {
+    Message {
+        role: "user".into(),
+        content: "question".into(),
+    }
+}
