--- /dev/null
+++ b/examples/policy.rs
@@ -0,0 +1,78 @@
+//! A pool grants permits: the call with the least slack first, and to the engine with its cache.
+//!
+//!     cargo run --example policy
+
+use std::time::Duration;
+use tokio::time::Instant;
+use vanillatrail::id::{Permit, Program, Server, Shard, Tokens};
+use vanillatrail::policy::{Action, Ask, Outcome, Pool};
+
+fn ask(program: u128, slack_ms: i64) -> Ask {
+    Ask {
+        program: Program::new(Shard(0), program),
+        class: None,
+        slack_ms,
+        remaining_ms: 500,
+        prompt: Tokens(400),
+        max_tokens: Tokens(50),
+        resident: Vec::new(),
+        avoid: Vec::new(),
+        zone: None,
+    }
+}
+
+fn granted(actions: &[Action]) -> Vec<(Permit, Server)> {
+    let grants = actions.iter().filter_map(|action| match action {
+        Action::Grant(permit, server) => Some((*permit, server.clone())),
+        _ => None,
+    });
+    grants.collect()
+}
+
+fn main() {
+    let mut now = Instant::now();
+    let mut pool = Pool::default();
+    let engines: Vec<Server> = ["engine-1", "engine-2"]
+        .map(|name| name.parse().expect("a name"))
+        .to_vec();
+    pool.configure(&engines);
+
+    // More calls than both windows hold, with less slack the later they come.
+    let mut running = Vec::new();
+    for number in 0_u32..200 {
+        let slack_ms = 10_000 - 40 * i64::from(number);
+        let call = ask(u128::from(number), slack_ms);
+        let actions = pool.ask(now, Permit(u64::from(number)), call);
+        running.extend(granted(&actions));
+    }
+    let (waiting, _) = pool.load();
+    println!("{} calls run, {waiting} wait", running.len());
+    assert!(waiting > 0);
+
+    let (permit, server) = running.remove(0);
+    now += Duration::from_millis(300);
+    let outcome = Outcome {
+        first_ms: 30.0,
+        rest_ms: 250.0,
+        prompt: Tokens(400),
+        completion: Tokens(50),
+        ..Outcome::default()
+    };
+    let next = granted(&pool.done(now, permit, Some(&outcome)));
+    println!(
+        "{server} is done with call {permit}; next is call {}",
+        next[0].0
+    );
+    assert!(
+        next[0].0.0 > 100,
+        "a late call with little slack goes first"
+    );
+
+    pool.leave(&engines[0]);
+    for (permit, _) in running.into_iter().chain(next) {
+        for (_, server) in granted(&pool.done(now, permit, Some(&outcome))) {
+            assert_eq!(server, engines[1]);
+        }
+    }
+    println!("{} is leaving: it was given nothing more", engines[0]);
+}
--- /dev/null
+++ b/examples/program.rs
@@ -0,0 +1,73 @@
+//! Folds the records of a program and decides on its calls: order, answers kept, budget.
+//!
+//!     cargo run --example program
+
+use vanillatrail::code::Code;
+use vanillatrail::id::{Call, Digest, Program, Shard, Tokens};
+use vanillatrail::journal::Body;
+use vanillatrail::program::{Admission, Answer, Budget, Message, Table, Usage};
+
+fn main() {
+    let id = Program::new(Shard(3), 7);
+    let mut table = Table::default();
+    table.apply(&Body::Opened {
+        program: id,
+        key: "order-7".to_owned(),
+        class: "quick".parse().expect("a name"),
+        budget: Budget {
+            tokens: Tokens(100),
+            calls: None,
+        },
+        at_ms: 0,
+    });
+
+    let digest = Digest::of(b"which levy?");
+    let program = table.get(id).expect("it was opened");
+    assert_eq!(program.admit(Call(1), digest), Admission::Run);
+    assert_eq!(program.admit(Call(2), digest), Admission::Wait);
+    println!("call 1 runs, call 2 waits for it");
+
+    let answer = Answer::Model {
+        text: "the car levy".into(),
+        usage: Usage {
+            prompt: Tokens(3),
+            cached: Tokens(0),
+            completion: Tokens(4),
+        },
+        server: "engine-1".parse().expect("a name"),
+    };
+    let question = Message {
+        role: "user".to_owned(),
+        content: "which levy?".into(),
+    };
+    table.apply(&Body::Begun {
+        program: id,
+        call: Call(1),
+        reserve: Tokens(40),
+        server: "engine-1".parse().expect("a name"),
+    });
+    println!(
+        "while call 1 runs, {} tokens are set aside",
+        table.get(id).expect("open").used()
+    );
+    table.apply(&Body::Done {
+        program: id,
+        call: Call(1),
+        digest,
+        messages: vec![question.clone()],
+        answer: answer.clone(),
+    });
+
+    let program = table.get(id).expect("it was opened");
+    assert_eq!(program.admit(Call(1), digest), Admission::Kept(answer));
+    println!(
+        "call 1 again gives the kept answer; {} tokens are spent",
+        program.used()
+    );
+    let other = program.admit(Call(1), Digest::of(b"another body"));
+    assert!(matches!(other, Admission::Refuse(failure) if failure.code == Code::CallConflict));
+    let refused = program
+        .reserve(&[question], Tokens(500))
+        .expect_err("over the budget");
+    println!("a call that could take too much: {refused}");
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,20 @@
 //! A scheduler for agent programs whose callers are impatient, and the coordination parts that it
 //! is built from.
+//!
+//! The parts decide and do no I/O: events and the time come in, verdicts and actions go out. Each
+//! can be embedded without the daemon, and each has an example in `examples/` that runs without a
+//! network.
+//!
+//! | Part | Decides | Example |
+//! |---|---|---|
+//! | [`journal`] | how records are written to a log and read back | `journal` |
+//! | [`ownership`] | which VM owns a shard, by the order of the log alone | `ownership` |
+//! | [`program`] | the order of calls, the history, the budget and the kept answers | `program` |
+//! | [`effect`] | whether a call that must not be repeated may be sent | `effect` |
+//! | [`config`] | which change of the configuration counts | `config` |
+//! | [`policy`] | which call goes to which backend server, and when | `policy` |
+//! | [`member`] | which VMs are alive, and what they say of themselves | `member` |
+//! | [`order`] | which orders an engine is given to reach its wanted state | |
 
 pub mod cli;
 pub mod code;
