--- a/src/command/state.rs
+++ b/src/command/state.rs
@@ -59,8 +59,11 @@
     );
     for (pool, queue) in state["dispatch"].as_object().into_iter().flatten() {
         let waiting = plain(&queue["waiting"]);
-        let running = &queue["running"];
-        let _ = writeln!(text, "  {pool}: {waiting} waiting, running {running}");
+        let (running, window) = (&queue["running"], queue["window"].as_f64().unwrap_or(0.0));
+        let _ = writeln!(
+            text,
+            "  {pool}: {waiting} waiting, running {running}, window {window:.1}"
+        );
     }
     text
 }
--- a/src/dispatch/duty.rs
+++ b/src/dispatch/duty.rs
@@ -225,7 +225,7 @@
             let (waiting, running) = queue.pool.load();
             (
                 key.to_string(),
-                json!({ "waiting": waiting, "running": running }),
+                json!({ "waiting": waiting, "running": running, "window": queue.pool.window() }),
             )
         });
         dump.collect()
