Give owners the slack of whole programs, and refuse at a program's start

Cause: the daemon told the queue only the time left of the target, nothing of what remains, so the new band of calls that only fill took every call; programs were refused only by a fixed count.

Change: policy::forecast holds the owner's side (estimates, gate, pauses) and is what both the owner and the benchmark use. A grant carries the rates that its dispatcher measured; each owner promises an equal share of them and refuses a program that could not make its target, with a time to come back. Programs met after a takeover teach what they do from there on. A call of which nothing is known does not only fill. The benchmark gained the ablation and changed targets; the fault of a lost VM now loses every owner's forecast with the queue.

--- a/benches/policy/main.rs
+++ b/benches/policy/main.rs
@@ -4,6 +4,7 @@
 
 mod arrival;
 mod assume;
+mod change;
 mod engine;
 mod fault;
 mod goal;
@@ -37,6 +38,9 @@
     /// Leave out the runs with faults.
     #[arg(long)]
     no_faults: bool,
+    /// Only ours, whole and with each part switched off in turn.
+    #[arg(long)]
+    ablate: bool,
     /// Seconds over which programs arrive.
     #[arg(long)]
     horizon: Option<f64>,
@@ -65,13 +69,20 @@
         jobs: options.jobs,
         tables: !options.check,
     };
-    let cases = run::cases(
-        options.load,
-        options.scenario.as_deref(),
-        !options.no_faults,
-    );
+    let cases = if options.ablate {
+        run::ablation()
+    } else {
+        run::cases(
+            options.load,
+            options.scenario.as_deref(),
+            !options.no_faults,
+        )
+    };
     let results = run::all(&plan, &cases);
-    let lines = goal::lines(&results);
+    let mut lines = goal::lines(&results);
+    if !options.ablate && options.load.is_none() && options.scenario.is_none() {
+        lines.extend(change::lines(&plan));
+    }
     if options.json {
         let rows: Vec<_> = results
             .iter()
--- a/benches/policy/ours.rs
+++ b/benches/policy/ours.rs
@@ -5,71 +5,75 @@
 use std::collections::HashMap;
 use std::time::Duration;
 use tokio::time::Instant;
-use vanillatrail::id::{Class, Permit, Program, Server, Shard, Tokens};
-use vanillatrail::policy::admit::Gate;
-use vanillatrail::policy::estimate::{Estimator, Rest, Track};
+use vanillatrail::id::{Permit, Program, Server, Shard, Tokens};
+use vanillatrail::policy::forecast::{Forecast, Start, Urgency};
 use vanillatrail::policy::{Action, Ask, Outcome, Pool};
 
-/// The quantile of what remains that slack counts with.
-const QUANTILE: f64 = 0.6;
-/// Share of the target that an unknown program is taken to need.
-const UNKNOWN: f64 = 0.3;
-
-/// Share of the remaining time past which a program is taken as late.
-const LATE: f64 = 0.7;
+/// Parts that can be switched off to see what each buys.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Part {
+    /// Refusal at a program's start.
+    Gate,
+    /// Estimates of what remains: slack is the target less the time elapsed.
+    Estimates,
+    /// Calls with much slack only fill.
+    Fill,
+    /// Cache is exported and imported.
+    Exports,
+    /// The cache of ended programs is evicted.
+    Evictions,
+}
 
-struct Live {
-    class: usize,
-    parent: Option<usize>,
-    opened: Instant,
-    track: Track,
-    paused: Option<Instant>,
-    engines: Vec<usize>,
+impl Part {
+    pub const ALL: [Self; 5] = [
+        Self::Gate,
+        Self::Estimates,
+        Self::Fill,
+        Self::Exports,
+        Self::Evictions,
+    ];
 }
 
 /// The scheduler of this project.
 pub struct Ours {
     pool: Pool,
-    gate: Gate,
-    estimator: Estimator,
+    forecast: Forecast,
+    scenario: &'static Scenario,
     servers: Vec<Server>,
-    classes: Vec<Class>,
     targets: Vec<f64>,
-    waiting: Vec<bool>,
-    turn_limits: Vec<usize>,
-    live: HashMap<usize, Live>,
-    pauses: Vec<f64>,
+    without: Option<Part>,
+    /// Engines that hold cache, newest first, by program.
+    engines: HashMap<usize, Vec<usize>>,
+    /// What the log would tell a successor of each program under way.
+    started: HashMap<usize, Start>,
 }
 
 fn id(program: usize) -> Program {
     Program::new(Shard(0), program as u128)
 }
 
-fn pool(servers: &[Server]) -> Pool {
-    let mut pool = Pool::default().with_exports();
+fn pool(servers: &[Server], without: Option<Part>) -> Pool {
+    let mut pool = Pool::default();
+    if without != Some(Part::Exports) {
+        pool = pool.with_exports();
+    }
     pool.configure(servers);
     pool
 }
 
 impl Ours {
-    pub fn new(scenario: &Scenario) -> Self {
+    pub fn new(scenario: &'static Scenario, without: Option<Part>) -> Self {
         let name = |index| format!("engine-{index}").parse().expect("a plain name");
         let servers: Vec<Server> = (0..scenario.engines).map(name).collect();
-        let classes = scenario.classes;
         Self {
-            pool: pool(&servers),
-            gate: Gate::default(),
-            estimator: Estimator::default(),
+            pool: pool(&servers, without),
+            forecast: Forecast::default(),
+            scenario,
+            targets: scenario.classes.iter().map(|class| class.target).collect(),
             servers,
-            classes: classes
-                .iter()
-                .map(|class| class.name.parse().expect("a plain name"))
-                .collect(),
-            targets: classes.iter().map(|class| class.target).collect(),
-            waiting: classes.iter().map(|class| class.waiting).collect(),
-            turn_limits: classes.iter().map(|class| class.turn_limit).collect(),
-            live: HashMap::new(),
-            pauses: vec![1.0; classes.len()],
+            without,
+            engines: HashMap::new(),
+            started: HashMap::new(),
         }
     }
 
@@ -94,107 +98,64 @@
         let digits = text.split_once('-')?.1;
         usize::from_str_radix(digits, 16)
             .ok()
-            .filter(|number| self.live.contains_key(number))
-    }
-
-    /// What remains of a class after so many answers.
-    fn rest(&self, class: usize, answers: usize) -> Rest {
-        let known = self.estimator.rest(&self.classes[class], answers, QUANTILE);
-        known.unwrap_or_else(|| Rest {
-            time: Duration::from_secs_f64((self.targets[class] * UNKNOWN).min(30.0)),
-            work_ms: 0.0,
-        })
-    }
-
-    /// What remains of a program and of those that wait for it.
-    fn whole(&self, program: usize) -> Rest {
-        let live = &self.live[&program];
-        let mut rest = self.rest(live.class, live.track.answers());
-        if let Some(parent) = live.parent {
-            let parent = self.whole(parent);
-            rest.time += parent.time;
-            rest.work_ms += parent.work_ms;
+            .filter(|number| self.started.contains_key(number))
+    }
+
+    fn start(&self, opening: &Opening) -> Start {
+        let class = &self.scenario.classes[opening.class];
+        let target = Duration::from_secs_f64(self.targets[opening.class]);
+        Start {
+            class: class.name.parse().expect("a plain name"),
+            parent: opening.parent.map(id),
+            target,
+            deadline: Instant::now() + target,
+            waiting: class.waiting,
+            answers: 0,
         }
-        rest
-    }
-
-    fn root(&self, program: usize) -> usize {
-        self.live[&program]
-            .parent
-            .map_or(program, |parent| self.root(parent))
-    }
-
-    fn deadline(&self, root: usize) -> Instant {
-        let live = &self.live[&root];
-        live.opened + Duration::from_secs_f64(self.targets[live.class])
     }
 
-    fn promise(&mut self, program: usize) {
-        let root = self.root(program);
-        let live = &self.live[&root];
-        let (class, answers) = (live.class, live.track.answers());
-        let rest = self.rest(class, answers);
-        let (deadline, now) = (self.deadline(root), Instant::now());
-        self.gate.promise(now, id(root), deadline, rest.work_ms);
+    fn urgency(&mut self, program: usize) -> Urgency {
+        let found = self.forecast.urgency(Instant::now(), id(program));
+        let mut urgency = found.expect("the program has started");
+        let rest = i64::try_from(urgency.remaining_ms).unwrap_or(i64::MAX);
+        match self.without {
+            Some(Part::Estimates) => {
+                urgency.slack_ms += rest;
+                urgency.remaining_ms = 0;
+            }
+            Some(Part::Fill) => urgency.slack_ms = urgency.slack_ms.min(5 * rest),
+            _ => {}
+        }
+        urgency
     }
 }
 
-#[expect(clippy::cast_possible_truncation, reason = "milliseconds of a run")]
-fn millis(seconds: f64) -> i64 {
-    (seconds * 1000.0) as i64
-}
-
 impl Scheduler for Ours {
     fn open(&mut self, opening: &Opening) -> bool {
-        let now = Instant::now();
-        let live = Live {
-            class: opening.class,
-            parent: opening.parent,
-            opened: now,
-            track: Track::default(),
-            paused: None,
-            engines: Vec::new(),
-        };
-        if opening.parent.is_none() && self.waiting[opening.class] {
-            let work = self.rest(opening.class, 0).work_ms;
-            let deadline = now + Duration::from_secs_f64(self.targets[opening.class]);
-            let capacity = self.pool.capacity();
-            if self.gate.admit(now, deadline, work, capacity).is_err() {
-                return false;
-            }
+        let (now, start) = (Instant::now(), self.start(opening));
+        self.forecast.rates(self.pool.rates());
+        let refused = self.forecast.admit(now, &start, 1.0).is_err();
+        if refused && self.without != Some(Part::Gate) {
+            return false;
         }
-        self.live.insert(opening.program, live);
-        self.promise(opening.program);
+        self.started.insert(opening.program, start.clone());
+        self.forecast.start(now, id(opening.program), start);
         true
     }
 
     fn ask(&mut self, request: &Request) -> Vec<Order> {
-        let rest = self.whole(request.program);
-        let deadline = self.deadline(request.root);
-        let left = deadline
-            .saturating_duration_since(Instant::now())
-            .as_secs_f64()
-            - Instant::now()
-                .saturating_duration_since(deadline)
-                .as_secs_f64();
-        let slack = left - rest.time.as_secs_f64();
-        self.promise(request.program);
-        if slack < -LATE * rest.time.as_secs_f64() && self.waiting[self.live[&request.root].class] {
-            self.gate.late(id(request.root));
-        }
+        let urgency = self.urgency(request.program);
         let name = |engine: &usize| self.servers[*engine].clone();
+        let engines = self.engines.get(&request.program);
+        let class = self.scenario.classes[request.class].name;
         let ask = Ask {
             program: id(request.program),
-            class: Some(self.classes[request.class].clone()),
-            slack_ms: millis(slack),
-            remaining_ms: u64::try_from(rest.time.as_millis()).unwrap_or(u64::MAX),
+            class: class.parse().ok(),
+            slack_ms: urgency.slack_ms,
+            remaining_ms: urgency.remaining_ms,
             prompt: Tokens(request.prompt),
             max_tokens: Tokens(request.max_tokens),
-            resident: self.live[&request.program]
-                .engines
-                .iter()
-                .map(name)
-                .collect(),
+            resident: engines.into_iter().flatten().map(name).collect(),
             avoid: request.avoid.iter().map(name).collect(),
             zone: None,
         };
@@ -203,25 +164,19 @@
     }
 
     fn done(&mut self, report: &Report) -> Vec<Order> {
-        let fresh = (report.prompt - report.cached) as f64;
-        let window = self.pool.window();
-        let work = self
-            .pool
-            .pace()
-            .work_ms(window, fresh, report.generated as f64);
-        if !report.failed
-            && let Some(live) = self.live.get_mut(&report.program)
-        {
-            live.engines.retain(|engine| *engine != report.engine);
-            live.engines.insert(0, report.engine);
-            let took = Duration::from_secs_f64(report.first + report.rest);
-            live.track.answer(took, work);
-            let root = self.root(report.program);
-            if root != report.program
-                && let Some(live) = self.live.get_mut(&root)
-            {
-                live.track.add_work(work);
+        let now = Instant::now();
+        if !report.failed {
+            let engines = self.engines.entry(report.program).or_default();
+            engines.retain(|engine| *engine != report.engine);
+            engines.insert(0, report.engine);
+            if let Some(start) = self.started.get_mut(&report.program) {
+                start.answers += 1;
             }
+            let took = Duration::from_secs_f64(report.first + report.rest);
+            let fresh = report.prompt - report.cached;
+            self.forecast.rates(self.pool.rates());
+            self.forecast
+                .answered(now, id(report.program), took, fresh, report.generated);
         }
         let outcome = Outcome {
             failed: report.failed,
@@ -231,52 +186,26 @@
             cached: Tokens(report.cached),
             completion: Tokens(report.generated),
         };
-        let permit = Permit(report.id);
-        let actions = self.pool.done(Instant::now(), permit, Some(&outcome));
+        let actions = self.pool.done(now, Permit(report.id), Some(&outcome));
         self.orders(actions)
     }
 
     fn pause(&mut self, program: usize) -> Vec<Order> {
-        let now = Instant::now();
-        let Some(live) = self.live.get_mut(&program) else {
-            return Vec::new();
-        };
-        live.paused = Some(now);
-        let pause = Duration::from_secs_f64(self.pauses[live.class]);
-        let actions = self.pool.pause(now, id(program), pause);
+        let pause = self.forecast.pause(id(program));
+        let actions = self.pool.pause(Instant::now(), id(program), pause);
         self.orders(actions)
     }
 
-    fn resume(&mut self, program: usize) {
-        let Some(live) = self.live.get_mut(&program) else {
-            return;
-        };
-        if let Some(since) = live.paused.take() {
-            let took = since.elapsed();
-            live.track.outside(took);
-            let pause = &mut self.pauses[live.class];
-            *pause += 0.05 * (took.as_secs_f64() - *pause);
-        }
-    }
-
-    fn end(&mut self, program: usize) -> Vec<Order> {
+    fn end(&mut self, program: usize, whole: bool) -> Vec<Order> {
         self.pool.ended(id(program));
-        let deadline = self.deadline(program);
-        let Some(live) = self.live.remove(&program) else {
+        self.forecast.ended(Instant::now(), id(program), whole);
+        self.started.remove(&program);
+        let engines = self.engines.remove(&program).unwrap_or_default();
+        if self.without == Some(Part::Evictions) {
             return Vec::new();
-        };
-        if live.track.answers() < self.turn_limits[live.class] {
-            self.estimator.ended(&self.classes[live.class], &live.track);
-        }
-        if live.parent.is_none() {
-            if self.waiting[live.class] {
-                self.gate.ended(id(program), Instant::now() <= deadline);
-            } else {
-                self.gate.drop(id(program));
-            }
         }
         let evict = |engine| Order::Evict { engine, program };
-        live.engines.into_iter().map(evict).collect()
+        engines.into_iter().map(evict).collect()
     }
 
     fn dropped(&mut self, engine: usize, program: usize) {
@@ -284,11 +213,14 @@
     }
 
     fn lose(&mut self) {
-        self.pool = pool(&self.servers);
-        self.gate = Gate::default();
-        self.estimator = Estimator::default();
-        for live in self.live.values_mut() {
-            live.engines.truncate(4);
+        // Harsher than one VM of many: every owner's forecast is lost with the queue.
+        self.pool = pool(&self.servers, self.without);
+        self.forecast = Forecast::default();
+        let mut started: Vec<_> = self.started.iter().collect();
+        started.sort_by_key(|(program, _)| **program);
+        for (program, start) in started {
+            self.forecast
+                .start(Instant::now(), id(*program), start.clone());
         }
     }
 
--- a/benches/policy/report.rs
+++ b/benches/policy/report.rs
@@ -118,7 +118,8 @@
     }
 }
 
-fn median(mut values: Vec<f64>) -> f64 {
+/// The middle of some figures.
+pub fn median(mut values: Vec<f64>) -> f64 {
     values.sort_by(f64::total_cmp);
     let middle = values.len() / 2;
     if values.len() % 2 == 1 {
--- a/benches/policy/run.rs
+++ b/benches/policy/run.rs
@@ -3,7 +3,7 @@
 use crate::arrival::{self, Plan as Program};
 use crate::assume::{SCENARIOS, Scenario};
 use crate::fault::Fault;
-use crate::ours::Ours;
+use crate::ours::{Ours, Part};
 use crate::report::{self, Rows};
 use crate::scheduler::{Affinity, RoundRobin, Scheduler, Shortest};
 use crate::world::{Fate, Outcome, Retarget, World};
@@ -23,6 +23,8 @@
     Affinity,
     Shortest,
     Ours,
+    /// Ours with one part switched off.
+    Without(Part),
     /// Each program alone on an idle pool.
     Alone,
 }
@@ -40,7 +42,12 @@
 
 impl fmt::Display for Kind {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
+        f.pad(match self {
+            Self::Without(Part::Gate) => "no gate",
+            Self::Without(Part::Estimates) => "no estimate",
+            Self::Without(Part::Fill) => "no fill",
+            Self::Without(Part::Exports) => "no export",
+            Self::Without(Part::Evictions) => "no evict",
             Self::RoundRobin => "round-robin",
             Self::Affinity => "affinity",
             Self::Shortest => "shortest",
@@ -120,6 +127,25 @@
     cases
 }
 
+/// Ours as it is and with each part switched off in turn.
+pub fn ablation() -> Vec<Case> {
+    let kinds = Part::ALL.map(Kind::Without);
+    let mut cases = Vec::new();
+    for scenario in &SCENARIOS {
+        for load in LOADS.iter().copied().filter(|load| *load > 0.6) {
+            let case = |kind| Case {
+                scenario,
+                load,
+                fault: None,
+                kind,
+            };
+            cases.push(case(Kind::Ours));
+            cases.extend(kinds.map(case));
+        }
+    }
+    cases
+}
+
 /// Runs every case with every seed.
 pub fn all(plan: &Plan, cases: &[Case]) -> Results {
     let seeds: Vec<u64> = (plan.first_seed..plan.first_seed + plan.seeds).collect();
@@ -164,7 +190,17 @@
         Kind::RoundRobin => simulate(case, RoundRobin::new(engines), plans, horizon, retarget),
         Kind::Affinity => simulate(case, Affinity::new(engines), plans, horizon, retarget),
         Kind::Shortest => simulate(case, Shortest::new(engines), plans, horizon, retarget),
-        Kind::Ours => simulate(case, Ours::new(case.scenario), plans, horizon, retarget),
+        Kind::Ours => simulate(
+            case,
+            Ours::new(case.scenario, None),
+            plans,
+            horizon,
+            retarget,
+        ),
+        Kind::Without(part) => {
+            let ours = Ours::new(case.scenario, Some(part));
+            simulate(case, ours, plans, horizon, retarget)
+        }
         Kind::Alone => alone(plans),
     }
 }
--- a/benches/policy/scheduler.rs
+++ b/benches/policy/scheduler.rs
@@ -8,8 +8,6 @@
 pub struct Request {
     pub id: u64,
     pub program: usize,
-    /// The program that a caller opened, whose latency counts.
-    pub root: usize,
     pub class: usize,
     pub turn: usize,
     pub prompt: u64,
@@ -60,10 +58,8 @@
     fn pause(&mut self, _program: usize) -> Vec<Order> {
         Vec::new()
     }
-    /// The tool has answered.
-    fn resume(&mut self, _program: usize) {}
-    /// The program has ended.
-    fn end(&mut self, _program: usize) -> Vec<Order> {
+    /// The program has ended; `whole` when by itself and not by its limit of turns.
+    fn end(&mut self, _program: usize, _whole: bool) -> Vec<Order> {
         Vec::new()
     }
     /// An engine reports, late, that it has dropped the cache of a program.
--- a/benches/policy/world.rs
+++ b/benches/policy/world.rs
@@ -179,7 +179,6 @@
             Event::Arrive(program) => self.arrive(program),
             Event::Engine(engine, generation) => self.engine(engine, generation),
             Event::Resume(program) => {
-                self.scheduler.resume(program);
                 self.call(program);
             }
             Event::Ask(call) => self.ask(call),
@@ -218,12 +217,6 @@
         }
     }
 
-    fn root(&self, program: usize) -> usize {
-        self.plans[program]
-            .parent
-            .map_or(program, |parent| self.root(parent))
-    }
-
     fn call(&mut self, program: usize) {
         let turn = self.fates[program].turn;
         let plan = &self.plans[program];
@@ -231,7 +224,6 @@
         let request = Request {
             id: self.next_call,
             program,
-            root: self.root(program),
             class: plan.class,
             turn,
             prompt: plan.turns[turn].prompt,
@@ -405,12 +397,12 @@
         for engine in &mut self.engines {
             engine.ended(self.now, program);
         }
-        let orders = self.scheduler.end(program);
+        let whole = !self.plans[program].loops;
+        let orders = self.scheduler.end(program, whole);
         self.carry_out(orders);
         if let Some(parent) = self.plans[program].parent {
             self.fates[parent].children -= 1;
             if self.fates[parent].children == 0 {
-                self.scheduler.resume(parent);
                 self.call(parent);
             }
         }
--- a/src/dispatch/duty.rs
+++ b/src/dispatch/duty.rs
@@ -5,6 +5,7 @@
 use crate::config::{Engine, Snapshot};
 use crate::id::{Permit, Server};
 use crate::member::View;
+use crate::policy::pace::Rates;
 use crate::policy::{Action, Ask, Outcome, Pool};
 use crate::telemetry::event;
 use serde_json::json;
@@ -42,6 +43,7 @@
 struct Queue {
     pool: Pool,
     servers: Vec<Engine>,
+    rates: Rates,
     replies: BTreeMap<Permit, oneshot::Sender<Result<Grant, Failure>>>,
 }
 
@@ -50,6 +52,7 @@
         let mut actions = std::collections::VecDeque::from(actions);
         while let Some(action) = actions.pop_front() {
             match action {
+                // Not asked for: the engines' adapter cannot export yet.
                 Action::Export(..) => {}
                 Action::Refuse(permit, failure) => {
                     if let Some(reply) = self.replies.remove(&permit) {
@@ -68,6 +71,7 @@
                                         permit,
                                         server,
                                         address,
+                                        rates: self.rates,
                                     }))
                                     .is_ok()
                             });
@@ -89,10 +93,12 @@
         let names = self.servers.iter().map(|engine| engine.name.clone());
         let names: Vec<_> = names.filter(|name| !view.leaving.contains(name)).collect();
         self.pool.configure(&names);
+        self.rates = self.pool.rates();
     }
 
     /// Drops the calls whose owner has gone, and grants what can be granted.
     fn tick(&mut self, now: Instant) {
+        self.rates = self.pool.rates();
         let closed = self.replies.iter().filter(|(_, reply)| reply.is_closed());
         let closed: Vec<Permit> = closed.map(|(permit, _)| *permit).collect();
         for permit in closed {
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) use duty::{Command, Context, run};
 
 use crate::id::{Model, Permit, Server, Service};
+use crate::policy::pace::Rates;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::net::SocketAddr;
@@ -38,4 +39,5 @@
     pub(crate) permit: Permit,
     pub(crate) server: Server,
     pub(crate) address: SocketAddr,
+    pub(crate) rates: Rates,
 }
--- a/src/owner/duty.rs
+++ b/src/owner/duty.rs
@@ -10,6 +10,7 @@
 use crate::journal::{Body, Command, Event, Id, Numbers, Record, stream_of};
 use crate::member::{Beat, View};
 use crate::ownership::{Claimer, Ledger, Sighting, Verdict};
+use crate::policy::forecast::Forecast;
 use crate::program::Table;
 use crate::telemetry::{Metrics, event};
 use serde_json::{Value, json};
@@ -99,6 +100,7 @@
     pub(super) busy: RefCell<HashSet<String>>,
     /// Rung after each change of a table, a run or a claim.
     pub(super) changed: Notify,
+    pub(super) forecast: RefCell<Forecast>,
     pub(super) engines: backend::Engines,
     pub(super) services: backend::Services,
     numbers: RefCell<Numbers>,
@@ -122,6 +124,7 @@
         runs: RefCell::default(),
         busy: RefCell::default(),
         changed: Notify::new(),
+        forecast: RefCell::default(),
         engines: backend::Engines::new(),
         services: backend::Services::new(),
         numbers: RefCell::new(Numbers::new(context.streams)),
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -8,6 +8,7 @@
 mod serve;
 mod service;
 mod spawn;
+mod urgency;
 
 pub(crate) use duty::{Context, run};
 
--- a/src/owner/model.rs
+++ b/src/owner/model.rs
@@ -1,6 +1,6 @@
 //! A model call: its reserve in the log, its stream, its settlement.
 
-use super::duty::{Owner, not_owner, wall_ms};
+use super::duty::{Owner, not_owner};
 use super::run::Work;
 use crate::backend;
 use crate::code::{Code, Failure, Ran};
@@ -123,14 +123,13 @@
             .chain(&prompt.messages)
             .cloned()
             .collect();
-        let elapsed = wall_ms().saturating_sub(program.opened_ms);
-        let target = i64::try_from(work.class.target_ms).unwrap_or(i64::MAX);
+        let urgency = self.urgency(program, &work.class);
         let bytes: usize = messages.iter().map(|message| message.content.len()).sum();
         let ask = Ask {
             program: id,
             class: Some(program.class.clone()),
-            slack_ms: target.saturating_sub(i64::try_from(elapsed).unwrap_or(i64::MAX)),
-            remaining_ms: 0,
+            slack_ms: urgency.slack_ms,
+            remaining_ms: urgency.remaining_ms,
             prompt: Tokens(bytes as u64 / 4),
             max_tokens: prompt.max_tokens,
             resident: program.resident.iter().cloned().collect(),
@@ -191,6 +190,11 @@
         if let Ok(usage) = &usage {
             outcome.prompt = usage.prompt;
             outcome.cached = usage.cached;
+            let fresh = usage.prompt.0.saturating_sub(usage.cached.0);
+            let mut forecast = self.forecast.borrow_mut();
+            forecast.rates(lease.grant.rates);
+            let (now, made) = (Instant::now(), usage.completion.0);
+            forecast.answered(now, run.program, now - sent, fresh, made);
         }
         lease.done(outcome).await;
         match usage {
--- a/src/owner/serve.rs
+++ b/src/owner/serve.rs
@@ -111,6 +111,8 @@
             return Err(Failure::refused(Code::TooManyPrograms, message)
                 .retry_after(Duration::from_secs(2)));
         }
+        self.gate(&class, open)?;
+        let opened_class = class.clone();
         let program = Program::new(shard, rand::random());
         let body = Body::Opened {
             program,
@@ -120,6 +122,7 @@
             at_ms: wall_ms(),
         };
         self.append(shard, epoch, body).await?;
+        self.opened_program(program, &opened_class);
         Ok(json!({ "program": program }))
     }
 
@@ -275,6 +278,8 @@
             self.busy.borrow_mut().remove(&end_gate(id));
             self.changed.notify_waiters();
             ended?;
+            let (now, whole) = (Instant::now(), reason.is_none());
+            self.forecast.borrow_mut().ended(now, id, whole);
         }
     }
 
--- a/src/owner/service.rs
+++ b/src/owner/service.rs
@@ -1,6 +1,6 @@
 //! A call of a plain service, and what keeps one that must not be repeated to one sending.
 
-use super::duty::{Owner, Receipt, not_owner, wall_ms};
+use super::duty::{Owner, Receipt, not_owner};
 use super::run::{Run, Work, unavailable};
 use crate::backend;
 use crate::code::{Code, Failure, Ran};
@@ -208,13 +208,12 @@
             .get(&id.shard())
             .ok_or_else(|| not_owner(id.shard()))?;
         let program: &program::Program = held.table.get(id)?;
-        let elapsed = wall_ms().saturating_sub(program.opened_ms);
-        let target = i64::try_from(work.class.target_ms).unwrap_or(i64::MAX);
+        let urgency = self.urgency(program, &work.class);
         Ok(Ask {
             program: id,
             class: Some(program.class.clone()),
-            slack_ms: target.saturating_sub(i64::try_from(elapsed).unwrap_or(i64::MAX)),
-            remaining_ms: 0,
+            slack_ms: urgency.slack_ms,
+            remaining_ms: urgency.remaining_ms,
             prompt: Tokens(0),
             max_tokens: Tokens(0),
             resident: Vec::new(),
--- a/src/policy/estimate.rs
+++ b/src/policy/estimate.rs
@@ -44,6 +44,15 @@
 }
 
 impl Track {
+    /// A program met again after so many answers, whose past is not known.
+    #[must_use]
+    pub fn after(answers: usize) -> Self {
+        Self {
+            answers,
+            ..Self::default()
+        }
+    }
+
     /// Takes in an answer: how long the engine took, and the engine time that it cost.
     pub fn answer(&mut self, took: Duration, work_ms: f64) {
         self.mark();
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -6,6 +6,7 @@
 pub mod ask;
 pub mod cache;
 pub mod estimate;
+pub mod forecast;
 pub mod pace;
 pub mod pool;
 mod queue;
--- a/src/policy/pace.rs
+++ b/src/policy/pace.rs
@@ -1,5 +1,7 @@
 //! How fast the engines of a pool are, learned from the calls that they finished.
 
+use serde::{Deserialize, Serialize};
+
 /// Weight of the newest call in the learned averages.
 const NEWEST: f64 = 0.02;
 /// Weight of the newest call in the speed of one server.
@@ -125,11 +127,31 @@
         let (alone, step) = self.line();
         (stretch - 1.0) * alone / step
     }
+}
+
+/// What a pool gives, as its dispatcher tells those that use it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Rates {
+    /// Engine time of a prompt token that is not cached, in milliseconds.
+    pub prefill_ms: f64,
+    /// Engine time of a generated token in a full window, in milliseconds.
+    pub token_ms: f64,
+    /// Engine time that the pool gives in each unit of time.
+    pub capacity: f64,
+}
 
-    /// Engine time that a call costs when the engine runs `running` calls, in milliseconds.
+impl Rates {
+    /// Engine time of a call, in milliseconds.
+    ///
+    /// ```
+    /// use vanillatrail::policy::pace::Rates;
+    /// let rates = Rates { prefill_ms: 0.1, token_ms: 2.0, capacity: 10.0 };
+    /// assert!((rates.work_ms(100, 50) - 110.0).abs() < 1e-9);
+    /// ```
     #[must_use]
-    pub fn work_ms(&self, running: f64, fresh: f64, generated: f64) -> f64 {
-        fresh * self.prefill_ms + generated * self.token_ms(running) / running.max(1.0)
+    pub fn work_ms(&self, fresh: u64, generated: u64) -> f64 {
+        fresh as f64 * self.prefill_ms + generated as f64 * self.token_ms
     }
 }
 
--- a/src/policy/pool.rs
+++ b/src/policy/pool.rs
@@ -1,7 +1,7 @@
 //! The queue before the servers of one pool, and the window of each server.
 
 use super::ask::{Action, Ask, Outcome};
-use super::pace::Pace;
+use super::pace::{Pace, Rates};
 use super::queue::{Band, Queue, Waiting};
 use super::server::Server;
 use crate::code::{Code, Failure};
@@ -300,27 +300,21 @@
         (self.queue.len(), running.collect())
     }
 
-    /// How fast the engines are.
+    /// What the pool gives, for those that decide whether a program may start.
     #[must_use]
-    pub const fn pace(&self) -> &Pace {
-        &self.pace
-    }
-
-    /// Engine time that the pool gives in each unit of time.
-    #[must_use]
-    pub fn capacity(&self) -> f64 {
+    pub fn rates(&self) -> Rates {
+        let count = (self.servers.len() as f64).max(1.0);
+        let sizes = self.servers.iter().map(|server| server.size(&self.pace));
+        let window = (sizes.sum::<f64>() / count).max(1.0);
         let usable = self
             .servers
             .iter()
             .filter(|server| !server.leaving && server.rests_until.is_none());
-        usable.map(|server| 1.0 / server.ratio.get().max(1.0)).sum()
-    }
-
-    /// Calls that a server of usual speed is given at a time.
-    #[must_use]
-    pub fn window(&self) -> f64 {
-        let sizes = self.servers.iter().map(|server| server.size(&self.pace));
-        sizes.sum::<f64>() / (self.servers.len() as f64).max(1.0)
+        Rates {
+            prefill_ms: self.pace.prefill_ms(),
+            token_ms: self.pace.token_ms(window) / window,
+            capacity: usable.map(|server| 1.0 / server.ratio.get().max(1.0)).sum(),
+        }
     }
 
     fn wake(&mut self, now: Instant) {
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -46,7 +46,8 @@
     fn band(&self, now: i64) -> (Band, i64) {
         let tightens = self.shifted(-FILLS);
         let late = self.shifted(TOLERANCE);
-        if now <= tightens {
+        // Nothing is known of what remains where it is zero.
+        if self.ask.remaining_ms > 0 && now <= tightens {
             (Band::Fills, tightens)
         } else if now <= late {
             (Band::OnTime, late)
--- a/src/policy/server.rs
+++ b/src/policy/server.rs
@@ -120,6 +120,10 @@
             self.ratio.take(time, pace.token_ms(running));
             pace.token(running, time / self.ratio.get().max(1.0));
         }
+        if end.prompt.0 == 0 {
+            // A plain service: how long it takes says nothing of calls that it queues.
+            return;
+        }
         let expected = fresh * pace.prefill_ms() * self.ratio.get().max(1.0);
         if end.first_ms > QUEUES * expected + QUEUES_MS {
             self.ceiling = (self.ceiling * 0.97).min(running).max(LEAST);
