--- a/src/policy/pool.rs
+++ b/src/policy/pool.rs
@@ -300,12 +300,18 @@
         (self.queue.len(), running.collect())
     }
 
-    /// What the pool gives, for those that decide whether a program may start.
+    /// Calls that a server is given at a time, on average.
     #[must_use]
-    pub fn rates(&self) -> Rates {
+    pub fn window(&self) -> f64 {
         let count = (self.servers.len() as f64).max(1.0);
         let sizes = self.servers.iter().map(|server| server.size(&self.pace));
-        let window = (sizes.sum::<f64>() / count).max(1.0);
+        (sizes.sum::<f64>() / count).max(1.0)
+    }
+
+    /// What the pool gives, for those that decide whether a program may start.
+    #[must_use]
+    pub fn rates(&self) -> Rates {
+        let window = self.window();
         let usable = self
             .servers
             .iter()
