--- a/tests/promise_once.rs
+++ b/tests/promise_once.rs
@@ -115,6 +115,7 @@
             || hold_at(&environment, step),
             |program, owner| kill_at(&environment, step, program, owner),
         );
+        environment.heal();
         match step {
             "intent taken" | "effect" => assert!(told.is_unknown(), "{step}: {}", told.body),
             "outcome taken" => assert_eq!(told.status, 200, "{}", told.body),
@@ -153,6 +154,8 @@
     }
     environment.vms[owner].process.signal("KILL");
     environment.heal();
+    // The next owner is asked before its own records are in the log.
+    environment.faults(environment.log.address, &json!({ "slow_ms": 400 }));
 }
 
 /// The owner is stopped with its intent in the log and is woken after another VM has taken the
