--- /dev/null
+++ b/benches/decision.rs
@@ -0,0 +1,102 @@
+//! What one decision costs: a call asked for, granted and done, beside calls that wait.
+//!
+//! The figure to read is the slope over servers and programs, not a time.
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use std::hint::black_box;
+use std::time::Duration;
+use tokio::time::Instant;
+use vanillatrail::id::{Permit, Program, Server, Shard, Tokens};
+use vanillatrail::policy::admit::Gate;
+use vanillatrail::policy::{Action, Ask, Pool};
+
+const SERVERS: [usize; 3] = [10, 100, 3_600];
+const PROGRAMS: [u64; 3] = [100, 10_000, 87_000];
+/// Enough calls to fill every window.
+const PER_SERVER: u64 = 64;
+
+fn ask(program: u64) -> Ask {
+    Ask {
+        program: Program::new(Shard(0), u128::from(program)),
+        class: None,
+        slack_ms: i64::try_from(program % 60_000).unwrap_or(0),
+        remaining_ms: 20_000,
+        prompt: Tokens(2_000),
+        max_tokens: Tokens(256),
+        resident: Vec::new(),
+        avoid: Vec::new(),
+        zone: None,
+    }
+}
+
+/// A pool whose windows are full and where `waiting` calls wait.
+fn pool(now: Instant, servers: usize, waiting: u64) -> Pool {
+    let mut pool = Pool::default();
+    let name = |index| format!("server-{index}").parse().expect("a plain name");
+    let names: Vec<Server> = (0..servers).map(name).collect();
+    pool.configure(&names);
+    let filling = servers as u64 * PER_SERVER;
+    let mut permit = 0;
+    while pool.load().0 == 0 && permit < filling {
+        // `load` is linear in the servers: it is looked at once for each batch of calls.
+        for _ in 0..servers {
+            permit += 1;
+            pool.ask(now, Permit(permit), ask(permit));
+        }
+    }
+    let missing = waiting.saturating_sub(pool.load().0 as u64);
+    for _ in 0..missing {
+        permit += 1;
+        pool.ask(now, Permit(permit), ask(permit));
+    }
+    pool
+}
+
+fn decisions(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("ask, done, grant");
+    group.sample_size(20);
+    let now = Instant::now();
+    for servers in SERVERS {
+        for waiting in PROGRAMS {
+            let mut pool = pool(now, servers, waiting);
+            let mut next = 1_000_000;
+            let mut running = vec![Permit(1)];
+            let id = BenchmarkId::new(format!("{servers} servers"), waiting);
+            group.bench_function(id, |bencher| {
+                bencher.iter(|| {
+                    next += 1;
+                    black_box(pool.ask(now, Permit(next), ask(next)));
+                    let done = running.pop().expect("each end lets another call start");
+                    let actions = pool.done(now, done, None);
+                    running.extend(actions.iter().filter_map(|action| match action {
+                        Action::Grant(permit, _) => Some(*permit),
+                        _ => None,
+                    }));
+                });
+            });
+        }
+    }
+    group.finish();
+}
+
+fn admissions(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("admit");
+    group.sample_size(20);
+    let now = Instant::now();
+    for programs in PROGRAMS {
+        let mut gate = Gate::default();
+        for program in 0..programs {
+            let by = now + Duration::from_millis(program * 41 % 3_600_000);
+            let id = Program::new(Shard(0), u128::from(program));
+            gate.promise(now, id, by, 1_000.0);
+        }
+        group.bench_function(BenchmarkId::from_parameter(programs), |bencher| {
+            let by = now + Duration::from_mins(1);
+            bencher.iter(|| black_box(gate.admit(now, by, 1_000.0, 3_600.0)));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decisions, admissions);
+criterion_main!(benches);
