Ask a suspect once more before it is dropped

From half of a suspicion on, each member that still holds it asks the suspect itself, and the suspect always answers with its incarnation.

News are passed on twice more at most, profiles and claims less while very many wait, and a tick no longer looks at every record when nobody is suspected.

--- a/src/member/gossip.rs
+++ b/src/member/gossip.rs
@@ -117,6 +117,8 @@
     held: BTreeMap<Shard, Epoch>,
     /// The applied offset that was last announced.
     announced: Offset,
+    /// Live members, counted at the last exchange.
+    group: usize,
     due: Due,
     ticked: Instant,
     tokens: f64,
@@ -166,6 +168,7 @@
             contacts: seeds.into_iter().collect(),
             held: BTreeMap::new(),
             announced: Offset(0),
+            group: 1,
             due,
             ticked: now,
             tokens: BUDGET.1,
@@ -386,18 +389,25 @@
             vm,
             state: State::Gone,
         };
-        gone.into_iter().map(tell).collect()
+        let mut actions: Vec<Action> = gone.into_iter().map(tell).collect();
+        // The refutation may have been lost on the way to this VM alone, so it asks once more
+        // before it drops the member by itself.
+        for vm in self.roster.late_suspects(now, self.suspicion()) {
+            let incarnation = self.roster.records[&vm].incarnation;
+            self.doubt(now, &vm, incarnation, &mut actions);
+        }
+        actions
     }
 
     /// How long a suspicion has to last; it grows with the time that news take to all members.
     fn suspicion(&self) -> Duration {
-        let members = self.roster.live().count() as f64;
+        let members = self.group as f64;
         SUSPICION.mul_f64((members.log2() / 3.0).max(1.0))
     }
 
     /// How often a piece of news is passed on.
     pub(super) fn limit(&self) -> u32 {
-        (self.roster.live().count() + 1).ilog2() + 3
+        (self.group + 1).ilog2() + 5
     }
 
     fn spread(&mut self, now: Instant, actions: &mut Vec<Action>) {
@@ -422,6 +432,7 @@
         }
         self.due.sync = now + if self.behind { SYNC.1 } else { SYNC.0 };
         self.behind = false;
+        self.group = self.roster.live().count();
         self.roster.forget(now);
         self.hints.forget(now);
         if let Some((_, to)) = self.some(1).pop() {
@@ -460,7 +471,7 @@
     fn announce_applied(&mut self, now: Instant) {
         let applied = self.my_record().applied;
         if applied != self.announced && now >= self.due.applied {
-            let members = u32::try_from(self.roster.live().count()).unwrap_or(u32::MAX);
+            let members = u32::try_from(self.group).unwrap_or(u32::MAX);
             self.due.applied = now + APPLIED.0.max(APPLIED.1 * members);
             self.announced = applied;
             self.queue.push(Item::Applied(self.me.clone()));
--- a/src/member/learn.rs
+++ b/src/member/learn.rs
@@ -266,16 +266,14 @@
             profile: None,
         };
         self.learn_of_myself(told);
-        if unknown || incarnation.0 + 1 == self.my_record().incarnation.0 {
-            let record = self.my_record();
-            let news = if unknown {
-                record.full()
-            } else {
-                record.status()
-            };
-            let to = self.address(&header.vm).unwrap_or(from);
-            actions.push(self.send(to, Kind::Gossip, vec![news]));
-        }
+        let record = self.my_record();
+        let news = if unknown {
+            record.full()
+        } else {
+            record.status()
+        };
+        let to = self.address(&header.vm).unwrap_or(from);
+        actions.push(self.send(to, Kind::Gossip, vec![news]));
     }
 
     /// Tells a member that it is doubted, so that it can refute that soon.
@@ -310,6 +308,7 @@
             since: now,
         };
         let incarnation = record.incarnation;
+        self.roster.suspicious = true;
         self.counts.suspicions += 1;
         self.passed(Change::Status, Item::Status(vm.clone()), true);
         self.doubt(now, vm, incarnation, actions);
--- a/src/member/queue.rs
+++ b/src/member/queue.rs
@@ -4,6 +4,12 @@
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+/// Items above which profiles and claims are passed on less: when a large part of the group is
+/// new, the exchanges of digests carry them in fewer bytes than passing on does.
+const BULK: usize = 400;
+/// How often they are passed on then.
+const BULK_LIMIT: u32 = 3;
+
 /// What a piece of news is about; its content is looked up when it is sent.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Item {
@@ -57,6 +63,12 @@
     /// Counts that an item was passed on, or heard from another member that has it already; an
     /// item that everybody has is dropped the sooner.
     pub(super) fn count(&mut self, item: &Item, limit: u32) {
+        let bulky = matches!(item, Item::Profile(_) | Item::Claim(..));
+        let limit = if bulky && self.items.len() > BULK {
+            limit.min(BULK_LIMIT)
+        } else {
+            limit
+        };
         if let Some(sent) = self.items.get_mut(item) {
             *sent += 1;
             if *sent >= limit {
--- a/src/member/roster.rs
+++ b/src/member/roster.rs
@@ -11,7 +11,7 @@
 /// Members that are gone and remembered, at most.
 const GONE: usize = 1024;
 /// Time between two notes to one member that it is doubted.
-const DOUBT: Duration = Duration::from_secs(1);
+const DOUBT: Duration = Duration::from_millis(300);
 
 /// The state of a member, and since when.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -87,6 +87,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Roster {
     pub(super) records: BTreeMap<Vm, Record>,
+    /// Whether some member may be under suspicion; saves a look at every record at each tick.
+    pub(super) suspicious: bool,
 }
 
 impl Roster {
@@ -97,6 +99,7 @@
     /// contact after a partition would remove each side from the other's view once more, and its
     /// shards would be claimed, while all of its members are alive.
     pub(super) fn take(&mut self, now: Instant, told: Told<'_>) -> Change {
+        self.suspicious |= told.state == State::Suspect;
         let Some(record) = self.records.get_mut(told.vm) else {
             return self.join(now, told);
         };
@@ -139,9 +142,14 @@
     /// Drops members whose suspicion has lasted for `suspicion`, and gives their names.
     pub(super) fn expire(&mut self, now: Instant, suspicion: Duration) -> Vec<Vm> {
         let mut gone = Vec::new();
-        for (vm, record) in &mut self.records {
-            let lasted = now.saturating_duration_since(record.standing.since);
-            if record.standing.state == State::Suspect && lasted >= suspicion {
+        if !std::mem::take(&mut self.suspicious) {
+            return gone;
+        }
+        let suspects = self.records.iter_mut();
+        for (vm, record) in suspects.filter(|(_, r)| r.standing.state == State::Suspect) {
+            if now.saturating_duration_since(record.standing.since) < suspicion {
+                self.suspicious = true;
+            } else {
                 record.standing = Standing {
                     state: State::Gone,
                     since: now,
@@ -152,6 +160,18 @@
         gone
     }
 
+    /// Members whose suspicion has lasted for half of `suspicion`.
+    pub(super) fn late_suspects(&self, now: Instant, suspicion: Duration) -> Vec<Vm> {
+        if !self.suspicious {
+            return Vec::new();
+        }
+        let late = self.records.iter().filter(|(_, record)| {
+            let lasted = now.saturating_duration_since(record.standing.since);
+            record.standing.state == State::Suspect && lasted >= suspicion / 2
+        });
+        late.map(|(vm, _)| vm.clone()).collect()
+    }
+
     /// Forgets members that have long been gone.
     pub(super) fn forget(&mut self, now: Instant) {
         let old = |record: &Record| now.saturating_duration_since(record.standing.since) >= MEMORY;
