Keep the window of engines that are far from the assumed speed

Cause: the fit of time per token against calls in flight held fixed assumed points at 20 ms and 52 ms. An engine of 2 ms a token gave samples far below; with the assumed point of 32 calls they looked like a steep line, the window fell to two calls, and with two calls in flight nothing was measured that could correct it. On a pool slower than assumed, times divided by each server's ratio never told the line so. Change: far from the assumed level (more than twice) the assumed line is moved to the level that was measured, and times are not divided.

--- a/src/policy/pace.rs
+++ b/src/policy/pace.rs
@@ -14,6 +14,13 @@
 const PREFILL_MS: f64 = 0.1;
 /// How strongly the values assumed at first count, in calls.
 const PRIOR: f64 = 20.0;
+/// Calls in flight at the far end of the assumed line.
+const PRIOR_CALLS: f64 = 32.0;
+/// How many times faster or slower than assumed the engines must be for the assumed line to be
+/// moved to the level that was measured.
+const FAR: f64 = 2.0;
+/// The least time per token, and the least that a further call adds, as parts of the mean time.
+const LEAST_PARTS: (f64, f64) = (0.05, 0.0005);
 
 /// Time per token as a line over the calls in flight, and time per token of prefill.
 ///
@@ -23,7 +30,7 @@
 /// use vanillatrail::policy::pace::Pace;
 /// let mut pace = Pace::default();
 /// for running in [1.0, 10.0, 20.0, 40.0].into_iter().cycle().take(4000) {
-///     pace.token(running, 10.0 + running);
+///     pace.token(running, 10.0 + running, 1.0);
 /// }
 /// assert!((pace.token_ms(30.0) - 40.0).abs() < 1.0);
 /// ```
@@ -34,25 +41,23 @@
     time: f64,
     running_squared: f64,
     product: f64,
+    prior: f64,
     prefill_ms: f64,
     share: f64,
 }
 
 impl Default for Pace {
     fn default() -> Self {
-        let mut pace = Self {
+        Self {
             weight: 0.0,
             running: 0.0,
             time: 0.0,
             running_squared: 0.0,
             product: 0.0,
+            prior: PRIOR,
             prefill_ms: PREFILL_MS,
             share: 0.5,
-        };
-        for running in [0.0, 32.0] {
-            pace.add(running, ALONE_MS + STEP_MS * running, PRIOR / 2.0);
         }
-        pace
     }
 }
 
@@ -65,8 +70,15 @@
         self.product += weight * running * time;
     }
 
-    /// Takes in the time per token of a call that ran among `running` calls.
-    pub fn token(&mut self, running: f64, time_ms: f64) {
+    /// Takes in the time per token of a call that ran among `running` calls, on a server that is
+    /// `ratio` times as slow as the line says.
+    pub fn token(&mut self, running: f64, time_ms: f64, ratio: f64) {
+        // Far from the assumed level a slow server can't be told from a pool that is slow, and
+        // divided times would never tell the line so.
+        let time_ms = match self.far_level() {
+            Some(_) => time_ms,
+            None => time_ms / ratio.max(1.0),
+        };
         let keep = 1.0 - NEWEST / 4.0;
         for sum in [
             &mut self.weight,
@@ -74,6 +86,7 @@
             &mut self.time,
             &mut self.running_squared,
             &mut self.product,
+            &mut self.prior,
         ] {
             *sum *= keep;
         }
@@ -90,16 +103,37 @@
         self.share += NEWEST * (share - self.share);
     }
 
+    /// How many times as slow as assumed the engines are, where that is far from once.
+    fn far_level(&self) -> Option<f64> {
+        let assumed = ALONE_MS * self.weight + STEP_MS * self.running;
+        let level = self.time / assumed;
+        let near = level < FAR && level > FAR.recip();
+        (assumed > 0.0 && !near).then_some(level)
+    }
+
+    /// The time per token of a lone call, and what each further call adds.
+    ///
+    /// The assumed line bends the fit of engines that are far from it: the times of a fast engine
+    /// with few calls, together with the assumed time of many, look like a time that grows steeply
+    /// with the calls. The window shrinks, and with few calls in flight nothing is measured that
+    /// could correct it. Moved to the measured level, the assumed line gives its shape alone.
     fn line(&self) -> (f64, f64) {
-        let spread = self.weight * self.running_squared - self.running * self.running;
+        let level = self.far_level().unwrap_or(1.0);
+        let mut fit = self.clone();
+        for running in [0.0, PRIOR_CALLS] {
+            let time = level * (ALONE_MS + STEP_MS * running);
+            fit.add(running, time, self.prior / 2.0);
+        }
+        let mean = fit.time / fit.weight;
+        let spread = fit.weight * fit.running_squared - fit.running * fit.running;
         let step = if spread > f64::EPSILON {
-            (self.weight * self.product - self.running * self.time) / spread
+            (fit.weight * fit.product - fit.running * fit.time) / spread
         } else {
             0.0
         };
-        let step = step.max(0.01);
-        let alone = (self.time - step * self.running) / self.weight;
-        (alone.max(0.1), step)
+        let step = step.max(mean * LEAST_PARTS.1);
+        let alone = (fit.time - step * fit.running) / fit.weight;
+        (alone.max(mean * LEAST_PARTS.0), step)
     }
 
     /// Time per token among `running` calls, in milliseconds.
--- a/src/policy/server.rs
+++ b/src/policy/server.rs
@@ -118,7 +118,7 @@
         if end.completion.0 > 8 && end.rest_ms > 0.0 {
             let time = end.rest_ms / end.completion.0 as f64;
             self.ratio.take(time, pace.token_ms(running));
-            pace.token(running, time / self.ratio.get().max(1.0));
+            pace.token(running, time, self.ratio.get());
         }
         if end.prompt.0 == 0 {
             // A plain service: how long it takes says nothing of calls that it queues.
