--- a/src/owner/duty.rs
+++ b/src/owner/duty.rs
@@ -9,11 +9,11 @@
 use crate::id::{self, Boot, Epoch, Offset, Sequence, Shard, Vm, Zone};
 use crate::journal::{Body, Command, Event, Id, Numbers, Record, stream_of};
 use crate::member::{Beat, View};
-use crate::ownership::{Claimer, Ledger, Sighting, Verdict};
+use crate::ownership::{Claimer, Ledger, Verdict};
 use crate::policy::forecast::Forecast;
 use crate::program::Table;
 use crate::telemetry::{Metrics, event};
-use serde_json::{Value, json};
+use serde_json::Value;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
@@ -27,10 +27,6 @@
 /// Time between looks at claims, limits and evictions.
 const TICK: Duration = Duration::from_millis(100);
 
-/// Claims of a shard with a gap that are left to other VMs, so that nobody is answered with the
-/// gap while there is a VM without one.
-const LEFT: u32 = 2;
-
 /// What the owner works with.
 #[derive(Debug, Clone)]
 pub(crate) struct Context {
@@ -72,7 +68,7 @@
     /// The shard is being handed over: no new run starts.
     pub(super) leaving: bool,
     /// The newest holder has released the shard to this VM.
-    offered: bool,
+    pub(super) offered: bool,
 }
 
 /// What reading a record back has told.
@@ -107,7 +103,7 @@
     pub(super) waiters: RefCell<HashMap<(u64, Sequence), Waiter>>,
     /// The offset that each stream's next entry has.
     pub(super) next: RefCell<HashMap<u64, Offset>>,
-    claimer: RefCell<Claimer>,
+    pub(super) claimer: RefCell<Claimer>,
 }
 
 /// Serves until the rings are closed or every shard has been handed over.
@@ -445,148 +441,6 @@
         let held: Vec<(Shard, Epoch)> = held.collect();
         self.context.local.send_modify(|beat| beat.held = held);
     }
-
-    /// Claims what has been released to this VM, and what has lacked an owner for a while.
-    fn claim(&self) {
-        // Only once ready: a VM that starts reads old offers in the log, long since taken by
-        // others, and has no configuration yet to serve programs with.
-        if self.context.local.borrow().ready {
-            for shard in self.offered() {
-                self.append_claim(shard);
-            }
-        }
-        let sightings: Vec<Sighting> = {
-            let view = self.context.view.borrow();
-            let members = view.members.values().map(|member| Sighting {
-                vm: member.vm.clone(),
-                eligible: member.ready && !member.suspect,
-                held: if member.vm == self.context.me {
-                    self.context.local.borrow().held.clone()
-                } else {
-                    member.held.clone()
-                },
-            });
-            members.collect()
-        };
-        let due = self.claimer.borrow_mut().due(Instant::now(), &sightings);
-        let others = sightings
-            .iter()
-            .any(|member| member.eligible && member.vm != self.context.me);
-        for shard in due {
-            if !(others && self.leaves(shard)) {
-                self.append_claim(shard);
-            }
-        }
-        let mut claimer = self.claimer.borrow_mut();
-        let spare = claimer.spare(Instant::now(), &sightings, |shard| self.idle(shard));
-        if let Some((shard, successor)) = spare {
-            self.hand_over(shard, Some(successor));
-        }
-    }
-
-    /// Whether nothing of a shard is under way and it is not being handed over.
-    fn idle(&self, shard: Shard) -> bool {
-        let shards = self.shards.borrow();
-        let held = shards.get(&shard);
-        let stays = held.is_some_and(|held| held.epoch.is_some() && !held.leaving);
-        let runs = self.runs.borrow();
-        stays && !runs.values().any(|run| run.program.shard() == shard)
-    }
-
-    /// Releases a shard in favour of a successor; with the journal's queue full, a later tick
-    /// tries again.
-    fn hand_over(&self, shard: Shard, successor: Option<Vm>) {
-        let epoch = self.shards.borrow().get(&shard).and_then(|held| held.epoch);
-        let Some(epoch) = epoch else { return };
-        let pushed = self.push(shard, epoch, Body::Release { successor });
-        if let Err(failure) = &pushed {
-            event!(warn, "release_failed", shard = shard, reason = failure);
-        }
-        if let Some(held) = self.shards.borrow_mut().get_mut(&shard) {
-            held.leaving = pushed.is_ok();
-        }
-    }
-
-    /// Whether a claim is left to the other VMs, which may have read what this one misses.
-    fn leaves(&self, shard: Shard) -> bool {
-        let mut shards = self.shards.borrow_mut();
-        let held = shards.entry(shard).or_default();
-        held.left += u32::from(held.gap);
-        held.gap && held.left <= LEFT
-    }
-
-    fn offered(&self) -> Vec<Shard> {
-        let mut shards = self.shards.borrow_mut();
-        let taken = shards
-            .iter_mut()
-            .filter_map(|(shard, held)| std::mem::take(&mut held.offered).then_some(*shard));
-        taken.collect()
-    }
-
-    fn append_claim(&self, shard: Shard) {
-        if let Err(failure) = self.push(shard, Epoch::default(), Body::Claim) {
-            event!(warn, "claim_failed", shard = shard, reason = failure);
-        }
-    }
-
-    /// Hands over each shard that has no run; true once none is left.
-    fn release(&self) -> bool {
-        let shards = self.shards.borrow();
-        let held = shards.iter().filter(|(_, held)| held.epoch.is_some());
-        let held: Vec<Shard> = held.map(|(shard, _)| *shard).collect();
-        drop(shards);
-        for shard in held.iter().filter(|shard| self.idle(**shard)) {
-            self.hand_over(*shard, self.successor(*shard));
-        }
-        held.is_empty()
-    }
-
-    fn dump(&self) -> Value {
-        let shards = self.shards.borrow();
-        let runs = self.runs.borrow();
-        let owned = shards.iter().filter_map(|(shard, held)| {
-            let epoch = held.epoch?;
-            let state = json!({
-                "epoch": epoch,
-                "leaving": held.leaving,
-                "programs": held.table.iter().count(),
-                "open": held.table.open(),
-                "open_programs": open_programs(&held.table),
-            });
-            Some((shard.to_string(), state))
-        });
-        let runs = runs
-            .iter()
-            .map(|(program, run)| (program.to_string(), run.state()));
-        json!({
-            "boot": self.boot,
-            "shards": owned.collect::<serde_json::Map<_, _>>(),
-            "runs": runs.collect::<serde_json::Map<_, _>>(),
-            "records_awaited": self.waiters.borrow().len(),
-        })
-    }
-
-    fn successor(&self, shard: Shard) -> Option<Vm> {
-        let mut view = self.context.view.borrow().as_ref().clone();
-        view.members.remove(&self.context.me);
-        view.first(&format!("shard/{shard}"))
-            .map(|member| member.vm.clone())
-    }
-}
-
-/// What each program that has not ended waits for, as far as its records tell.
-fn open_programs(table: &Table) -> Value {
-    let open = table.iter().filter(|program| !program.is_ended());
-    let told = open.map(|program| {
-        let state = json!({
-            "class": program.class,
-            "next_call": program.next(),
-            "opened_ms": program.opened_ms,
-            "intent": program.intent,
-        });
-        (program.id.to_string(), state)
-    });
-    Value::Object(told.collect())
 }
 
 /// The failure that sends an entry to look for the owner elsewhere.
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -2,7 +2,9 @@
 
 mod care;
 mod checkpoint;
+mod dump;
 mod duty;
+mod hold;
 mod model;
 mod run;
 mod serve;
--- a/src/program/state.rs
+++ b/src/program/state.rs
@@ -110,7 +110,8 @@
     #[must_use]
     pub fn used(&self) -> Tokens {
         let reserved = self.reserve.map_or(0, |reserve| reserve.tokens.0);
-        Tokens(self.spent.0 + reserved + self.carved.0)
+        let spent = self.spent.0.saturating_add(reserved);
+        Tokens(spent.saturating_add(self.carved.0))
     }
 
     /// Bytes of the history.
@@ -171,7 +172,7 @@
             .iter()
             .map(|message| message.content.len() as u64 + MESSAGE_FRAME)
             .sum();
-        let reserve = Tokens(new + max_tokens.0);
+        let reserve = Tokens(new.saturating_add(max_tokens.0));
         self.afford(reserve, 1)?;
         Ok(reserve)
     }
@@ -189,7 +190,7 @@
             );
             return Err(Failure::refused(Code::BudgetExceeded, message));
         }
-        let made = self.kept.len() as u64 + self.carved_calls;
+        let made = (self.kept.len() as u64).saturating_add(self.carved_calls);
         if self
             .budget
             .calls
@@ -207,7 +208,7 @@
             return Tokens(0);
         };
         let spent = tokens.min(reserve.tokens);
-        self.spent.0 += spent.0;
+        self.spent.0 = self.spent.0.saturating_add(spent.0);
         spent
     }
 
@@ -230,7 +231,7 @@
         if let Answer::Model { text, usage, .. } = answer {
             // Grows by what was counted and no more: an engine that once reports too much would
             // otherwise make the tokens of later calls look as if they had been counted.
-            let context = usage.prompt.0 + usage.completion.0;
+            let context = usage.prompt.0.saturating_add(usage.completion.0);
             let counted = self.settle(call, Tokens(context.saturating_sub(self.context.0)));
             self.context.0 += counted.0;
             self.history.push(Message {
@@ -339,7 +340,7 @@
             } => self.change(*program, |state| {
                 // An attempt that a failure cut off may have spent all it had set aside.
                 if let Some(lost) = state.reserve.take() {
-                    state.spent.0 += lost.tokens.0;
+                    state.spent.0 = state.spent.0.saturating_add(lost.tokens.0);
                 }
                 state.reserve = Some(Reserve {
                     call: *call,
@@ -448,8 +449,9 @@
             return;
         }
         state.finish(digest, &[], &Answer::Spawned { child });
-        state.carved.0 += budget.tokens.0;
-        state.carved_calls += budget.calls.unwrap_or(0);
+        state.carved.0 = state.carved.0.saturating_add(budget.tokens.0);
+        let calls = budget.calls.unwrap_or(0);
+        state.carved_calls = state.carved_calls.saturating_add(calls);
         state.children.push(child);
         let mut opened = blank(child, class.clone(), budget, at_ms);
         opened.parent = Some(parent);
@@ -476,7 +478,7 @@
         let calls = program.kept.len() as u64 + program.carved_calls;
         if let Some(parent) = parent.and_then(|parent| self.programs.get_mut(&parent)) {
             parent.carved.0 = parent.carved.0.saturating_sub(carved.tokens.0);
-            parent.spent.0 += used.0;
+            parent.spent.0 = parent.spent.0.saturating_add(used.0);
             if let Some(most) = carved.calls {
                 parent.carved_calls = parent.carved_calls.saturating_sub(most) + calls.min(most);
             }
