Check membership's bounds over the longer scenario

A shorter scenario for the table of large sizes had shortened the check too: half a minute of loss in place of a minute, three failures in place of five.

--- a/benches/control.rs
+++ b/benches/control.rs
@@ -1,6 +1,7 @@
 //! The cost and the speed of membership at several sizes, full heartbeats against gossip.
 //!
-//! A number measures that size only, `--gossip` and `--heartbeats` one way only. `--json` prints every figure, `--check` compares the deterministic ones with the bounds in
+//! A number measures that size only, `--gossip` and `--heartbeats` one way only. `--json` prints
+//! every figure, `--check` compares the deterministic ones with the bounds in
 //! `control_bounds.json`. Figures of the exchange depend on its seeds only; processor time and
 //! memory are those of this machine, and are never checked.
 
@@ -33,7 +34,7 @@
             print(&measure::heartbeats(size), asked("--json"));
         }
         if !asked("--heartbeats") {
-            print(&measure::gossip(size), asked("--json"));
+            print(&measure::gossip(size, measure::TABLE), asked("--json"));
         }
     }
     ExitCode::SUCCESS
@@ -58,7 +59,8 @@
         let size = bound["vms"]
             .as_u64()
             .and_then(|size| usize::try_from(size).ok());
-        let row = measure::gossip(size.expect("each bound has a size"));
+        let size = size.expect("each bound has a size");
+        let row = measure::gossip(size, measure::CHECK);
         for (name, most) in bound["most"].as_object().into_iter().flatten() {
             let figure = row[name].as_f64().unwrap_or(f64::INFINITY);
             if figure > most.as_f64().unwrap_or(0.0) {
--- a/benches/control/measure.rs
+++ b/benches/control/measure.rs
@@ -16,11 +16,37 @@
 const LIMIT: Duration = Duration::from_mins(5);
 /// VMs above which loss and cuts are not measured: they would take many minutes.
 const LARGE: usize = 200;
-/// VMs that are killed, one after the other.
-const KILLED: usize = 3;
+/// How long the parts of a measurement last.
+#[derive(Debug, Clone, Copy)]
+pub struct Scenario {
+    /// VMs that are killed, one after the other.
+    killed: usize,
+    /// Time with loss.
+    loss: Duration,
+    /// Time in which nothing happens, before and after what is measured.
+    settle: Duration,
+    /// Time over which the steady cost is counted.
+    steady: Duration,
+}
+
+/// For the table of all sizes.
+pub const TABLE: Scenario = Scenario {
+    killed: 3,
+    loss: Duration::from_secs(30),
+    settle: Duration::from_secs(10),
+    steady: Duration::from_secs(20),
+};
+
+/// For the bounds, at small sizes.
+pub const CHECK: Scenario = Scenario {
+    killed: 5,
+    loss: Duration::from_mins(1),
+    settle: Duration::from_secs(20),
+    steady: Duration::from_secs(30),
+};
 
 /// Figures of the gossip at one size.
-pub fn gossip(size: usize) -> Value {
+pub fn gossip(size: usize, scenario: Scenario) -> Value {
     let started = std::time::Instant::now();
     let shards = SHARDS * size as u64;
     let memory = resident();
@@ -37,17 +63,17 @@
         "all_claims_known_s".into(),
         time(owned.and(Some(exchange.elapsed()))),
     );
-    exchange.run(Duration::from_secs(10));
-    steady(&mut exchange, Duration::from_secs(20), &mut row);
+    exchange.run(scenario.settle);
+    steady(&mut exchange, scenario.steady, &mut row);
     row.insert(
         "memory_kb".into(),
         json!((resident() - memory) / size as u64),
     );
     changes(&mut exchange, &mut row);
     leaving(&mut exchange, &mut row);
-    failures(&mut exchange, &mut row);
+    failures(&mut exchange, scenario, &mut row);
     if size <= LARGE {
-        faults(&mut exchange, &mut row);
+        faults(&mut exchange, scenario, &mut row);
     }
     let largest = exchange.nodes.iter().map(|node| node.largest).max();
     row.insert("largest_datagram".into(), json!(largest));
@@ -56,9 +82,9 @@
 }
 
 /// Loss, and a cut between the regions.
-fn faults(exchange: &mut Exchange<Sealed>, row: &mut Map<String, Value>) {
+fn faults(exchange: &mut Exchange<Sealed>, scenario: Scenario, row: &mut Map<String, Value>) {
     for (name, loss) in [("loss_5", 0.05), ("loss_20", 0.2)] {
-        lossy(exchange, name, loss, row);
+        lossy(exchange, (name, loss), scenario, row);
     }
     partition(exchange, row);
 }
@@ -168,12 +194,17 @@
     row.insert("leaving_known_max_s".into(), time(worst));
 }
 
-/// Suspicions and removals of VMs that are well, in half a minute with loss.
-fn lossy(exchange: &mut Exchange<Sealed>, name: &str, loss: f64, row: &mut Map<String, Value>) {
+/// Suspicions and removals of VMs that are well, over a time with loss.
+fn lossy(
+    exchange: &mut Exchange<Sealed>,
+    (name, loss): (&str, f64),
+    scenario: Scenario,
+    row: &mut Map<String, Value>,
+) {
     let before = exchange.counts();
     exchange.loss = loss;
     exchange.reset();
-    let time = Duration::from_secs(30);
+    let time = scenario.loss;
     exchange.run(time);
     exchange.loss = 0.0;
     let after = exchange.counts();
@@ -189,7 +220,7 @@
         json!(after.removals - before.removals),
     );
     row.insert(format!("{name}_sent_bytes_s"), json!(bytes));
-    exchange.run(Duration::from_secs(10));
+    exchange.run(scenario.settle);
 }
 
 /// Time until both regions hold only themselves, and until all are one group again.
@@ -234,17 +265,23 @@
 }
 
 /// Time until all know that a VM has failed, over some failures.
-fn failures(exchange: &mut Exchange<Sealed>, row: &mut Map<String, Value>) {
+fn failures(exchange: &mut Exchange<Sealed>, scenario: Scenario, row: &mut Map<String, Value>) {
     let mut times = Vec::new();
     let size = exchange.nodes.len();
-    for index in (0..KILLED).map(|index| size - 1 - index) {
+    for index in (0..scenario.killed).map(|index| size - 1 - index) {
         exchange.kill(index);
         times.push(exchange.until(LIMIT, Exchange::whole));
         exchange.run(Duration::from_secs(5));
     }
     times.sort();
-    row.insert("failure_known_median_s".into(), time(times[KILLED / 2]));
-    row.insert("failure_known_max_s".into(), time(times[KILLED - 1]));
+    row.insert(
+        "failure_known_median_s".into(),
+        time(times[scenario.killed / 2]),
+    );
+    row.insert(
+        "failure_known_max_s".into(),
+        time(times[scenario.killed - 1]),
+    );
 }
 
 fn time(time: Option<Duration>) -> Value {
