--- /dev/null
+++ b/examples/order.rs
@@ -0,0 +1,44 @@
+//! Two holders order one engine that takes any order; the engine ends at the newest goal.
+//!
+//! ```text
+//! cargo run --example order
+//! ```
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tokio::time::Instant;
+use vanillatrail::id::Server;
+use vanillatrail::order::{Control, Goal, Step};
+
+fn goal(weights: &str) -> Goal {
+    Goal {
+        weights: Some(weights.to_owned()),
+        ..Goal::default()
+    }
+}
+
+fn main() {
+    let server: Server = "engine-1".parse().expect("a valid name");
+    let mut now = Instant::now();
+    let mut control = Control::new(now, Duration::from_secs(2), Duration::from_secs(1));
+    control.aim(now, &BTreeMap::from([(server, goal("v2"))]));
+    let mut engine = goal("v1");
+    for step in 0..20 {
+        if step == 10 {
+            println!("a late order of a former holder arrives");
+            engine = goal("v1");
+        }
+        for (server, due) in control.due(now) {
+            match due {
+                Step::Read => control.read(now, &server, engine.clone()),
+                Step::Order(goal) => {
+                    println!("{server}: order {goal:?}");
+                    engine = goal;
+                }
+            }
+        }
+        now += Duration::from_millis(500);
+    }
+    assert_eq!(engine, goal("v2"));
+    println!("the engine is at {engine:?}");
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,7 +14,7 @@
 //! | [`config`] | which change of the configuration counts | `config` |
 //! | [`policy`] | which call goes to which backend server, and when | `policy` |
 //! | [`member`] | which VMs are alive, and what they say of themselves | `member` |
-//! | [`order`] | which orders an engine is given to reach its wanted state | |
+//! | [`order`] | which orders an engine is given to reach its wanted state | `order` |
 
 pub mod cli;
 pub mod code;
