Read the wall clock in one place

It stood three times, in the owner, the configuration and the membership threads; the bound of a message stood on both ends of a peer link, which must agree. No behaviour changes.

--- /dev/null
+++ b/src/clock.rs
@@ -0,0 +1,15 @@
+//! The wall clock, for reports, time limits and ages; no safety rests on it.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Time since the Unix epoch; zero where the clock stands before it.
+pub(crate) fn wall() -> Duration {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+}
+
+/// Milliseconds since the Unix epoch.
+pub(crate) fn wall_ms() -> u64 {
+    u64::try_from(wall().as_millis()).unwrap_or(u64::MAX)
+}
--- a/src/config/duty.rs
+++ b/src/config/duty.rs
@@ -2,6 +2,7 @@
 
 use super::book::{Book, Ruling, Verdict};
 use super::value::Snapshot;
+use crate::clock::wall_ms;
 use crate::id::{Offset, Vm};
 use crate::journal::CONFIG;
 use crate::member::View;
@@ -10,7 +11,7 @@
 use crate::telemetry::event;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
@@ -175,10 +176,3 @@
         }
     }
 }
-
-fn wall_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| {
-        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-    })
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 
 mod acceptor;
 mod backend;
+mod clock;
 mod command;
 mod dispatch;
 mod entry;
--- a/src/member/duty.rs
+++ b/src/member/duty.rs
@@ -4,6 +4,7 @@
 use super::list::{self, List};
 use super::view::{Beat, View};
 use super::wire::{DATAGRAM, Sealer, State};
+use crate::clock;
 use crate::id::{Incarnation, Server};
 use crate::telemetry::event;
 use std::net::SocketAddr;
@@ -126,6 +127,5 @@
 /// An incarnation that exceeds those of earlier runs, as long as the wall clock goes forward;
 /// where it does not, the VM learns of the earlier run from its peers and raises it.
 fn first_incarnation() -> Incarnation {
-    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    Incarnation(since.map_or(1, |since| since.as_secs()))
+    Incarnation(clock::wall().as_secs().max(1))
 }
--- a/src/owner/care.rs
+++ b/src/owner/care.rs
@@ -1,6 +1,7 @@
 //! What an owner does unasked: evictions, limits in time, forgetting, open intents.
 
-use super::duty::{Owner, wall_ms};
+use super::duty::Owner;
+use crate::clock::wall_ms;
 use crate::code::Code;
 use crate::id::{Epoch, Program, Server, Shard};
 use crate::journal::Body;
--- a/src/owner/duty.rs
+++ b/src/owner/duty.rs
@@ -451,11 +451,3 @@
     )
     .retry_after(Duration::from_millis(200))
 }
-
-/// Milliseconds since the Unix epoch, for reports and time limits only.
-pub(super) fn wall_ms() -> u64 {
-    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    since.map_or(0, |since| {
-        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-    })
-}
--- a/src/owner/serve.rs
+++ b/src/owner/serve.rs
@@ -1,8 +1,9 @@
 //! One request of a caller, from admission to its final frame.
 
-use super::duty::{Owner, not_owner, wall_ms};
+use super::duty::{Owner, not_owner};
 use super::run::Run;
 use super::{Ask, Frame, Position, Request};
+use crate::clock::wall_ms;
 use crate::code::{Code, Failure, Ran};
 use crate::id::{Call, Class, Digest, Program, shard_of};
 use crate::journal::Body;
--- a/src/owner/spawn.rs
+++ b/src/owner/spawn.rs
@@ -1,7 +1,8 @@
 //! A call that opens a child program.
 
-use super::duty::{Owner, not_owner, wall_ms};
+use super::duty::{Owner, not_owner};
 use super::run::{Run, Work};
+use crate::clock::wall_ms;
 use crate::code::{Code, Failure};
 use crate::id::Program;
 use crate::journal::Body;
--- a/src/owner/urgency.rs
+++ b/src/owner/urgency.rs
@@ -1,6 +1,7 @@
 //! What the policy is told of the programs of this owner, and what it answers.
 
-use super::duty::{Owner, wall_ms};
+use super::duty::Owner;
+use crate::clock::wall_ms;
 use crate::code::{Code, Failure};
 use crate::config;
 use crate::id;
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -1,5 +1,6 @@
 //! Kept connections to the other VMs.
 
+use super::MESSAGE;
 use crate::code::Failure;
 use crate::config::Book;
 use crate::dispatch::{Grant, Key};
@@ -23,8 +24,6 @@
 const PING: (Duration, Duration) = (Duration::from_millis(700), Duration::from_millis(2500));
 /// Frames that may wait for a slow reader before its stream is cut and asked for again.
 const FRAMES: usize = 8192;
-/// Bytes of one message at most: a request body, with room for its frame.
-const MESSAGE: u32 = 16 << 20;
 
 /// The peer can't be reached, or the connection broke; whether it acted is not known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -1,5 +1,6 @@
 //! The peer thread: takes requests of the other VMs.
 
+use super::MESSAGE;
 use crate::code::{Code, Failure};
 use crate::config::Book;
 use crate::dispatch::{self, Grant, Key};
@@ -22,8 +23,6 @@
 
 /// Frames that may wait between the owner and a connection.
 const FRAMES: usize = 256;
-/// Bytes of one message at most.
-const MESSAGE: u32 = 16 << 20;
 
 /// What the peer thread hands requests to.
 #[derive(Debug, Clone)]
