--- a/src/cli.rs
+++ b/src/cli.rs
@@ -36,6 +36,13 @@
         #[arg(long)]
         settings: PathBuf,
     },
+    /// Forward requests of callers to backend servers as one VM.
+    #[command(after_help = "Example: vanillatrail gateway --settings gateway-a.json")]
+    Gateway {
+        /// The settings file.
+        #[arg(long)]
+        settings: PathBuf,
+    },
     /// Run a small stand-in for the platform or a backend server.
     #[command(after_help = "Example: vanillatrail standin engine --listen 127.0.0.1:7011")]
     Standin {
@@ -302,6 +309,7 @@
             command::trial::run(&options, trial.verbose, trial.json)
         }
         Command::Serve { settings } => command::serve::run(&settings),
+        Command::Gateway { settings } => command::gateway::run(&settings),
         Command::Standin { kind, listen } => command::standin::run(kind.into(), listen),
         Command::Check { file, config, json } => {
             let kind = if config {
--- /dev/null
+++ b/src/command/gateway.rs
@@ -0,0 +1,17 @@
+//! `gateway`: one VM that forwards requests of callers.
+
+use super::Exit;
+use crate::code::Failure;
+use crate::gateway;
+use crate::settings::Gateway;
+use crate::telemetry::log_to_stdout;
+use spdlog::{Level, LevelFilter};
+use std::path::Path;
+
+/// Forwards until a signal to stop.
+pub(crate) fn run(settings: &Path) -> Result<Exit, Failure> {
+    let settings = Gateway::load(settings)?;
+    log_to_stdout(LevelFilter::MoreSevereEqual(Level::Info));
+    gateway::run(settings)?;
+    Ok(Exit::Success)
+}
--- /dev/null
+++ b/src/gateway/feed.rs
@@ -0,0 +1,307 @@
+//! The thread that follows the configuration and the directory.
+
+use super::directory::Directory;
+use super::table::Table;
+use crate::id::Offset;
+use crate::platform::records::{CONFIG_KEY, CONFIG_TOPIC, DIRECTORY_TOPIC, server, table};
+use crate::platform::store::{Fault, Keyed, Store};
+use crate::telemetry::event;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
+
+/// How long one read waits for a change of the configuration. A connection that has gone silent
+/// shows after this and the client's timeout, within the two seconds in which a change must act.
+const CONFIG_WAIT: Duration = Duration::from_millis(900);
+/// Time between two reads of the directory. Servers renew their records all the time, so that a
+/// read that waits returns at once; a server that drains must get nothing new after two seconds.
+const DIRECTORY_PERIOD: Duration = Duration::from_millis(350);
+/// The pause after a failed read, at first and at most.
+const PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(800));
+/// After an outage servers whose records lapsed write them again, within about two seconds. Until
+/// then a missing record says nothing of its server.
+const RETURN: Duration = Duration::from_millis(2300);
+
+/// What the other threads see of the configuration and the directory.
+#[derive(Debug, Clone)]
+pub(crate) struct World {
+    /// The newest configuration; none until one is known.
+    pub(crate) table: Option<Arc<Table>>,
+    /// The backend servers.
+    pub(crate) directory: Arc<Directory>,
+    /// The config record as the store holds it, for VMs that can't read it.
+    pub(crate) raw: Option<bytes::Bytes>,
+    /// When the store last answered; none before it has.
+    pub(crate) heard: Option<Instant>,
+    /// Whether the directory has been read.
+    pub(crate) listed: bool,
+}
+
+impl World {
+    pub(crate) fn empty() -> Self {
+        Self {
+            table: None,
+            directory: Arc::default(),
+            raw: None,
+            heard: None,
+            listed: false,
+        }
+    }
+
+    /// Whether requests can be routed.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.table.is_some() && self.listed
+    }
+
+    /// Takes in a configuration unless it is older than the one known. Tells whether it is new.
+    pub(crate) fn learn(&mut self, raw: &bytes::Bytes, from: &str) -> bool {
+        if self.raw.as_ref() == Some(raw) {
+            return false;
+        }
+        let table = match table(raw) {
+            Ok(table) => table,
+            Err(reason) => {
+                event!(error, "config_refused", from = from, reason = reason);
+                return false;
+            }
+        };
+        let known = self.table.as_ref().map_or(0, |table| table.version);
+        // Never back: a read that was under way, or a peer that lags, may bring an older version.
+        if self.table.is_some() && table.version <= known {
+            return false;
+        }
+        event!(
+            info,
+            "config_applied",
+            version = table.version,
+            before = known,
+            routes = table.len(),
+            from = from
+        );
+        self.table = Some(Arc::new(table));
+        self.raw = Some(raw.clone());
+        true
+    }
+}
+
+/// Follows both topics until the process ends.
+pub(crate) async fn run(address: SocketAddr, worlds: watch::Sender<World>) {
+    let config = follow_config(Store::new(address), &worlds);
+    let directory = follow_directory(Store::new(address), &worlds);
+    tokio::join!(config, directory);
+}
+
+/// Tells of a lost and a regained dependency once, and paces the tries between.
+#[derive(Debug)]
+struct Health {
+    what: &'static str,
+    lost: Option<Instant>,
+    pause: Duration,
+}
+
+impl Health {
+    const fn new(what: &'static str) -> Self {
+        Self {
+            what,
+            lost: None,
+            pause: PAUSE.0,
+        }
+    }
+
+    /// A call succeeded; gives how long the store was away, if it was.
+    fn good(&mut self) -> Option<Duration> {
+        self.pause = PAUSE.0;
+        let away = self.lost.take()?.elapsed();
+        event!(
+            info,
+            "store_back",
+            for_what = self.what,
+            away_ms = away.as_millis()
+        );
+        Some(away)
+    }
+
+    async fn bad(&mut self, fault: &Fault, store: &mut Store) {
+        if self.lost.is_none() {
+            self.lost = Some(Instant::now());
+            event!(warn, "store_lost", for_what = self.what, reason = fault);
+        }
+        if matches!(fault, Fault::Unknown(_)) {
+            store.reconnect();
+        }
+        sleep(self.pause).await;
+        self.pause = (self.pause * 2).min(PAUSE.1);
+    }
+}
+
+async fn follow_config(mut store: Store, worlds: &watch::Sender<World>) {
+    let mut health = Health::new("config");
+    let mut next: Option<Offset> = None;
+    loop {
+        match read_config(&store, &mut next, worlds).await {
+            Ok(()) => {
+                health.good();
+                worlds.send_if_modified(|world| {
+                    world.heard = Some(Instant::now());
+                    false
+                });
+            }
+            Err(Fault::Trimmed(_)) => next = None,
+            Err(fault) => health.bad(&fault, &mut store).await,
+        }
+    }
+}
+
+async fn read_config(
+    store: &Store,
+    next: &mut Option<Offset>,
+    worlds: &watch::Sender<World>,
+) -> Result<(), Fault> {
+    let records = if let Some(from) = *next {
+        let page = store.read(CONFIG_TOPIC, 0, from, CONFIG_WAIT).await?;
+        *next = Some(page.next);
+        page.records
+    } else {
+        let newest = store.newest(CONFIG_TOPIC, 0).await?;
+        *next = Some(newest.end);
+        if newest.records.is_empty() {
+            // Before the first configuration the topic may not exist, and a read would not wait.
+            sleep(PAUSE.0).await;
+        }
+        newest.records
+    };
+    for record in records.iter().filter(|record| record.key == CONFIG_KEY) {
+        let Some(value) = &record.value else { continue };
+        worlds.send_if_modified(|world| world.learn(value, "store"));
+    }
+    Ok(())
+}
+
+/// What the reader of the directory remembers between two reads.
+#[derive(Debug, Default)]
+struct Reader {
+    next: Option<Offset>,
+    /// Until when a missing record says nothing.
+    lenient_until: Option<Instant>,
+}
+
+async fn follow_directory(mut store: Store, worlds: &watch::Sender<World>) {
+    let mut health = Health::new("directory");
+    let mut reader = Reader::default();
+    loop {
+        let before = Instant::now();
+        match reader.read(&store, worlds).await {
+            Ok(()) => {
+                if health.good().is_some() {
+                    reader.lenient_until = Some(Instant::now() + RETURN);
+                    reader.next = None;
+                }
+                sleep(DIRECTORY_PERIOD.saturating_sub(before.elapsed())).await;
+            }
+            Err(Fault::Trimmed(_)) => reader.next = None,
+            Err(fault) => health.bad(&fault, &mut store).await,
+        }
+    }
+}
+
+impl Reader {
+    async fn read(&mut self, store: &Store, worlds: &watch::Sender<World>) -> Result<(), Fault> {
+        let lenient = self
+            .lenient_until
+            .is_some_and(|until| Instant::now() < until);
+        if self.lenient_until.is_some() && !lenient {
+            self.lenient_until = None;
+            // What is still missing now is gone.
+            self.next = None;
+        }
+        let Some(from) = self.next else {
+            let newest = store.newest(DIRECTORY_TOPIC, 0).await?;
+            self.next = Some(newest.end);
+            worlds.send_if_modified(|world| whole(world, &newest.records, lenient));
+            return Ok(());
+        };
+        let page = store.read(DIRECTORY_TOPIC, 0, from, Duration::ZERO).await?;
+        self.next = Some(page.next);
+        worlds.send_if_modified(|world| {
+            let mut directory = (*world.directory).clone();
+            let mut changed = false;
+            for record in &page.records {
+                if lenient && record.value.is_none() {
+                    continue;
+                }
+                changed |= apply(&mut directory, record);
+            }
+            if changed {
+                world.directory = Arc::new(directory);
+            }
+            changed
+        });
+        Ok(())
+    }
+}
+
+/// Takes in the newest record of each server.
+fn whole(world: &mut World, records: &[Keyed], lenient: bool) -> bool {
+    let mut directory = (*world.directory).clone();
+    let mut changed = !world.listed;
+    for record in records {
+        changed |= apply(&mut directory, record);
+    }
+    let present: HashSet<&str> = records
+        .iter()
+        .filter(|record| record.value.is_some())
+        .map(|record| record.key.as_str())
+        .collect();
+    let missing: Vec<_> = directory
+        .iter()
+        .filter(|entry| !present.contains(&*entry.id))
+        .map(|entry| Keyed {
+            key: entry.id.to_string(),
+            value: None,
+        })
+        .collect();
+    if !lenient {
+        for record in &missing {
+            changed |= apply(&mut directory, record);
+        }
+    }
+    world.listed = true;
+    if changed {
+        world.directory = Arc::new(directory);
+    }
+    changed
+}
+
+fn apply(directory: &mut Directory, record: &Keyed) -> bool {
+    let change = match server(record) {
+        Ok(change) => change,
+        Err(reason) => {
+            event!(warn, "server_refused", server = record.key, reason = reason);
+            return false;
+        }
+    };
+    let before = directory.get(&record.key).map(|entry| entry.draining);
+    let changed = directory.apply(change);
+    if !changed {
+        return false;
+    }
+    match (before, directory.get(&record.key)) {
+        (None, Some(entry)) => event!(
+            info,
+            "server_added",
+            server = entry.id,
+            service = entry.service,
+            address = entry.address,
+            zone = entry.zone
+        ),
+        (Some(_), None) => event!(info, "server_removed", server = record.key),
+        (Some(false), Some(entry)) if entry.draining => {
+            event!(info, "server_draining", server = entry.id);
+        }
+        _ => {}
+    }
+    changed
+}
--- /dev/null
+++ b/src/gateway/front.rs
@@ -0,0 +1,242 @@
+//! Accepts callers, answers the balancer, and stops without cutting anyone.
+
+use super::body::Body;
+use super::feed::{self, World};
+use super::forward;
+use super::link::Links;
+use super::metrics::Metrics;
+use super::permit::Desk;
+use super::{Gateway, socket};
+use crate::code::{Code, Failure};
+use crate::settings;
+use crate::supervisor::Supervisor;
+use crate::telemetry::event;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::{JoinSet, LocalSet, spawn_local};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+/// How long a VM that stops still takes new connections: the balancer asks once a second and
+/// leaves it out after two answers that are not 200.
+const STILL_TAKING: Duration = Duration::from_millis(2600);
+/// Taken off the time that a planned stop may take, so that the process ends by itself.
+const STOP_MARGIN: Duration = Duration::from_millis(300);
+/// Time between two sweeps of idle connections.
+const SWEEP: Duration = Duration::from_millis(500);
+/// Time between two looks at servers that rest.
+const TICK: Duration = Duration::from_millis(50);
+/// The pause after a failed accept, which is out of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Forwards requests until a signal to stop.
+///
+/// # Errors
+/// [`Code::BadSettings`] where an address can't be bound.
+pub(crate) fn run(settings: settings::Gateway) -> Result<(), Failure> {
+    let (worlds, world) = watch::channel(World::empty());
+    let mut supervisor = Supervisor::new(CancellationToken::new());
+    let store = settings.store.address;
+    supervisor.duty("feed", move || feed::run(store, worlds.clone()));
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| Failure::refused(Code::Internal, error.to_string()))?;
+    LocalSet::new().block_on(&runtime, serve(settings, world))
+}
+
+async fn serve(settings: settings::Gateway, world: watch::Receiver<World>) -> Result<(), Failure> {
+    let callers = bind(settings.listen.callers).await?;
+    let ready = bind(settings.listen.ready).await?;
+    let gateway = Rc::new(Gateway {
+        zone: settings.zone.as_str().into(),
+        links: Links::default(),
+        desk: Desk::default(),
+        metrics: Metrics::new(),
+        stopping: Cell::new(false),
+        began: Instant::now(),
+        world,
+        settings,
+    });
+    event!(
+        info,
+        "started",
+        vm = gateway.settings.vm,
+        zone = gateway.settings.zone,
+        version = env!("CARGO_PKG_VERSION")
+    );
+    let stop = CancellationToken::new();
+    spawn_local(answer_balancer(Rc::clone(&gateway), ready));
+    spawn_local(follow_world(Rc::clone(&gateway)));
+    spawn_local(keep_house(Rc::clone(&gateway)));
+    let accepting = spawn_local(accept(Rc::clone(&gateway), callers, stop.clone()));
+    let (mut terminate, mut hangup) = (
+        signal(SignalKind::terminate()).map_err(internal)?,
+        signal(SignalKind::hangup()).map_err(internal)?,
+    );
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hangup.recv() => event!(info, "reloaded", changed = false),
+        }
+    }
+    stopped(&gateway, &stop, accepting).await;
+    Ok(())
+}
+
+async fn stopped(
+    gateway: &Rc<Gateway>,
+    stop: &CancellationToken,
+    accepting: tokio::task::JoinHandle<()>,
+) {
+    let limit = Duration::from_millis(gateway.settings.stop_ms).saturating_sub(STOP_MARGIN);
+    let began = Instant::now();
+    event!(info, "stopping", limit_ms = limit.as_millis());
+    gateway.stopping.set(true);
+    sleep(STILL_TAKING.min(limit)).await;
+    stop.cancel();
+    let rest = limit.saturating_sub(began.elapsed());
+    let clean = timeout(rest, accepting).await.is_ok();
+    event!(
+        info,
+        "stopped",
+        clean = clean,
+        took_ms = began.elapsed().as_millis()
+    );
+}
+
+fn internal(error: std::io::Error) -> Failure {
+    Failure::refused(Code::Internal, error.to_string())
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, Failure> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| Failure::refused(Code::BadSettings, format!("{address}: {error}")))
+}
+
+/// Accepts connections of callers until it is stopped, then waits for those that are open.
+async fn accept(gateway: Rc<Gateway>, listener: TcpListener, stop: CancellationToken) {
+    let mut open = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                open.spawn_local(connection(Rc::clone(&gateway), stream, stop.clone()));
+                while open.try_join_next().is_some() {}
+            }
+            Err(error) => {
+                event!(warn, "accept_failed", reason = error);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    drop(listener);
+    while open.join_next().await.is_some() {}
+}
+
+async fn connection(gateway: Rc<Gateway>, stream: TcpStream, stop: CancellationToken) {
+    if let Err(error) = socket::tune(&stream) {
+        event!(debug, "socket_options_failed", reason = error);
+    }
+    let limits = gateway
+        .world
+        .borrow()
+        .table
+        .as_ref()
+        .map(|table| table.limits);
+    let limits = limits.unwrap_or_default();
+    let service = service_fn(move |request| forward::handle(Rc::clone(&gateway), request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle)
+        .max_buf_size(limits.head_bytes.max(8192))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    // An error is the caller's leaving, or malformed input, which has been answered.
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = stop.cancelled() => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    drop(connection.await);
+}
+
+async fn answer_balancer(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let gateway = Rc::clone(&gateway);
+        spawn_local(async move {
+            let service = service_fn(move |_: Request<Incoming>| {
+                let ready = gateway.is_ready();
+                async move { Ok::<_, Infallible>(readiness(ready)) }
+            });
+            let builder = http1::Builder::new();
+            // The balancer asks again when a connection breaks.
+            drop(
+                builder
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await,
+            );
+        });
+    }
+}
+
+fn readiness(ready: bool) -> Response<Body> {
+    let mut response = Response::new(Body::whole(Bytes::new()));
+    if !ready {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
+
+async fn follow_world(gateway: Rc<Gateway>) {
+    let mut world = gateway.world.clone();
+    loop {
+        let directory = std::sync::Arc::clone(&world.borrow_and_update().directory);
+        gateway.desk.configure(&directory);
+        if world.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn keep_house(gateway: Rc<Gateway>) {
+    let mut tick = interval(TICK);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut swept = Instant::now();
+    loop {
+        tick.tick().await;
+        gateway.desk.tick();
+        if swept.elapsed() >= SWEEP {
+            swept = Instant::now();
+            let directory = std::sync::Arc::clone(&gateway.world.borrow().directory);
+            gateway.links.sweep(|id| directory.get(id).is_some());
+        }
+    }
+}
+
+impl Gateway {
+    /// Whether the balancer should send callers here.
+    fn is_ready(&self) -> bool {
+        !self.stopping.get() && self.world.borrow().is_complete()
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,72 @@
+//! Forwards the requests of callers to backend servers.
+//!
+//! One thread carries a request from its first byte to its last; what follows the store, and what
+//! may block, are threads of their own.
+
+mod attempt;
+mod body;
+pub mod directory;
+mod event;
+mod feed;
+mod forward;
+mod front;
+mod job;
+mod link;
+mod metrics;
+mod permit;
+mod reply;
+mod socket;
+pub mod table;
+
+pub(crate) use front::run;
+
+use crate::settings;
+use feed::World;
+use job::Job;
+use link::Links;
+use metrics::Metrics;
+use permit::Desk;
+use std::cell::Cell;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// How long the store may be silent before a VM no longer trusts that its configuration is the
+/// newest.
+const BLIND: Duration = Duration::from_secs(3);
+
+/// What the request thread works with.
+#[derive(Debug)]
+pub(crate) struct Gateway {
+    settings: settings::Gateway,
+    zone: Arc<str>,
+    world: watch::Receiver<World>,
+    links: Links,
+    desk: Desk,
+    metrics: Metrics,
+    stopping: Cell<bool>,
+    began: Instant,
+}
+
+impl Gateway {
+    fn zone(&self) -> Arc<str> {
+        Arc::clone(&self.zone)
+    }
+
+    /// Whether the configuration may be out of date.
+    fn is_blind(&self) -> bool {
+        let heard = self.world.borrow().heard;
+        heard.is_none_or(|heard| heard.elapsed() > BLIND)
+    }
+
+    /// The place of a request in the order: the time by which it should be under way.
+    fn urgency(&self, job: &Job) -> i64 {
+        let finish = job.meta.finish.unwrap_or(job.route.objective);
+        let by = job.arrived + finish;
+        let since = by.saturating_duration_since(self.began).as_millis();
+        i64::try_from(since).unwrap_or(i64::MAX)
+    }
+
+    fn streamed(&self, _job: &Job) {}
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod code;
 pub mod config;
 pub mod effect;
+pub mod gateway;
 pub mod id;
 pub mod journal;
 pub mod member;
--- /dev/null
+++ b/src/platform/headers.rs
@@ -0,0 +1,249 @@
+//! The headers that callers and backend servers use, decoded into what they say.
+
+use http::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, COOKIE, HOST, HeaderMap};
+use http::header::{HeaderName, HeaderValue, RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+use std::time::Duration;
+
+const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
+const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("x-expect-instance");
+const EXPECT_VERSION: HeaderName = HeaderName::from_static("x-expect-version");
+const NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
+/// The server's proof that the answer is its own.
+const SEAL: HeaderName = HeaderName::from_static("x-server-seal");
+const LOAD: HeaderName = HeaderName::from_static("x-server-load");
+const PROGRAM: HeaderName = HeaderName::from_static("x-program");
+const SESSION: HeaderName = HeaderName::from_static("x-session");
+/// Milliseconds until the whole program should be finished, not this request.
+const FINISH: HeaderName = HeaderName::from_static("x-finish-ms");
+const TOKEN_BUDGET: HeaderName = HeaderName::from_static("x-token-budget");
+/// Two numbers: tokens of the prompt, and the most tokens to generate.
+const TOKEN_COUNT: HeaderName = HeaderName::from_static("x-token-count");
+const PROMPT_PREFIX: HeaderName = HeaderName::from_static("x-prompt-prefix");
+const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
+/// The cookie that names the object of a request.
+const OBJECT_COOKIE: &str = "X-Affinity-Key=";
+
+/// Headers that only the system may set: a caller's are dropped.
+const OURS: [HeaderName; 8] = [
+    DEADLINE,
+    EXPECT_INSTANCE,
+    EXPECT_VERSION,
+    HeaderName::from_static("x-hold"),
+    HeaderName::from_static("x-pin-ms"),
+    HeaderName::from_static("x-kv-backup"),
+    HeaderName::from_static("kv-from"),
+    HeaderName::from_static("kv-fetch"),
+];
+
+/// Headers that concern one connection only.
+const HOP: [HeaderName; 8] = [
+    CONNECTION,
+    KEEP_ALIVE,
+    PROXY_CONNECTION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+    CONTENT_LENGTH,
+];
+
+/// What a request says of itself.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Meta {
+    /// The identity of this attempt of the caller.
+    pub(crate) id: String,
+    /// How long the caller waits.
+    pub(crate) wait: Option<Duration>,
+    /// The program that it belongs to.
+    pub(crate) program: Option<String>,
+    /// The line of turns within the program.
+    pub(crate) line: Option<String>,
+    /// The time left until the whole program should be finished.
+    pub(crate) finish: Option<Duration>,
+    /// Tokens that all turns of the program may generate.
+    pub(crate) budget: Option<u64>,
+    /// Tokens of the prompt.
+    pub(crate) prompt_tokens: u64,
+    /// The most tokens that this turn generates.
+    pub(crate) most_tokens: u64,
+    /// The parts of the prompt: identity and tokens of each.
+    pub(crate) parts: Vec<(u64, u64)>,
+    /// The last event that the caller has.
+    pub(crate) last_event: Option<u64>,
+    /// The object that the request concerns.
+    pub(crate) object: Option<String>,
+}
+
+fn text(headers: &HeaderMap, name: &HeaderName) -> Option<String> {
+    let value = headers.get(name)?.to_str().ok()?;
+    Some(value.trim().to_owned())
+}
+
+fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    text(headers, name)?.parse().ok()
+}
+
+fn part(entry: &str) -> Option<(u64, u64)> {
+    let (id, tokens) = entry.trim().split_once(':')?;
+    Some((u64::from_str_radix(id, 16).ok()?, tokens.parse().ok()?))
+}
+
+impl Meta {
+    pub(crate) fn of(headers: &HeaderMap) -> Self {
+        let counts = text(headers, &TOKEN_COUNT).unwrap_or_default();
+        let mut counts = counts.split(',').map(|part| part.trim().parse().ok());
+        let cookies = headers.get_all(COOKIE).iter();
+        let mut cookies = cookies.filter_map(|value| value.to_str().ok());
+        let object = cookies.find_map(|line| {
+            let mut pairs = line.split(';').map(str::trim);
+            pairs.find_map(|pair| pair.strip_prefix(OBJECT_COOKIE).map(ToOwned::to_owned))
+        });
+        let parts = text(headers, &PROMPT_PREFIX).unwrap_or_default();
+        Self {
+            id: text(headers, &REQUEST_ID).unwrap_or_default(),
+            wait: number(headers, &DEADLINE).map(Duration::from_millis),
+            program: text(headers, &PROGRAM),
+            line: text(headers, &SESSION),
+            finish: number(headers, &FINISH).map(Duration::from_millis),
+            budget: number(headers, &TOKEN_BUDGET),
+            prompt_tokens: counts.next().flatten().unwrap_or_default(),
+            most_tokens: counts.next().flatten().unwrap_or_default(),
+            parts: parts.split(',').filter_map(part).collect(),
+            last_event: number(headers, &LAST_EVENT),
+            object,
+        }
+    }
+}
+
+/// Whether the framing could be read in two ways: then another reader might see a second request.
+pub(crate) fn ambiguous(headers: &HeaderMap) -> bool {
+    let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
+    let encodings = headers.get_all(TRANSFER_ENCODING).iter().count();
+    lengths > 1 || encodings > 1 || (lengths == 1 && encodings == 1)
+}
+
+fn forwarded(headers: &HeaderMap) -> HeaderMap {
+    let named = headers.get_all(CONNECTION).iter();
+    let named: Vec<String> = named
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|line| line.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let mut kept = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        if !HOP.contains(name) && !named.iter().any(|hop| hop == name.as_str()) {
+            kept.append(name, value.clone());
+        }
+    }
+    kept
+}
+
+/// The headers of a request as a backend server gets them.
+pub(crate) fn request(
+    headers: &HeaderMap,
+    server: &str,
+    left: Duration,
+    last_event: Option<u64>,
+) -> HeaderMap {
+    let mut kept = forwarded(headers);
+    if let Some(host) = headers.get(HOST) {
+        kept.insert(HOST, host.clone());
+    }
+    // A caller may name these in `Connection`; the server needs them all the same.
+    for name in [REQUEST_ID, PROGRAM, SESSION] {
+        if let Some(value) = headers.get(&name) {
+            kept.insert(name, value.clone());
+        }
+    }
+    for name in OURS {
+        kept.remove(name);
+    }
+    kept.insert(
+        DEADLINE,
+        HeaderValue::from(u64::try_from(left.as_millis()).unwrap_or(u64::MAX)),
+    );
+    if let Ok(value) = HeaderValue::from_str(server) {
+        kept.insert(EXPECT_INSTANCE, value);
+    }
+    if let Some(last) = last_event {
+        kept.insert(LAST_EVENT, HeaderValue::from(last));
+    }
+    kept
+}
+
+/// The headers of an answer as the caller gets them.
+pub(crate) fn answer(headers: &HeaderMap) -> HeaderMap {
+    forwarded(headers)
+}
+
+/// The load that a server tells with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Load {
+    pub(crate) running: usize,
+    pub(crate) waiting: usize,
+    pub(crate) slots: usize,
+}
+
+/// What an answer says of itself.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Verdict {
+    /// The request that it answers.
+    pub(crate) id: Option<String>,
+    /// Whether it carries the server's proof.
+    pub(crate) sealed: bool,
+    /// Whether the server states that the request did not run.
+    pub(crate) not_run: bool,
+    /// Whether the body was encoded by someone on the way.
+    pub(crate) encoded: bool,
+    /// The load of the server.
+    pub(crate) load: Option<Load>,
+    /// How long the server keeps the connection while it is idle.
+    pub(crate) keep: Option<Duration>,
+    /// Whether the server closes the connection after this answer.
+    pub(crate) closes: bool,
+}
+
+impl Verdict {
+    pub(crate) fn of(headers: &HeaderMap) -> Self {
+        let keep = text(headers, &KEEP_ALIVE).unwrap_or_default();
+        let keep = keep.split(',').find_map(|part| {
+            let seconds = part.trim().strip_prefix("timeout=")?;
+            seconds.parse().ok().map(Duration::from_secs)
+        });
+        let closes = text(headers, &CONNECTION).unwrap_or_default();
+        Self {
+            id: text(headers, &REQUEST_ID),
+            sealed: headers.contains_key(SEAL),
+            not_run: headers.contains_key(NOT_RUN),
+            encoded: headers.contains_key(CONTENT_ENCODING),
+            load: load(headers),
+            keep,
+            closes: closes.to_ascii_lowercase().contains("close"),
+        }
+    }
+}
+
+fn load(headers: &HeaderMap) -> Option<Load> {
+    let line = text(headers, &LOAD)?;
+    let mut numbers = line.split(',').map(|part| part.trim().parse().ok());
+    Some(Load {
+        running: numbers.next()??,
+        waiting: numbers.next()??,
+        slots: numbers.next()??,
+    })
+}
+
+/// The header that echoes a request's identity in answers of our own.
+pub(crate) fn echo(id: &str) -> Option<(HeaderName, HeaderValue)> {
+    let value = HeaderValue::from_str(id).ok()?;
+    (!id.is_empty()).then_some((REQUEST_ID, value))
+}
+
+/// The header that tells a caller when to come back.
+pub(crate) fn come_back(after: Duration) -> (HeaderName, HeaderValue) {
+    let value = HeaderValue::from_str(&format!("{:.2}", after.as_secs_f64()));
+    (RETRY_AFTER, value.unwrap_or(HeaderValue::from_static("1")))
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,6 +1,9 @@
 //! What the platform gives: the append-only log and the VM list.
 
+pub(crate) mod headers;
 mod http;
+pub(crate) mod records;
+pub(crate) mod store;
 
 pub(crate) use http::Http;
 
--- /dev/null
+++ b/src/platform/records.rs
@@ -0,0 +1,197 @@
+//! The records that operators and backend servers write to the store.
+
+use super::store::Keyed;
+use crate::gateway::directory::{Change, Entry};
+use crate::gateway::table::{Engine, Limits, Route, Service, Table, Target};
+use serde::Deserialize;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The topic whose record [`CONFIG_KEY`] is the configuration.
+pub(crate) const CONFIG_TOPIC: &str = "keyed.op";
+/// The key of the configuration.
+pub(crate) const CONFIG_KEY: &str = "config";
+/// The topic in which backend servers register themselves, each under its identity.
+pub(crate) const DIRECTORY_TOPIC: &str = "keyed.servers";
+/// Our own topic of the allowances of programs.
+pub(crate) const ALLOWANCE_TOPIC: &str = "keyed.allowance";
+/// Our own topic of the addresses at which VMs first reach each other.
+pub(crate) const CONTACT_TOPIC: &str = "keyed.contact";
+
+/// Servers that a request may run on where a route does not say.
+const ATTEMPTS: u32 = 2;
+/// Tokens of one event where the engine does not say.
+const TOKENS_PER_EVENT: u64 = 1;
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct ConfigBody {
+    version: u64,
+    routes: Vec<RouteBody>,
+    #[serde(default)]
+    services: Vec<ServiceBody>,
+    #[serde(default)]
+    limits: LimitsBody,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct RouteBody {
+    name: String,
+    host: String,
+    path_prefix: String,
+    kind: String,
+    timeout_ms: f64,
+    #[serde(default)]
+    slo_ms: f64,
+    attempts: Option<u32>,
+    #[serde(default)]
+    priority: u8,
+    /// The only service; absent where `split` names several.
+    service: Option<String>,
+    #[serde(default)]
+    split: Vec<SplitBody>,
+    #[serde(default)]
+    can_resume: bool,
+    /// Seconds for which a stopped program may still come back. The name speaks of retaining a
+    /// prompt, but it is given where prompts are not kept, too.
+    retain_s: Option<f64>,
+}
+
+#[derive(Debug, Deserialize)]
+struct SplitBody {
+    service: String,
+    weight: f64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct ServiceBody {
+    name: String,
+    max_conns: Option<usize>,
+    engine: Option<EngineBody>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct EngineBody {
+    #[serde(default)]
+    slots: usize,
+    #[serde(default)]
+    kv_cap_tokens: u64,
+    /// Tokens that one event of a stream stands for; nothing to do with chunks of a prompt.
+    chunk_tokens: Option<u64>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct LimitsBody {
+    max_header_bytes: Option<usize>,
+    max_body_bytes: Option<usize>,
+    idle_timeout_ms: Option<f64>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct ServerBody {
+    service: String,
+    addr: SocketAddr,
+    zone: String,
+    #[serde(default)]
+    slots: usize,
+    /// `ready` or `draining`.
+    #[serde(default)]
+    state: String,
+    #[serde(default)]
+    cold_left_ms: f64,
+}
+
+fn millis(number: f64) -> Duration {
+    Duration::try_from_secs_f64(number / 1000.0).unwrap_or_default()
+}
+
+impl RouteBody {
+    fn decode(self) -> Result<Route, String> {
+        let mut targets: Vec<Target> = self
+            .split
+            .into_iter()
+            .map(|SplitBody { service, weight }| Target { service, weight })
+            .collect();
+        if let (true, Some(service)) = (targets.is_empty(), self.service) {
+            let weight = 1.0;
+            targets.push(Target { service, weight });
+        }
+        Ok(Route {
+            kind: self.kind.parse()?,
+            name: self.name,
+            host: self.host,
+            prefix: self.path_prefix,
+            timeout: millis(self.timeout_ms),
+            objective: millis(self.slo_ms),
+            attempts: self.attempts.unwrap_or(ATTEMPTS).max(1),
+            rank: self.priority,
+            targets,
+            resumable: self.can_resume,
+            program_idle: self.retain_s.map(|seconds| millis(seconds * 1000.0)),
+        })
+    }
+}
+
+impl ServiceBody {
+    fn decode(self) -> (String, Service) {
+        let engine = self.engine.map(|engine| Engine {
+            slots: engine.slots,
+            memory_tokens: engine.kv_cap_tokens,
+            tokens_per_event: engine.chunk_tokens.unwrap_or(TOKENS_PER_EVENT).max(1),
+        });
+        let service = Service {
+            max_connections: self.max_conns,
+            engine,
+        };
+        (self.name, service)
+    }
+}
+
+impl LimitsBody {
+    fn decode(self) -> Limits {
+        let given = Limits::default();
+        Limits {
+            head_bytes: self.max_header_bytes.unwrap_or(given.head_bytes),
+            body_bytes: self.max_body_bytes.unwrap_or(given.body_bytes),
+            idle: self.idle_timeout_ms.map_or(given.idle, millis),
+        }
+    }
+}
+
+/// Decodes the configuration.
+pub(crate) fn table(value: &[u8]) -> Result<Table, String> {
+    let body: ConfigBody = serde_json::from_slice(value).map_err(|error| error.to_string())?;
+    let routes = body.routes.into_iter().map(RouteBody::decode);
+    let routes = routes.collect::<Result<Vec<_>, _>>()?;
+    let services: HashMap<_, _> = body.services.into_iter().map(ServiceBody::decode).collect();
+    Ok(Table::new(
+        body.version,
+        routes,
+        services,
+        body.limits.decode(),
+    ))
+}
+
+/// Decodes one record of the directory.
+pub(crate) fn server(record: &Keyed) -> Result<Change, String> {
+    let id = record.key.as_str().into();
+    let Some(value) = &record.value else {
+        return Ok(Change::Removed(id));
+    };
+    let body: ServerBody = serde_json::from_slice(value).map_err(|error| error.to_string())?;
+    Ok(Change::Set(Entry {
+        id,
+        service: body.service,
+        address: body.addr,
+        zone: body.zone,
+        slots: body.slots.max(1),
+        draining: body.state == "draining",
+        cold: millis(body.cold_left_ms),
+    }))
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,6 +5,7 @@
 pub mod admit;
 pub mod ask;
 pub mod cache;
+pub mod dispatch;
 pub mod estimate;
 pub mod forecast;
 pub mod pace;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -111,13 +111,7 @@
     /// # Errors
     /// [`Code::BadSettings`] with the path and the reason.
     pub fn parse(text: &str) -> Result<Self, Failure> {
-        let bad = |path: &str, reason: &str| {
-            Failure::refused(Code::BadSettings, format!("at `{path}`: {reason}"))
-        };
-        let mut reader = serde_json::Deserializer::from_str(text);
-        let settings: Self = serde_path_to_error::deserialize(&mut reader)
-            .map_err(|error| bad(&error.path().to_string(), &error.inner().to_string()))?;
-        reader.end().map_err(|error| bad(".", &error.to_string()))?;
+        let settings: Self = read(text)?;
         let checks = [
             (
                 settings.shards >= 1 && settings.shards <= 65_536,
@@ -162,10 +156,7 @@
                 "not `http://IP:PORT`",
             ),
         ];
-        match checks.iter().find(|(good, _, _)| !good) {
-            Some((_, path, reason)) => Err(bad(path, reason)),
-            None => Ok(settings),
-        }
+        verdict(settings, &checks)
     }
 
     /// Reads and checks the settings file at `path`.
@@ -178,10 +169,7 @@
     /// # Errors
     /// [`Code::BadSettings`] when the file can't be read or is malformed.
     pub fn load(path: &Path) -> Result<Self, Failure> {
-        let text = std::fs::read_to_string(path).map_err(|error| {
-            Failure::refused(Code::BadSettings, format!("{}: {error}", path.display()))
-        })?;
-        Self::parse(&text)
+        Self::parse(&text(path)?)
     }
 }
 
@@ -189,3 +177,145 @@
     text.strip_prefix("http://")
         .is_some_and(|rest| rest.parse::<SocketAddr>().is_ok())
 }
+
+/// The addresses that a gateway listens on.
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Doors {
+    /// For callers, behind the balancer.
+    pub callers: SocketAddr,
+    /// For the balancer, which asks whether this VM is ready.
+    pub ready: SocketAddr,
+    /// For operators: metrics and the state of the process.
+    pub operators: SocketAddr,
+    /// For the other VMs: UDP for membership at this port, and for requests at the next one.
+    pub peers: SocketAddr,
+}
+
+/// The platform's store.
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Store {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Calls that write, a second, that all VMs together may make.
+    pub writes_per_second: u64,
+    /// Calls that read, a second, that all VMs together may make.
+    pub reads_per_second: u64,
+    /// Partitions of a topic.
+    pub partitions: u64,
+}
+
+/// The settings of one VM that forwards requests of callers.
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Gateway {
+    /// The name of this VM, unique among the VMs.
+    #[schemars(with = "String")]
+    pub vm: id::Vm,
+    /// The availability zone of this VM.
+    #[schemars(with = "String")]
+    pub zone: id::Zone,
+    /// Where this VM listens.
+    pub listen: Doors,
+    /// Addresses of some other VMs; only the IP numbers are used, since ports are the same on all.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The key by which VMs prove themselves to each other; at least 16 characters.
+    pub peer_key: String,
+    /// The platform's store.
+    pub store: Store,
+    /// The share of a core that this VM has.
+    pub cores: f64,
+    /// How long a planned stop may take, in milliseconds.
+    #[serde(default = "Settings::default_stop")]
+    pub stop_ms: u64,
+}
+
+impl Gateway {
+    /// Reads and checks settings; a fault names its JSON path.
+    ///
+    /// ```
+    /// let failure = vanillatrail::settings::Gateway::parse(r#"{"vm": 1}"#).unwrap_err();
+    /// assert!(failure.message.contains("vm"));
+    /// ```
+    ///
+    /// # Errors
+    /// [`Code::BadSettings`] with the path and the reason.
+    pub fn parse(text: &str) -> Result<Self, Failure> {
+        let settings: Self = read(text)?;
+        let checks = [
+            (
+                settings.peer_key.len() >= 16,
+                "peer_key",
+                "shorter than 16 characters",
+            ),
+            (
+                settings.listen.peers.port() < u16::MAX,
+                "listen.peers",
+                "has no port after it",
+            ),
+            (
+                settings.store.writes_per_second >= 1,
+                "store.writes_per_second",
+                "zero",
+            ),
+            (
+                settings.store.reads_per_second >= 1,
+                "store.reads_per_second",
+                "zero",
+            ),
+            (
+                (1..=4096).contains(&settings.store.partitions),
+                "store.partitions",
+                "not in 1..=4096",
+            ),
+            (
+                settings.cores > 0.0 && settings.cores <= 1024.0,
+                "cores",
+                "not in 0..=1024",
+            ),
+            (settings.stop_ms >= 1000, "stop_ms", "under 1000"),
+        ];
+        verdict(settings, &checks)
+    }
+
+    /// Reads and checks the settings file at `path`.
+    ///
+    /// ```
+    /// use std::path::Path;
+    /// assert!(vanillatrail::settings::Gateway::load(Path::new("absent.json")).is_err());
+    /// ```
+    ///
+    /// # Errors
+    /// [`Code::BadSettings`] when the file can't be read or is malformed.
+    pub fn load(path: &Path) -> Result<Self, Failure> {
+        Self::parse(&text(path)?)
+    }
+}
+
+fn bad(path: &str, reason: &str) -> Failure {
+    Failure::refused(Code::BadSettings, format!("at `{path}`: {reason}"))
+}
+
+fn read<T: serde::de::DeserializeOwned>(text: &str) -> Result<T, Failure> {
+    let mut reader = serde_json::Deserializer::from_str(text);
+    let settings = serde_path_to_error::deserialize(&mut reader)
+        .map_err(|error| bad(&error.path().to_string(), &error.inner().to_string()))?;
+    reader.end().map_err(|error| bad(".", &error.to_string()))?;
+    Ok(settings)
+}
+
+/// The settings, if every check is good; a check has its verdict, its path and what is wrong.
+fn verdict<T>(settings: T, checks: &[(bool, &str, &str)]) -> Result<T, Failure> {
+    match checks.iter().find(|(good, _, _)| !good) {
+        Some((_, path, reason)) => Err(bad(path, reason)),
+        None => Ok(settings),
+    }
+}
+
+fn text(path: &Path) -> Result<String, Failure> {
+    std::fs::read_to_string(path).map_err(|error| {
+        Failure::refused(Code::BadSettings, format!("{}: {error}", path.display()))
+    })
+}
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -5,10 +5,16 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 use spdlog::formatter::{PatternFormatter, pattern};
-use spdlog::sink::StdStreamSink;
-use spdlog::{LevelFilter, Logger};
+use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStreamSink};
+use spdlog::{LevelFilter, Logger, ThreadPool};
 use std::fmt;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Lines that may wait for standard output. At the usual 200 bytes a line they take 1 MB.
+const LINES: usize = 4096;
+
+static DROPPED: AtomicU64 = AtomicU64::new(0);
 
 /// Writes one event as a line of key=value pairs.
 macro_rules! event {
@@ -39,6 +45,40 @@
     }
 }
 
+/// How many lines were dropped, since nobody read standard output fast enough.
+pub(crate) fn dropped_lines() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
+/// Sends events of `level` and above to standard output, from a thread of its own.
+///
+/// A pipe that nobody reads fills up; a request must not wait for it, so lines that find the ring
+/// full are dropped and counted.
+pub(crate) fn log_to_stdout(level: LevelFilter) {
+    let formatter = PatternFormatter::new(pattern!(
+        "ts={date}T{time}.{millisecond} level={level} {payload}{eol}"
+    ));
+    let output = StdStreamSink::builder().stdout().formatter(formatter);
+    let pool = ThreadPool::builder()
+        .capacity(LINES.try_into().expect("not zero"))
+        .build_arc();
+    let (Ok(output), Ok(pool)) = (output.build_arc(), pool) else {
+        return;
+    };
+    let sink = AsyncPoolSink::builder()
+        .sink(output)
+        .thread_pool(pool)
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .error_handler(|_: spdlog::Error| {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        })
+        .build_arc();
+    let logger = sink.and_then(|sink| Logger::builder().sink(sink).level_filter(level).build_arc());
+    if let Ok(logger) = logger {
+        drop(spdlog::swap_default_logger(logger));
+    }
+}
+
 /// Sends events of `level` and above to standard error.
 pub(crate) fn log_to_stderr(level: LevelFilter) {
     let formatter = PatternFormatter::new(pattern!(
