Count the tokens of programs over VMs

Cause: looping programs spread over VMs; each VM saw only a part (2,300 to 4,240 tokens against budgets of 580 to 870). Change: a program is counted by one VM, found by rendezvous over the members; allowances of several turns are recorded under a writer's epoch, so that a former counter is shut out by the store.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -15,7 +15,7 @@
 use http::{HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -157,6 +157,7 @@
         body,
         arrived,
         deadline,
+        allowance: RefCell::new(None),
         sent: Cell::new(false),
         events: Cell::new(0),
     })
@@ -173,6 +174,7 @@
 
 /// Sends the request until a server answers it.
 async fn run(job: &Rc<Job>) -> Result<Response<Body>, Failure> {
+    allow(job).await?;
     let mut avoid = Vec::new();
     let mut ran = 0;
     for _ in 0..TRIES {
@@ -210,6 +212,21 @@
     Err(failure.retry_after(TURNED_AWAY))
 }
 
+/// Gets leave for the tokens of a turn, before anything of it is sent.
+async fn allow(job: &Job) -> Result<(), Failure> {
+    let (Some(program), Some(budget)) = (&job.meta.program, job.meta.budget) else {
+        return Ok(());
+    };
+    if job.tokens_per_event == 0 {
+        return Ok(());
+    }
+    let events = job.meta.most_tokens.div_ceil(job.tokens_per_event);
+    let most = events * job.tokens_per_event;
+    let allowance = job.gateway.reserve(program, budget, most).await?;
+    job.allowance.replace(Some(allowance));
+    Ok(())
+}
+
 fn ask(job: &Job, avoid: &[Arc<str>]) -> Ask {
     Ask {
         service: Arc::clone(&job.service),
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -6,8 +6,12 @@
 use super::link::Links;
 use super::metrics::Metrics;
 use super::permit::Desk;
-use super::{Gateway, socket};
+use super::keeper::{self, Keeper};
+use super::peers::{self, Peers};
+use super::{Gateway, contact, socket};
 use crate::code::{Code, Failure};
+use crate::id::{Boot, Offset};
+use crate::member::{self, Beat, List, View};
 use crate::settings;
 use crate::supervisor::Supervisor;
 use crate::telemetry::event;
@@ -21,8 +25,9 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::{JoinSet, LocalSet, spawn_local};
@@ -34,6 +39,8 @@
 const STILL_TAKING: Duration = Duration::from_millis(2600);
 /// Taken off the time that a planned stop may take, so that the process ends by itself.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
+/// Lists of other VMs that may wait.
+const CONTACTS: usize = 2;
 /// Time between two sweeps of idle connections.
 const SWEEP: Duration = Duration::from_millis(500);
 /// Time between two looks at servers that rest.
@@ -50,24 +57,96 @@
     let mut supervisor = Supervisor::new(CancellationToken::new());
     let store = settings.store.address;
     supervisor.duty("feed", move || feed::run(store, worlds.clone()));
+    let (views, view) = watch::channel(Arc::new(View::default()));
+    let beats = Arc::new(watch::channel(first_beat(&settings)).0);
+    let contacts = member(&mut supervisor, &settings, views, &beats)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|error| Failure::refused(Code::Internal, error.to_string()))?;
-    LocalSet::new().block_on(&runtime, serve(settings, world))
+    let outside = Outside {
+        world,
+        view,
+        beats,
+        contacts,
+    };
+    LocalSet::new().block_on(&runtime, serve(settings, outside))
+}
+
+/// What the request thread is told by the others, and tells them.
+#[derive(Debug)]
+struct Outside {
+    world: watch::Receiver<World>,
+    view: watch::Receiver<Arc<View>>,
+    beats: Arc<watch::Sender<Beat>>,
+    contacts: flume::Sender<List>,
+}
+
+fn first_beat(settings: &settings::Gateway) -> Beat {
+    Beat {
+        vm: settings.vm.clone(),
+        zone: settings.zone.clone(),
+        boot: Boot(rand::random()),
+        address: settings.listen.peers,
+        ready: false,
+        applied: Offset(0),
+        held: Vec::new(),
+    }
 }
 
-async fn serve(settings: settings::Gateway, world: watch::Receiver<World>) -> Result<(), Failure> {
+/// Starts the thread of the membership; gives where addresses of other VMs go.
+fn member(
+    supervisor: &mut Supervisor,
+    settings: &settings::Gateway,
+    views: watch::Sender<Arc<View>>,
+    beats: &Arc<watch::Sender<Beat>>,
+) -> Result<flume::Sender<List>, Failure> {
+    let address = settings.listen.peers;
+    let unbound =
+        |error| Failure::refused(Code::BadSettings, format!("{address}: {error}"));
+    let socket = std::net::UdpSocket::bind(address).map_err(unbound)?;
+    socket.set_nonblocking(true).map_err(unbound)?;
+    let (contacts, listed) = flume::bounded(CONTACTS);
+    // Nobody tells of leaving servers here: the directory does. The ring stays open all the same,
+    // since a closed one is ready to be read all the time.
+    let (untold, leaving) = flume::bounded(1);
+    let (key, beats) = (settings.peer_key.clone(), Arc::clone(beats));
+    let seeds = settings.seeds.iter();
+    let seeds: Vec<_> = seeds.map(|seed| SocketAddr::new(seed.ip(), address.port())).collect();
+    supervisor.duty("member", move || {
+        let _open = &untold;
+        member::run(member::Setup {
+            socket: socket.try_clone().expect("the system gives a handle"),
+            key: key.clone(),
+            seeds: seeds.clone(),
+            listed: listed.clone(),
+            local: beats.subscribe(),
+            published: views.clone(),
+            leaving: leaving.clone(),
+            stop: CancellationToken::new(),
+        })
+    });
+    Ok(contacts)
+}
+
+async fn serve(settings: settings::Gateway, outside: Outside) -> Result<(), Failure> {
     let callers = bind(settings.listen.callers).await?;
     let ready = bind(settings.listen.ready).await?;
+    let peers = peers::address(settings.listen.peers);
+    let socket = UdpSocket::bind(peers).await;
+    let socket = socket
+        .map_err(|error| Failure::refused(Code::BadSettings, format!("{peers}: {error}")))?;
     let gateway = Rc::new(Gateway {
+        view: outside.view,
+        peers: Peers::new(socket, &settings.peer_key),
+        keeper: Rc::new(Keeper::new(settings.store.address, settings.store.partitions)),
         zone: settings.zone.as_str().into(),
         links: Links::default(),
         desk: Desk::default(),
         metrics: Metrics::new(),
         stopping: Cell::new(false),
         began: Instant::now(),
-        world,
+        world: outside.world,
         settings,
     });
     event!(
@@ -80,7 +159,10 @@
     let stop = CancellationToken::new();
     spawn_local(answer_balancer(Rc::clone(&gateway), ready));
     spawn_local(follow_world(Rc::clone(&gateway)));
-    spawn_local(keep_house(Rc::clone(&gateway)));
+    spawn_local(keep_house(Rc::clone(&gateway), outside.beats));
+    spawn_local(peers::receive(Rc::clone(&gateway)));
+    spawn_local(keeper::keep_house(Rc::clone(&gateway)));
+    spawn_local(contact::run(gateway.settings.clone(), outside.contacts));
     let accepting = spawn_local(accept(Rc::clone(&gateway), callers, stop.clone()));
     let (mut terminate, mut hangup) = (
         signal(SignalKind::terminate()).map_err(internal)?,
@@ -211,7 +293,7 @@
 async fn follow_world(gateway: Rc<Gateway>) {
     let mut world = gateway.world.clone();
     loop {
-        let directory = std::sync::Arc::clone(&world.borrow_and_update().directory);
+        let directory = Arc::clone(&world.borrow_and_update().directory);
         gateway.desk.configure(&directory);
         if world.changed().await.is_err() {
             return;
@@ -219,22 +301,29 @@
     }
 }
 
-async fn keep_house(gateway: Rc<Gateway>) {
+async fn keep_house(gateway: Rc<Gateway>, beats: Arc<watch::Sender<Beat>>) {
     let mut tick = interval(TICK);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut swept = Instant::now();
     loop {
         tick.tick().await;
         gateway.desk.tick();
+        let eligible = gateway.is_eligible();
+        beats.send_if_modified(|beat| std::mem::replace(&mut beat.ready, eligible) != eligible);
         if swept.elapsed() >= SWEEP {
             swept = Instant::now();
-            let directory = std::sync::Arc::clone(&gateway.world.borrow().directory);
+            let directory = Arc::clone(&gateway.world.borrow().directory);
             gateway.links.sweep(|id| directory.get(id).is_some());
         }
     }
 }
 
 impl Gateway {
+    /// Whether this VM can take work over from others.
+    fn is_eligible(&self) -> bool {
+        self.is_ready() && !self.is_blind() && self.keeper.has_store()
+    }
+
     /// Whether the balancer should send callers here.
     fn is_ready(&self) -> bool {
         !self.stopping.get() && self.world.borrow().is_complete()
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -1,11 +1,12 @@
 //! One request on its way: what it is, how long it has, and what is known of its fate.
 
 use super::Gateway;
+use super::keeper::Allowance;
 use super::table::Route;
 use crate::platform::headers::Meta;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,6 +30,8 @@
     pub(crate) deadline: Instant,
     /// Tokens of one event, where its service generates them.
     pub(crate) tokens_per_event: u64,
+    /// What the program allows this turn to generate.
+    pub(crate) allowance: RefCell<Option<Allowance>>,
     /// Whether a server may have run it.
     pub(crate) sent: Cell<bool>,
     /// Events that were passed on to the caller.
@@ -46,3 +49,15 @@
         u64::try_from(self.arrived.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 }
+
+impl Drop for Job {
+    /// However it ended, what was not handed out is the program's again.
+    fn drop(&mut self) {
+        let Some(allowance) = self.allowance.take() else {
+            return;
+        };
+        let used = self.events.get() * self.tokens_per_event;
+        let gateway = Rc::clone(&self.gateway);
+        tokio::task::spawn_local(async move { gateway.settle(allowance, used).await });
+    }
+}
--- /dev/null
+++ b/src/gateway/keeper.rs
@@ -0,0 +1,586 @@
+//! Counts the tokens of programs: one VM for each partition, found by the members' names.
+//!
+//! Which VM counts a partition is computed and may be disputed for a while. Nothing rests on it: a
+//! VM that takes over raises the epoch of the partition's writer at the store, and from then on the
+//! store refuses the records of the one before.
+
+use super::Gateway;
+use super::peers::{self, Note, Peer, Question, Reply};
+use crate::clock;
+use crate::code::{Code, Failure};
+use crate::id::rendezvous;
+use crate::platform::records::ALLOWANCE_TOPIC;
+use crate::platform::store::{Fault, Keyed, Store, Writer};
+use crate::policy::allowance::{Ledger, Reservation, Turn, Verdict};
+use crate::telemetry::event;
+use bytes::Bytes;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{Mutex, Notify};
+use tokio::time::{Instant, sleep, timeout};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// How long a turn waits for the store before its allowance is kept by other VMs instead. A record
+/// takes about 8 ms on a good day; a store that is slow or away must not hold up every program.
+const PATIENCE: Duration = Duration::from_millis(250);
+/// How long a turn waits for a partition to be taken over, two calls to the store.
+const TAKE: Duration = Duration::from_secs(1);
+/// How many other VMs keep what the store has not taken.
+const COPIES: usize = 2;
+/// The pause between two tries of a record.
+const AGAIN: Duration = Duration::from_millis(100);
+/// Failures in a row after which this VM says that it has lost the store.
+const LOST: u32 = 2;
+/// After this long without a failure the store is tried again.
+const TRY_AGAIN: Duration = Duration::from_secs(1);
+/// VMs that are asked before those that say that they have lost the store.
+const ASKED: usize = 2;
+/// When a caller may come back whose program nobody can count now.
+const COME_BACK: Duration = Duration::from_millis(700);
+/// How long a program may pause where its route does not say.
+const IDLE: Duration = Duration::from_secs(60);
+/// Added to the pause of a program before its record is dropped.
+const IDLE_MARGIN: Duration = Duration::from_secs(30);
+/// Programs whose spending is remembered at the VM through which they came.
+const SEEN: usize = 50_000;
+
+/// The writer's hold on a partition.
+#[derive(Debug, Clone, Copy)]
+struct Hold {
+    epoch: u64,
+    sequence: u64,
+}
+
+/// One partition.
+#[derive(Debug, Default)]
+struct Part {
+    hold: Cell<Option<Hold>>,
+    ledger: RefCell<Ledger>,
+    /// Allowances that are not durable yet.
+    pending: RefCell<HashMap<String, u64>>,
+    /// Allowances that another VM asked this one to keep.
+    kept: RefCell<HashMap<String, u64>>,
+    taking: Mutex<()>,
+    writing: Cell<bool>,
+    written: Notify,
+}
+
+/// The partitions that this VM counts, and what it has seen of programs.
+#[derive(Debug)]
+pub(crate) struct Keeper {
+    store: Store,
+    count: u64,
+    parts: RefCell<HashMap<u64, Rc<Part>>>,
+    seen: RefCell<HashMap<String, u64>>,
+    failures: Cell<u32>,
+    failed: Cell<Option<Instant>>,
+}
+
+/// Leave for one turn to generate tokens; ends with [`Gateway::settle`].
+#[derive(Debug, Clone)]
+pub(crate) struct Allowance {
+    owner: Option<SocketAddr>,
+    part: u64,
+    reservation: u64,
+    /// Turns of the program so far, this one included.
+    pub(crate) turns: u32,
+}
+
+impl Keeper {
+    pub(crate) fn new(store: SocketAddr, count: u64) -> Self {
+        Self {
+            store: Store::new(store),
+            count,
+            parts: RefCell::default(),
+            seen: RefCell::default(),
+            failures: Cell::new(0),
+            failed: Cell::new(None),
+        }
+    }
+
+    fn part(&self, number: u64) -> Rc<Part> {
+        Rc::clone(self.parts.borrow_mut().entry(number).or_default())
+    }
+
+    fn part_of(&self, program: &str) -> u64 {
+        xxh3_64(program.as_bytes()) % self.count
+    }
+
+    /// Whether the store takes records from this VM.
+    pub(crate) fn has_store(&self) -> bool {
+        let lately = self.failed.get().is_some_and(|failed| failed.elapsed() < TRY_AGAIN);
+        self.failures.get() < LOST || !lately
+    }
+
+    fn heard(&self, good: bool) {
+        let before = self.has_store();
+        self.failures.set(if good { 0 } else { self.failures.get() + 1 });
+        self.failed.set((!good).then(Instant::now));
+        match (before, self.has_store()) {
+            (true, false) => event!(warn, "store_lost", for_what = "allowances"),
+            (false, true) => event!(info, "store_back", for_what = "allowances"),
+            _ => {}
+        }
+    }
+
+    /// A turn that another VM took in is over.
+    pub(crate) fn settled(&self, part: u64, from: SocketAddr, reservation: u64, used: u64) {
+        let reservation = Reservation {
+            vm: peers::vm_number(from),
+            number: reservation,
+        };
+        self.settle(part, reservation, used);
+    }
+
+    fn settle(&self, part: u64, reservation: Reservation, used: u64) {
+        let part = self.part(part);
+        part.ledger.borrow_mut().settle(Instant::now(), reservation, used);
+    }
+
+    /// Takes a partition over: shuts out the writer before, then reads what it has recorded.
+    async fn take(&self, number: u64, part: &Part) -> Result<(), Fault> {
+        let _taking = part.taking.lock().await;
+        if part.hold.get().is_some() {
+            return Ok(());
+        }
+        let mut epoch = clock::wall_ms();
+        let hold = loop {
+            let writer = self.writer(epoch, 0);
+            match self.store.append(ALLOWANCE_TOPIC, number, &[], Some(&writer)).await {
+                Ok(()) => break Hold { epoch, sequence: 0 },
+                // The clock of the VM before is ahead of this one's.
+                Err(Fault::Fenced) => epoch += 10_000,
+                Err(fault) => {
+                    self.heard(false);
+                    return Err(fault);
+                }
+            }
+        };
+        let newest = self.store.newest(ALLOWANCE_TOPIC, number).await;
+        self.heard(newest.is_ok());
+        let newest = newest?;
+        let now = Instant::now();
+        let mut ledger = Ledger::default();
+        for record in &newest.records {
+            let allowed = record.value.as_ref().and_then(decode);
+            ledger.restore(now, &record.key, allowed.unwrap_or_default());
+        }
+        let kept = part.kept.take();
+        for (program, allowed) in &kept {
+            ledger.restore(now, program, *allowed);
+        }
+        event!(
+            info,
+            "allowances_taken",
+            part = number,
+            epoch = hold.epoch,
+            programs = ledger.len(),
+            copies = kept.len()
+        );
+        // What the store has not taken yet must not be lost to the next VM.
+        part.pending.borrow_mut().extend(kept);
+        part.ledger.replace(ledger);
+        part.hold.set(Some(hold));
+        Ok(())
+    }
+
+    fn writer(&self, epoch: u64, sequence: u64) -> Writer {
+        Writer {
+            name: "allowance".to_owned(),
+            epoch,
+            sequence,
+        }
+    }
+
+    /// Writes what is pending until nothing is left; one append at a time, so that allowances that
+    /// come meanwhile share the next one.
+    async fn write(self: Rc<Self>, number: u64, part: Rc<Part>) {
+        loop {
+            let batch: Vec<(String, u64)> = part
+                .pending
+                .borrow()
+                .iter()
+                .map(|(program, allowed)| (program.clone(), *allowed))
+                .collect();
+            let Some(hold) = part.hold.get().filter(|_| !batch.is_empty()) else {
+                part.writing.set(false);
+                return;
+            };
+            let records: Vec<Keyed> = batch.iter().map(|(key, allowed)| encode(key, *allowed)).collect();
+            if !self.append(number, &part, hold, &records).await {
+                continue;
+            }
+            let mut pending = part.pending.borrow_mut();
+            let mut ledger = part.ledger.borrow_mut();
+            for (program, allowed) in batch {
+                ledger.recorded(&program, allowed);
+                if pending.get(&program).is_some_and(|newest| *newest <= allowed) {
+                    pending.remove(&program);
+                }
+            }
+            part.written.notify_waiters();
+        }
+    }
+
+    /// Appends one batch. Gives false where it has to be looked at anew.
+    async fn append(&self, number: u64, part: &Part, hold: Hold, records: &[Keyed]) -> bool {
+        let writer = self.writer(hold.epoch, hold.sequence);
+        loop {
+            let done = self.store.append(ALLOWANCE_TOPIC, number, records, Some(&writer)).await;
+            let next = |sequence| {
+                part.hold.set(Some(Hold {
+                    epoch: hold.epoch,
+                    sequence,
+                }));
+            };
+            match done {
+                Ok(()) => {
+                    self.heard(true);
+                    next(hold.sequence + 1);
+                    return true;
+                }
+                Err(Fault::Fenced) => {
+                    event!(warn, "allowances_lost", part = number, epoch = hold.epoch);
+                    part.hold.set(None);
+                    part.pending.borrow_mut().clear();
+                    part.written.notify_waiters();
+                    return false;
+                }
+                Err(Fault::Sequence(expected)) => {
+                    event!(warn, "sequence_corrected", part = number, sent = hold.sequence, expected = expected);
+                    next(expected);
+                    return false;
+                }
+                // The same sequence number again: if it was done, the store says so.
+                Err(fault) => {
+                    self.heard(false);
+                    event!(debug, "record_failed", part = number, reason = fault);
+                    sleep(AGAIN).await;
+                }
+            }
+        }
+    }
+
+    /// Forgets programs that can't come back, here and at the store.
+    pub(crate) async fn expire(self: &Rc<Self>, idle: Duration) {
+        let parts: Vec<_> = self
+            .parts
+            .borrow()
+            .iter()
+            .filter(|(_, part)| part.hold.get().is_some())
+            .map(|(number, part)| (*number, Rc::clone(part)))
+            .collect();
+        for (number, part) in parts {
+            let expired = part.ledger.borrow_mut().expire(Instant::now(), idle + IDLE_MARGIN);
+            if expired.is_empty() || part.writing.replace(true) {
+                continue;
+            }
+            let dropped = expired.into_iter().map(|key| Keyed { key, value: None });
+            let records: Vec<Keyed> = dropped.collect();
+            if let Some(hold) = part.hold.get() {
+                self.append(number, &part, hold, &records).await;
+            }
+            tokio::task::spawn_local(Rc::clone(self).write(number, part));
+        }
+    }
+
+    /// How many partitions this VM counts, and of how many programs.
+    pub(crate) fn size(&self) -> (usize, usize) {
+        let parts = self.parts.borrow();
+        let held = parts.values().filter(|part| part.hold.get().is_some());
+        held.fold((0, 0), |(parts, programs), part| {
+            (parts + 1, programs + part.ledger.borrow().len())
+        })
+    }
+}
+
+fn encode(program: &str, allowed: u64) -> Keyed {
+    Keyed {
+        key: program.to_owned(),
+        value: Some(Bytes::from(allowed.to_string())),
+    }
+}
+
+fn decode(value: &Bytes) -> Option<u64> {
+    std::str::from_utf8(value).ok()?.parse().ok()
+}
+
+/// A reservation as the VM that counts the program sees it.
+#[derive(Debug)]
+struct Request<'a> {
+    part: u64,
+    program: &'a str,
+    reservation: Reservation,
+    turn: Turn,
+    takeover: bool,
+}
+
+impl Gateway {
+    /// The VMs to ask for a partition, in this order. Those that have lost the store come again at
+    /// the end: where it is away from all, only the VM that counted before can go on.
+    fn candidates(&self, part: u64) -> Vec<Peer> {
+        let mut all = self.counters(part, false);
+        all.truncate(ASKED);
+        let mut by_rank = self.counters(part, true);
+        by_rank.truncate(ASKED);
+        all.extend(by_rank);
+        all
+    }
+
+    /// The VMs that may count a partition, the one that should first.
+    fn counters(&self, part: u64, unready_too: bool) -> Vec<Peer> {
+        let view = self.view.borrow();
+        let key = format!("allowance/{part}");
+        let mut members: Vec<_> = view
+            .members
+            .values()
+            .map(|member| {
+                let silent = self.peers.is_silent(peers::address(member.address));
+                let rank = rendezvous(&key, member.vm.as_str());
+                ((member.ready || unready_too) && !silent, rank, member)
+            })
+            .collect();
+        members.sort_by(|one, other| (other.0, other.1).cmp(&(one.0, one.1)));
+        let peers = members.into_iter().map(|(_, _, member)| Peer {
+            vm: member.vm.clone(),
+            address: peers::address(member.address),
+        });
+        peers.collect()
+    }
+
+    /// Asks for leave to generate up to `most` tokens for a program.
+    ///
+    /// # Errors
+    /// [`Code::BudgetSpent`], or [`Code::LogUnavailable`] where nobody can tell now.
+    pub(crate) async fn reserve(
+        self: &Rc<Self>,
+        program: &str,
+        budget: u64,
+        most: u64,
+    ) -> Result<Allowance, Failure> {
+        let part = self.keeper.part_of(program);
+        let seen = self.keeper.seen.borrow().get(program).copied();
+        let seen = seen.unwrap_or_default();
+        let reservation = self.peers.number();
+        let mut takeover = false;
+        {
+            for peer in self.candidates(part) {
+                let mine = peer.vm == self.settings.vm;
+                let reply = if mine {
+                    let request = Request {
+                        part,
+                        program,
+                        reservation: self.own(reservation),
+                        turn: Turn { budget, most, seen },
+                        takeover,
+                    };
+                    Some(self.count(request).await)
+                } else {
+                    let question = Question::Reserve {
+                        part,
+                        program: program.to_owned(),
+                        budget,
+                        most,
+                        seen,
+                        reservation,
+                        takeover,
+                    };
+                    self.peers.ask(peer.address, &question).await
+                };
+                match reply {
+                    Some(Reply::Granted { turns, total }) => {
+                        self.note_seen(program, total);
+                        return Ok(Allowance {
+                            owner: (!mine).then_some(peer.address),
+                            part,
+                            reservation,
+                            turns,
+                        });
+                    }
+                    Some(Reply::Spent) => {
+                        return Err(Failure::refused(
+                            Code::BudgetSpent,
+                            "the token budget of the program is spent",
+                        ));
+                    }
+                    _ => takeover = true,
+                }
+            }
+        }
+        let failure = Failure::refused(Code::LogUnavailable, "nobody can count the program's tokens");
+        Err(failure.retry_after(COME_BACK))
+    }
+
+    fn own(&self, reservation: u64) -> Reservation {
+        Reservation {
+            vm: peers::vm_number(peers::address(self.settings.listen.peers)),
+            number: reservation,
+        }
+    }
+
+    /// Remembers what a program has spent, for a VM that takes over without having seen it.
+    fn note_seen(&self, program: &str, total: u64) {
+        let mut seen = self.keeper.seen.borrow_mut();
+        if seen.len() >= SEEN {
+            seen.clear();
+        }
+        let known = seen.entry(program.to_owned()).or_default();
+        *known = total.max(*known);
+    }
+
+    /// A turn is over: `used` tokens were handed out.
+    pub(crate) async fn settle(&self, allowance: Allowance, used: u64) {
+        let Allowance {
+            owner,
+            part,
+            reservation,
+            ..
+        } = allowance;
+        match owner {
+            None => self.keeper.settle(part, self.own(reservation), used),
+            Some(owner) => {
+                let note = Note::Settled {
+                    part,
+                    reservation,
+                    used,
+                };
+                self.peers.tell(owner, note).await;
+            }
+        }
+    }
+
+    /// Answers a question of another VM.
+    pub(crate) async fn answer(self: &Rc<Self>, from: SocketAddr, question: Question) -> Reply {
+        match question {
+            Question::Reserve {
+                part,
+                program,
+                budget,
+                most,
+                seen,
+                reservation,
+                takeover,
+            } => {
+                let request = Request {
+                    part,
+                    program: &program,
+                    reservation: Reservation {
+                        vm: peers::vm_number(from),
+                        number: reservation,
+                    },
+                    turn: Turn { budget, most, seen },
+                    takeover,
+                };
+                self.count(request).await
+            }
+            Question::Keep {
+                part,
+                program,
+                allowed,
+            } => {
+                let part = self.keeper.part(part);
+                let mut kept = part.kept.borrow_mut();
+                let known = kept.entry(program).or_default();
+                *known = allowed.max(*known);
+                Reply::Kept
+            }
+        }
+    }
+
+    async fn count(self: &Rc<Self>, request: Request<'_>) -> Reply {
+        let Request {
+            part: number,
+            program,
+            reservation,
+            turn,
+            takeover,
+        } = request;
+        let part = self.keeper.part(number);
+        if part.hold.get().is_none() {
+            let first = self.counters(number, false).into_iter().next();
+            if !takeover && first.is_some_and(|first| first.vm != self.settings.vm) {
+                return Reply::NotOwner;
+            }
+            // It goes on where this request gives up, so that the next one finds it done.
+            let keeper = Rc::clone(&self.keeper);
+            let taken = Rc::clone(&part);
+            let taking = tokio::task::spawn_local(async move { keeper.take(number, &taken).await });
+            if !matches!(timeout(TAKE, taking).await, Ok(Ok(Ok(())))) {
+                return Reply::Away;
+            }
+        }
+        let verdict = part.ledger.borrow_mut().reserve(Instant::now(), program, reservation, turn);
+        let covered = match verdict {
+            Verdict::Spent => return Reply::Spent,
+            Verdict::Covered => true,
+            Verdict::Record(allowed) => self.cover(number, &part, program, allowed).await,
+        };
+        if !covered {
+            self.keeper.settle(number, reservation, 0);
+            return Reply::Away;
+        }
+        let (turns, total) = part.ledger.borrow().standing(program);
+        Reply::Granted { turns, total }
+    }
+
+    /// Waits until an allowance is durable, or kept by other VMs where the store does not take it.
+    async fn cover(self: &Rc<Self>, number: u64, part: &Rc<Part>, program: &str, allowed: u64) -> bool {
+        let hold = part.hold.get();
+        {
+            let mut pending = part.pending.borrow_mut();
+            let newest = pending.entry(program.to_owned()).or_default();
+            *newest = allowed.max(*newest);
+        }
+        if !part.writing.replace(true) {
+            tokio::task::spawn_local(Rc::clone(&self.keeper).write(number, Rc::clone(part)));
+        }
+        let durable = async {
+            loop {
+                let written = part.written.notified();
+                if part.ledger.borrow().allowed(program) >= allowed {
+                    return true;
+                }
+                // Shut out by another VM meanwhile, nothing will be recorded.
+                if part.hold.get().map(|hold| hold.epoch) != hold.map(|hold| hold.epoch) {
+                    return false;
+                }
+                written.await;
+            }
+        };
+        let patience = if self.keeper.has_store() { PATIENCE } else { Duration::ZERO };
+        match timeout(patience, durable).await {
+            Ok(recorded) => recorded,
+            Err(_) => self.copy(number, program, allowed).await,
+        }
+    }
+
+    /// Has the VMs that would take over keep an allowance.
+    async fn copy(&self, part: u64, program: &str, allowed: u64) -> bool {
+        let question = Question::Keep {
+            part,
+            program: program.to_owned(),
+            allowed,
+        };
+        let others = self.counters(part, true).into_iter();
+        let others = others.filter(|peer| peer.vm != self.settings.vm);
+        let asks = others.take(COPIES).map(|peer| {
+            let question = &question;
+            async move { self.peers.ask(peer.address, question).await == Some(Reply::Kept) }
+        });
+        let kept = futures::future::join_all(asks).await;
+        let copies = kept.iter().filter(|kept| **kept).count();
+        event!(info, "allowance_copied", program = program, allowed = allowed, copies = copies);
+        copies > 0
+    }
+}
+
+/// Drops the records of programs that can't come back.
+pub(crate) async fn keep_house(gateway: Rc<Gateway>) {
+    loop {
+        sleep(IDLE_MARGIN / 3).await;
+        gateway.keeper.expire(IDLE).await;
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,14 +5,17 @@
 
 mod attempt;
 mod body;
+mod contact;
 pub mod directory;
 mod event;
 mod feed;
 mod forward;
 mod front;
 mod job;
+mod keeper;
 mod link;
 mod metrics;
+mod peers;
 mod permit;
 mod reply;
 mod socket;
@@ -20,13 +23,17 @@
 
 pub(crate) use front::run;
 
+use crate::member::View;
 use crate::settings;
 use feed::World;
 use job::Job;
+use keeper::Keeper;
 use link::Links;
 use metrics::Metrics;
+use peers::Peers;
 use permit::Desk;
 use std::cell::Cell;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -42,6 +49,9 @@
     settings: settings::Gateway,
     zone: Arc<str>,
     world: watch::Receiver<World>,
+    view: watch::Receiver<Arc<View>>,
+    peers: Peers,
+    keeper: Rc<Keeper>,
     links: Links,
     desk: Desk,
     metrics: Metrics,
--- /dev/null
+++ b/src/gateway/peers.rs
@@ -0,0 +1,225 @@
+//! Messages between VMs that requests wait for: sealed datagrams, repeated until they are answered.
+//!
+//! A datagram costs one system call on each side, and one that is lost holds up no other.
+
+use super::Gateway;
+use crate::id::Vm;
+use crate::member::{DATAGRAM, Sealer};
+use crate::telemetry::event;
+use serde::{Deserialize, Serialize};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, timeout};
+
+/// Time after which a question is sent again. A round trip within a region takes 1 to 4 ms.
+const AGAIN: Duration = Duration::from_millis(40);
+/// How often it is sent; a VM that answers none of them stands still or is gone.
+const SENDS: usize = 4;
+/// For how long a VM that did not answer is not asked first.
+const SILENT: Duration = Duration::from_millis(1000);
+
+/// A question to another VM.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Question {
+    /// May a turn of a program run?
+    #[serde(rename = "r")]
+    Reserve {
+        part: u64,
+        program: String,
+        budget: u64,
+        most: u64,
+        /// Tokens that the asking VM knows to be spent.
+        seen: u64,
+        /// The number of the reservation, the same when it is asked again.
+        reservation: u64,
+        /// Whether those that come first did not answer.
+        takeover: bool,
+    },
+    /// Keep an allowance that the store has not taken yet.
+    #[serde(rename = "c")]
+    Keep {
+        part: u64,
+        program: String,
+        allowed: u64,
+    },
+}
+
+/// An answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Reply {
+    /// The turn may run. The turns of the program so far, and the tokens spent or reserved.
+    #[serde(rename = "g")]
+    Granted { turns: u32, total: u64 },
+    /// The budget is spent.
+    #[serde(rename = "s")]
+    Spent,
+    /// Another VM counts this program.
+    #[serde(rename = "o")]
+    NotOwner,
+    /// The store can't be reached from here, and the program's records are not known.
+    #[serde(rename = "a")]
+    Away,
+    /// An answer will follow.
+    #[serde(rename = "w")]
+    Working,
+    /// The copy is kept.
+    #[serde(rename = "k")]
+    Kept,
+}
+
+/// What is told and needs no answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Note {
+    /// A turn is over; so many tokens were handed out.
+    #[serde(rename = "s")]
+    Settled {
+        part: u64,
+        reservation: u64,
+        used: u64,
+    },
+}
+
+/// A datagram.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+enum Packet {
+    #[serde(rename = "q")]
+    Question(u64, Question),
+    #[serde(rename = "r")]
+    Reply(u64, Reply),
+    #[serde(rename = "n")]
+    Note(Note),
+}
+
+/// The datagrams of this VM.
+#[derive(Debug)]
+pub(crate) struct Peers {
+    socket: UdpSocket,
+    sealer: Sealer,
+    /// Numbers of questions; begins at random, so that a restart repeats none.
+    numbers: Cell<u64>,
+    waiting: RefCell<HashMap<u64, oneshot::Sender<Reply>>>,
+    /// Questions that are being worked on, so that a repeated one is not worked on twice.
+    working: RefCell<HashMap<(SocketAddr, u64), ()>>,
+    silent: RefCell<HashMap<SocketAddr, Instant>>,
+}
+
+impl Peers {
+    pub(crate) fn new(socket: UdpSocket, key: &str) -> Self {
+        Self {
+            socket,
+            sealer: Sealer::new(key),
+            numbers: Cell::new(u64::from(rand::random::<u32>()) << 24),
+            waiting: RefCell::default(),
+            working: RefCell::default(),
+            silent: RefCell::default(),
+        }
+    }
+
+    /// A number that no question or reservation of this VM had before.
+    pub(crate) fn number(&self) -> u64 {
+        let number = self.numbers.get();
+        self.numbers.set(number + 1);
+        number
+    }
+
+    /// Whether a VM has not answered lately.
+    pub(crate) fn is_silent(&self, peer: SocketAddr) -> bool {
+        let silent = self.silent.borrow();
+        silent.get(&peer).is_some_and(|until| Instant::now() < *until)
+    }
+
+    /// Asks until there is an answer; none comes from a VM that stands still or is gone.
+    pub(crate) async fn ask(&self, peer: SocketAddr, question: &Question) -> Option<Reply> {
+        let number = self.number();
+        let packet = Packet::Question(number, question.clone());
+        let mut sends = 0;
+        while sends < SENDS {
+            let (answer, mut answered) = oneshot::channel();
+            self.waiting.borrow_mut().insert(number, answer);
+            self.send(peer, &packet).await;
+            sends += 1;
+            match timeout(AGAIN, &mut answered).await {
+                Ok(Ok(Reply::Working)) => sends = 0,
+                Ok(Ok(reply)) => return Some(reply),
+                Ok(Err(_)) | Err(_) => {}
+            }
+        }
+        self.waiting.borrow_mut().remove(&number);
+        event!(warn, "peer_silent", peer = peer, sends = sends);
+        let until = Instant::now() + SILENT;
+        self.silent.borrow_mut().insert(peer, until);
+        None
+    }
+
+    /// Tells without waiting for an answer.
+    pub(crate) async fn tell(&self, peer: SocketAddr, note: Note) {
+        self.send(peer, &Packet::Note(note)).await;
+    }
+
+    async fn send(&self, peer: SocketAddr, packet: &Packet) {
+        let datagram = self.sealer.seal(packet);
+        if let Err(error) = self.socket.send_to(&datagram, peer).await {
+            event!(debug, "datagram_failed", peer = peer, reason = error);
+        }
+    }
+
+    fn answered(&self, number: u64, reply: Reply) {
+        if let Some(waiting) = self.waiting.borrow_mut().remove(&number) {
+            // Whoever asked may have given up meanwhile.
+            drop(waiting.send(reply));
+        }
+    }
+}
+
+/// The port of the datagrams of this module: the one after that of membership.
+pub(crate) fn address(member: SocketAddr) -> SocketAddr {
+    SocketAddr::new(member.ip(), member.port() + 1)
+}
+
+/// Takes datagrams in until the process ends.
+pub(crate) async fn receive(gateway: Rc<Gateway>) {
+    let mut buffer = vec![0; DATAGRAM + 1];
+    loop {
+        let Ok((size, from)) = gateway.peers.socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        match gateway.peers.sealer.open(&buffer[..size]) {
+            Some(Packet::Reply(number, reply)) => gateway.peers.answered(number, reply),
+            Some(Packet::Note(Note::Settled { part, reservation, used })) => {
+                gateway.keeper.settled(part, from, reservation, used);
+            }
+            Some(Packet::Question(number, question)) => {
+                tokio::task::spawn_local(work(Rc::clone(&gateway), from, number, question));
+            }
+            None => event!(warn, "datagram_refused", from = from, bytes = size),
+        }
+    }
+}
+
+async fn work(gateway: Rc<Gateway>, from: SocketAddr, number: u64, question: Question) {
+    let peers = &gateway.peers;
+    if peers.working.borrow_mut().insert((from, number), ()).is_some() {
+        peers.send(from, &Packet::Reply(number, Reply::Working)).await;
+        return;
+    }
+    let reply = gateway.answer(from, question).await;
+    peers.working.borrow_mut().remove(&(from, number));
+    peers.send(from, &Packet::Reply(number, reply)).await;
+}
+
+/// A number for a VM by its address, as [`crate::policy::allowance`] wants one.
+pub(crate) fn vm_number(address: SocketAddr) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(address.to_string().as_bytes())
+}
+
+/// A member as this module needs it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Peer {
+    pub(crate) vm: Vm,
+    pub(crate) address: SocketAddr,
+}
--- a/src/member/duty.rs
+++ b/src/member/duty.rs
@@ -1,7 +1,7 @@
 //! The membership thread: drives the protocol over UDP.
 
 use super::gossip::{Action, Gossip};
-use super::list::{self, List};
+use super::list::List;
 use super::view::{Beat, View};
 use super::wire::{DATAGRAM, Sealer, State};
 use crate::clock;
@@ -17,17 +17,14 @@
 
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
-/// Lists that may wait.
-const LISTS: usize = 2;
-
 /// What the membership thread works with.
 #[derive(Debug)]
 pub(crate) struct Setup {
     pub(crate) socket: std::net::UdpSocket,
     pub(crate) key: String,
     pub(crate) seeds: Vec<SocketAddr>,
-    /// Base address of the VM list.
-    pub(crate) list: Option<String>,
+    /// What the platform tells of VMs and of servers that are leaving.
+    pub(crate) listed: flume::Receiver<List>,
     /// What this VM says of itself; other duties keep it up to date.
     pub(crate) local: watch::Receiver<Beat>,
     pub(crate) published: watch::Sender<Arc<View>>,
@@ -38,24 +35,15 @@
 
 /// Takes part in the membership until it is stopped.
 pub(crate) async fn run(setup: Setup) {
-    let (lists, listed) = flume::bounded(LISTS);
-    let follow = list::follow(setup.list.clone(), lists);
-    tokio::select! {
-        () = follow => {},
-        () = drive(setup, listed) => {},
-    }
-}
-
-async fn drive(setup: Setup, listed: flume::Receiver<List>) {
     let Setup {
         socket,
         key,
         seeds,
         mut local,
         published,
+        listed,
         leaving,
         stop,
-        ..
     } = setup;
     let socket = UdpSocket::from_std(socket).expect("the socket is bound and non-blocking");
     let sealer = Sealer::new(&key);
--- a/src/member/list.rs
+++ b/src/member/list.rs
@@ -16,15 +16,15 @@
 /// The list as the platform gives it.
 #[derive(Debug, Clone, Default, Deserialize)]
 #[serde(default)]
-pub(super) struct List {
+pub(crate) struct List {
     /// Peer addresses of VMs.
-    pub(super) vms: Vec<SocketAddr>,
+    pub(crate) vms: Vec<SocketAddr>,
     /// Backend servers that are leaving.
-    pub(super) leaving: Vec<Server>,
+    pub(crate) leaving: Vec<Server>,
 }
 
 /// Reads the list at `base` again and again; without an address it waits for ever.
-pub(super) async fn follow(base: Option<String>, lists: flume::Sender<List>) {
+pub(crate) async fn follow(base: Option<String>, lists: flume::Sender<List>) {
     let Some(base) = base else {
         return std::future::pending().await;
     };
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -17,3 +17,4 @@
 pub use wire::{Claim, DATAGRAM, Digest, Header, Kind, Message, News, Profile, Sealer, State};
 
 pub(crate) use duty::{Setup, run};
+pub(crate) use list::{List, follow};
--- a/src/member/wire.rs
+++ b/src/member/wire.rs
@@ -1,6 +1,7 @@
 //! The datagrams between members, sealed with the peer key.
 
 use crate::id::{Boot, Epoch, Incarnation, Offset, Server, Shard, Vm, Zone};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -258,9 +259,9 @@
 /// Seals and opens datagrams with the peer key.
 ///
 /// ```
-/// use vanillatrail::member::Sealer;
+/// use vanillatrail::member::{Message, Sealer};
 /// let sealer = Sealer::new("a key of the settings");
-/// assert!(sealer.open(b"random bytes from a stranger").is_none());
+/// assert!(sealer.open::<Message>(b"random bytes from a stranger").is_none());
 /// ```
 #[derive(Clone)]
 pub struct Sealer {
@@ -289,9 +290,9 @@
     /// The datagram for a message.
     ///
     /// # Panics
-    /// Never: every message can be encoded.
+    /// Where the message is of a type that the codec can't write; ours all can be written.
     #[must_use]
-    pub fn seal(&self, message: &Message) -> Vec<u8> {
+    pub fn seal<T: Serialize>(&self, message: &T) -> Vec<u8> {
         let body = rmp_serde::to_vec(message).expect("a message can be encoded");
         let mut datagram = self.hash(&body)[..SEAL].to_vec();
         datagram.extend(body);
@@ -300,7 +301,7 @@
 
     /// The message in a datagram, if it was sealed with the same key.
     #[must_use]
-    pub fn open(&self, datagram: &[u8]) -> Option<Message> {
+    pub fn open<T: DeserializeOwned>(&self, datagram: &[u8]) -> Option<T> {
         let (seal, body) = datagram.split_at_checked(SEAL)?;
         // Hashes of equal length are compared through a second keyed hash, so that the time taken
         // tells a stranger nothing of the seal that it should have sent.
--- /dev/null
+++ b/src/policy/allowance.rs
@@ -0,0 +1,197 @@
+//! The tokens that a program may still generate, counted so that no crash gives any of them twice.
+//!
+//! Load it answers: programs that loop without end and are stopped by their budget alone, whose
+//! turns come in through any VM. What is handed out is covered beforehand by a durable allowance;
+//! who reads the records after a crash takes all of it as spent. An allowance covers several turns,
+//! since a record for every turn would cost a write each and a wait before the first token.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Turns that a new allowance covers at least, at their most tokens. Turns generate about a quarter
+/// of their most, so two cover a short program; a crash takes at most so much of its budget.
+const TURNS: u64 = 2;
+/// The part of a budget that a new allowance covers at least, so that a long program needs about
+/// four records.
+const PART: u64 = 4;
+
+/// Which reservation, so that a repeated request is not counted twice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Reservation {
+    /// The VM that asks.
+    pub vm: u64,
+    /// Its number there.
+    pub number: u64,
+}
+
+/// A turn that wants to generate tokens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Turn {
+    /// Tokens that all turns of the program may generate.
+    pub budget: u64,
+    /// The most that this one generates.
+    pub most: u64,
+    /// Tokens that the VM that asks knows to be spent.
+    pub seen: u64,
+}
+
+/// Whether a turn may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// The durable allowance covers it.
+    Covered,
+    /// It may run once this allowance is durable.
+    Record(u64),
+    /// The budget is spent.
+    Spent,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Account {
+    /// What is durable.
+    allowed: u64,
+    /// What was handed out, and after a crash what may have been.
+    spent: u64,
+    reserved: u64,
+    turns: u32,
+    used: Instant,
+}
+
+/// The programs of one partition.
+///
+/// ```
+/// use tokio::time::Instant;
+/// use vanillatrail::policy::allowance::{Ledger, Reservation, Turn, Verdict};
+/// let (now, mut ledger) = (Instant::now(), Ledger::default());
+/// let turn = Turn { budget: 900, most: 290, seen: 0 };
+/// let first = Reservation { vm: 1, number: 1 };
+/// assert_eq!(ledger.reserve(now, "p", first, turn), Verdict::Record(580));
+/// ledger.recorded("p", 580);
+/// assert_eq!(ledger.reserve(now, "p", first, turn), Verdict::Covered);
+/// ```
+#[derive(Debug, Default)]
+pub struct Ledger {
+    accounts: HashMap<String, Account>,
+    open: HashMap<Reservation, (String, u64)>,
+}
+
+impl Ledger {
+    /// Takes in a record: all of its allowance may have been handed out.
+    pub fn restore(&mut self, now: Instant, program: &str, allowed: u64) {
+        let account = self.account(now, program);
+        account.allowed = account.allowed.max(allowed);
+        account.spent = account.spent.max(allowed);
+    }
+
+    fn account(&mut self, now: Instant, program: &str) -> &mut Account {
+        let fresh = Account {
+            allowed: 0,
+            spent: 0,
+            reserved: 0,
+            turns: 0,
+            used: now,
+        };
+        self.accounts.entry(program.to_owned()).or_insert(fresh)
+    }
+
+    /// Reserves the most that a turn generates. A repeated reservation is counted once.
+    pub fn reserve(
+        &mut self,
+        now: Instant,
+        program: &str,
+        reservation: Reservation,
+        turn: Turn,
+    ) -> Verdict {
+        let known = self.open.contains_key(&reservation);
+        let account = self.account(now, program);
+        account.used = now;
+        if account.turns == 0 {
+            // What was seen counts the turns under way at their most. Later it is known better.
+            account.spent = account.spent.max(turn.seen);
+        }
+        if !known {
+            // Beyond the budget goes at most the last turn that began within it.
+            if account.spent + account.reserved >= turn.budget {
+                return Verdict::Spent;
+            }
+            account.reserved += turn.most;
+            account.turns += 1;
+        }
+        let needed = account.spent + account.reserved;
+        let verdict = if needed <= account.allowed {
+            Verdict::Covered
+        } else {
+            let more = (turn.most * TURNS).max(turn.budget / PART);
+            let wanted = (needed - turn.most + more).min(turn.budget + turn.most);
+            Verdict::Record(wanted.max(needed))
+        };
+        if !known {
+            self.open.insert(reservation, (program.to_owned(), turn.most));
+        }
+        verdict
+    }
+
+    /// An allowance is durable.
+    pub fn recorded(&mut self, program: &str, allowed: u64) {
+        if let Some(account) = self.accounts.get_mut(program) {
+            account.allowed = account.allowed.max(allowed);
+        }
+    }
+
+    /// A turn is over: `used` tokens were handed out.
+    pub fn settle(&mut self, now: Instant, reservation: Reservation, used: u64) {
+        let Some((program, most)) = self.open.remove(&reservation) else {
+            return;
+        };
+        if let Some(account) = self.accounts.get_mut(&program) {
+            account.reserved = account.reserved.saturating_sub(most);
+            account.spent += used;
+            account.used = now;
+        }
+    }
+
+    /// The durable allowance of a program.
+    #[must_use]
+    pub fn allowed(&self, program: &str) -> u64 {
+        let account = self.accounts.get(program);
+        account.map_or(0, |account| account.allowed)
+    }
+
+    /// How many turns of a program have asked here, and the tokens that are spent or reserved.
+    #[must_use]
+    pub fn standing(&self, program: &str) -> (u32, u64) {
+        let account = self.accounts.get(program);
+        account.map_or((0, 0), |account| {
+            (account.turns, account.spent + account.reserved)
+        })
+    }
+
+    /// Forgets programs that have been idle for `idle`, and names them.
+    pub fn expire(&mut self, now: Instant, idle: Duration) -> Vec<String> {
+        let over = |account: &Account| account.used + idle <= now;
+        let expired: Vec<String> = self
+            .accounts
+            .iter()
+            .filter(|(_, account)| over(account))
+            .map(|(program, _)| program.clone())
+            .collect();
+        for program in &expired {
+            self.accounts.remove(program);
+        }
+        self.open.retain(|_, (program, _)| self.accounts.contains_key(program));
+        expired
+    }
+
+    /// How many programs are known.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.accounts.len()
+    }
+
+    /// Whether no program is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.accounts.is_empty()
+    }
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -3,6 +3,7 @@
 //! Everything here is pure: events and the time come in, actions go out.
 
 pub mod admit;
+pub mod allowance;
 pub mod ask;
 pub mod cache;
 pub mod dispatch;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -24,6 +24,8 @@
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
+/// Lists of VMs that may wait.
+const LISTS: usize = 2;
 /// Places in the ring between two duties.
 const RING: usize = 4096;
 /// How long a stopping VM goes on accepting, so that the balancer sees that it is not ready.
@@ -230,16 +232,21 @@
         let wiring = self.clone();
         supervisor.duty("member", move || {
             let settings = wiring.settings.clone();
-            member::run(member::Setup {
+            let (lists, listed) = flume::bounded(LISTS);
+            let follow = member::follow(settings.vms, lists);
+            let work = member::run(member::Setup {
                 socket: socket.try_clone().expect("the system gives a handle"),
                 key: settings.peer_key,
                 seeds: settings.seeds,
-                list: settings.vms,
+                listed,
                 local: wiring.local.subscribe(),
                 published: published.clone(),
                 leaving: leaving.clone(),
                 stop: wiring.stages.rest.clone(),
-            })
+            });
+            async move {
+                tokio::select! { () = follow => {}, () = work => {} }
+            }
         });
     }
 
