Hand counted partitions over at a planned stop, and keep copies for a time without the store

Change: a stopping VM hands epoch, sequence number and accounts to the next VM; durable allowances are told to the next VM as well, which counts from them while the store is away.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -187,6 +187,8 @@
     let began = Instant::now();
     event!(info, "stopping", limit_ms = limit.as_millis());
     gateway.stopping.set(true);
+    let handing = Rc::clone(gateway);
+    spawn_local(async move { handing.hand_over().await });
     sleep(STILL_TAKING.min(limit)).await;
     stop.cancel();
     let rest = limit.saturating_sub(began.elapsed());
--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -5,13 +5,13 @@
 //! store refuses the records of the one before.
 
 use super::Gateway;
-use super::peers::{self, Note, Peer, Question, Reply};
+use super::peers::{self, Copy, Note, Peer, Question, Reply};
 use crate::clock;
 use crate::code::{Code, Failure};
 use crate::id::rendezvous;
 use crate::platform::records::ALLOWANCE_TOPIC;
 use crate::platform::store::{Fault, Keyed, Store, Writer};
-use crate::policy::allowance::{Ledger, Reservation, Turn, Verdict};
+use crate::policy::allowance::{Entry, Ledger, Reservation, Turn, Verdict};
 use crate::telemetry::event;
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
@@ -28,6 +28,12 @@
 const PATIENCE: Duration = Duration::from_millis(250);
 /// How long a turn waits for a partition to be taken over, two calls to the store.
 const TAKE: Duration = Duration::from_secs(1);
+/// How long a VM must have run to trust that it was told of all programs that still go on.
+const COPIES_COMPLETE: Duration = Duration::from_secs(5);
+/// How long a copy is kept.
+const KEPT: Duration = Duration::from_secs(120);
+/// Programs in one datagram of a partition that is handed over.
+const ADOPTED: usize = 4;
 /// How many other VMs keep what the store has not taken.
 const COPIES: usize = 2;
 /// The pause between two tries of a record.
@@ -48,12 +54,24 @@
 const SEEN: usize = 50_000;
 
 /// The writer's hold on a partition.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Hold {
     epoch: u64,
     sequence: u64,
 }
 
+impl Hold {
+    /// Taken while the store was away.
+    const UNFENCED: Self = Self {
+        epoch: 0,
+        sequence: 0,
+    };
+
+    fn is_fenced(self) -> bool {
+        self != Self::UNFENCED
+    }
+}
+
 /// One partition.
 #[derive(Debug, Default)]
 struct Part {
@@ -61,8 +79,10 @@
     ledger: RefCell<Ledger>,
     /// Allowances that are not durable yet.
     pending: RefCell<HashMap<String, u64>>,
-    /// Allowances that another VM asked this one to keep.
-    kept: RefCell<HashMap<String, u64>>,
+    /// Allowances that the VM that counts has told this one, in case it takes over.
+    kept: RefCell<HashMap<String, (u64, Instant)>>,
+    /// Where the partition was handed over to.
+    successor: Cell<Option<SocketAddr>>,
     taking: Mutex<()>,
     writing: Cell<bool>,
     written: Notify,
@@ -77,6 +97,7 @@
     seen: RefCell<HashMap<String, u64>>,
     failures: Cell<u32>,
     failed: Cell<Option<Instant>>,
+    began: Instant,
 }
 
 /// Leave for one turn to generate tokens; ends with [`Gateway::settle`].
@@ -98,6 +119,7 @@
             seen: RefCell::default(),
             failures: Cell::new(0),
             failed: Cell::new(None),
+            began: Instant::now(),
         }
     }
 
@@ -126,15 +148,6 @@
         }
     }
 
-    /// A turn that another VM took in is over.
-    pub(crate) fn settled(&self, part: u64, from: SocketAddr, reservation: u64, used: u64) {
-        let reservation = Reservation {
-            vm: peers::vm_number(from),
-            number: reservation,
-        };
-        self.settle(part, reservation, used);
-    }
-
     fn settle(&self, part: u64, reservation: Reservation, used: u64) {
         let part = self.part(part);
         part.ledger.borrow_mut().settle(Instant::now(), reservation, used);
@@ -143,7 +156,7 @@
     /// Takes a partition over: shuts out the writer before, then reads what it has recorded.
     async fn take(&self, number: u64, part: &Part) -> Result<(), Fault> {
         let _taking = part.taking.lock().await;
-        if part.hold.get().is_some() {
+        if part.hold.get().is_some_and(Hold::is_fenced) {
             return Ok(());
         }
         let mut epoch = clock::wall_ms();
@@ -163,13 +176,17 @@
         self.heard(newest.is_ok());
         let newest = newest?;
         let now = Instant::now();
-        let mut ledger = Ledger::default();
+        // What was adopted, or counted while the store was away, is known better than its records.
+        let mut ledger = part.ledger.take();
+        if part.hold.get().is_none() {
+            ledger = Ledger::default();
+        }
         for record in &newest.records {
             let allowed = record.value.as_ref().and_then(decode);
             ledger.restore(now, &record.key, allowed.unwrap_or_default());
         }
         let kept = part.kept.take();
-        for (program, allowed) in &kept {
+        for (program, (allowed, _)) in &kept {
             ledger.restore(now, program, *allowed);
         }
         event!(
@@ -181,12 +198,38 @@
             copies = kept.len()
         );
         // What the store has not taken yet must not be lost to the next VM.
-        part.pending.borrow_mut().extend(kept);
+        let lacking = kept.into_iter().filter(|(program, (allowed, _))| {
+            let recorded = newest.records.iter().find(|record| record.key == *program);
+            let recorded = recorded.and_then(|record| record.value.as_ref().and_then(decode));
+            recorded.unwrap_or_default() < *allowed
+        });
+        let lacking = lacking.map(|(program, (allowed, _))| (program, allowed));
+        part.pending.borrow_mut().extend(lacking);
         part.ledger.replace(ledger);
         part.hold.set(Some(hold));
+        part.successor.set(None);
         Ok(())
     }
 
+    /// Counts a partition while the store is away, from the copies that this VM was told.
+    ///
+    /// The VM that counted before may still live behind a partition of the network; it can't go
+    /// beyond allowances that are durable or copied, and all of those are taken as spent here.
+    fn take_from_copies(&self, number: u64, part: &Part) -> bool {
+        let kept = part.kept.borrow();
+        if kept.is_empty() || self.began.elapsed() < COPIES_COMPLETE {
+            return false;
+        }
+        let mut ledger = Ledger::default();
+        for (program, (allowed, _)) in kept.iter() {
+            ledger.restore(Instant::now(), program, *allowed);
+        }
+        event!(warn, "allowances_taken_from_copies", part = number, programs = kept.len());
+        part.ledger.replace(ledger);
+        part.hold.set(Some(Hold::UNFENCED));
+        true
+    }
+
     fn writer(&self, epoch: u64, sequence: u64) -> Writer {
         Writer {
             name: "allowance".to_owned(),
@@ -209,6 +252,12 @@
                 part.writing.set(false);
                 return;
             };
+            if !hold.is_fenced() {
+                if self.take(number, &part).await.is_err() {
+                    sleep(AGAIN).await;
+                }
+                continue;
+            }
             let records: Vec<Keyed> = batch.iter().map(|(key, allowed)| encode(key, *allowed)).collect();
             if !self.append(number, &part, hold, &records).await {
                 continue;
@@ -266,14 +315,10 @@
 
     /// Forgets programs that can't come back, here and at the store.
     pub(crate) async fn expire(self: &Rc<Self>, idle: Duration) {
-        let parts: Vec<_> = self
-            .parts
-            .borrow()
-            .iter()
-            .filter(|(_, part)| part.hold.get().is_some())
-            .map(|(number, part)| (*number, Rc::clone(part)))
-            .collect();
-        for (number, part) in parts {
+        for part in self.parts.borrow().values() {
+            part.kept.borrow_mut().retain(|_, (_, told)| told.elapsed() < KEPT);
+        }
+        for (number, part) in self.held() {
             let expired = part.ledger.borrow_mut().expire(Instant::now(), idle + IDLE_MARGIN);
             if expired.is_empty() || part.writing.replace(true) {
                 continue;
@@ -287,6 +332,44 @@
         }
     }
 
+    /// Keeps the copy of an allowance.
+    fn keep(&self, copy: Copy) {
+        let part = self.part(copy.part);
+        if part.hold.get().is_some() {
+            // The VM that counted before has given more than was known here.
+            part.ledger.borrow_mut().restore(Instant::now(), &copy.program, copy.allowed);
+            return;
+        }
+        let mut kept = part.kept.borrow_mut();
+        let known = kept.entry(copy.program).or_insert((0, Instant::now()));
+        *known = (copy.allowed.max(known.0), Instant::now());
+    }
+
+    /// Goes on with a partition that another VM hands over.
+    fn adopt(&self, number: u64, hold: Hold, entries: Vec<(Entry, bool)>, last: bool) {
+        let part = self.part(number);
+        let now = Instant::now();
+        for (entry, lacking) in entries {
+            if lacking {
+                part.pending.borrow_mut().insert(entry.program.clone(), entry.allowed);
+            }
+            part.ledger.borrow_mut().adopt(now, entry);
+        }
+        if last && part.hold.get().is_none() {
+            let programs = part.ledger.borrow().len();
+            event!(info, "allowances_adopted", part = number, epoch = hold.epoch, programs = programs);
+            part.hold.set(Some(hold));
+            part.successor.set(None);
+        }
+    }
+
+    /// The partitions that this VM counts.
+    fn held(&self) -> Vec<(u64, Rc<Part>)> {
+        let parts = self.parts.borrow();
+        let held = parts.iter().filter(|(_, part)| part.hold.get().is_some());
+        held.map(|(number, part)| (*number, Rc::clone(part))).collect()
+    }
+
     /// How many partitions this VM counts, and of how many programs.
     pub(crate) fn size(&self) -> (usize, usize) {
         let parts = self.parts.borrow();
@@ -442,6 +525,7 @@
         match owner {
             None => self.keeper.settle(part, self.own(reservation), used),
             Some(owner) => {
+                let reservation = self.own(reservation);
                 let note = Note::Settled {
                     part,
                     reservation,
@@ -476,20 +560,89 @@
                 };
                 self.count(request).await
             }
-            Question::Keep {
+            Question::Keep(copy) => {
+                self.keeper.keep(copy);
+                Reply::Kept
+            }
+            Question::Adopt {
                 part,
-                program,
-                allowed,
+                epoch,
+                sequence,
+                entries,
+                last,
             } => {
-                let part = self.keeper.part(part);
-                let mut kept = part.kept.borrow_mut();
-                let known = kept.entry(program).or_default();
-                *known = allowed.max(*known);
+                let hold = Hold { epoch, sequence };
+                self.keeper.adopt(part, hold, entries, last);
                 Reply::Kept
             }
         }
     }
 
+    /// Takes in what another VM tells.
+    pub(crate) async fn noted(&self, note: Note) {
+        match note {
+            Note::Settled {
+                part,
+                reservation,
+                used,
+            } => {
+                let successor = self.keeper.part(part).successor.get();
+                if let Some(successor) = successor {
+                    self.peers.tell(successor, note).await;
+                } else {
+                    self.keeper.settle(part, reservation, used);
+                }
+            }
+            Note::Copied(copy) => self.keeper.keep(copy),
+        }
+    }
+
+    /// Hands the partitions that this VM counts over to those that come next.
+    pub(crate) async fn hand_over(&self) {
+        for (number, part) in self.keeper.held() {
+            let next = self.counters(number, true).into_iter();
+            let next = next.filter(|peer| peer.vm != self.settings.vm).next();
+            let Some(next) = next else { return };
+            let Some(hold) = part.hold.take() else { continue };
+            part.written.notify_waiters();
+            let entries = part.ledger.take().export();
+            let pending = part.pending.take();
+            let entries: Vec<_> = entries
+                .into_iter()
+                .map(|entry| {
+                    let lacking = pending.contains_key(&entry.program);
+                    (entry, lacking)
+                })
+                .collect();
+            part.successor.set(Some(next.address));
+            let chunks = entries.len().div_ceil(ADOPTED).max(1);
+            let mut sent = 0;
+            for index in 0..chunks {
+                let chunk = entries.iter().skip(index * ADOPTED).take(ADOPTED);
+                let question = Question::Adopt {
+                    part: number,
+                    epoch: hold.epoch,
+                    sequence: hold.sequence,
+                    entries: chunk.cloned().collect(),
+                    last: index + 1 == chunks,
+                };
+                if self.peers.ask(next.address, &question).await != Some(Reply::Kept) {
+                    break;
+                }
+                sent += 1;
+            }
+            let whole = sent == chunks;
+            event!(
+                info,
+                "allowances_handed_over",
+                part = number,
+                to = next.vm,
+                programs = entries.len(),
+                whole = whole
+            );
+        }
+    }
+
     async fn count(self: &Rc<Self>, request: Request<'_>) -> Reply {
         let Request {
             part: number,
@@ -508,7 +661,8 @@
             let keeper = Rc::clone(&self.keeper);
             let taken = Rc::clone(&part);
             let taking = tokio::task::spawn_local(async move { keeper.take(number, &taken).await });
-            if !matches!(timeout(TAKE, taking).await, Ok(Ok(Ok(())))) {
+            let taken = matches!(timeout(TAKE, taking).await, Ok(Ok(Ok(()))));
+            if !taken && !(takeover && self.keeper.take_from_copies(number, &part)) {
                 return Reply::Away;
             }
         }
@@ -552,18 +706,35 @@
         };
         let patience = if self.keeper.has_store() { PATIENCE } else { Duration::ZERO };
         match timeout(patience, durable).await {
-            Ok(recorded) => recorded,
+            Ok(recorded) => {
+                self.tell_next(number, program, allowed).await;
+                recorded
+            }
             Err(_) => self.copy(number, program, allowed).await,
         }
     }
 
+    /// Tells the VM that would take over of a durable allowance, for a time without the store.
+    async fn tell_next(&self, part: u64, program: &str, allowed: u64) {
+        let next = self.counters(part, true).into_iter();
+        let next = next.filter(|peer| peer.vm != self.settings.vm).next();
+        let copy = Copy {
+            part,
+            program: program.to_owned(),
+            allowed,
+        };
+        if let Some(next) = next {
+            self.peers.tell(next.address, Note::Copied(copy)).await;
+        }
+    }
+
     /// Has the VMs that would take over keep an allowance.
     async fn copy(&self, part: u64, program: &str, allowed: u64) -> bool {
-        let question = Question::Keep {
+        let question = Question::Keep(Copy {
             part,
             program: program.to_owned(),
             allowed,
-        };
+        });
         let others = self.counters(part, true).into_iter();
         let others = others.filter(|peer| peer.vm != self.settings.vm);
         let asks = others.take(COPIES).map(|peer| {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -5,6 +5,7 @@
 use super::Gateway;
 use crate::id::Vm;
 use crate::member::{DATAGRAM, Sealer};
+use crate::policy::allowance::{Entry, Reservation};
 use crate::telemetry::event;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
@@ -42,15 +43,30 @@
     },
     /// Keep an allowance that the store has not taken yet.
     #[serde(rename = "c")]
-    Keep {
+    Keep(Copy),
+    /// Go on counting a partition, as its writer with this epoch and sequence number.
+    #[serde(rename = "a")]
+    Adopt {
         part: u64,
-        program: String,
-        allowed: u64,
+        epoch: u64,
+        sequence: u64,
+        /// Programs, and whether the store still lacks their allowance.
+        entries: Vec<(Entry, bool)>,
+        /// Whether these are the last ones.
+        last: bool,
     },
 }
 
+/// The allowance of a program, for a VM that may take over.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Copy {
+    pub(crate) part: u64,
+    pub(crate) program: String,
+    pub(crate) allowed: u64,
+}
+
 /// An answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Reply {
     /// The turn may run. The turns of the program so far, and the tokens spent or reserved.
     #[serde(rename = "g")]
@@ -79,9 +95,12 @@
     #[serde(rename = "s")]
     Settled {
         part: u64,
-        reservation: u64,
+        reservation: Reservation,
         used: u64,
     },
+    /// A durable allowance.
+    #[serde(rename = "c")]
+    Copied(Copy),
 }
 
 /// A datagram.
@@ -190,9 +209,7 @@
         };
         match gateway.peers.sealer.open(&buffer[..size]) {
             Some(Packet::Reply(number, reply)) => gateway.peers.answered(number, reply),
-            Some(Packet::Note(Note::Settled { part, reservation, used })) => {
-                gateway.keeper.settled(part, from, reservation, used);
-            }
+            Some(Packet::Note(note)) => gateway.noted(note).await,
             Some(Packet::Question(number, question)) => {
                 tokio::task::spawn_local(work(Rc::clone(&gateway), from, number, question));
             }
--- a/src/policy/allowance.rs
+++ b/src/policy/allowance.rs
@@ -5,6 +5,7 @@
 //! who reads the records after a crash takes all of it as spent. An allowance covers several turns,
 //! since a record for every turn would cost a write each and a wait before the first token.
 
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -17,7 +18,10 @@
 const PART: u64 = 4;
 
 /// Which reservation, so that a repeated request is not counted twice.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(deny_unknown_fields)]
 pub struct Reservation {
     /// The VM that asks.
     pub vm: u64,
@@ -58,6 +62,22 @@
     used: Instant,
 }
 
+/// What is known of one program.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Entry {
+    /// The program.
+    pub program: String,
+    /// Its allowance.
+    pub allowed: u64,
+    /// Tokens that were handed out.
+    pub spent: u64,
+    /// Turns so far.
+    pub turns: u32,
+    /// Turns under way, and the most that each generates.
+    pub open: Vec<(Reservation, u64)>,
+}
+
 /// The programs of one partition.
 ///
 /// ```
@@ -77,11 +97,47 @@
 }
 
 impl Ledger {
-    /// Takes in a record: all of its allowance may have been handed out.
+    /// Takes in a record of another VM: what it allows beyond what is known here may have been
+    /// handed out there.
     pub fn restore(&mut self, now: Instant, program: &str, allowed: u64) {
         let account = self.account(now, program);
+        account.spent += allowed.saturating_sub(account.allowed);
         account.allowed = account.allowed.max(allowed);
-        account.spent = account.spent.max(allowed);
+    }
+
+    /// All that is known, for a VM that goes on with it.
+    #[must_use]
+    pub fn export(&self) -> Vec<Entry> {
+        let entry = |(program, account): (&String, &Account)| Entry {
+            program: program.clone(),
+            allowed: account.allowed,
+            spent: account.spent,
+            turns: account.turns,
+            open: self.open_of(program),
+        };
+        self.accounts.iter().map(entry).collect()
+    }
+
+    fn open_of(&self, program: &str) -> Vec<(Reservation, u64)> {
+        let open = self.open.iter();
+        open.filter(|(_, (of, _))| of == program)
+            .map(|(reservation, (_, most))| (*reservation, *most))
+            .collect()
+    }
+
+    /// Goes on with what another VM knew, unless turns of the program have asked here already.
+    pub fn adopt(&mut self, now: Instant, entry: Entry) {
+        let account = self.account(now, &entry.program);
+        if account.turns > 0 {
+            return self.restore(now, &entry.program, entry.allowed);
+        }
+        account.allowed = account.allowed.max(entry.allowed);
+        account.spent = entry.spent;
+        account.turns = entry.turns;
+        account.reserved = entry.open.iter().map(|(_, most)| most).sum();
+        let program = entry.program;
+        let open = entry.open.into_iter();
+        self.open.extend(open.map(|(reservation, most)| (reservation, (program.clone(), most))));
     }
 
     fn account(&mut self, now: Instant, program: &str) -> &mut Account {
