--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -310,8 +310,12 @@
     loop {
         tick.tick().await;
         gateway.desk.tick();
-        let eligible = gateway.is_eligible();
-        beats.send_if_modified(|beat| std::mem::replace(&mut beat.ready, eligible) != eligible);
+        let (ready, held) = (gateway.is_ready(), gateway.keeper.claims());
+        beats.send_if_modified(|beat| {
+            let changed = beat.ready != ready || beat.held != held;
+            (beat.ready, beat.held) = (ready, held);
+            changed
+        });
         if swept.elapsed() >= SWEEP {
             swept = Instant::now();
             let directory = Arc::clone(&gateway.world.borrow().directory);
@@ -321,11 +325,6 @@
 }
 
 impl Gateway {
-    /// Whether this VM can take work over from others.
-    fn is_eligible(&self) -> bool {
-        self.is_ready() && !self.is_blind() && self.keeper.has_store()
-    }
-
     /// Whether the balancer should send callers here.
     fn is_ready(&self) -> bool {
         !self.stopping.get() && self.world.borrow().is_complete()
--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -8,7 +8,7 @@
 use super::peers::{self, Copy, Note, Peer, Question, Reply};
 use crate::clock;
 use crate::code::{Code, Failure};
-use crate::id::rendezvous;
+use crate::id::{Epoch, Shard, rendezvous};
 use crate::platform::records::ALLOWANCE_TOPIC;
 use crate::platform::store::{Fault, Keyed, Store, Writer};
 use crate::policy::allowance::{Entry, Ledger, Reservation, Turn, Verdict};
@@ -42,8 +42,16 @@
 const LOST: u32 = 2;
 /// After this long without a failure the store is tried again.
 const TRY_AGAIN: Duration = Duration::from_secs(1);
-/// VMs that are asked before those that say that they have lost the store.
-const ASKED: usize = 2;
+/// How often the VMs are asked in turn for one reservation.
+const ROUNDS: usize = 2;
+/// The pause between two rounds, in which the members hear who counts.
+const SETTLE: Duration = Duration::from_millis(80);
+/// How long a VM that was shut out does not take the same partition again. Until the members have
+/// heard of the new counter, requests that are sent here would make the two shut each other out
+/// again and again, and every time what was handed out counts as spent.
+const SHUT_OUT: Duration = Duration::from_millis(600);
+/// VMs that are asked for one reservation.
+const ASKED: usize = 4;
 /// When a caller may come back whose program nobody can count now.
 const COME_BACK: Duration = Duration::from_millis(700);
 /// How long a program may pause where its route does not say.
@@ -81,6 +89,8 @@
     pending: RefCell<HashMap<String, u64>>,
     /// Allowances that the VM that counts has told this one, in case it takes over.
     kept: RefCell<HashMap<String, (u64, Instant)>>,
+    /// When another VM last shut this one out.
+    shut_out: Cell<Option<Instant>>,
     /// Where the partition was handed over to.
     successor: Cell<Option<SocketAddr>>,
     taking: Mutex<()>,
@@ -95,6 +105,8 @@
     count: u64,
     parts: RefCell<HashMap<u64, Rc<Part>>>,
     seen: RefCell<HashMap<String, u64>>,
+    /// The VM that last granted a reservation of a partition.
+    counted_at: RefCell<HashMap<u64, SocketAddr>>,
     failures: Cell<u32>,
     failed: Cell<Option<Instant>>,
     began: Instant,
@@ -117,6 +129,7 @@
             count,
             parts: RefCell::default(),
             seen: RefCell::default(),
+            counted_at: RefCell::default(),
             failures: Cell::new(0),
             failed: Cell::new(None),
             began: Instant::now(),
@@ -294,6 +307,7 @@
                 Err(Fault::Fenced) => {
                     event!(warn, "allowances_lost", part = number, epoch = hold.epoch);
                     part.hold.set(None);
+                    part.shut_out.set(Some(Instant::now()));
                     part.pending.borrow_mut().clear();
                     part.written.notify_waiters();
                     return false;
@@ -363,6 +377,18 @@
         }
     }
 
+    /// What this VM tells the others of the partitions that it counts.
+    pub(crate) fn claims(&self) -> Vec<(Shard, Epoch)> {
+        let parts = self.parts.borrow();
+        let held = parts.iter().filter_map(|(number, part)| {
+            let hold = part.hold.get()?;
+            Some((Shard(*number), Epoch(hold.epoch)))
+        });
+        let mut claims: Vec<_> = held.collect();
+        claims.sort_unstable();
+        claims
+    }
+
     /// The partitions that this VM counts.
     fn held(&self) -> Vec<(u64, Rc<Part>)> {
         let parts = self.parts.borrow();
@@ -402,19 +428,38 @@
 }
 
 impl Gateway {
-    /// The VMs to ask for a partition, in this order. Those that have lost the store come again at
-    /// the end: where it is away from all, only the VM that counted before can go on.
+    /// The VMs to ask for a partition, in this order: the one that last answered, the one that
+    /// says that it counts, and those that would take over.
     fn candidates(&self, part: u64) -> Vec<Peer> {
-        let mut all = self.counters(part, false);
-        all.truncate(ASKED);
-        let mut by_rank = self.counters(part, true);
-        by_rank.truncate(ASKED);
-        all.extend(by_rank);
-        all
+        let all = self.counters(part);
+        let cached = self.keeper.counted_at.borrow().get(&part).copied();
+        let claimed = self.claimed(part);
+        let known = all.iter().filter(|peer| {
+            Some(peer.address) == cached || claimed.as_ref() == Some(*peer)
+        });
+        let mut order: Vec<Peer> = known.cloned().collect();
+        order.sort_by_key(|peer| Some(peer.address) != cached);
+        for peer in all {
+            if !order.contains(&peer) {
+                order.push(peer);
+            }
+        }
+        order.truncate(ASKED);
+        order
     }
 
-    /// The VMs that may count a partition, the one that should first.
-    fn counters(&self, part: u64, unready_too: bool) -> Vec<Peer> {
+    /// The VM that says that it counts a partition.
+    fn claimed(&self, part: u64) -> Option<Peer> {
+        let view = self.view.borrow();
+        let owner = view.owner(Shard(part))?;
+        Some(Peer {
+            vm: owner.vm.clone(),
+            address: peers::address(owner.address),
+        })
+    }
+
+    /// The VMs that may count a partition, the one that should first, silent ones last.
+    fn counters(&self, part: u64) -> Vec<Peer> {
         let view = self.view.borrow();
         let key = format!("allowance/{part}");
         let mut members: Vec<_> = view
@@ -423,7 +468,7 @@
             .map(|member| {
                 let silent = self.peers.is_silent(peers::address(member.address));
                 let rank = rendezvous(&key, member.vm.as_str());
-                ((member.ready || unready_too) && !silent, rank, member)
+                (member.ready && !silent, rank, member)
             })
             .collect();
         members.sort_by(|one, other| (other.0, other.1).cmp(&(one.0, one.1)));
@@ -434,6 +479,12 @@
         peers.collect()
     }
 
+    /// The VM that takes a partition over where this one can't go on.
+    fn next_counter(&self, part: u64) -> Option<Peer> {
+        let others = self.counters(part).into_iter();
+        others.filter(|peer| peer.vm != self.settings.vm).next()
+    }
+
     /// Asks for leave to generate up to `most` tokens for a program.
     ///
     /// # Errors
@@ -448,36 +499,26 @@
         let seen = self.keeper.seen.borrow().get(program).copied();
         let seen = seen.unwrap_or_default();
         let reservation = self.peers.number();
-        let mut takeover = false;
-        {
+        for round in 0..ROUNDS {
+            // One that says that it does not count may know better than this VM who does; only
+            // silence, or a second round, is a reason to take over.
+            let mut takeover = round > 0;
             for peer in self.candidates(part) {
-                let mine = peer.vm == self.settings.vm;
-                let reply = if mine {
-                    let request = Request {
-                        part,
-                        program,
-                        reservation: self.own(reservation),
-                        turn: Turn { budget, most, seen },
-                        takeover,
-                    };
-                    Some(self.count(request).await)
-                } else {
-                    let question = Question::Reserve {
-                        part,
-                        program: program.to_owned(),
-                        budget,
-                        most,
-                        seen,
-                        reservation,
-                        takeover,
-                    };
-                    self.peers.ask(peer.address, &question).await
+                let question = Question::Reserve {
+                    part,
+                    program: program.to_owned(),
+                    budget,
+                    most,
+                    seen,
+                    reservation,
+                    takeover,
                 };
-                match reply {
+                match self.ask_counter(&peer, question).await {
                     Some(Reply::Granted { turns, total }) => {
                         self.note_seen(program, total);
+                        self.keeper.counted_at.borrow_mut().insert(part, peer.address);
                         return Ok(Allowance {
-                            owner: (!mine).then_some(peer.address),
+                            owner: (peer.vm != self.settings.vm).then_some(peer.address),
                             part,
                             reservation,
                             turns,
@@ -489,14 +530,26 @@
                             "the token budget of the program is spent",
                         ));
                     }
-                    _ => takeover = true,
+                    other => {
+                        self.keeper.counted_at.borrow_mut().remove(&part);
+                        takeover |= other != Some(Reply::NotOwner);
+                    }
                 }
             }
+            sleep(SETTLE).await;
         }
         let failure = Failure::refused(Code::LogUnavailable, "nobody can count the program's tokens");
         Err(failure.retry_after(COME_BACK))
     }
 
+    async fn ask_counter(self: &Rc<Self>, peer: &Peer, question: Question) -> Option<Reply> {
+        if peer.vm == self.settings.vm {
+            let me = peers::address(self.settings.listen.peers);
+            return Some(self.answer(me, question).await);
+        }
+        self.peers.ask(peer.address, &question).await
+    }
+
     fn own(&self, reservation: u64) -> Reservation {
         Reservation {
             vm: peers::vm_number(peers::address(self.settings.listen.peers)),
@@ -600,9 +653,9 @@
     /// Hands the partitions that this VM counts over to those that come next.
     pub(crate) async fn hand_over(&self) {
         for (number, part) in self.keeper.held() {
-            let next = self.counters(number, true).into_iter();
-            let next = next.filter(|peer| peer.vm != self.settings.vm).next();
-            let Some(next) = next else { return };
+            let Some(next) = self.next_counter(number) else {
+                return;
+            };
             let Some(hold) = part.hold.take() else { continue };
             part.written.notify_waiters();
             let entries = part.ledger.take().export();
@@ -653,8 +706,12 @@
         } = request;
         let part = self.keeper.part(number);
         if part.hold.get().is_none() {
-            let first = self.counters(number, false).into_iter().next();
-            if !takeover && first.is_some_and(|first| first.vm != self.settings.vm) {
+            if part.shut_out.get().is_some_and(|at| at.elapsed() < SHUT_OUT) {
+                return Reply::NotOwner;
+            }
+            let rightful = self.claimed(number);
+            let rightful = rightful.or_else(|| self.counters(number).into_iter().next());
+            if !takeover && rightful.is_some_and(|other| other.vm != self.settings.vm) {
                 return Reply::NotOwner;
             }
             // It goes on where this request gives up, so that the next one finds it done.
@@ -716,8 +773,7 @@
 
     /// Tells the VM that would take over of a durable allowance, for a time without the store.
     async fn tell_next(&self, part: u64, program: &str, allowed: u64) {
-        let next = self.counters(part, true).into_iter();
-        let next = next.filter(|peer| peer.vm != self.settings.vm).next();
+        let next = self.next_counter(part);
         let copy = Copy {
             part,
             program: program.to_owned(),
@@ -735,7 +791,7 @@
             program: program.to_owned(),
             allowed,
         });
-        let others = self.counters(part, true).into_iter();
+        let others = self.counters(part).into_iter();
         let others = others.filter(|peer| peer.vm != self.settings.vm);
         let asks = others.take(COPIES).map(|peer| {
             let question = &question;
