Let a partition change hands only by a fence, or by its heir while the store is away

Cause: at the start of an outage VMs handed partitions to each other by stale news, and several counted one partition from copies (a program got 2,250 tokens against 870 + 290). Change: a hand-over counts once the successor has shut out the writer before; from copies counts only the first VM by rank, and only where no live VM claims the partition; an older claim yields.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -184,7 +184,7 @@
 #[derive(Debug, Default)]
 struct Reader {
     next: Option<Offset>,
-    /// Until when a missing record says nothing.
+    /// Until when a record that was missing when the store came back says nothing.
     lenient_until: Option<Instant>,
 }
 
@@ -229,9 +229,6 @@
             let mut directory = (*world.directory).clone();
             let mut changed = false;
             for record in &page.records {
-                if lenient && record.value.is_none() {
-                    continue;
-                }
                 changed |= apply(&mut directory, record);
             }
             if changed {
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -39,6 +39,12 @@
 const STILL_TAKING: Duration = Duration::from_millis(2600);
 /// Taken off the time that a planned stop may take, so that the process ends by itself.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
+/// How long the store may be silent before this VM says that it has lost it: a read that waits for a
+/// change of the configuration, and half a second for its answer.
+const UNHEARD: Duration = Duration::from_millis(1400);
+/// How long this VM has lost the store before it hands over what it counts. Until then the others
+/// have told whether they have lost it as well.
+const LOST: Duration = Duration::from_millis(800);
 /// Lists of other VMs that may wait.
 const CONTACTS: usize = 2;
 /// Time between two sweeps of idle connections.
@@ -188,7 +194,7 @@
     event!(info, "stopping", limit_ms = limit.as_millis());
     gateway.stopping.set(true);
     let handing = Rc::clone(gateway);
-    spawn_local(async move { handing.hand_over().await });
+    spawn_local(async move { handing.hand_over(true).await });
     sleep(STILL_TAKING.min(limit)).await;
     stop.cancel();
     let rest = limit.saturating_sub(began.elapsed());
@@ -307,15 +313,29 @@
     let mut tick = interval(TICK);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut swept = Instant::now();
+    let handing = Rc::new(Cell::new(false));
+    let mut lost = None;
     loop {
         tick.tick().await;
         gateway.desk.tick();
-        let (ready, held) = (gateway.is_ready(), gateway.keeper.claims());
+        let (ready, held) = (gateway.is_eligible(), gateway.keeper.claims());
         beats.send_if_modified(|beat| {
             let changed = beat.ready != ready || beat.held != held;
             (beat.ready, beat.held) = (ready, held);
             changed
         });
+        gateway.tell_orphans().await;
+        gateway.yield_claimed();
+        let away = !gateway.has_store();
+        lost = away.then(|| lost.unwrap_or_else(Instant::now));
+        if lost.is_some_and(|since| since.elapsed() >= LOST) && !handing.replace(true) {
+            let (gateway, handing) = (Rc::clone(&gateway), Rc::clone(&handing));
+            spawn_local(async move {
+                gateway.hand_over(false).await;
+                sleep(LOST).await;
+                handing.set(false);
+            });
+        }
         if swept.elapsed() >= SWEEP {
             swept = Instant::now();
             let directory = Arc::clone(&gateway.world.borrow().directory);
@@ -325,6 +345,17 @@
 }
 
 impl Gateway {
+    /// Whether the store answers this VM.
+    fn has_store(&self) -> bool {
+        let heard = self.world.borrow().heard;
+        heard.is_some_and(|heard| heard.elapsed() < UNHEARD) && self.keeper.has_store()
+    }
+
+    /// Whether this VM can take work over from others.
+    fn is_eligible(&self) -> bool {
+        self.is_ready() && self.has_store()
+    }
+
     /// Whether the balancer should send callers here.
     fn is_ready(&self) -> bool {
         !self.stopping.get() && self.world.borrow().is_complete()
--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -32,6 +32,10 @@
 const COPIES_COMPLETE: Duration = Duration::from_secs(5);
 /// How long a copy is kept.
 const KEPT: Duration = Duration::from_secs(120);
+/// How long the VMs that may keep copies are waited for.
+const GATHER: Duration = Duration::from_millis(70);
+/// Copies in one datagram.
+const COPIES_SENT: usize = 40;
 /// Programs in one datagram of a partition that is handed over.
 const ADOPTED: usize = 4;
 /// How many other VMs keep what the store has not taken.
@@ -66,18 +70,8 @@
 struct Hold {
     epoch: u64,
     sequence: u64,
-}
-
-impl Hold {
-    /// Taken while the store was away.
-    const UNFENCED: Self = Self {
-        epoch: 0,
-        sequence: 0,
-    };
-
-    fn is_fenced(self) -> bool {
-        self != Self::UNFENCED
-    }
+    /// Whether the store has shut out the writer before. Until then nothing can be recorded.
+    fenced: bool,
 }
 
 /// One partition.
@@ -89,8 +83,12 @@
     pending: RefCell<HashMap<String, u64>>,
     /// Allowances that the VM that counts has told this one, in case it takes over.
     kept: RefCell<HashMap<String, (u64, Instant)>>,
+    /// Those of them that the store may lack.
+    lacking: RefCell<HashMap<String, u64>>,
     /// When another VM last shut this one out.
     shut_out: Cell<Option<Instant>>,
+    /// What another VM is handing over.
+    incoming: RefCell<Vec<(Entry, bool)>>,
     /// Where the partition was handed over to.
     successor: Cell<Option<SocketAddr>>,
     taking: Mutex<()>,
@@ -105,6 +103,8 @@
     count: u64,
     parts: RefCell<HashMap<u64, Rc<Part>>>,
     seen: RefCell<HashMap<String, u64>>,
+    /// Allowances that were given and can't be recorded, since this VM was shut out.
+    orphans: RefCell<Vec<Copy>>,
     /// The VM that last granted a reservation of a partition.
     counted_at: RefCell<HashMap<u64, SocketAddr>>,
     failures: Cell<u32>,
@@ -130,6 +130,7 @@
             parts: RefCell::default(),
             seen: RefCell::default(),
             counted_at: RefCell::default(),
+            orphans: RefCell::default(),
             failures: Cell::new(0),
             failed: Cell::new(None),
             began: Instant::now(),
@@ -169,14 +170,20 @@
     /// Takes a partition over: shuts out the writer before, then reads what it has recorded.
     async fn take(&self, number: u64, part: &Part) -> Result<(), Fault> {
         let _taking = part.taking.lock().await;
-        if part.hold.get().is_some_and(Hold::is_fenced) {
+        if part.hold.get().is_some_and(|hold| hold.fenced) {
             return Ok(());
         }
         let mut epoch = clock::wall_ms();
         let hold = loop {
             let writer = self.writer(epoch, 0);
             match self.store.append(ALLOWANCE_TOPIC, number, &[], Some(&writer)).await {
-                Ok(()) => break Hold { epoch, sequence: 0 },
+                Ok(()) => {
+                    break Hold {
+                        epoch,
+                        sequence: 0,
+                        fenced: true,
+                    };
+                }
                 // The clock of the VM before is ahead of this one's.
                 Err(Fault::Fenced) => epoch += 10_000,
                 Err(fault) => {
@@ -239,7 +246,11 @@
         }
         event!(warn, "allowances_taken_from_copies", part = number, programs = kept.len());
         part.ledger.replace(ledger);
-        part.hold.set(Some(Hold::UNFENCED));
+        part.hold.set(Some(Hold {
+            epoch: clock::wall_ms(),
+            sequence: 0,
+            fenced: false,
+        }));
         true
     }
 
@@ -265,7 +276,7 @@
                 part.writing.set(false);
                 return;
             };
-            if !hold.is_fenced() {
+            if !hold.fenced {
                 if self.take(number, &part).await.is_err() {
                     sleep(AGAIN).await;
                 }
@@ -293,10 +304,10 @@
         loop {
             let done = self.store.append(ALLOWANCE_TOPIC, number, records, Some(&writer)).await;
             let next = |sequence| {
-                part.hold.set(Some(Hold {
-                    epoch: hold.epoch,
-                    sequence,
-                }));
+                // Handed over meanwhile, it is not this VM's any more.
+                if part.hold.get() == Some(hold) {
+                    part.hold.set(Some(Hold { sequence, ..hold }));
+                }
             };
             match done {
                 Ok(()) => {
@@ -305,16 +316,13 @@
                     return true;
                 }
                 Err(Fault::Fenced) => {
-                    event!(warn, "allowances_lost", part = number, epoch = hold.epoch);
-                    part.hold.set(None);
-                    part.shut_out.set(Some(Instant::now()));
-                    part.pending.borrow_mut().clear();
-                    part.written.notify_waiters();
+                    self.shut_out(number, part, hold.epoch);
                     return false;
                 }
                 Err(Fault::Sequence(expected)) => {
                     event!(warn, "sequence_corrected", part = number, sent = hold.sequence, expected = expected);
                     next(expected);
+                    sleep(AGAIN).await;
                     return false;
                 }
                 // The same sequence number again: if it was done, the store says so.
@@ -327,14 +335,33 @@
         }
     }
 
+    /// Another VM counts the partition.
+    fn shut_out(&self, number: u64, part: &Part, epoch: u64) {
+        event!(warn, "allowances_lost", part = number, epoch = epoch);
+        part.hold.set(None);
+        part.shut_out.set(Some(Instant::now()));
+        let lacking = part.pending.take().into_iter();
+        let copies = lacking.map(|(program, allowed)| Copy {
+            part: number,
+            program,
+            allowed,
+            epoch,
+        });
+        self.orphans.borrow_mut().extend(copies);
+        part.written.notify_waiters();
+    }
+
     /// Forgets programs that can't come back, here and at the store.
     pub(crate) async fn expire(self: &Rc<Self>, idle: Duration) {
         for part in self.parts.borrow().values() {
-            part.kept.borrow_mut().retain(|_, (_, told)| told.elapsed() < KEPT);
+            let mut kept = part.kept.borrow_mut();
+            kept.retain(|_, (_, told)| told.elapsed() < KEPT);
+            part.lacking.borrow_mut().retain(|program, _| kept.contains_key(program));
         }
         for (number, part) in self.held() {
             let expired = part.ledger.borrow_mut().expire(Instant::now(), idle + IDLE_MARGIN);
-            if expired.is_empty() || part.writing.replace(true) {
+            let fenced = part.hold.get().is_some_and(|hold| hold.fenced);
+            if expired.is_empty() || !fenced || part.writing.replace(true) {
                 continue;
             }
             let dropped = expired.into_iter().map(|key| Keyed { key, value: None });
@@ -360,7 +387,7 @@
     }
 
     /// Goes on with a partition that another VM hands over.
-    fn adopt(&self, number: u64, hold: Hold, entries: Vec<(Entry, bool)>, last: bool) {
+    fn adopt(&self, number: u64, epoch: u64, entries: Vec<(Entry, bool)>, fenced: bool) {
         let part = self.part(number);
         let now = Instant::now();
         for (entry, lacking) in entries {
@@ -369,10 +396,14 @@
             }
             part.ledger.borrow_mut().adopt(now, entry);
         }
-        if last && part.hold.get().is_none() {
-            let programs = part.ledger.borrow().len();
-            event!(info, "allowances_adopted", part = number, epoch = hold.epoch, programs = programs);
-            part.hold.set(Some(hold));
+        let programs = part.ledger.borrow().len();
+        event!(info, "allowances_adopted", part = number, epoch = epoch, programs = programs, fenced = fenced);
+        if !fenced {
+            part.hold.set(Some(Hold {
+                epoch: epoch + 1,
+                sequence: 0,
+                fenced: false,
+            }));
             part.successor.set(None);
         }
     }
@@ -435,7 +466,7 @@
         let cached = self.keeper.counted_at.borrow().get(&part).copied();
         let claimed = self.claimed(part);
         let known = all.iter().filter(|peer| {
-            Some(peer.address) == cached || claimed.as_ref() == Some(*peer)
+            Some(peer.address) == cached || claimed.as_ref().map(|claimed| &claimed.vm) == Some(&peer.vm)
         });
         let mut order: Vec<Peer> = known.cloned().collect();
         order.sort_by_key(|peer| Some(peer.address) != cached);
@@ -455,6 +486,7 @@
         Some(Peer {
             vm: owner.vm.clone(),
             address: peers::address(owner.address),
+            ready: owner.ready,
         })
     }
 
@@ -475,6 +507,7 @@
         let peers = members.into_iter().map(|(_, _, member)| Peer {
             vm: member.vm.clone(),
             address: peers::address(member.address),
+            ready: member.ready,
         });
         peers.collect()
     }
@@ -614,20 +647,29 @@
                 self.count(request).await
             }
             Question::Keep(copy) => {
+                let part = self.keeper.part(copy.part);
+                if part.hold.get().is_some_and(|hold| hold.epoch > copy.epoch) {
+                    // The VM that asks stood still while this one took over.
+                    self.keeper.keep(copy);
+                    return Reply::NotOwner;
+                }
+                part.lacking.borrow_mut().insert(copy.program.clone(), copy.allowed);
                 self.keeper.keep(copy);
                 Reply::Kept
             }
+            Question::Copies { part } => {
+                let part = self.keeper.part(part);
+                let lacking = part.lacking.borrow();
+                let newest = lacking.iter().take(COPIES_SENT);
+                Reply::Copies(newest.map(|(program, allowed)| (program.clone(), *allowed)).collect())
+            }
             Question::Adopt {
                 part,
                 epoch,
-                sequence,
                 entries,
                 last,
-            } => {
-                let hold = Hold { epoch, sequence };
-                self.keeper.adopt(part, hold, entries, last);
-                Reply::Kept
-            }
+                ending,
+            } => self.adopt(part, epoch, entries, last, ending).await,
         }
     }
 
@@ -650,16 +692,57 @@
         }
     }
 
-    /// Hands the partitions that this VM counts over to those that come next.
-    pub(crate) async fn hand_over(&self) {
+    async fn adopt(
+        self: &Rc<Self>,
+        number: u64,
+        epoch: u64,
+        entries: Vec<(Entry, bool)>,
+        last: bool,
+        ending: bool,
+    ) -> Reply {
+        let part = self.keeper.part(number);
+        part.incoming.borrow_mut().extend(entries);
+        if !last {
+            return Reply::Kept;
+        }
+        let entries = part.incoming.take();
+        let taken = timeout(TAKE, self.keeper.take(number, &part)).await;
+        let taken = matches!(taken, Ok(Ok(())));
+        if !taken && !ending {
+            return Reply::Away;
+        }
+        self.keeper.adopt(number, epoch, entries, taken);
+        Reply::Kept
+    }
+
+    /// Gives up partitions that another VM counts under a newer epoch.
+    pub(crate) fn yield_claimed(&self) {
+        for (number, part) in self.keeper.held() {
+            let view = self.view.borrow();
+            let others = view.members.values();
+            let others = others.filter(|member| member.vm != self.settings.vm);
+            let mut claims = others.flat_map(|member| &member.held);
+            let epoch = part.hold.get().map_or(0, |hold| hold.epoch);
+            if claims.any(|(shard, claimed)| shard.0 == number && claimed.0 > epoch) {
+                self.keeper.shut_out(number, &part, epoch);
+            }
+        }
+    }
+
+    /// Hands the partitions that this VM counts over to those that come next and have the store.
+    ///
+    /// A VM that has lost the store alone gives no more durable allowances; were it to go on with
+    /// copies, and all VMs lost power, what it gave would be given again.
+    pub(crate) async fn hand_over(&self, ending: bool) {
         for (number, part) in self.keeper.held() {
-            let Some(next) = self.next_counter(number) else {
+            let next = self.next_counter(number);
+            let Some(next) = next.filter(|next| next.ready || ending) else {
                 return;
             };
             let Some(hold) = part.hold.take() else { continue };
             part.written.notify_waiters();
-            let entries = part.ledger.take().export();
-            let pending = part.pending.take();
+            let entries = part.ledger.borrow().export();
+            let pending = part.pending.borrow().clone();
             let entries: Vec<_> = entries
                 .into_iter()
                 .map(|entry| {
@@ -675,9 +758,9 @@
                 let question = Question::Adopt {
                     part: number,
                     epoch: hold.epoch,
-                    sequence: hold.sequence,
                     entries: chunk.cloned().collect(),
                     last: index + 1 == chunks,
+                    ending,
                 };
                 if self.peers.ask(next.address, &question).await != Some(Reply::Kept) {
                     break;
@@ -685,6 +768,14 @@
                 sent += 1;
             }
             let whole = sent == chunks;
+            if whole {
+                part.ledger.take();
+                part.pending.take();
+            } else {
+                // Nobody took it; if somebody did all the same, the store refuses what is written.
+                part.hold.set(Some(hold));
+                part.successor.set(None);
+            }
             event!(
                 info,
                 "allowances_handed_over",
@@ -717,13 +808,31 @@
             // It goes on where this request gives up, so that the next one finds it done.
             let keeper = Rc::clone(&self.keeper);
             let taken = Rc::clone(&part);
-            let taking = tokio::task::spawn_local(async move { keeper.take(number, &taken).await });
+            let gateway = Rc::clone(self);
+            let taking = tokio::task::spawn_local(async move {
+                gateway.gather(number).await;
+                keeper.take(number, &taken).await
+            });
             let taken = matches!(timeout(TAKE, taking).await, Ok(Ok(Ok(()))));
-            if !taken && !(takeover && self.keeper.take_from_copies(number, &part)) {
+            if !taken && !(self.is_heir(number) && self.keeper.take_from_copies(number, &part)) {
                 return Reply::Away;
             }
         }
         let verdict = part.ledger.borrow_mut().reserve(Instant::now(), program, reservation, turn);
+        let (turns, total) = part.ledger.borrow().standing(program);
+        event!(
+            info,
+            "turn_counted",
+            program = program,
+            part = number,
+            epoch = part.hold.get().map_or(0, |hold| hold.epoch),
+            budget = turn.budget,
+            total = total,
+            allowed = part.ledger.borrow().allowed(program),
+            turns = turns,
+            seen = turn.seen,
+            verdict = verdict
+        );
         let covered = match verdict {
             Verdict::Spent => return Reply::Spent,
             Verdict::Covered => true,
@@ -733,10 +842,19 @@
             self.keeper.settle(number, reservation, 0);
             return Reply::Away;
         }
-        let (turns, total) = part.ledger.borrow().standing(program);
         Reply::Granted { turns, total }
     }
 
+    /// Whether this VM comes next for a partition that no live VM counts.
+    fn is_heir(&self, part: u64) -> bool {
+        let view = self.view.borrow();
+        let key = format!("allowance/{part}");
+        let first = view.members.values();
+        let first = first.max_by_key(|member| rendezvous(&key, member.vm.as_str()));
+        let mine = first.is_some_and(|first| first.vm == self.settings.vm);
+        mine && view.owner(Shard(part)).is_none()
+    }
+
     /// Waits until an allowance is durable, or kept by other VMs where the store does not take it.
     async fn cover(self: &Rc<Self>, number: u64, part: &Rc<Part>, program: &str, allowed: u64) -> bool {
         let hold = part.hold.get();
@@ -762,44 +880,90 @@
             }
         };
         let patience = if self.keeper.has_store() { PATIENCE } else { Duration::ZERO };
+        let copy = Copy {
+            part: number,
+            program: program.to_owned(),
+            allowed,
+            epoch: hold.map_or(0, |hold| hold.epoch),
+        };
         match timeout(patience, durable).await {
             Ok(recorded) => {
-                self.tell_next(number, program, allowed).await;
+                self.tell_next(copy).await;
                 recorded
             }
-            Err(_) => self.copy(number, program, allowed).await,
+            Err(_) => self.copy(copy, part).await,
+        }
+    }
+
+    /// Asks the VMs that may keep copies for allowances that the store may lack.
+    async fn gather(&self, part: u64) {
+        let others = self.counters(part).into_iter();
+        let others = others.filter(|peer| peer.vm != self.settings.vm);
+        let asks = others.take(COPIES + 1).map(|peer| async move {
+            let question = Question::Copies { part };
+            timeout(GATHER, self.peers.ask(peer.address, &question)).await
+        });
+        for reply in futures::future::join_all(asks).await {
+            let Ok(Some(Reply::Copies(copies))) = reply else {
+                continue;
+            };
+            for (program, allowed) in copies {
+                let epoch = 0;
+                self.keeper.keep(Copy {
+                    part,
+                    program,
+                    allowed,
+                    epoch,
+                });
+            }
+        }
+    }
+
+    /// Tells all VMs of allowances that this one gave and could not record.
+    pub(crate) async fn tell_orphans(&self) {
+        let orphans = self.keeper.orphans.take();
+        if orphans.is_empty() {
+            return;
+        }
+        let members = self.counters(0);
+        event!(info, "allowances_told", programs = orphans.len(), members = members.len());
+        for copy in orphans {
+            for peer in members.iter().filter(|peer| peer.vm != self.settings.vm) {
+                self.peers.tell(peer.address, Note::Copied(copy.clone())).await;
+            }
         }
     }
 
     /// Tells the VM that would take over of a durable allowance, for a time without the store.
-    async fn tell_next(&self, part: u64, program: &str, allowed: u64) {
-        let next = self.next_counter(part);
-        let copy = Copy {
-            part,
-            program: program.to_owned(),
-            allowed,
-        };
+    async fn tell_next(&self, copy: Copy) {
+        let next = self.next_counter(copy.part);
         if let Some(next) = next {
             self.peers.tell(next.address, Note::Copied(copy)).await;
         }
     }
 
     /// Has the VMs that would take over keep an allowance.
-    async fn copy(&self, part: u64, program: &str, allowed: u64) -> bool {
-        let question = Question::Keep(Copy {
-            part,
-            program: program.to_owned(),
-            allowed,
-        });
-        let others = self.counters(part).into_iter();
+    async fn copy(&self, copy: Copy, part: &Part) -> bool {
+        let question = Question::Keep(copy.clone());
+        let others = self.counters(copy.part).into_iter();
         let others = others.filter(|peer| peer.vm != self.settings.vm);
         let asks = others.take(COPIES).map(|peer| {
             let question = &question;
-            async move { self.peers.ask(peer.address, question).await == Some(Reply::Kept) }
+            async move { self.peers.ask(peer.address, question).await }
         });
-        let kept = futures::future::join_all(asks).await;
-        let copies = kept.iter().filter(|kept| **kept).count();
-        event!(info, "allowance_copied", program = program, allowed = allowed, copies = copies);
+        let replies = futures::future::join_all(asks).await;
+        if replies.contains(&Some(Reply::NotOwner)) {
+            self.keeper.shut_out(copy.part, part, copy.epoch);
+            return false;
+        }
+        let copies = replies.iter().flatten().count();
+        event!(
+            info,
+            "allowance_copied",
+            program = copy.program,
+            allowed = copy.allowed,
+            copies = copies
+        );
         copies > 0
     }
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -44,16 +44,20 @@
     /// Keep an allowance that the store has not taken yet.
     #[serde(rename = "c")]
     Keep(Copy),
-    /// Go on counting a partition, as its writer with this epoch and sequence number.
+    /// Which allowances of a partition are kept that the store may lack?
+    #[serde(rename = "l")]
+    Copies { part: u64 },
+    /// Go on counting a partition, whose writer had this epoch.
     #[serde(rename = "a")]
     Adopt {
         part: u64,
         epoch: u64,
-        sequence: u64,
         /// Programs, and whether the store still lacks their allowance.
         entries: Vec<(Entry, bool)>,
         /// Whether these are the last ones.
         last: bool,
+        /// Whether to go on even if the store can't be told: the VM before is about to end.
+        ending: bool,
     },
 }
 
@@ -63,6 +67,8 @@
     pub(crate) part: u64,
     pub(crate) program: String,
     pub(crate) allowed: u64,
+    /// The epoch of the VM that gave it.
+    pub(crate) epoch: u64,
 }
 
 /// An answer.
@@ -86,6 +92,9 @@
     /// The copy is kept.
     #[serde(rename = "k")]
     Kept,
+    /// Programs and their allowances.
+    #[serde(rename = "c")]
+    Copies(Vec<(String, u64)>),
 }
 
 /// What is told and needs no answer.
@@ -239,4 +248,6 @@
 pub(crate) struct Peer {
     pub(crate) vm: Vm,
     pub(crate) address: SocketAddr,
+    /// Whether it reaches the store and does not stop.
+    pub(crate) ready: bool,
 }
--- a/src/policy/allowance.rs
+++ b/src/policy/allowance.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
+use std::fmt;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -51,6 +52,16 @@
     Spent,
 }
 
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Covered => f.write_str("covered"),
+            Self::Record(allowed) => write!(f, "record:{allowed}"),
+            Self::Spent => f.write_str("spent"),
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Account {
     /// What is durable.
