--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -87,6 +87,8 @@
     lacking: RefCell<HashMap<String, u64>>,
     /// When another VM last shut this one out.
     shut_out: Cell<Option<Instant>>,
+    /// Whether it is being handed over to another VM.
+    handing: Cell<bool>,
     /// What another VM is handing over.
     incoming: RefCell<Vec<(Entry, bool)>>,
     /// Where the partition was handed over to.
@@ -740,6 +742,7 @@
                 return;
             };
             let Some(hold) = part.hold.take() else { continue };
+            part.handing.set(true);
             part.written.notify_waiters();
             let entries = part.ledger.borrow().export();
             let pending = part.pending.borrow().clone();
@@ -771,11 +774,13 @@
             if whole {
                 part.ledger.take();
                 part.pending.take();
+                part.shut_out.set(Some(Instant::now()));
             } else {
                 // Nobody took it; if somebody did all the same, the store refuses what is written.
                 part.hold.set(Some(hold));
                 part.successor.set(None);
             }
+            part.handing.set(false);
             event!(
                 info,
                 "allowances_handed_over",
@@ -797,7 +802,8 @@
         } = request;
         let part = self.keeper.part(number);
         if part.hold.get().is_none() {
-            if part.shut_out.get().is_some_and(|at| at.elapsed() < SHUT_OUT) {
+            let shut_out = part.shut_out.get().is_some_and(|at| at.elapsed() < SHUT_OUT);
+            if shut_out || part.handing.get() {
                 return Reply::NotOwner;
             }
             let rightful = self.claimed(number);
