Give epochs to one VM each, and hand over what the store lacks

Cause: two VMs took a partition in the same millisecond under one epoch and did not shut each other out; a hand-over gave 0 as the allowance of programs that were only copied.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -145,7 +145,11 @@
     let gateway = Rc::new(Gateway {
         view: outside.view,
         peers: Peers::new(socket, &settings.peer_key),
-        keeper: Rc::new(Keeper::new(settings.store.address, settings.store.partitions)),
+        keeper: Rc::new(Keeper::new(
+            peers::vm_number(peers),
+            settings.store.address,
+            settings.store.partitions,
+        )),
         zone: settings.zone.as_str().into(),
         links: Links::default(),
         desk: Desk::default(),
--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -26,6 +26,10 @@
 /// How long a turn waits for the store before its allowance is kept by other VMs instead. A record
 /// takes about 8 ms on a good day; a store that is slow or away must not hold up every program.
 const PATIENCE: Duration = Duration::from_millis(250);
+/// Epochs in one millisecond of the clock: so many VMs can be told apart.
+const EPOCHS: u64 = 1 << 12;
+/// By how much an epoch is raised that is too low: ten seconds of the clock.
+const EPOCH_STEP: u64 = 10_000 * EPOCHS;
 /// How long a turn waits for a partition to be taken over, two calls to the store.
 const TAKE: Duration = Duration::from_secs(1);
 /// How long a VM must have run to trust that it was told of all programs that still go on.
@@ -90,7 +94,7 @@
     /// Whether it is being handed over to another VM.
     handing: Cell<bool>,
     /// What another VM is handing over.
-    incoming: RefCell<Vec<(Entry, bool)>>,
+    incoming: RefCell<Vec<(Entry, u64)>>,
     /// Where the partition was handed over to.
     successor: Cell<Option<SocketAddr>>,
     taking: Mutex<()>,
@@ -101,6 +105,8 @@
 /// The partitions that this VM counts, and what it has seen of programs.
 #[derive(Debug)]
 pub(crate) struct Keeper {
+    /// The number of this VM.
+    vm: u64,
     store: Store,
     count: u64,
     parts: RefCell<HashMap<u64, Rc<Part>>>,
@@ -125,8 +131,9 @@
 }
 
 impl Keeper {
-    pub(crate) fn new(store: SocketAddr, count: u64) -> Self {
+    pub(crate) fn new(vm: u64, store: SocketAddr, count: u64) -> Self {
         Self {
+            vm,
             store: Store::new(store),
             count,
             parts: RefCell::default(),
@@ -175,7 +182,7 @@
         if part.hold.get().is_some_and(|hold| hold.fenced) {
             return Ok(());
         }
-        let mut epoch = clock::wall_ms();
+        let mut epoch = self.epoch();
         let hold = loop {
             let writer = self.writer(epoch, 0);
             match self.store.append(ALLOWANCE_TOPIC, number, &[], Some(&writer)).await {
@@ -187,7 +194,7 @@
                     };
                 }
                 // The clock of the VM before is ahead of this one's.
-                Err(Fault::Fenced) => epoch += 10_000,
+                Err(Fault::Fenced) => epoch += EPOCH_STEP,
                 Err(fault) => {
                     self.heard(false);
                     return Err(fault);
@@ -249,13 +256,19 @@
         event!(warn, "allowances_taken_from_copies", part = number, programs = kept.len());
         part.ledger.replace(ledger);
         part.hold.set(Some(Hold {
-            epoch: clock::wall_ms(),
+            epoch: self.epoch(),
             sequence: 0,
             fenced: false,
         }));
         true
     }
 
+    /// An epoch that is higher than those before, and no other VM's: two writers of one epoch would
+    /// not shut each other out.
+    fn epoch(&self) -> u64 {
+        clock::wall_ms() * EPOCHS + self.vm % EPOCHS
+    }
+
     fn writer(&self, epoch: u64, sequence: u64) -> Writer {
         Writer {
             name: "allowance".to_owned(),
@@ -264,6 +277,12 @@
         }
     }
 
+    fn start_writing(self: Rc<Self>, number: u64, part: Rc<Part>) {
+        if !part.writing.replace(true) {
+            tokio::task::spawn_local(self.write(number, part));
+        }
+    }
+
     /// Writes what is pending until nothing is left; one append at a time, so that allowances that
     /// come meanwhile share the next one.
     async fn write(self: Rc<Self>, number: u64, part: Rc<Part>) {
@@ -389,12 +408,14 @@
     }
 
     /// Goes on with a partition that another VM hands over.
-    fn adopt(&self, number: u64, epoch: u64, entries: Vec<(Entry, bool)>, fenced: bool) {
+    fn adopt(&self, number: u64, epoch: u64, entries: Vec<(Entry, u64)>, fenced: bool) {
         let part = self.part(number);
         let now = Instant::now();
         for (entry, lacking) in entries {
-            if lacking {
-                part.pending.borrow_mut().insert(entry.program.clone(), entry.allowed);
+            if lacking > 0 {
+                let mut pending = part.pending.borrow_mut();
+                let newest = pending.entry(entry.program.clone()).or_default();
+                *newest = lacking.max(*newest);
             }
             part.ledger.borrow_mut().adopt(now, entry);
         }
@@ -698,7 +719,7 @@
         self: &Rc<Self>,
         number: u64,
         epoch: u64,
-        entries: Vec<(Entry, bool)>,
+        entries: Vec<(Entry, u64)>,
         last: bool,
         ending: bool,
     ) -> Reply {
@@ -714,6 +735,7 @@
             return Reply::Away;
         }
         self.keeper.adopt(number, epoch, entries, taken);
+        Rc::clone(&self.keeper).start_writing(number, part);
         Reply::Kept
     }
 
@@ -749,8 +771,8 @@
             let entries: Vec<_> = entries
                 .into_iter()
                 .map(|entry| {
-                    let lacking = pending.contains_key(&entry.program);
-                    (entry, lacking)
+                    let lacking = pending.get(&entry.program).copied();
+                    (entry, lacking.unwrap_or_default())
                 })
                 .collect();
             part.successor.set(Some(next.address));
@@ -817,7 +839,9 @@
             let gateway = Rc::clone(self);
             let taking = tokio::task::spawn_local(async move {
                 gateway.gather(number).await;
-                keeper.take(number, &taken).await
+                let done = keeper.take(number, &taken).await;
+                keeper.start_writing(number, taken);
+                done
             });
             let taken = matches!(timeout(TAKE, taking).await, Ok(Ok(Ok(()))));
             if !taken && !(self.is_heir(number) && self.keeper.take_from_copies(number, &part)) {
@@ -869,9 +893,7 @@
             let newest = pending.entry(program.to_owned()).or_default();
             *newest = allowed.max(*newest);
         }
-        if !part.writing.replace(true) {
-            tokio::task::spawn_local(Rc::clone(&self.keeper).write(number, Rc::clone(part)));
-        }
+        Rc::clone(&self.keeper).start_writing(number, Rc::clone(part));
         let durable = async {
             loop {
                 let written = part.written.notified();
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -52,8 +52,8 @@
     Adopt {
         part: u64,
         epoch: u64,
-        /// Programs, and whether the store still lacks their allowance.
-        entries: Vec<(Entry, bool)>,
+        /// Programs, and the allowance that the store still lacks; zero where it lacks none.
+        entries: Vec<(Entry, u64)>,
         /// Whether these are the last ones.
         last: bool,
         /// Whether to go on even if the store can't be told: the VM before is about to end.
