--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -26,8 +26,10 @@
 
 /// How long a caller waits that does not say so.
 const WAIT: Duration = Duration::from_secs(30);
-/// When a caller may come back to a VM that does not know the configuration yet.
-const NOT_READY: Duration = Duration::from_millis(300);
+/// When a caller may come back to a VM that does not know the configuration yet. It is known 20 ms
+/// after the start where the store answers; where it does not, callers that come back a few times
+/// only should still be there after an outage of some seconds.
+const NOT_READY: Duration = Duration::from_millis(900);
 /// Servers that are asked for one request, those that turn it away among them.
 const TRIES: usize = 6;
 /// When a caller may come back whose request no server took.
--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -9,13 +9,13 @@
 use crate::clock;
 use crate::code::{Code, Failure};
 use crate::id::{Epoch, Shard, rendezvous};
-use crate::platform::records::ALLOWANCE_TOPIC;
+use crate::platform::records::{ALLOWANCE_TOPIC, DETOUR_TOPIC};
 use crate::platform::store::{Fault, Keyed, Store, Writer};
 use crate::policy::allowance::{Entry, Ledger, Reservation, Turn, Verdict};
 use crate::telemetry::event;
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -91,6 +91,10 @@
     lacking: RefCell<HashMap<String, u64>>,
     /// When another VM last shut this one out.
     shut_out: Cell<Option<Instant>>,
+    /// Whether the store did not take the newest record.
+    failing: Cell<bool>,
+    /// Programs whose allowance was recorded in another partition.
+    detours: RefCell<HashSet<String>>,
     /// Whether it is being handed over to another VM.
     handing: Cell<bool>,
     /// What another VM is handing over.
@@ -201,9 +205,21 @@
                 }
             }
         };
-        let newest = self.store.newest(ALLOWANCE_TOPIC, number).await;
+        let other = self.other_part(number);
+        let (newest, detours) = tokio::join!(
+            self.store.newest(ALLOWANCE_TOPIC, number),
+            self.store.newest(DETOUR_TOPIC, other),
+        );
         self.heard(newest.is_ok());
         let newest = newest?;
+        for detour in detours.iter().flat_map(|detours| &detours.records) {
+            let (Some(value), true) = (&detour.value, self.part_of(&detour.key) == number) else {
+                continue;
+            };
+            let mut kept = part.kept.borrow_mut();
+            let known = kept.entry(detour.key.clone()).or_insert((0, Instant::now()));
+            known.0 = decode(value).unwrap_or_default().max(known.0);
+        }
         let now = Instant::now();
         // What was adopted, or counted while the store was away, is known better than its records.
         let mut ledger = part.ledger.take();
@@ -315,7 +331,9 @@
                     pending.remove(&program);
                 }
             }
+            drop((pending, ledger));
             part.written.notify_waiters();
+            self.end_detours(number, &part).await;
         }
     }
 
@@ -333,6 +351,9 @@
             match done {
                 Ok(()) => {
                     self.heard(true);
+                    if part.failing.replace(false) {
+                        event!(info, "records_flow", part = number);
+                    }
                     next(hold.sequence + 1);
                     return true;
                 }
@@ -348,14 +369,57 @@
                 }
                 // The same sequence number again: if it was done, the store says so.
                 Err(fault) => {
-                    self.heard(false);
-                    event!(debug, "record_failed", part = number, reason = fault);
+                    if !part.failing.replace(true) {
+                        event!(warn, "records_stuck", part = number, reason = fault);
+                    }
                     sleep(AGAIN).await;
                 }
             }
         }
     }
 
+    /// Records an allowance in another partition while its own does not take it.
+    ///
+    /// The store may lose some of its partitions and serve the rest. If all VMs lost power then,
+    /// copies in memory would be gone, and a program would get its budget a second time.
+    async fn detour(&self, number: u64, part: &Part, copy: &Copy) -> bool {
+        let record = [encode(&copy.program, copy.allowed)];
+        let other = self.other_part(number);
+        let write = self.store.append(DETOUR_TOPIC, other, &record, None);
+        let done = matches!(timeout(PATIENCE, write).await, Ok(Ok(())));
+        self.heard(done);
+        if done {
+            part.detours.borrow_mut().insert(copy.program.clone());
+            event!(
+                info,
+                "allowance_detoured",
+                program = copy.program,
+                part = number,
+                through = other,
+                allowed = copy.allowed
+            );
+        }
+        done
+    }
+
+    /// Drops the detours of allowances that their own partition has taken.
+    async fn end_detours(&self, number: u64, part: &Part) {
+        let ended = part.detours.take();
+        if ended.is_empty() {
+            return;
+        }
+        let records: Vec<Keyed> = ended.into_iter().map(|key| Keyed { key, value: None }).collect();
+        let other = self.other_part(number);
+        if let Err(fault) = self.store.append(DETOUR_TOPIC, other, &records, None).await {
+            // A detour that stays says no more than the partition's own record.
+            event!(debug, "detours_left", part = number, reason = fault);
+        }
+    }
+
+    fn other_part(&self, number: u64) -> u64 {
+        (number + self.count / 2) % self.count
+    }
+
     /// Another VM counts the partition.
     fn shut_out(&self, number: u64, part: &Part, epoch: u64) {
         event!(warn, "allowances_lost", part = number, epoch = epoch);
@@ -690,9 +754,10 @@
                 part,
                 epoch,
                 entries,
+                first,
                 last,
                 ending,
-            } => self.adopt(part, epoch, entries, last, ending).await,
+            } => self.adopt(part, epoch, entries, (first, last), ending).await,
         }
     }
 
@@ -720,10 +785,14 @@
         number: u64,
         epoch: u64,
         entries: Vec<(Entry, u64)>,
-        last: bool,
+        (first, last): (bool, bool),
         ending: bool,
     ) -> Reply {
         let part = self.keeper.part(number);
+        if first {
+            // What is left of a hand-over that broke off is older.
+            part.incoming.take();
+        }
         part.incoming.borrow_mut().extend(entries);
         if !last {
             return Reply::Kept;
@@ -771,8 +840,9 @@
             let entries: Vec<_> = entries
                 .into_iter()
                 .map(|entry| {
-                    let lacking = pending.get(&entry.program).copied();
-                    (entry, lacking.unwrap_or_default())
+                    let lacking = pending.get(&entry.program).copied().unwrap_or_default();
+                    let allowed = entry.allowed.max(lacking);
+                    (Entry { allowed, ..entry }, lacking)
                 })
                 .collect();
             part.successor.set(Some(next.address));
@@ -784,6 +854,7 @@
                     part: number,
                     epoch: hold.epoch,
                     entries: chunk.cloned().collect(),
+                    first: index == 0,
                     last: index + 1 == chunks,
                     ending,
                 };
@@ -868,7 +939,8 @@
             Verdict::Covered => true,
             Verdict::Record(allowed) => self.cover(number, &part, program, allowed).await,
         };
-        if !covered {
+        // Where it was asked twice, the other one may have failed and given the tokens back.
+        if !covered || !part.ledger.borrow().is_open(reservation) {
             self.keeper.settle(number, reservation, 0);
             return Reply::Away;
         }
@@ -907,7 +979,7 @@
                 written.await;
             }
         };
-        let patience = if self.keeper.has_store() { PATIENCE } else { Duration::ZERO };
+        let patience = if part.failing.get() { Duration::ZERO } else { PATIENCE };
         let copy = Copy {
             part: number,
             program: program.to_owned(),
@@ -919,6 +991,7 @@
                 self.tell_next(copy).await;
                 recorded
             }
+            Err(_) if self.keeper.detour(number, part, &copy).await => true,
             Err(_) => self.copy(copy, part).await,
         }
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -54,6 +54,8 @@
         epoch: u64,
         /// Programs, and the allowance that the store still lacks; zero where it lacks none.
         entries: Vec<(Entry, u64)>,
+        /// Whether these are the first ones.
+        first: bool,
         /// Whether these are the last ones.
         last: bool,
         /// Whether to go on even if the store can't be told: the VM before is about to end.
--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -16,6 +16,8 @@
 pub(crate) const DIRECTORY_TOPIC: &str = "keyed.servers";
 /// Our own topic of the allowances of programs.
 pub(crate) const ALLOWANCE_TOPIC: &str = "keyed.allowance";
+/// Our own topic of allowances whose partition does not take them.
+pub(crate) const DETOUR_TOPIC: &str = "keyed.detour";
 /// Our own topic of the addresses at which VMs first reach each other.
 pub(crate) const CONTACT_TOPIC: &str = "keyed.contact";
 
--- a/src/policy/allowance.rs
+++ b/src/policy/allowance.rs
@@ -137,13 +137,17 @@
     }
 
     /// Goes on with what another VM knew, unless turns of the program have asked here already.
+    ///
+    /// The other VM may have been shut out without knowing: what the records allow beyond what it
+    /// gave was given by a third one, and counts as spent.
     pub fn adopt(&mut self, now: Instant, entry: Entry) {
         let account = self.account(now, &entry.program);
         if account.turns > 0 {
             return self.restore(now, &entry.program, entry.allowed);
         }
+        let of_others = account.allowed.saturating_sub(entry.allowed);
         account.allowed = account.allowed.max(entry.allowed);
-        account.spent = entry.spent;
+        account.spent = entry.spent + of_others;
         account.turns = entry.turns;
         account.reserved = entry.open.iter().map(|(_, most)| most).sum();
         let program = entry.program;
@@ -218,6 +222,12 @@
         }
     }
 
+    /// Whether a reservation is counted and not over.
+    #[must_use]
+    pub fn is_open(&self, reservation: Reservation) -> bool {
+        self.open.contains_key(&reservation)
+    }
+
     /// The durable allowance of a program.
     #[must_use]
     pub fn allowed(&self, program: &str) -> u64 {
