Start from copies of the configuration and the directory

Change: copies in three other partitions and at the VMs that run; operators' address with metrics, state and the copy; detours of allowances through three partitions.

--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -1,5 +1,6 @@
 //! The backend servers that have registered themselves.
 
+use bytes::Bytes;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -40,13 +41,18 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Directory {
     entries: HashMap<Id, Arc<Entry>>,
+    /// Their records as they wrote them.
+    records: HashMap<Id, Bytes>,
 }
 
 impl Directory {
     /// Takes in a record; tells whether anything but the time of the record changed.
     pub fn apply(&mut self, change: Change) -> bool {
         match change {
-            Change::Removed(id) => self.entries.remove(&id).is_some(),
+            Change::Removed(id) => {
+                self.records.remove(&id);
+                self.entries.remove(&id).is_some()
+            }
             Change::Set(entry) => {
                 let same = self
                     .entries
@@ -61,6 +67,18 @@
         }
     }
 
+    /// Keeps the record of a server as it wrote it.
+    pub fn keep(&mut self, id: &str, record: Bytes) {
+        if let Some(entry) = self.entries.get(id) {
+            self.records.insert(Id::clone(&entry.id), record);
+        }
+    }
+
+    /// The records of all servers as they wrote them.
+    pub fn records(&self) -> impl Iterator<Item = (&Id, &Bytes)> {
+        self.records.iter()
+    }
+
     /// A server by its identity.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Arc<Entry>> {
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -1,8 +1,10 @@
 //! The thread that follows the configuration and the directory.
 
 use super::directory::Directory;
+use super::snapshot::{self, Snapshot};
 use super::table::Table;
 use crate::id::Offset;
+use crate::member::View;
 use crate::platform::records::{CONFIG_KEY, CONFIG_TOPIC, DIRECTORY_TOPIC, server, table};
 use crate::platform::store::{Fault, Keyed, Store};
 use crate::telemetry::event;
@@ -21,6 +23,11 @@
 const DIRECTORY_PERIOD: Duration = Duration::from_millis(350);
 /// The pause after a failed read, at first and at most.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(800));
+/// Time between two looks at whether copies are needed.
+const COPIES_PERIOD: Duration = Duration::from_millis(250);
+/// How long the store may be silent before copies of the configuration are read: a read that waits,
+/// and half a second for its answer.
+const SILENT: Duration = Duration::from_millis(1400);
 /// After an outage servers whose records lapsed write them again, within about two seconds. Until
 /// then a missing record says nothing of its server.
 const RETURN: Duration = Duration::from_millis(2300);
@@ -56,6 +63,21 @@
         self.table.is_some() && self.listed
     }
 
+    /// Takes in a copy. The directory of a copy is used only where none was read, since servers
+    /// that have left meanwhile may stand in it; the configuration has a version.
+    fn learn_copy(&mut self, snapshot: Snapshot, from: &str) -> bool {
+        let mut changed = false;
+        if let Some(config) = snapshot.config() {
+            changed |= self.learn(&config, from);
+        }
+        if !self.listed {
+            let records = snapshot.servers();
+            event!(info, "directory_copied", servers = records.len(), from = from);
+            changed |= whole(self, &records, true);
+        }
+        changed
+    }
+
     /// Takes in a configuration unless it is older than the one known. Tells whether it is new.
     pub(crate) fn learn(&mut self, raw: &bytes::Bytes, from: &str) -> bool {
         if self.raw.as_ref() == Some(raw) {
@@ -87,11 +109,62 @@
     }
 }
 
+/// Where the feed finds the originals and their copies.
+#[derive(Debug, Clone)]
+pub(crate) struct Sources {
+    /// The store.
+    pub(crate) store: SocketAddr,
+    /// The port at which VMs give copies.
+    pub(crate) port: u16,
+    /// Addresses of other VMs from the settings.
+    pub(crate) seeds: Vec<SocketAddr>,
+    /// The members.
+    pub(crate) view: watch::Receiver<Arc<View>>,
+}
+
 /// Follows both topics until the process ends.
-pub(crate) async fn run(address: SocketAddr, worlds: watch::Sender<World>) {
-    let config = follow_config(Store::new(address), &worlds);
-    let directory = follow_directory(Store::new(address), &worlds);
-    tokio::join!(config, directory);
+pub(crate) async fn run(sources: Sources, worlds: watch::Sender<World>) {
+    let config = follow_config(Store::new(sources.store), &worlds);
+    let directory = follow_directory(Store::new(sources.store), &worlds);
+    let copies = follow_copies(&sources, &worlds);
+    tokio::join!(config, directory, copies);
+}
+
+/// Reads copies while the originals can't be read.
+async fn follow_copies(sources: &Sources, worlds: &watch::Sender<World>) {
+    let store = Store::new(sources.store);
+    loop {
+        sleep(COPIES_PERIOD).await;
+        let (complete, silent) = {
+            let world = worlds.borrow();
+            let silent = world.heard.is_none_or(|heard| heard.elapsed() > SILENT);
+            (world.is_complete(), silent)
+        };
+        if complete && !silent {
+            continue;
+        }
+        let members = sources.addresses();
+        let (mut snapshot, mut from) = (snapshot::from_peers(&members).await, "peer");
+        if snapshot.is_none() && !complete {
+            (snapshot, from) = (snapshot::from_store(&store).await, "copy");
+        }
+        if let Some(snapshot) = snapshot {
+            worlds.send_if_modified(|world| world.learn_copy(snapshot, from));
+        }
+    }
+}
+
+impl Sources {
+    /// Where other VMs give copies, in random order.
+    fn addresses(&self) -> Vec<SocketAddr> {
+        let view = self.view.borrow();
+        let members = view.members.values().map(|member| member.address.ip());
+        let seeds = self.seeds.iter().map(SocketAddr::ip);
+        let all: HashSet<_> = members.chain(seeds).collect();
+        let mut all: Vec<_> = all.into_iter().collect();
+        rand::seq::SliceRandom::shuffle(all.as_mut_slice(), &mut rand::rng());
+        all.into_iter().map(|ip| SocketAddr::new(ip, self.port)).collect()
+    }
 }
 
 /// Tells of a lost and a regained dependency once, and paces the tries between.
@@ -285,6 +358,9 @@
     if !changed {
         return false;
     }
+    if let Some(value) = &record.value {
+        directory.keep(&record.key, value.clone());
+    }
     match (before, directory.get(&record.key)) {
         (None, Some(entry)) => event!(
             info,
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -8,7 +8,7 @@
 use super::permit::Desk;
 use super::keeper::{self, Keeper};
 use super::peers::{self, Peers};
-use super::{Gateway, contact, socket};
+use super::{Gateway, contact, operators, snapshot, socket};
 use crate::code::{Code, Failure};
 use crate::id::{Boot, Offset};
 use crate::member::{self, Beat, List, View};
@@ -61,9 +61,14 @@
 pub(crate) fn run(settings: settings::Gateway) -> Result<(), Failure> {
     let (worlds, world) = watch::channel(World::empty());
     let mut supervisor = Supervisor::new(CancellationToken::new());
-    let store = settings.store.address;
-    supervisor.duty("feed", move || feed::run(store, worlds.clone()));
     let (views, view) = watch::channel(Arc::new(View::default()));
+    let sources = feed::Sources {
+        store: settings.store.address,
+        port: settings.listen.operators.port(),
+        seeds: settings.seeds.clone(),
+        view: view.clone(),
+    };
+    supervisor.duty("feed", move || feed::run(sources.clone(), worlds.clone()));
     let beats = Arc::new(watch::channel(first_beat(&settings)).0);
     let contacts = member(&mut supervisor, &settings, views, &beats)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -138,6 +143,7 @@
 async fn serve(settings: settings::Gateway, outside: Outside) -> Result<(), Failure> {
     let callers = bind(settings.listen.callers).await?;
     let ready = bind(settings.listen.ready).await?;
+    let operators = bind(settings.listen.operators).await?;
     let peers = peers::address(settings.listen.peers);
     let socket = UdpSocket::bind(peers).await;
     let socket = socket
@@ -170,6 +176,11 @@
     spawn_local(answer_balancer(Rc::clone(&gateway), ready));
     spawn_local(follow_world(Rc::clone(&gateway)));
     spawn_local(keep_house(Rc::clone(&gateway), outside.beats));
+    if let Some(address) = gateway.settings.listen.metrics {
+        spawn_local(operators::run(Rc::clone(&gateway), bind(address).await?));
+    }
+    spawn_local(operators::run(Rc::clone(&gateway), operators));
+    spawn_local(snapshot::keep(Rc::clone(&gateway)));
     spawn_local(peers::receive(Rc::clone(&gateway)));
     spawn_local(keeper::keep_house(Rc::clone(&gateway)));
     spawn_local(contact::run(gateway.settings.clone(), outside.contacts));
--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -94,7 +94,7 @@
     /// Whether the store did not take the newest record.
     failing: Cell<bool>,
     /// Programs whose allowance was recorded in another partition.
-    detours: RefCell<HashSet<String>>,
+    detours: RefCell<HashSet<(u64, String)>>,
     /// Whether it is being handed over to another VM.
     handing: Cell<bool>,
     /// What another VM is handing over.
@@ -205,14 +205,14 @@
                 }
             }
         };
-        let other = self.other_part(number);
+        let detours = self.other_parts(number).map(|other| self.store.newest(DETOUR_TOPIC, other));
         let (newest, detours) = tokio::join!(
             self.store.newest(ALLOWANCE_TOPIC, number),
-            self.store.newest(DETOUR_TOPIC, other),
+            futures::future::join_all(detours),
         );
         self.heard(newest.is_ok());
         let newest = newest?;
-        for detour in detours.iter().flat_map(|detours| &detours.records) {
+        for detour in detours.iter().flatten().flat_map(|detours| &detours.records) {
             let (Some(value), true) = (&detour.value, self.part_of(&detour.key) == number) else {
                 continue;
             };
@@ -384,12 +384,13 @@
     /// copies in memory would be gone, and a program would get its budget a second time.
     async fn detour(&self, number: u64, part: &Part, copy: &Copy) -> bool {
         let record = [encode(&copy.program, copy.allowed)];
-        let other = self.other_part(number);
-        let write = self.store.append(DETOUR_TOPIC, other, &record, None);
-        let done = matches!(timeout(PATIENCE, write).await, Ok(Ok(())));
-        self.heard(done);
-        if done {
-            part.detours.borrow_mut().insert(copy.program.clone());
+        for other in self.other_parts(number) {
+            let write = self.store.append(DETOUR_TOPIC, other, &record, None);
+            if !matches!(timeout(PATIENCE, write).await, Ok(Ok(()))) {
+                continue;
+            }
+            self.heard(true);
+            part.detours.borrow_mut().insert((other, copy.program.clone()));
             event!(
                 info,
                 "allowance_detoured",
@@ -398,26 +399,36 @@
                 through = other,
                 allowed = copy.allowed
             );
+            return true;
         }
-        done
+        self.heard(false);
+        false
     }
 
     /// Drops the detours of allowances that their own partition has taken.
     async fn end_detours(&self, number: u64, part: &Part) {
         let ended = part.detours.take();
-        if ended.is_empty() {
-            return;
-        }
-        let records: Vec<Keyed> = ended.into_iter().map(|key| Keyed { key, value: None }).collect();
-        let other = self.other_part(number);
-        if let Err(fault) = self.store.append(DETOUR_TOPIC, other, &records, None).await {
-            // A detour that stays says no more than the partition's own record.
-            event!(debug, "detours_left", part = number, reason = fault);
+        for other in self.other_parts(number) {
+            let of_it = ended.iter().filter(|(through, _)| *through == other);
+            let dropped = of_it.map(|(_, key)| Keyed {
+                key: key.clone(),
+                value: None,
+            });
+            let records: Vec<Keyed> = dropped.collect();
+            if records.is_empty() {
+                continue;
+            }
+            if let Err(fault) = self.store.append(DETOUR_TOPIC, other, &records, None).await {
+                // A detour that stays says no more than the partition's own record.
+                event!(debug, "detours_left", part = number, reason = fault);
+            }
         }
     }
 
-    fn other_part(&self, number: u64) -> u64 {
-        (number + self.count / 2) % self.count
+    /// The partitions through which detours go. With a quarter of all away, one of three is there
+    /// in 98 of 100 cases.
+    fn other_parts(&self, number: u64) -> [u64; 3] {
+        [self.count / 2, self.count / 3, 1].map(|offset| (number + offset) % self.count)
     }
 
     /// Another VM counts the partition.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,9 +15,11 @@
 mod keeper;
 mod link;
 mod metrics;
+mod operators;
 mod peers;
 mod permit;
 mod reply;
+mod snapshot;
 mod socket;
 pub mod table;
 
--- /dev/null
+++ b/src/gateway/operators.rs
@@ -0,0 +1,90 @@
+//! What operators see of a running process: its metrics and its state.
+
+use super::body::Body;
+use super::snapshot::{self, Snapshot};
+use super::Gateway;
+use crate::telemetry;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// The pause after a failed accept, which is out of descriptors.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers operators, and VMs that need a copy of the configuration.
+pub(crate) async fn run(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(PAUSE).await;
+            continue;
+        };
+        let gateway = Rc::clone(&gateway);
+        spawn_local(async move {
+            let service = service_fn(move |request: Request<Incoming>| {
+                let response = gateway.operator(request.uri().path());
+                async move { Ok::<_, Infallible>(response) }
+            });
+            // An operator whose connection breaks asks again.
+            drop(http1::Builder::new().serve_connection(TokioIo::new(stream), service).await);
+        });
+    }
+}
+
+impl Gateway {
+    fn operator(&self, path: &str) -> Response<Body> {
+        let bytes = match path {
+            "/metrics" => Bytes::from(self.metrics.text()),
+            "/state" => Bytes::from(self.state().to_string()),
+            snapshot::PATH => {
+                let snapshot = Snapshot::of(&self.world.borrow());
+                snapshot.map_or_else(Bytes::new, |snapshot| Bytes::from(snapshot.encode()))
+            }
+            _ => Bytes::new(),
+        };
+        let known = !bytes.is_empty();
+        let mut response = Response::new(Body::whole(bytes));
+        if !known {
+            *response.status_mut() = StatusCode::NOT_FOUND;
+        }
+        response
+    }
+
+    /// The state of the process, for a person.
+    fn state(&self) -> Value {
+        let world = self.world.borrow();
+        let view = self.view.borrow();
+        let (partitions, programs) = self.keeper.size();
+        let servers = world.directory.iter().map(|entry| {
+            json!({
+                "id": &*entry.id,
+                "service": entry.service,
+                "address": entry.address,
+                "zone": entry.zone,
+                "draining": entry.draining,
+            })
+        });
+        json!({
+            "vm": self.settings.vm,
+            "stopping": self.stopping.get(),
+            "config": world.table.as_ref().map(|table| table.version),
+            "routes": world.table.as_ref().map(|table| table.len()),
+            "store_heard_ms": world.heard.map(|heard| heard.elapsed().as_millis()),
+            "servers": servers.collect::<Vec<_>>(),
+            "services": self.desk.state(),
+            "counted": json!({ "partitions": partitions, "programs": programs }),
+            "idle_connections": self.links.len(),
+            "members": view.members.values().map(|member| &member.vm).collect::<Vec<_>>(),
+            "dropped_log_lines": telemetry::dropped_lines(),
+        })
+    }
+}
--- a/src/gateway/permit.rs
+++ b/src/gateway/permit.rs
@@ -39,9 +39,9 @@
         self.grant();
     }
 
-    /// Requests that wait and requests that run, for a service.
-    pub(crate) fn load(&self, service: &str) -> (usize, usize) {
-        self.dispatcher.borrow().load(service)
+    /// Requests that wait and requests that run at each server, by service.
+    pub(crate) fn state(&self) -> serde_json::Value {
+        self.dispatcher.borrow().state()
     }
 
     fn grant(&self) {
--- /dev/null
+++ b/src/gateway/snapshot.rs
@@ -0,0 +1,155 @@
+//! Copies of the configuration and the directory, for a VM that starts while the store does not
+//! give it the originals.
+//!
+//! Two ways lead to a copy: partitions of the store other than those of the originals, and the VMs
+//! that run. After the loss of all VMs in a partial outage only the first is left.
+
+use super::Gateway;
+use super::feed::World;
+use crate::platform::records::SNAPSHOT_TOPIC;
+use crate::platform::store::{Keyed, Store};
+use crate::telemetry::event;
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Partitions that hold a copy. With a quarter of all partitions away, one of three is there in 98
+/// of 100 cases.
+const PARTS: std::ops::RangeInclusive<u64> = 1..=3;
+/// Time between two looks at whether the copy has to be written again.
+const PERIOD: Duration = Duration::from_millis(700);
+/// Bytes of a copy; the store takes records of 256 KiB.
+const LARGEST: usize = 250_000;
+/// The key of the copy.
+const KEY: &str = "newest";
+/// The path at which a VM gives its copy to others.
+pub(crate) const PATH: &str = "/snapshot";
+/// How long another VM may take to answer.
+const PEER_TIMEOUT: Duration = Duration::from_millis(400);
+/// VMs that are asked at a time.
+const PEERS: usize = 3;
+
+/// The configuration and the directory as their writers wrote them.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Snapshot {
+    /// The configuration, in base64.
+    config: String,
+    /// The records of backend servers, by identity.
+    servers: Vec<(String, String)>,
+}
+
+impl Snapshot {
+    /// What a VM knows, if it knows enough to route.
+    pub(crate) fn of(world: &World) -> Option<Self> {
+        let raw = world.raw.as_ref().filter(|_| world.listed)?;
+        let mut servers: Vec<_> = world
+            .directory
+            .records()
+            .map(|(id, record)| (id.to_string(), String::from_utf8_lossy(record).into_owned()))
+            .collect();
+        servers.sort_unstable();
+        Some(Self {
+            config: STANDARD.encode(raw),
+            servers,
+        })
+    }
+
+    pub(crate) fn config(&self) -> Option<Bytes> {
+        STANDARD.decode(&self.config).ok().map(Bytes::from)
+    }
+
+    pub(crate) fn servers(self) -> Vec<Keyed> {
+        let records = self.servers.into_iter().map(|(key, record)| Keyed {
+            key,
+            value: Some(Bytes::from(record)),
+        });
+        records.collect()
+    }
+
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self).unwrap_or_default()
+    }
+}
+
+/// Keeps the copies at the store up to date, on the first VM by rank.
+pub(crate) async fn keep(gateway: Rc<Gateway>) {
+    let store = Store::new(gateway.settings.store.address);
+    let mut written = None;
+    loop {
+        sleep(PERIOD).await;
+        let first = gateway.view.borrow().first("snapshot").map(|member| member.vm.clone());
+        if first.as_ref() != Some(&gateway.settings.vm) {
+            written = None;
+            continue;
+        }
+        let snapshot = Snapshot::of(&gateway.world.borrow());
+        if snapshot.is_none() || snapshot == written {
+            continue;
+        }
+        if let Some(snapshot) = &snapshot {
+            write(&store, gateway.settings.store.partitions, snapshot).await;
+        }
+        written = snapshot;
+    }
+}
+
+async fn write(store: &Store, partitions: u64, snapshot: &Snapshot) {
+    let value = snapshot.encode();
+    if value.len() > LARGEST {
+        event!(warn, "snapshot_too_large", bytes = value.len());
+        return;
+    }
+    let record = Keyed {
+        key: KEY.to_owned(),
+        value: Some(Bytes::from(value)),
+    };
+    for part in PARTS.filter(|part| *part < partitions) {
+        let written = store.append(SNAPSHOT_TOPIC, part, std::slice::from_ref(&record), None);
+        if let Err(fault) = written.await {
+            event!(debug, "snapshot_unwritten", part = part, reason = fault);
+        }
+    }
+}
+
+/// The copy in the store, from the first partition that gives it.
+pub(crate) async fn from_store(store: &Store) -> Option<Snapshot> {
+    for part in PARTS {
+        let Ok(newest) = store.newest(SNAPSHOT_TOPIC, part).await else {
+            continue;
+        };
+        let record = newest.records.into_iter().find(|record| record.key == KEY);
+        let snapshot = record.and_then(|record| record.value);
+        if let Some(value) = snapshot {
+            return serde_json::from_slice(&value).ok();
+        }
+    }
+    None
+}
+
+/// The copy of one of the VMs that run.
+pub(crate) async fn from_peers(addresses: &[SocketAddr]) -> Option<Snapshot> {
+    let client = reqwest::Client::builder()
+        .timeout(PEER_TIMEOUT)
+        .no_proxy()
+        .build();
+    let client = client.ok()?;
+    let asks = addresses.iter().take(PEERS).map(|address| {
+        let call = client.get(format!("http://{address}{PATH}"));
+        Box::pin(async move {
+            let reply = call.send().await?.error_for_status()?;
+            reply.json::<Snapshot>().await
+        })
+    });
+    let asks: Vec<_> = asks.collect();
+    if asks.is_empty() {
+        return None;
+    }
+    let (first, _) = futures::future::select_ok(asks).await.ok()?;
+    Some(first)
+}
--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -18,6 +18,8 @@
 pub(crate) const ALLOWANCE_TOPIC: &str = "keyed.allowance";
 /// Our own topic of allowances whose partition does not take them.
 pub(crate) const DETOUR_TOPIC: &str = "keyed.detour";
+/// Our own topic of copies of the configuration and the directory.
+pub(crate) const SNAPSHOT_TOPIC: &str = "keyed.snapshot";
 /// Our own topic of the addresses at which VMs first reach each other.
 pub(crate) const CONTACT_TOPIC: &str = "keyed.contact";
 
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -299,14 +299,24 @@
         servers.filter_map(|server| server.rests_until).min()
     }
 
-    /// Requests that wait and requests that run, for a service.
+    /// Requests that wait and requests that run at each server, by service.
     #[must_use]
-    pub fn load(&self, service: &str) -> (usize, usize) {
-        let Some(pool) = self.pools.get(service) else {
-            return (0, 0);
-        };
-        let running = pool.servers.iter().map(|server| server.in_flight).sum();
-        (pool.queue.len(), running)
+    pub fn state(&self) -> serde_json::Value {
+        let pools = self.pools.iter().map(|(service, pool)| {
+            let servers = pool.servers.iter().map(|server| {
+                let row = serde_json::json!({
+                    "in_flight": server.in_flight,
+                    "slots": server.about.slots,
+                    "slowness": server.ratio,
+                    "failures": server.failures,
+                });
+                (server.about.id.to_string(), row)
+            });
+            let servers: serde_json::Map<_, _> = servers.collect();
+            let row = serde_json::json!({ "waiting": pool.queue.len(), "servers": servers });
+            (service.to_string(), row)
+        });
+        serde_json::Value::Object(pools.collect())
     }
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -188,6 +188,9 @@
     pub ready: SocketAddr,
     /// For operators: metrics and the state of the process.
     pub operators: SocketAddr,
+    /// For the collector of metrics, where it does not come to the address for operators.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
     /// For the other VMs: UDP for membership at this port, and for requests at the next one.
     pub peers: SocketAddr,
 }
