--- a/src/cli.rs
+++ b/src/cli.rs
@@ -61,6 +61,9 @@
         /// The file holds configuration values by key.
         #[arg(long)]
         config: bool,
+        /// The file holds the settings of a VM that forwards requests of callers.
+        #[arg(long, conflicts_with = "config")]
+        gateway: bool,
         /// Print JSON.
         #[arg(long)]
         json: bool,
@@ -137,6 +140,8 @@
 enum Schema {
     /// The settings of one VM.
     Settings,
+    /// The settings of one VM that forwards requests of callers.
+    Gateway,
     /// Configuration values by key.
     Config,
 }
@@ -311,11 +316,16 @@
         Command::Serve { settings } => command::serve::run(&settings),
         Command::Gateway { settings } => command::gateway::run(&settings),
         Command::Standin { kind, listen } => command::standin::run(kind.into(), listen),
-        Command::Check { file, config, json } => {
-            let kind = if config {
-                command::check::Kind::Config
-            } else {
-                command::check::Kind::Settings
+        Command::Check {
+            file,
+            config,
+            gateway,
+            json,
+        } => {
+            let kind = match (config, gateway) {
+                (true, _) => command::check::Kind::Config,
+                (_, true) => command::check::Kind::Gateway,
+                _ => command::check::Kind::Settings,
             };
             command::check::run(&file, kind, json)
         }
@@ -350,6 +360,7 @@
     fn from(of: Schema) -> Self {
         match of {
             Schema::Settings => Self::Settings,
+            Schema::Gateway => Self::Gateway,
             Schema::Config => Self::Config,
         }
     }
--- a/src/command/check.rs
+++ b/src/command/check.rs
@@ -3,7 +3,7 @@
 use super::{Exit, paint, print_json};
 use crate::code::{Code, Failure};
 use crate::config::Value;
-use crate::settings::Settings;
+use crate::settings::{Gateway, Settings};
 use serde_json::{Map, json};
 use std::path::Path;
 
@@ -12,6 +12,8 @@
 pub(crate) enum Kind {
     /// The settings of one VM.
     Settings,
+    /// The settings of one VM that forwards requests of callers.
+    Gateway,
     /// Configuration values by key.
     Config,
 }
@@ -20,6 +22,7 @@
 pub(crate) fn run(path: &Path, kind: Kind, json: bool) -> Result<Exit, Failure> {
     let faults = match kind {
         Kind::Settings => Settings::load(path).err().into_iter().collect(),
+        Kind::Gateway => Gateway::load(path).err().into_iter().collect(),
         Kind::Config => faults(&load(path)?),
     };
     if json {
--- a/src/command/describe.rs
+++ b/src/command/describe.rs
@@ -3,7 +3,7 @@
 use super::{Exit, print_json};
 use crate::code::{Code, Failure};
 use crate::config::{Class, Pool, Service, Store};
-use crate::settings::Settings;
+use crate::settings::{Gateway, Settings};
 use schemars::{JsonSchema, SchemaGenerator, schema_for};
 use serde_json::{Value, json};
 use std::fmt::Write;
@@ -13,6 +13,8 @@
 pub(crate) enum Schema {
     /// Of the settings file of a VM.
     Settings,
+    /// Of the settings file of a VM that forwards requests of callers.
+    Gateway,
     /// Of a file of configuration values by key.
     Config,
 }
@@ -40,6 +42,7 @@
 pub(crate) fn schema(of: Schema) -> Result<Exit, Failure> {
     match of {
         Schema::Settings => print_json(&schema_for!(Settings))?,
+        Schema::Gateway => print_json(&schema_for!(Gateway))?,
         Schema::Config => print_json(&config())?,
     }
     Ok(Exit::Success)
--- a/src/command/gateway.rs
+++ b/src/command/gateway.rs
@@ -9,9 +9,9 @@
 use std::path::Path;
 
 /// Forwards until a signal to stop.
-pub(crate) fn run(settings: &Path) -> Result<Exit, Failure> {
-    let settings = Gateway::load(settings)?;
+pub(crate) fn run(path: &Path) -> Result<Exit, Failure> {
+    let settings = Gateway::load(path)?;
     log_to_stdout(LevelFilter::MoreSevereEqual(Level::Info));
-    gateway::run(settings)?;
+    gateway::run(path, settings)?;
     Ok(Exit::Success)
 }
--- a/src/command/state.rs
+++ b/src/command/state.rs
@@ -35,6 +35,9 @@
 }
 
 fn summary(state: &Value) -> String {
+    if state.get("services").is_some() {
+        return gateway(state);
+    }
     let local = &state["local"];
     let ready = if local["ready"] == true {
         paint::good("ready")
@@ -68,6 +71,33 @@
     text
 }
 
+/// The state of a VM that forwards requests of callers.
+fn gateway(state: &Value) -> String {
+    let count = |value: &Value| value.as_array().map_or(0, Vec::len);
+    let mut text = format!(
+        "{}: configuration {} ({} routes), {} members, {} backend servers, the store heard {} ms ago, \
+         {} programs counted, {} idle connections\n",
+        plain(&state["vm"]),
+        plain(&state["config"]),
+        plain(&state["routes"]),
+        count(&state["members"]),
+        count(&state["servers"]),
+        plain(&state["store_heard_ms"]),
+        plain(&state["counted"]["programs"]),
+        plain(&state["idle_connections"]),
+    );
+    for (service, pool) in state["services"].as_object().into_iter().flatten() {
+        let servers = pool["servers"].as_object();
+        let running = servers.into_iter().flat_map(Map::values);
+        let running: u64 = running
+            .filter_map(|server| server["in_flight"].as_u64())
+            .sum();
+        let waiting = plain(&pool["waiting"]);
+        let _ = writeln!(text, "  {service}: {waiting} waiting, {running} running");
+    }
+    text
+}
+
 /// A JSON value without the quotes of a string.
 pub(super) fn plain(value: &Value) -> String {
     value
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -25,6 +25,7 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -59,7 +60,7 @@
 ///
 /// # Errors
 /// [`Code::BadSettings`] where an address can't be bound.
-pub(crate) fn run(settings: settings::Gateway) -> Result<(), Failure> {
+pub(crate) fn run(path: &Path, settings: settings::Gateway) -> Result<(), Failure> {
     let (worlds, world) = watch::channel(World::empty());
     let mut supervisor = Supervisor::new(CancellationToken::new());
     let (views, view) = watch::channel(Arc::new(View::default()));
@@ -82,7 +83,7 @@
         beats,
         contacts,
     };
-    LocalSet::new().block_on(&runtime, serve(settings, outside))
+    LocalSet::new().block_on(&runtime, serve(path, settings, outside))
 }
 
 /// What the request thread is told by the others, and tells them.
@@ -142,7 +143,7 @@
     Ok(contacts)
 }
 
-async fn serve(settings: settings::Gateway, outside: Outside) -> Result<(), Failure> {
+async fn serve(path: &Path, settings: settings::Gateway, outside: Outside) -> Result<(), Failure> {
     let callers = bind(settings.listen.callers).await?;
     let ready = bind(settings.listen.ready).await?;
     let operators = bind(settings.listen.operators).await?;
@@ -163,6 +164,8 @@
         desk: Desk::default(),
         metrics: Metrics::new(),
         sampler: Sampler::new(),
+        path: path.to_owned(),
+        stop_ms: Cell::new(settings.stop_ms),
         stopping: Cell::new(false),
         began: Instant::now(),
         world: outside.world,
@@ -195,7 +198,7 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = hangup.recv() => event!(info, "reloaded", changed = false),
+            _ = hangup.recv() => gateway.reload(),
         }
     }
     stopped(&gateway, &stop, accepting).await;
@@ -207,7 +210,7 @@
     stop: &CancellationToken,
     accepting: tokio::task::JoinHandle<()>,
 ) {
-    let limit = Duration::from_millis(gateway.settings.stop_ms).saturating_sub(STOP_MARGIN);
+    let limit = Duration::from_millis(gateway.stop_ms.get()).saturating_sub(STOP_MARGIN);
     let began = Instant::now();
     event!(info, "stopping", limit_ms = limit.as_millis());
     gateway.stopping.set(true);
@@ -363,6 +366,23 @@
 }
 
 impl Gateway {
+    /// Reads the settings again. Addresses and the store stay as they are until the next start; how
+    /// long a stop may take is used at once.
+    fn reload(&self) {
+        match settings::Gateway::load(&self.path) {
+            Ok(settings) => {
+                let changed = self.stop_ms.replace(settings.stop_ms) != settings.stop_ms;
+                let restart = settings
+                    != (settings::Gateway {
+                        stop_ms: settings.stop_ms,
+                        ..self.settings.clone()
+                    });
+                event!(info, "reloaded", changed = changed, needs_restart = restart);
+            }
+            Err(failure) => event!(error, "reload_refused", reason = failure),
+        }
+    }
+
     /// Whether the store answers this VM.
     fn has_store(&self) -> bool {
         let heard = self.world.borrow().heard;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -39,6 +39,7 @@
 use permit::Desk;
 use sample::Sampler;
 use std::cell::Cell;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -53,6 +54,9 @@
 #[derive(Debug)]
 pub(crate) struct Gateway {
     settings: settings::Gateway,
+    /// Where the settings are read again from.
+    path: PathBuf,
+    stop_ms: Cell<u64>,
     zone: Arc<str>,
     world: watch::Receiver<World>,
     view: watch::Receiver<Arc<View>>,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -179,7 +179,7 @@
 }
 
 /// The addresses that a gateway listens on.
-#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Doors {
     /// For callers, behind the balancer.
@@ -196,7 +196,7 @@
 }
 
 /// The platform's store.
-#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Store {
     /// Where it listens.
@@ -210,7 +210,7 @@
 }
 
 /// The settings of one VM that forwards requests of callers.
-#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Gateway {
     /// The name of this VM, unique among the VMs.
--- a/tests/codes.rs
+++ b/tests/codes.rs
@@ -32,6 +32,7 @@
 #[test]
 fn the_schemas_are_committed() {
     same(&["schema", "settings"], "docs/schema/settings.json");
+    same(&["schema", "gateway"], "docs/schema/gateway.json");
     same(&["schema", "config"], "docs/schema/config.json");
 }
 
