Leave a partition with the VM that has just taken it

Ruled out: a slow start (a VM is ready 15 ms after it starts) and the store (its answers took 4 ms). Change: a take records who took the partition; another VM looks before it takes, and names that one.

--- a/src/gateway/counter.rs
+++ b/src/gateway/counter.rs
@@ -285,6 +285,14 @@
             if !takeover && rightful.is_some_and(|other| other.vm != self.settings.vm) {
                 return Reply::NotOwner;
             }
+            let silent = |address: &SocketAddr| self.peers.is_silent(*address);
+            let other = timeout(PATIENCE, self.keeper.lately_taken(number)).await;
+            if let Ok(Some(other)) = other
+                && part.hold.get().is_none()
+                && !silent(&other)
+            {
+                return Reply::Taken(other);
+            }
             // It goes on where this request gives up, so that the next one finds it done.
             let keeper = Rc::clone(&self.keeper);
             let taken = Rc::clone(&part);
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -155,7 +155,7 @@
         view: outside.view,
         peers: Peers::new(socket, &settings.peer_key),
         keeper: Rc::new(Keeper::new(
-            peers::vm_number(peers),
+            peers,
             settings.store.address,
             settings.store.partitions,
         )),
--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -5,7 +5,7 @@
 //! store refuses the records of the one before.
 
 use super::Gateway;
-use super::peers::Copy;
+use super::peers::{self, Copy};
 use crate::clock;
 use crate::id::{Epoch, Shard};
 use crate::platform::records::{ALLOWANCE_TOPIC, DETOUR_TOPIC};
@@ -25,6 +25,10 @@
 /// How long a turn waits for the store before its allowance is kept by other VMs instead. A record
 /// takes about 8 ms on a good day; a store that is slow or away must not hold up every program.
 pub(super) const PATIENCE: Duration = Duration::from_millis(250);
+/// The key of the record that names the VM that counts a partition; no program has such a name.
+const OWNER_KEY: &str = "@owner";
+/// How long a VM that has taken a partition is left with it, unless it does not answer.
+const LATELY: Duration = Duration::from_secs(3);
 /// Epochs in one millisecond of the clock: so many VMs can be told apart.
 const EPOCHS: u64 = 1 << 12;
 /// By how much an epoch is raised that is too low: ten seconds of the clock.
@@ -108,6 +112,8 @@
 /// The partitions that this VM counts, and what it has seen of programs.
 #[derive(Debug)]
 pub(crate) struct Keeper {
+    /// Where other VMs ask this one.
+    address: SocketAddr,
     /// The number of this VM.
     vm: u64,
     store: Store,
@@ -134,9 +140,10 @@
 }
 
 impl Keeper {
-    pub(crate) fn new(vm: u64, store: SocketAddr, count: u64) -> Self {
+    pub(crate) fn new(address: SocketAddr, store: SocketAddr, count: u64) -> Self {
         Self {
-            vm,
+            address,
+            vm: peers::vm_number(address),
             store: Store::new(store),
             count,
             parts: RefCell::default(),
@@ -185,6 +192,25 @@
             .settle(Instant::now(), reservation, used);
     }
 
+    /// The VM that has taken a partition last, if that was a moment ago.
+    ///
+    /// When all VMs start at once, each knows a part of the others and takes itself or another one
+    /// for the first by rank. Without this look they shut each other out ten times for each
+    /// partition, and callers were refused for two seconds more.
+    pub(super) async fn lately_taken(&self, number: u64) -> Option<SocketAddr> {
+        let newest = self.store.newest(ALLOWANCE_TOPIC, number).await.ok()?;
+        let record = newest
+            .records
+            .iter()
+            .find(|record| record.key == OWNER_KEY)?;
+        let text = std::str::from_utf8(record.value.as_ref()?).ok()?;
+        let (address, taken) = text.split_once(' ')?;
+        let taken = Duration::from_millis(taken.parse().ok()?);
+        let address: SocketAddr = address.parse().ok()?;
+        let lately = clock::wall().saturating_sub(taken) < LATELY && address != self.address;
+        lately.then_some(address)
+    }
+
     /// Takes a partition over: shuts out the writer before, then reads what it has recorded.
     pub(super) async fn take(&self, number: u64, part: &Part) -> Result<(), Fault> {
         let _taking = part.taking.lock().await;
@@ -192,17 +218,25 @@
             return Ok(());
         }
         let mut epoch = self.epoch();
+        let owner = [Keyed {
+            key: OWNER_KEY.to_owned(),
+            value: Some(Bytes::from(format!(
+                "{} {}",
+                self.address,
+                clock::wall_ms()
+            ))),
+        }];
         let hold = loop {
             let writer = writer(epoch, 0);
             match self
                 .store
-                .append(ALLOWANCE_TOPIC, number, &[], Some(&writer))
+                .append(ALLOWANCE_TOPIC, number, &owner, Some(&writer))
                 .await
             {
                 Ok(()) => {
                     break Hold {
                         epoch,
-                        sequence: 0,
+                        sequence: 1,
                         fenced: true,
                     };
                 }
@@ -243,7 +277,11 @@
         if part.hold.get().is_none() {
             ledger = Ledger::default();
         }
-        for record in &newest.records {
+        for record in newest
+            .records
+            .iter()
+            .filter(|record| record.key != OWNER_KEY)
+        {
             let allowed = record.value.as_ref().and_then(decode);
             ledger.restore(now, &record.key, allowed.unwrap_or_default());
         }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -85,6 +85,9 @@
     /// Another VM counts this program.
     #[serde(rename = "o")]
     NotOwner,
+    /// This VM has taken the partition a moment ago.
+    #[serde(rename = "t")]
+    Taken(SocketAddr),
     /// The store can't be reached from here, and the program's records are not known.
     #[serde(rename = "a")]
     Away,
--- a/src/gateway/reserve.rs
+++ b/src/gateway/reserve.rs
@@ -5,6 +5,8 @@
 use super::peers::{self, Note, Peer, Question, Reply};
 use crate::code::{Code, Failure};
 use crate::policy::allowance::Reservation;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -60,7 +62,10 @@
             // One that says that it does not count may know better than this VM who does; only
             // silence, or a second round, is a reason to take over.
             let mut takeover = round > 0;
-            for peer in self.candidates(part) {
+            let mut candidates: VecDeque<Peer> = self.candidates(part).into();
+            let mut asked = 0;
+            while let Some(peer) = candidates.pop_front() {
+                asked += 1;
                 let question = Question::Reserve {
                     part,
                     program: program.to_owned(),
@@ -78,7 +83,7 @@
                             .borrow_mut()
                             .insert(part, peer.address);
                         return Ok(Allowance {
-                            owner: (peer.vm != self.settings.vm).then_some(peer.address),
+                            owner: (peer.address != self.address()).then_some(peer.address),
                             part,
                             reservation,
                             turns,
@@ -90,6 +95,9 @@
                             "the token budget of the program is spent",
                         ));
                     }
+                    Some(Reply::Taken(address)) if asked < ASKED => {
+                        candidates.push_front(Peer { address, ..peer });
+                    }
                     other => {
                         self.keeper.counted_at.borrow_mut().remove(&part);
                         takeover |= other != Some(Reply::NotOwner);
@@ -106,16 +114,20 @@
     }
 
     async fn ask_counter(self: &Rc<Self>, peer: &Peer, question: Question) -> Option<Reply> {
-        if peer.vm == self.settings.vm {
-            let me = peers::address(self.settings.listen.peers);
-            return Some(self.answer(me, question).await);
+        if peer.address == self.address() {
+            return Some(self.answer(peer.address, question).await);
         }
         self.peers.ask(peer.address, &question).await
     }
 
+    /// Where other VMs ask this one.
+    fn address(&self) -> SocketAddr {
+        peers::address(self.settings.listen.peers)
+    }
+
     pub(super) fn own(&self, reservation: u64) -> Reservation {
         Reservation {
-            vm: peers::vm_number(peers::address(self.settings.listen.peers)),
+            vm: peers::vm_number(self.address()),
             number: reservation,
         }
     }
