--- a/src/gateway/counter.rs
+++ b/src/gateway/counter.rs
@@ -315,19 +315,21 @@
             .borrow_mut()
             .reserve(Instant::now(), program, reservation, turn);
         let (turns, total) = part.ledger.borrow().standing(program);
-        event!(
-            info,
-            "turn_counted",
-            program = program,
-            part = number,
-            epoch = part.hold.get().map_or(0, |hold| hold.epoch),
-            budget = turn.budget,
-            total = total,
-            allowed = part.ledger.borrow().allowed(program),
-            turns = turns,
-            seen = turn.seen,
-            verdict = verdict
-        );
+        if verdict != Verdict::Covered || self.sampler.takes(program) {
+            event!(
+                info,
+                "turn_counted",
+                program = program,
+                part = number,
+                epoch = part.hold.get().map_or(0, |hold| hold.epoch),
+                budget = turn.budget,
+                total = total,
+                allowed = part.ledger.borrow().allowed(program),
+                turns = turns,
+                seen = turn.seen,
+                verdict = verdict
+            );
+        }
         let covered = match verdict {
             Verdict::Spent => return Reply::Spent,
             Verdict::Covered => true,
