--- a/src/gateway/counter.rs
+++ b/src/gateway/counter.rs
@@ -1,7 +1,8 @@
 //! Counts the tokens of programs for the VMs that ask, and passes partitions on.
 
 use super::Gateway;
-use super::keeper::{PATIENCE, Part};
+use super::keeper::PATIENCE;
+use super::part::Part;
 use super::peers::{self, Copy, Note, Peer, Question, Reply};
 use crate::id::{Shard, rendezvous};
 use crate::policy::allowance::{Entry, Reservation, Turn, Verdict};
--- /dev/null
+++ b/src/gateway/detour.rs
@@ -0,0 +1,66 @@
+//! Allowances whose partition of the store does not take them go through other partitions.
+
+use super::keeper::{Keeper, PATIENCE, encode};
+use super::part::Part;
+use super::peers::Copy;
+use crate::platform::records::DETOUR_TOPIC;
+use crate::platform::store::Keyed;
+use crate::telemetry::event;
+use tokio::time::timeout;
+
+impl Keeper {
+    /// Records an allowance in another partition while its own does not take it.
+    ///
+    /// The store may lose some of its partitions and serve the rest. If all VMs lost power then,
+    /// copies in memory would be gone, and a program would get its budget a second time.
+    pub(super) async fn detour(&self, number: u64, part: &Part, copy: &Copy) -> bool {
+        let record = [encode(&copy.program, copy.allowed)];
+        for other in self.other_parts(number) {
+            let write = self.store.append(DETOUR_TOPIC, other, &record, None);
+            if !matches!(timeout(PATIENCE, write).await, Ok(Ok(()))) {
+                continue;
+            }
+            self.heard(true);
+            part.detours
+                .borrow_mut()
+                .insert((other, copy.program.clone()));
+            event!(
+                info,
+                "allowance_detoured",
+                program = copy.program,
+                part = number,
+                through = other,
+                allowed = copy.allowed
+            );
+            return true;
+        }
+        self.heard(false);
+        false
+    }
+
+    /// Drops the detours of allowances that their own partition has taken.
+    pub(super) async fn end_detours(&self, number: u64, part: &Part) {
+        let ended = part.detours.take();
+        for other in self.other_parts(number) {
+            let of_it = ended.iter().filter(|(through, _)| *through == other);
+            let dropped = of_it.map(|(_, key)| Keyed {
+                key: key.clone(),
+                value: None,
+            });
+            let records: Vec<Keyed> = dropped.collect();
+            if records.is_empty() {
+                continue;
+            }
+            if let Err(fault) = self.store.append(DETOUR_TOPIC, other, &records, None).await {
+                // A detour that stays says no more than the partition's own record.
+                event!(debug, "detours_left", part = number, reason = fault);
+            }
+        }
+    }
+
+    /// The partitions through which detours go. With a quarter of all away, one of three is there
+    /// in 98 of 100 cases.
+    pub(super) fn other_parts(&self, number: u64) -> [u64; 3] {
+        [self.count / 2, self.count / 3, 1].map(|offset| (number + offset) % self.count)
+    }
+}
--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -5,6 +5,7 @@
 //! store refuses the records of the one before.
 
 use super::Gateway;
+use super::part::{Hold, Part};
 use super::peers::{self, Copy};
 use crate::clock;
 use crate::id::{Epoch, Shard};
@@ -14,12 +15,11 @@
 use crate::telemetry::event;
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::{Mutex, Notify};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// How long a turn waits for the store before its allowance is kept by other VMs instead. A record
@@ -48,67 +48,6 @@
 /// Added to the pause of a program before its record is dropped.
 const IDLE_MARGIN: Duration = Duration::from_secs(30);
 
-/// The writer's hold on a partition.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct Hold {
-    pub(super) epoch: u64,
-    pub(super) sequence: u64,
-    /// Whether the store has shut out the writer before. Until then nothing can be recorded.
-    pub(super) fenced: bool,
-}
-
-/// One partition.
-#[derive(Debug, Default)]
-pub(super) struct Part {
-    pub(super) hold: Cell<Option<Hold>>,
-    pub(super) ledger: RefCell<Ledger>,
-    /// Allowances that are not durable yet.
-    pub(super) pending: RefCell<HashMap<String, u64>>,
-    /// Allowances that the VM that counts has told this one, in case it takes over.
-    pub(super) kept: RefCell<HashMap<String, (u64, Instant)>>,
-    /// Those of them that the store may lack.
-    pub(super) lacking: RefCell<HashMap<String, u64>>,
-    /// When another VM last shut this one out.
-    pub(super) shut_out: Cell<Option<Instant>>,
-    /// Whether the store did not take the newest record.
-    pub(super) failing: Cell<bool>,
-    /// Programs whose allowance was recorded in another partition.
-    pub(super) detours: RefCell<HashSet<(u64, String)>>,
-    /// Whether it is being handed over to another VM.
-    pub(super) handing: Cell<bool>,
-    /// What another VM is handing over.
-    pub(super) incoming: RefCell<Vec<(Entry, u64)>>,
-    /// Where the partition was handed over to.
-    pub(super) successor: Cell<Option<SocketAddr>>,
-    pub(super) taking: Mutex<()>,
-    pub(super) writing: Cell<bool>,
-    pub(super) written: Notify,
-}
-
-impl Part {
-    /// The store lacks an allowance.
-    pub(super) fn lack(&self, program: &str, allowed: u64) {
-        let mut pending = self.pending.borrow_mut();
-        let newest = pending.entry(program.to_owned()).or_default();
-        *newest = allowed.max(*newest);
-    }
-
-    /// The store has taken a batch of allowances.
-    fn take_recorded(&self, batch: Vec<(String, u64)>) {
-        let mut pending = self.pending.borrow_mut();
-        let mut ledger = self.ledger.borrow_mut();
-        for (program, allowed) in batch {
-            ledger.recorded(&program, allowed);
-            if pending
-                .get(&program)
-                .is_some_and(|newest| *newest <= allowed)
-            {
-                pending.remove(&program);
-            }
-        }
-    }
-}
-
 /// The partitions that this VM counts, and what it has seen of programs.
 #[derive(Debug)]
 pub(crate) struct Keeper {
@@ -116,8 +55,8 @@
     address: SocketAddr,
     /// The number of this VM.
     vm: u64,
-    store: Store,
-    count: u64,
+    pub(super) store: Store,
+    pub(super) count: u64,
     parts: RefCell<HashMap<u64, Rc<Part>>>,
     pub(super) seen: RefCell<HashMap<String, u64>>,
     /// Allowances that were given and can't be recorded, since this VM was shut out.
@@ -434,61 +373,6 @@
         }
     }
 
-    /// Records an allowance in another partition while its own does not take it.
-    ///
-    /// The store may lose some of its partitions and serve the rest. If all VMs lost power then,
-    /// copies in memory would be gone, and a program would get its budget a second time.
-    pub(super) async fn detour(&self, number: u64, part: &Part, copy: &Copy) -> bool {
-        let record = [encode(&copy.program, copy.allowed)];
-        for other in self.other_parts(number) {
-            let write = self.store.append(DETOUR_TOPIC, other, &record, None);
-            if !matches!(timeout(PATIENCE, write).await, Ok(Ok(()))) {
-                continue;
-            }
-            self.heard(true);
-            part.detours
-                .borrow_mut()
-                .insert((other, copy.program.clone()));
-            event!(
-                info,
-                "allowance_detoured",
-                program = copy.program,
-                part = number,
-                through = other,
-                allowed = copy.allowed
-            );
-            return true;
-        }
-        self.heard(false);
-        false
-    }
-
-    /// Drops the detours of allowances that their own partition has taken.
-    async fn end_detours(&self, number: u64, part: &Part) {
-        let ended = part.detours.take();
-        for other in self.other_parts(number) {
-            let of_it = ended.iter().filter(|(through, _)| *through == other);
-            let dropped = of_it.map(|(_, key)| Keyed {
-                key: key.clone(),
-                value: None,
-            });
-            let records: Vec<Keyed> = dropped.collect();
-            if records.is_empty() {
-                continue;
-            }
-            if let Err(fault) = self.store.append(DETOUR_TOPIC, other, &records, None).await {
-                // A detour that stays says no more than the partition's own record.
-                event!(debug, "detours_left", part = number, reason = fault);
-            }
-        }
-    }
-
-    /// The partitions through which detours go. With a quarter of all away, one of three is there
-    /// in 98 of 100 cases.
-    fn other_parts(&self, number: u64) -> [u64; 3] {
-        [self.count / 2, self.count / 3, 1].map(|offset| (number + offset) % self.count)
-    }
-
     /// Another VM counts the partition.
     pub(super) fn shut_out(&self, number: u64, part: &Part, epoch: u64) {
         event!(warn, "allowances_lost", part = number, epoch = epoch);
@@ -614,7 +498,7 @@
     }
 }
 
-fn encode(program: &str, allowed: u64) -> Keyed {
+pub(super) fn encode(program: &str, allowed: u64) -> Keyed {
     Keyed {
         key: program.to_owned(),
         value: Some(Bytes::from(allowed.to_string())),
--- /dev/null
+++ b/tests/platform/store.rs
@@ -0,0 +1,217 @@
+//! A fake of the platform's store.
+
+use super::{Request, address, answer, listen};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, HashMap};
+use std::io::{BufReader, Write};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+#[derive(Debug, Default)]
+struct Partition {
+    records: Vec<Vec<u8>>,
+    writers: HashMap<String, (u64, u64)>,
+}
+
+/// A fake of the platform's store.
+#[derive(Debug, Clone)]
+pub struct Store {
+    pub address: SocketAddr,
+    partitions: Arc<Mutex<HashMap<(String, u64), Partition>>>,
+    down: Arc<AtomicBool>,
+}
+
+impl Store {
+    pub fn start() -> Self {
+        let partitions: Arc<Mutex<HashMap<(String, u64), Partition>>> = Arc::default();
+        let down = Arc::new(AtomicBool::new(false));
+        let (served, off) = (Arc::clone(&partitions), Arc::clone(&down));
+        let bound = listen(SocketAddr::new(address(), 0), move |mut stream| {
+            let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
+            while let Some(request) = Request::read(&mut reader) {
+                let reply = if off.load(Ordering::Relaxed) {
+                    answer("503 Service Unavailable", b"{}")
+                } else {
+                    serve(&served, &request)
+                };
+                if stream.write_all(&reply).is_err() {
+                    return;
+                }
+            }
+        });
+        Self {
+            address: bound,
+            partitions,
+            down,
+        }
+    }
+
+    /// Whether it refuses every call.
+    pub fn set_down(&self, down: bool) {
+        self.down.store(down, Ordering::Relaxed);
+    }
+
+    /// Writes the newest record of a key; no value drops it.
+    pub fn put(&self, topic: &str, key: &str, value: Option<&Value>) {
+        let value = value.map(ToString::to_string).unwrap_or_default();
+        let size = u8::try_from(key.len()).expect("a short key");
+        let mut record = vec![size];
+        record.extend_from_slice(key.as_bytes());
+        record.extend_from_slice(value.as_bytes());
+        let mut partitions = self.partitions.lock().expect("not poisoned");
+        let partition = partitions.entry((topic.to_owned(), 0)).or_default();
+        partition.records.push(record);
+    }
+
+    /// The newest values of our own topics, by key.
+    pub fn values(&self, topic: &str) -> BTreeMap<String, String> {
+        let partitions = self.partitions.lock().expect("not poisoned");
+        let parts = partitions.iter().filter(|((name, _), _)| name == topic);
+        let newest = parts.flat_map(|(_, partition)| newest(&partition.records));
+        newest
+            .map(|(key, (value, _))| (key, String::from_utf8_lossy(&value).into_owned()))
+            .collect()
+    }
+
+    /// Publishes a configuration with one route for each of `routes`: prefix, kind and more fields.
+    pub fn configure(&self, version: u64, routes: &[(&str, &str, Value)]) {
+        let routes = routes.iter().map(|(prefix, kind, more)| {
+            let mut route = json!({
+                "name": format!("route{prefix}"), "host": "site.example", "pathPrefix": prefix,
+                "kind": kind, "timeoutMs": 4000, "sloMs": 250, "priority": 0,
+                "service": "pool", "attempts": 2, "canResume": true, "retainS": 60.0,
+            });
+            let fields = more.as_object().expect("an object").clone();
+            route.as_object_mut().expect("an object").extend(fields);
+            route
+        });
+        let config = json!({
+            "version": version,
+            "routes": routes.collect::<Vec<_>>(),
+            "services": [{
+                "name": "pool", "healthPath": "/healthz", "maxConns": 100,
+                "engine": { "slots": 4, "kvCapTokens": 10_000, "chunkTokens": 10 },
+            }, { "name": "other", "healthPath": "/healthz" }],
+            "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 100_000, "idleTimeoutMs": 15000 },
+        });
+        self.put("keyed.op", "config", Some(&config));
+    }
+
+    /// Registers a backend server.
+    pub fn register(&self, id: &str, service: &str, address: SocketAddr, state: &str) {
+        let entry = json!({
+            "service": service, "addr": address.to_string(), "zone": "z", "slots": 4,
+            "state": state, "coldLeftMs": 0, "seq": 1,
+        });
+        self.put("keyed.servers", id, Some(&entry));
+    }
+}
+
+fn newest(records: &[Vec<u8>]) -> BTreeMap<String, (Vec<u8>, usize)> {
+    let mut newest = BTreeMap::new();
+    for (offset, record) in records.iter().enumerate() {
+        let size = usize::from(record[0]);
+        let key = String::from_utf8_lossy(&record[1..=size]).into_owned();
+        let value = record[1 + size..].to_vec();
+        if value.is_empty() {
+            newest.remove(&key);
+        } else {
+            newest.insert(key, (value, offset));
+        }
+    }
+    newest
+}
+
+fn serve(partitions: &Mutex<HashMap<(String, u64), Partition>>, request: &Request) -> Vec<u8> {
+    let topic = request.query("topic").unwrap_or_default().to_owned();
+    let key = (topic, request.number("part"));
+    let path = request
+        .target
+        .split('?')
+        .next()
+        .unwrap_or_default()
+        .to_owned();
+    match path.as_str() {
+        "/log-append" => append(partitions, key, request),
+        "/log-newest" => {
+            let partitions = partitions.lock().expect("not poisoned");
+            let records = partitions
+                .get(&key)
+                .map_or(&[][..], |partition| &partition.records);
+            let items = newest(records).into_iter().map(|(key, (value, offset))| {
+                let value =
+                    base64::Engine::encode(&base64::engine::general_purpose::STANDARD, value);
+                json!({ "key": key, "value": value, "offset": offset })
+            });
+            let items: Vec<_> = items.collect();
+            let body = json!({ "items": items, "truncated": false, "end": records.len() });
+            answer("200 OK", body.to_string().as_bytes())
+        }
+        "/log-read" => read(partitions, &key, request),
+        _ => answer("404 Not Found", b"{}"),
+    }
+}
+
+fn append(
+    partitions: &Mutex<HashMap<(String, u64), Partition>>,
+    key: (String, u64),
+    request: &Request,
+) -> Vec<u8> {
+    let mut partitions = partitions.lock().expect("not poisoned");
+    let partition = partitions.entry(key).or_default();
+    if let Some(writer) = request.query("producer") {
+        let (epoch, sequence) = (request.number("epoch"), request.number("seq"));
+        let known = partition
+            .writers
+            .entry(writer.to_owned())
+            .or_insert((epoch, sequence));
+        if epoch < known.0 {
+            return answer("409 Conflict", br#"{"why":"fenced"}"#);
+        }
+        if epoch > known.0 {
+            *known = (epoch, sequence);
+        } else if sequence < known.1 {
+            return answer("200 OK", br#"{"offset":0,"end":0}"#);
+        }
+        if !request.body.is_empty() {
+            known.1 = sequence + 1;
+        }
+    }
+    let mut rest = &*request.body;
+    while let Some((size, tail)) = rest.split_at_checked(4) {
+        let size = u32::from_be_bytes(size.try_into().expect("four bytes")) as usize;
+        partition.records.push(tail[..size].to_vec());
+        rest = &tail[size..];
+    }
+    answer("200 OK", br#"{"offset":0,"end":0}"#)
+}
+
+fn read(
+    partitions: &Mutex<HashMap<(String, u64), Partition>>,
+    key: &(String, u64),
+    request: &Request,
+) -> Vec<u8> {
+    let from = usize::try_from(request.number("from")).expect("small");
+    let until = Instant::now() + Duration::from_millis(request.number("waitMs"));
+    loop {
+        {
+            let partitions = partitions.lock().expect("not poisoned");
+            let records = partitions
+                .get(key)
+                .map_or(&[][..], |partition| &partition.records);
+            if records.len() > from || Instant::now() >= until {
+                let mut body = (records.len() as u64).to_be_bytes().to_vec();
+                body.extend_from_slice(&0_u64.to_be_bytes());
+                for record in records.iter().skip(from) {
+                    let size = u32::try_from(record.len()).expect("small");
+                    body.extend_from_slice(&size.to_be_bytes());
+                    body.extend_from_slice(record);
+                }
+                return answer("200 OK", &body);
+            }
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
