Record what the VM that counted before could not

Ruled out: the fence (the shut-out VM wrote nothing later) and the copies (they were at two VMs). Change: such allowances, and all that a VM takes from copies, wait for the store like its own.

--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -262,6 +262,8 @@
         let mut ledger = Ledger::default();
         for (program, (allowed, _)) in kept.iter() {
             ledger.restore(Instant::now(), program, *allowed);
+            // Which of them the store lacks is not known while it is away.
+            part.lack(program, *allowed);
         }
         event!(
             warn,
@@ -420,10 +422,13 @@
     pub(super) fn keep(&self, copy: Copy) {
         let part = self.part(copy.part);
         if part.hold.get().is_some() {
-            // The VM that counted before has given more than was known here.
-            part.ledger
-                .borrow_mut()
-                .restore(Instant::now(), &copy.program, copy.allowed);
+            // The VM that counted before has given more than was known here, and could not record
+            // it. Unless this VM does, the program gets it again once all VMs are lost.
+            let mut ledger = part.ledger.borrow_mut();
+            if ledger.allowed(&copy.program) < copy.allowed {
+                part.lack(&copy.program, copy.allowed);
+            }
+            ledger.restore(Instant::now(), &copy.program, copy.allowed);
             return;
         }
         let mut kept = part.kept.borrow_mut();
