--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -6,7 +6,7 @@
 use super::permit::Permit;
 use super::table::Kind;
 use crate::platform::headers::{self, Verdict};
-use crate::policy::dispatch::Outcome;
+use crate::policy::dispatch::{Load, Outcome};
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -43,6 +43,7 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    pub(crate) load: Option<Load>,
 }
 
 /// A stream of events that has begun.
@@ -63,6 +64,8 @@
     splitter: Splitter,
     keep: Option<Duration>,
     closes: bool,
+    /// What the server said of its load when it began.
+    pub(crate) load: Option<Load>,
     pub(crate) began: Instant,
 }
 
@@ -184,6 +187,7 @@
         splitter: Splitter::default(),
         keep: verdict.keep,
         closes: verdict.closes,
+        load: verdict.load,
         began,
     };
     let headers = headers::answer(&parts.headers);
@@ -208,6 +212,7 @@
         status,
         headers,
         body,
+        load: verdict.load,
     }))
 }
 
--- a/src/gateway/counter.rs
+++ b/src/gateway/counter.rs
@@ -3,10 +3,11 @@
 use super::Gateway;
 use super::keeper::PATIENCE;
 use super::part::Part;
-use super::peers::{self, Copy, Note, Peer, Question, Reply};
+use super::peers::{self, Asked, Copy, Note, Peer, Question, Reply};
 use crate::id::{Shard, rendezvous};
 use crate::policy::allowance::{Entry, Reservation, Turn, Verdict};
 use crate::telemetry::event;
+use futures::StreamExt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,8 +21,11 @@
 const COPIES_SENT: usize = 40;
 /// Programs in one datagram of a partition that is handed over.
 const ADOPTED: usize = 4;
-/// How many other VMs keep what the store has not taken.
-const COPIES: usize = 2;
+/// How many other VMs keep what the store has not taken. Where more than half of all VMs are lost at
+/// once, two copies are lost with the VM that counts in one of six cases, four in one of twenty.
+const COPIES: usize = 4;
+/// How many of them are waited for.
+const COPIES_KEPT: usize = 2;
 /// How long a VM that was shut out does not take the same partition again. Until the members have
 /// heard of the new counter, requests that are sent here would make the two shut each other out
 /// again and again, and every time what was handed out counts as spent.
@@ -78,8 +82,9 @@
     }
 
     /// Answers a question of another VM.
-    pub(crate) async fn answer(self: &Rc<Self>, from: SocketAddr, question: Question) -> Reply {
+    pub(crate) async fn answer(self: &Rc<Self>, asked: Asked, question: Question) -> Reply {
         match question {
+            Question::Place(ask) => self.lend(asked, ask).await,
             Question::Reserve {
                 part,
                 program,
@@ -93,7 +98,7 @@
                     part,
                     program: &program,
                     reservation: Reservation {
-                        vm: peers::vm_number(from),
+                        vm: peers::vm_number(asked.0),
                         number: reservation,
                     },
                     turn: Turn { budget, most, seen },
@@ -118,20 +123,24 @@
                 let part = self.keeper.part(part);
                 let lacking = part.lacking.borrow();
                 let newest = lacking.iter().take(COPIES_SENT);
-                Reply::Copies(
-                    newest
-                        .map(|(program, allowed)| (program.clone(), *allowed))
-                        .collect(),
-                )
+                let newest = newest.map(|(program, allowed)| (program.clone(), *allowed));
+                Reply::Copies {
+                    allowed: newest.collect(),
+                    up_ms: self.keeper.up_ms(),
+                }
             }
             Question::Adopt {
                 part,
                 epoch,
                 entries,
+                doubtful,
                 first,
                 last,
                 ending,
             } => {
+                if doubtful {
+                    self.keeper.part(part).ledger.borrow_mut().doubt();
+                }
                 self.adopt(part, epoch, entries, (first, last), ending)
                     .await
             }
@@ -139,8 +148,9 @@
     }
 
     /// Takes in what another VM tells.
-    pub(crate) async fn noted(&self, note: Note) {
+    pub(crate) async fn noted(&self, from: SocketAddr, note: Note) {
         match note {
+            Note::Left { number, outcome } => self.loans.end(&(from, number), outcome),
             Note::Settled {
                 part,
                 reservation,
@@ -215,6 +225,7 @@
             part.handing.set(true);
             part.written.notify_waiters();
             let entries = part.ledger.borrow().export();
+            let doubtful = part.ledger.borrow().is_doubtful();
             let pending = part.pending.borrow().clone();
             let entries: Vec<_> = entries
                 .into_iter()
@@ -233,6 +244,7 @@
                     part: number,
                     epoch: hold.epoch,
                     entries: chunk.cloned().collect(),
+                    doubtful,
                     first: index == 0,
                     last: index + 1 == chunks,
                     ending,
@@ -299,7 +311,8 @@
             let taken = Rc::clone(&part);
             let gateway = Rc::clone(self);
             let taking = tokio::task::spawn_local(async move {
-                gateway.gather(number).await;
+                let oldest_ms = gateway.gather(number).await;
+                taken.oldest_ms.set(oldest_ms);
                 let done = keeper.take(number, &taken).await;
                 keeper.start_writing(number, taken);
                 done
@@ -334,7 +347,7 @@
         let covered = match verdict {
             Verdict::Spent => return Reply::Spent,
             Verdict::Covered => true,
-            Verdict::Record(allowed) => self.cover(number, &part, program, allowed).await,
+            Verdict::Record(allowed) => self.cover(number, &part, program, turn, allowed).await,
         };
         // Where it was asked twice, the other one may have failed and given the tokens back.
         if !covered || !part.ledger.borrow().is_open(reservation) {
@@ -360,6 +373,7 @@
         number: u64,
         part: &Rc<Part>,
         program: &str,
+        turn: Turn,
         allowed: u64,
     ) -> bool {
         let hold = part.hold.get();
@@ -395,23 +409,36 @@
                 recorded
             }
             Err(_) if self.keeper.detour(number, part, &copy).await => true,
+            Err(_) if !part.ledger.borrow().bears(program, turn) => {
+                event!(
+                    info,
+                    "allowance_unrecorded",
+                    program = program,
+                    part = number,
+                    budget = turn.budget
+                );
+                false
+            }
             Err(_) => self.copy(copy, part).await,
         }
     }
 
-    /// Asks the VMs that may keep copies for allowances that the store may lack.
-    async fn gather(&self, part: u64) {
+    /// Asks the VMs that may keep copies for allowances that the store may lack. Gives for how long
+    /// the oldest of them has run, in milliseconds.
+    async fn gather(&self, part: u64) -> u64 {
         let others = self.counters(part).into_iter();
         let others = others.filter(|peer| peer.vm != self.settings.vm);
         let asks = others.take(COPIES + 1).map(|peer| async move {
             let question = Question::Copies { part };
             timeout(GATHER, self.peers.ask(peer.address, &question)).await
         });
+        let mut oldest_ms = self.keeper.up_ms();
         for reply in futures::future::join_all(asks).await {
-            let Ok(Some(Reply::Copies(copies))) = reply else {
+            let Ok(Some(Reply::Copies { allowed, up_ms })) = reply else {
                 continue;
             };
-            for (program, allowed) in copies {
+            oldest_ms = up_ms.max(oldest_ms);
+            for (program, allowed) in allowed {
                 let epoch = 0;
                 self.keeper.keep(Copy {
                     part,
@@ -421,6 +448,7 @@
                 });
             }
         }
+        oldest_ms
     }
 
     /// Tells all VMs of allowances that this one gave and could not record.
@@ -462,12 +490,18 @@
             let question = &question;
             async move { self.peers.ask(peer.address, question).await }
         });
-        let replies = futures::future::join_all(asks).await;
-        if replies.contains(&Some(Reply::NotOwner)) {
-            self.keeper.shut_out(copy.part, part, copy.epoch);
-            return false;
+        let mut replies = futures::stream::iter(asks).buffer_unordered(COPIES);
+        let mut copies = 0;
+        while let Some(reply) = replies.next().await {
+            if reply == Some(Reply::NotOwner) {
+                self.keeper.shut_out(copy.part, part, copy.epoch);
+                return false;
+            }
+            copies += usize::from(reply.is_some());
+            if copies >= COPIES_KEPT {
+                break;
+            }
         }
-        let copies = replies.iter().flatten().count();
         event!(
             info,
             "allowance_copied",
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -213,7 +213,13 @@
 /// Waits for a place at a server that has not failed the request.
 async fn wait(job: &Rc<Job>, avoid: &[Arc<str>]) -> Result<Permit, Failure> {
     let began = Instant::now();
-    let permit = job.gateway.permit(ask(job, avoid)).await;
+    let mut ask = ask(job, avoid);
+    // Plain services have room; the queue before engines is one for all VMs.
+    let permit = if job.tokens_per_event > 0 {
+        job.gateway.permit_shared(&mut ask).await
+    } else {
+        job.gateway.permit(ask).await
+    };
     job.waited.set(job.waited.get() + began.elapsed());
     if let Ok(permit) = &permit {
         job.servers.borrow_mut().push(Arc::clone(&permit.server.id));
@@ -241,15 +247,26 @@
 }
 
 fn ask(job: &Job, avoid: &[Arc<str>]) -> Ask {
+    let age_ms = i64::try_from(job.age_ms()).unwrap_or(i64::MAX);
+    let objective_ms = i64::try_from(job.route.objective.as_millis()).unwrap_or(i64::MAX);
+    let allowance = job.allowance.borrow();
     Ask {
         service: Arc::clone(&job.service),
         zone: job.gateway.zone(),
-        urgency: job.gateway.urgency(job),
-        line: job.meta.line.as_ref().map(|line| xxh3_64(line.as_bytes())),
+        rank: job.route.rank,
+        program: job.meta.program.as_ref().map(|program| hash(program)),
+        turns: allowance.as_ref().map_or(0, |allowance| allowance.turns),
+        left_ms: job.meta.finish_ms.unwrap_or(objective_ms) - age_ms,
+        limit_ms: u64::try_from(job.left().as_millis()).unwrap_or(u64::MAX),
+        line: job.meta.line.as_ref().map(|line| hash(line)),
         avoid: avoid.to_vec(),
     }
 }
 
+fn hash(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
 fn log_attempt(job: &Job, server: &str, attempt: &Attempt) {
     let reason = match attempt {
         Attempt::Answer(_) | Attempt::Stream(_) => return,
@@ -272,8 +289,9 @@
 fn whole(job: &Job, permit: Permit, answer: Answer) -> Response<Body> {
     job.ended(answer.status.as_str(), answer.status.is_success());
     permit.end(Outcome::Done {
-        took: job.arrived.elapsed(),
+        took: job.arrived.elapsed().saturating_sub(job.waited.get()),
         work: 1.0,
+        load: answer.load,
     });
     let mut response = Response::new(Body::whole(answer.body));
     *response.status_mut() = answer.status;
@@ -413,11 +431,12 @@
         job.ended(result, end == End::Whole);
         match end {
             End::Whole => {
-                let took = source.began.elapsed();
+                let (took, load) = (source.began.elapsed(), source.load);
                 source.finish(&job);
                 permit.end(Outcome::Done {
                     took,
                     work: (job.events.get() + 1) as f64,
+                    load,
                 });
             }
             End::CallerLeft => {}
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -5,6 +5,7 @@
 use super::forward;
 use super::keeper::{self, Keeper};
 use super::link::Links;
+use super::loan::Loans;
 use super::metrics::Metrics;
 use super::peers::{self, Peers};
 use super::permit::Desk;
@@ -162,12 +163,12 @@
         zone: settings.zone.as_str().into(),
         links: Links::default(),
         desk: Desk::default(),
+        loans: Loans::default(),
         metrics: Metrics::new(),
         sampler: Sampler::new(),
         path: path.to_owned(),
         stop_ms: Cell::new(settings.stop_ms),
         stopping: Cell::new(false),
-        began: Instant::now(),
         world: outside.world,
         settings,
     });
@@ -339,6 +340,7 @@
     loop {
         tick.tick().await;
         gateway.desk.tick();
+        gateway.end_loans();
         let (ready, held) = (gateway.is_eligible(), gateway.keeper.claims());
         beats.send_if_modified(|beat| {
             let changed = beat.ready != ready || beat.held != held;
@@ -359,6 +361,7 @@
         }
         if swept.elapsed() >= SWEEP {
             swept = Instant::now();
+            gateway.desk.log();
             let directory = Arc::clone(&gateway.world.borrow().directory);
             gateway.links.sweep(|id| directory.get(id).is_some());
         }
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -84,6 +84,7 @@
             servers = self.servers.borrow().join(","),
             program = self.meta.program.as_deref().unwrap_or_default(),
             turn = allowance.as_ref().map_or(0, |allowance| allowance.turns),
+            parts = self.meta.prompt_parts,
             events = self.events.get(),
             waited_ms = self.waited.get().as_millis(),
             allowed_ms = self.allowed.get().as_millis(),
--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -9,9 +9,9 @@
 use super::peers::{self, Copy};
 use crate::clock;
 use crate::id::{Epoch, Shard};
-use crate::platform::records::{ALLOWANCE_TOPIC, DETOUR_TOPIC};
+use crate::platform::records::ALLOWANCE_TOPIC;
 use crate::platform::store::{Fault, Keyed, Store, Writer};
-use crate::policy::allowance::{Entry, Ledger, Reservation};
+use crate::policy::allowance::{Entry, Reservation};
 use crate::telemetry::event;
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
@@ -25,16 +25,13 @@
 /// How long a turn waits for the store before its allowance is kept by other VMs instead. A record
 /// takes about 8 ms on a good day; a store that is slow or away must not hold up every program.
 pub(super) const PATIENCE: Duration = Duration::from_millis(250);
-/// The key of the record that names the VM that counts a partition; no program has such a name.
-const OWNER_KEY: &str = "@owner";
-/// How long a VM that has taken a partition is left with it, unless it does not answer.
-const LATELY: Duration = Duration::from_secs(3);
-/// Epochs in one millisecond of the clock: so many VMs can be told apart.
-const EPOCHS: u64 = 1 << 12;
-/// By how much an epoch is raised that is too low: ten seconds of the clock.
-const EPOCH_STEP: u64 = 10_000 * EPOCHS;
-/// How long a VM must have run to trust that it was told of all programs that still go on.
-const COPIES_COMPLETE: Duration = Duration::from_secs(5);
+/// Keys that begin so are not of programs.
+pub(super) const OURS: char = '@';
+/// The key of the record that tells when the VM that counts a partition last could record: the time
+/// of day in milliseconds.
+pub(super) const ALIVE_KEY: &str = "@alive";
+/// Time between two records of [`ALIVE_KEY`].
+const ALIVE: Duration = Duration::from_secs(1);
 /// How long a copy is kept.
 const KEPT: Duration = Duration::from_mins(2);
 /// The pause between two tries of a record.
@@ -44,7 +41,7 @@
 /// After this long without a failure the store is tried again.
 const TRY_AGAIN: Duration = Duration::from_secs(1);
 /// How long a program may pause where its route does not say.
-const IDLE: Duration = Duration::from_mins(1);
+pub(super) const IDLE: Duration = Duration::from_mins(1);
 /// Added to the pause of a program before its record is dropped.
 const IDLE_MARGIN: Duration = Duration::from_secs(30);
 
@@ -52,9 +49,9 @@
 #[derive(Debug)]
 pub(crate) struct Keeper {
     /// Where other VMs ask this one.
-    address: SocketAddr,
+    pub(super) address: SocketAddr,
     /// The number of this VM.
-    vm: u64,
+    pub(super) vm: u64,
     pub(super) store: Store,
     pub(super) count: u64,
     parts: RefCell<HashMap<u64, Rc<Part>>>,
@@ -65,7 +62,7 @@
     pub(super) counted_at: RefCell<HashMap<u64, SocketAddr>>,
     failures: Cell<u32>,
     failed: Cell<Option<Instant>>,
-    began: Instant,
+    pub(super) began: Instant,
 }
 
 /// Leave for one turn to generate tokens; ends with [`Gateway::settle`].
@@ -103,6 +100,19 @@
         xxh3_64(program.as_bytes()) % self.count
     }
 
+    /// For how long this VM has run, in milliseconds.
+    pub(super) fn up_ms(&self) -> u64 {
+        u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Records that this VM can record.
+    pub(super) fn tell_alive(self: &Rc<Self>) {
+        for (number, part) in self.held() {
+            part.lack(ALIVE_KEY, clock::wall_ms());
+            Rc::clone(self).start_writing(number, part);
+        }
+    }
+
     /// Whether the store takes records from this VM.
     pub(crate) fn has_store(&self) -> bool {
         let lately = self
@@ -131,161 +141,6 @@
             .settle(Instant::now(), reservation, used);
     }
 
-    /// The VM that has taken a partition last, if that was a moment ago.
-    ///
-    /// When all VMs start at once, each knows a part of the others and takes itself or another one
-    /// for the first by rank. Without this look they shut each other out ten times for each
-    /// partition, and callers were refused for two seconds more.
-    pub(super) async fn lately_taken(&self, number: u64) -> Option<SocketAddr> {
-        let newest = self.store.newest(ALLOWANCE_TOPIC, number).await.ok()?;
-        let record = newest
-            .records
-            .iter()
-            .find(|record| record.key == OWNER_KEY)?;
-        let text = std::str::from_utf8(record.value.as_ref()?).ok()?;
-        let (address, taken) = text.split_once(' ')?;
-        let taken = Duration::from_millis(taken.parse().ok()?);
-        let address: SocketAddr = address.parse().ok()?;
-        let lately = clock::wall().saturating_sub(taken) < LATELY && address != self.address;
-        lately.then_some(address)
-    }
-
-    /// Takes a partition over: shuts out the writer before, then reads what it has recorded.
-    pub(super) async fn take(&self, number: u64, part: &Part) -> Result<(), Fault> {
-        let _taking = part.taking.lock().await;
-        if part.hold.get().is_some_and(|hold| hold.fenced) {
-            return Ok(());
-        }
-        let mut epoch = self.epoch();
-        let owner = [Keyed {
-            key: OWNER_KEY.to_owned(),
-            value: Some(Bytes::from(format!(
-                "{} {}",
-                self.address,
-                clock::wall_ms()
-            ))),
-        }];
-        let hold = loop {
-            let writer = writer(epoch, 0);
-            match self
-                .store
-                .append(ALLOWANCE_TOPIC, number, &owner, Some(&writer))
-                .await
-            {
-                Ok(()) => {
-                    break Hold {
-                        epoch,
-                        sequence: 1,
-                        fenced: true,
-                    };
-                }
-                // The clock of the VM before is ahead of this one's.
-                Err(Fault::Fenced) => epoch += EPOCH_STEP,
-                Err(fault) => {
-                    self.heard(false);
-                    return Err(fault);
-                }
-            }
-        };
-        let detours = self
-            .other_parts(number)
-            .map(|other| self.store.newest(DETOUR_TOPIC, other));
-        let (newest, detours) = tokio::join!(
-            self.store.newest(ALLOWANCE_TOPIC, number),
-            futures::future::join_all(detours),
-        );
-        self.heard(newest.is_ok());
-        let newest = newest?;
-        for detour in detours
-            .iter()
-            .flatten()
-            .flat_map(|detours| &detours.records)
-        {
-            let (Some(value), true) = (&detour.value, self.part_of(&detour.key) == number) else {
-                continue;
-            };
-            let mut kept = part.kept.borrow_mut();
-            let known = kept
-                .entry(detour.key.clone())
-                .or_insert((0, Instant::now()));
-            known.0 = decode(value).unwrap_or_default().max(known.0);
-        }
-        let now = Instant::now();
-        // What was adopted, or counted while the store was away, is known better than its records.
-        let mut ledger = part.ledger.take();
-        if part.hold.get().is_none() {
-            ledger = Ledger::default();
-        }
-        for record in newest
-            .records
-            .iter()
-            .filter(|record| record.key != OWNER_KEY)
-        {
-            let allowed = record.value.as_ref().and_then(decode);
-            ledger.restore(now, &record.key, allowed.unwrap_or_default());
-        }
-        let kept = part.kept.take();
-        for (program, (allowed, _)) in &kept {
-            ledger.restore(now, program, *allowed);
-        }
-        event!(
-            info,
-            "allowances_taken",
-            part = number,
-            epoch = hold.epoch,
-            programs = ledger.len(),
-            copies = kept.len()
-        );
-        // What the store has not taken yet must not be lost to the next VM.
-        let lacking = kept.into_iter().filter(|(program, (allowed, _))| {
-            let recorded = newest.records.iter().find(|record| record.key == *program);
-            let recorded = recorded.and_then(|record| record.value.as_ref().and_then(decode));
-            recorded.unwrap_or_default() < *allowed
-        });
-        let lacking = lacking.map(|(program, (allowed, _))| (program, allowed));
-        part.pending.borrow_mut().extend(lacking);
-        part.ledger.replace(ledger);
-        part.hold.set(Some(hold));
-        part.successor.set(None);
-        Ok(())
-    }
-
-    /// Counts a partition while the store is away, from the copies that this VM was told.
-    ///
-    /// The VM that counted before may still live behind a partition of the network; it can't go
-    /// beyond allowances that are durable or copied, and all of those are taken as spent here.
-    pub(super) fn take_from_copies(&self, number: u64, part: &Part) -> bool {
-        let kept = part.kept.borrow();
-        if kept.is_empty() || self.began.elapsed() < COPIES_COMPLETE {
-            return false;
-        }
-        let mut ledger = Ledger::default();
-        for (program, (allowed, _)) in kept.iter() {
-            ledger.restore(Instant::now(), program, *allowed);
-            // Which of them the store lacks is not known while it is away.
-            part.lack(program, *allowed);
-        }
-        event!(
-            warn,
-            "allowances_taken_from_copies",
-            part = number,
-            programs = kept.len()
-        );
-        part.ledger.replace(ledger);
-        part.hold.set(Some(Hold {
-            epoch: self.epoch(),
-            sequence: 0,
-            fenced: false,
-        }));
-        true
-    }
-
-    /// An epoch that is higher than those before, and no other VM's: two writers of one epoch would
-    /// not shut each other out.
-    fn epoch(&self) -> u64 {
-        clock::wall_ms() * EPOCHS + self.vm % EPOCHS
-    }
-
     pub(super) fn start_writing(self: Rc<Self>, number: u64, part: Rc<Part>) {
         if !part.writing.replace(true) {
             tokio::task::spawn_local(self.write(number, part));
@@ -381,6 +236,7 @@
         part.hold.set(None);
         part.shut_out.set(Some(Instant::now()));
         let lacking = part.pending.take().into_iter();
+        let lacking = lacking.filter(|(key, _)| !key.starts_with(OURS));
         let copies = lacking.map(|(program, allowed)| Copy {
             part: number,
             program,
@@ -495,7 +351,7 @@
     }
 }
 
-fn writer(epoch: u64, sequence: u64) -> Writer {
+pub(super) fn writer(epoch: u64, sequence: u64) -> Writer {
     Writer {
         name: "allowance".to_owned(),
         epoch,
@@ -510,14 +366,19 @@
     }
 }
 
-fn decode(value: &Bytes) -> Option<u64> {
+pub(super) fn decode(value: &Bytes) -> Option<u64> {
     std::str::from_utf8(value).ok()?.parse().ok()
 }
 
 /// Drops the records of programs that can't come back.
 pub(crate) async fn keep_house(gateway: Rc<Gateway>) {
+    let mut expired = Instant::now();
     loop {
-        sleep(IDLE_MARGIN / 3).await;
-        gateway.keeper.expire(IDLE).await;
+        sleep(ALIVE).await;
+        gateway.keeper.tell_alive();
+        if expired.elapsed() >= IDLE_MARGIN / 3 {
+            expired = Instant::now();
+            gateway.keeper.expire(IDLE).await;
+        }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod job;
 mod keeper;
 mod link;
+mod loan;
 mod metrics;
 mod operators;
 mod part;
@@ -27,15 +28,16 @@
 mod snapshot;
 mod socket;
 pub mod table;
+mod takeover;
 
 pub(crate) use front::run;
 
 use crate::member::View;
 use crate::settings;
 use feed::World;
-use job::Job;
 use keeper::Keeper;
 use link::Links;
+use loan::Loans;
 use metrics::Metrics;
 use peers::Peers;
 use permit::Desk;
@@ -46,7 +48,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::Instant;
 
 /// How long the store may be silent before a VM no longer trusts that its configuration is the
 /// newest.
@@ -66,10 +67,10 @@
     keeper: Rc<Keeper>,
     links: Links,
     desk: Desk,
+    loans: Loans,
     metrics: Metrics,
     sampler: Sampler,
     stopping: Cell<bool>,
-    began: Instant,
 }
 
 impl Gateway {
@@ -82,12 +83,4 @@
         let heard = self.world.borrow().heard;
         heard.is_none_or(|heard| heard.elapsed() > BLIND)
     }
-
-    /// The place of a request in the order: the time by which it should be under way.
-    fn urgency(&self, job: &Job) -> i64 {
-        let finish = job.meta.finish.unwrap_or(job.route.objective);
-        let by = job.arrived + finish;
-        let since = by.saturating_duration_since(self.began).as_millis();
-        i64::try_from(since).unwrap_or(i64::MAX)
-    }
 }
--- a/src/gateway/operators.rs
+++ b/src/gateway/operators.rs
@@ -68,6 +68,7 @@
         let world = self.world.borrow();
         let view = self.view.borrow();
         let (partitions, programs) = self.keeper.size();
+        let (waiting, places) = self.loans.len();
         let servers = world.directory.iter().map(|entry| {
             json!({
                 "id": &*entry.id,
@@ -85,6 +86,7 @@
             "store_heard_ms": world.heard.map(|heard| heard.elapsed().as_millis()),
             "servers": servers.collect::<Vec<_>>(),
             "services": self.desk.state(),
+            "lent": json!({ "waiting": waiting, "places": places }),
             "counted": json!({ "partitions": partitions, "programs": programs }),
             "idle_connections": self.links.len(),
             "members": view.members.values().map(|member| &member.vm).collect::<Vec<_>>(),
--- a/src/gateway/part.rs
+++ b/src/gateway/part.rs
@@ -29,6 +29,8 @@
     pub(super) lacking: RefCell<HashMap<String, u64>>,
     /// When another VM last shut this one out.
     pub(super) shut_out: Cell<Option<Instant>>,
+    /// For how long the oldest VM had run that was asked for copies, in milliseconds.
+    pub(super) oldest_ms: Cell<u64>,
     /// Whether the store did not take the newest record.
     pub(super) failing: Cell<bool>,
     /// Programs whose allowance was recorded in another partition.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -6,12 +6,14 @@
 use crate::id::Vm;
 use crate::member::{DATAGRAM, Sealer};
 use crate::policy::allowance::{Entry, Reservation};
+use crate::policy::dispatch::{Ask, Outcome};
 use crate::telemetry::event;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
@@ -19,6 +21,9 @@
 
 /// Time after which a question is sent again. A round trip within a region takes 1 to 4 ms.
 const AGAIN: Duration = Duration::from_millis(40);
+/// The same while the answer is known to be worked on: long, since many requests may wait under
+/// load, and short enough to notice soon that the other VM is gone.
+const WORKING: Duration = Duration::from_millis(250);
 /// How often it is sent; a VM that answers none of them stands still or is gone.
 const SENDS: usize = 4;
 /// For how long a VM that did not answer is not asked first.
@@ -47,6 +52,9 @@
     /// Which allowances of a partition are kept that the store may lack?
     #[serde(rename = "l")]
     Copies { part: u64 },
+    /// Which server may a request go to? Answered when one has room.
+    #[serde(rename = "p")]
+    Place(Ask),
     /// Go on counting a partition, whose writer had this epoch.
     #[serde(rename = "a")]
     Adopt {
@@ -54,6 +62,8 @@
         epoch: u64,
         /// Programs, and the allowance that the store still lacks; zero where it lacks none.
         entries: Vec<(Entry, u64)>,
+        /// Whether tokens that were given without a record may have been forgotten.
+        doubtful: bool,
         /// Whether these are the first ones.
         first: bool,
         /// Whether these are the last ones.
@@ -97,13 +107,25 @@
     /// The copy is kept.
     #[serde(rename = "k")]
     Kept,
-    /// Programs and their allowances.
+    /// Programs and their allowances, and for how long the VM has run.
     #[serde(rename = "c")]
-    Copies(Vec<(String, u64)>),
+    Copies {
+        allowed: Vec<(String, u64)>,
+        up_ms: u64,
+    },
+    /// The request may go to this server.
+    #[serde(rename = "p")]
+    Placed(Arc<str>),
+    /// The service has no server.
+    #[serde(rename = "n")]
+    NoServer,
+    /// The request can't be served in time; it may come back after so many milliseconds.
+    #[serde(rename = "f")]
+    Full { retry_ms: u64 },
 }
 
 /// What is told and needs no answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Note {
     /// A turn is over; so many tokens were handed out.
     #[serde(rename = "s")]
@@ -115,10 +137,13 @@
     /// A durable allowance.
     #[serde(rename = "c")]
     Copied(Copy),
+    /// A request that asked for a place under this number is over, or waits no longer.
+    #[serde(rename = "l")]
+    Left { number: u64, outcome: Outcome },
 }
 
 /// A datagram.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 enum Packet {
     #[serde(rename = "q")]
     Question(u64, Question),
@@ -128,6 +153,9 @@
     Note(Note),
 }
 
+/// Who asked, and under which number.
+pub(crate) type Asked = (SocketAddr, u64);
+
 /// The datagrams of this VM.
 #[derive(Debug)]
 pub(crate) struct Peers {
@@ -170,16 +198,33 @@
 
     /// Asks until there is an answer; none comes from a VM that stands still or is gone.
     pub(crate) async fn ask(&self, peer: SocketAddr, question: &Question) -> Option<Reply> {
-        let number = self.number();
+        self.ask_as(self.number(), peer, question).await
+    }
+
+    /// Asks under a number that was drawn before.
+    pub(crate) async fn ask_as(
+        &self,
+        number: u64,
+        peer: SocketAddr,
+        question: &Question,
+    ) -> Option<Reply> {
         let packet = Packet::Question(number, question.clone());
-        let mut sends = 0;
+        let (mut sends, mut pause) = (0, AGAIN);
         while sends < SENDS {
             let (answer, mut answered) = oneshot::channel();
             self.waiting.borrow_mut().insert(number, answer);
             self.send(peer, &packet).await;
             sends += 1;
-            match timeout(AGAIN, &mut answered).await {
-                Ok(Ok(Reply::Working)) => sends = 0,
+            let mut reply = timeout(pause, &mut answered).await;
+            pause = AGAIN;
+            if let Ok(Ok(Reply::Working)) = reply {
+                let (answer, answered) = oneshot::channel();
+                self.waiting.borrow_mut().insert(number, answer);
+                sends = 0;
+                reply = timeout(WORKING, answered).await;
+            }
+            match reply {
+                Ok(Ok(Reply::Working)) => pause = WORKING,
                 Ok(Ok(reply)) => return Some(reply),
                 Ok(Err(_)) | Err(_) => {}
             }
@@ -203,6 +248,12 @@
         }
     }
 
+    /// Tells whoever asked that an answer will follow.
+    pub(super) async fn tell_working(&self, (peer, number): Asked) {
+        self.send(peer, &Packet::Reply(number, Reply::Working))
+            .await;
+    }
+
     fn answered(&self, number: u64, reply: Reply) {
         if let Some(waiting) = self.waiting.borrow_mut().remove(&number) {
             // Whoever asked may have given up meanwhile.
@@ -225,7 +276,7 @@
         };
         match gateway.peers.sealer.open(&buffer[..size]) {
             Some(Packet::Reply(number, reply)) => gateway.peers.answered(number, reply),
-            Some(Packet::Note(note)) => gateway.noted(note).await,
+            Some(Packet::Note(note)) => gateway.noted(from, note).await,
             Some(Packet::Question(number, question)) => {
                 tokio::task::spawn_local(work(Rc::clone(&gateway), from, number, question));
             }
@@ -237,12 +288,9 @@
 async fn work(gateway: Rc<Gateway>, from: SocketAddr, number: u64, question: Question) {
     let peers = &gateway.peers;
     if !peers.working.borrow_mut().insert((from, number)) {
-        peers
-            .send(from, &Packet::Reply(number, Reply::Working))
-            .await;
-        return;
+        return peers.tell_working((from, number)).await;
     }
-    let reply = gateway.answer(from, question).await;
+    let reply = gateway.answer((from, number), question).await;
     peers.working.borrow_mut().remove(&(from, number));
     peers.send(from, &Packet::Reply(number, reply)).await;
 }
--- a/src/gateway/permit.rs
+++ b/src/gateway/permit.rs
@@ -3,10 +3,14 @@
 use super::Gateway;
 use super::directory::{Directory, Entry, Id};
 use super::feed::World;
+use super::peers::Note;
 use crate::code::{Code, Failure};
-use crate::policy::dispatch::{Ask, Description, Dispatcher, Outcome, Ticket, Verdict};
+use crate::id;
+use crate::policy::dispatch::{Ask, Description, Dispatcher, GIVEN_UP, Outcome, Ticked, Verdict};
+use crate::telemetry::event;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,8 +25,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Desk {
     dispatcher: RefCell<Dispatcher>,
-    waiters: RefCell<HashMap<Ticket, oneshot::Sender<Id>>>,
-    tickets: Cell<u64>,
+    waiters: RefCell<HashMap<id::Permit, oneshot::Sender<Option<Id>>>>,
+    numbers: Cell<u64>,
 }
 
 impl Desk {
@@ -46,44 +50,98 @@
 
     fn grant(&self) {
         let granted = self.dispatcher.borrow_mut().grant(Instant::now());
-        for (ticket, server) in granted {
-            let Some(waiter) = self.waiters.borrow_mut().remove(&ticket) else {
-                continue;
-            };
-            if waiter.send(server).is_err() {
-                // Its caller has left; the guard of the wait gives the place back.
-            }
+        for (permit, server) in granted {
+            self.tell(permit, Some(server));
+        }
+    }
+
+    /// Tells a request that waits where it may go, or that it is given up.
+    fn tell(&self, permit: id::Permit, server: Option<Id>) {
+        let Some(waiter) = self.waiters.borrow_mut().remove(&permit) else {
+            return;
+        };
+        if waiter.send(server).is_err() {
+            // Its caller has left; the guard of the wait gives the place back.
         }
     }
 
-    fn done(&self, ticket: Ticket, outcome: Outcome) {
+    fn done(&self, number: id::Permit, outcome: Outcome) {
         self.dispatcher
             .borrow_mut()
-            .done(Instant::now(), ticket, outcome);
-        self.waiters.borrow_mut().remove(&ticket);
+            .done(Instant::now(), number, outcome);
+        self.waiters.borrow_mut().remove(&number);
         self.grant();
     }
 
-    /// Grants what a rested server can take again.
+    /// Tells of the services for which requests wait.
+    pub(crate) fn log(&self) {
+        for crowd in self.dispatcher.borrow().loads(Instant::now()) {
+            event!(
+                info,
+                "requests_wait",
+                service = crowd.service,
+                in_time = crowd.in_time,
+                late = crowd.late,
+                past = crowd.past,
+                running = crowd.running,
+                places = crowd.places,
+                per_second = crowd.per_second,
+                programs = crowd.programs,
+                needs = format!("{:.2?}", crowd.needs)
+            );
+        }
+    }
+
+    /// Grants what a rested server can take again, and gives up what has waited in vain.
     pub(crate) fn tick(&self) {
-        let next = self.dispatcher.borrow().next();
-        if next.is_some_and(|next| next <= Instant::now()) {
-            self.grant();
+        let Ticked { granted, refused } = self.dispatcher.borrow_mut().tick(Instant::now());
+        for (permit, server) in granted {
+            self.tell(permit, Some(server));
+        }
+        for permit in refused {
+            self.tell(permit, None);
         }
     }
 }
 
+/// Where a place is kept.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Held {
+    /// In the windows of this VM.
+    Here(id::Permit),
+    /// In those of another VM, under the number of the question for it.
+    There(SocketAddr, u64),
+}
+
 /// A place in the window of a server, or in the queue before it. Dropping it gives it back.
 #[derive(Debug)]
-struct Place {
+pub(super) struct Place {
     gateway: Rc<Gateway>,
-    ticket: Ticket,
+    held: Held,
     outcome: Cell<Outcome>,
 }
 
+impl Place {
+    pub(super) const fn new(gateway: Rc<Gateway>, held: Held) -> Self {
+        Self {
+            gateway,
+            held,
+            outcome: Cell::new(Outcome::Void),
+        }
+    }
+}
+
 impl Drop for Place {
     fn drop(&mut self) {
-        self.gateway.desk.done(self.ticket, self.outcome.get());
+        let outcome = self.outcome.get();
+        match self.held {
+            Held::Here(permit) => self.gateway.desk.done(permit, outcome),
+            Held::There(peer, number) => {
+                let gateway = Rc::clone(&self.gateway);
+                let note = Note::Left { number, outcome };
+                tokio::task::spawn_local(async move { gateway.peers.tell(peer, note).await });
+            }
+        }
     }
 }
 
@@ -95,6 +153,10 @@
 }
 
 impl Permit {
+    pub(super) const fn new(place: Place, server: Arc<Entry>) -> Self {
+        Self { place, server }
+    }
+
     /// Tells how the request ended; without it nothing is learned.
     pub(crate) fn end(self, outcome: Outcome) {
         self.place.outcome.set(outcome);
@@ -102,31 +164,31 @@
 }
 
 impl Gateway {
-    /// Waits for leave to send a request.
+    /// Waits for leave to send a request, from the windows that this VM holds.
     ///
     /// # Errors
-    /// [`Code::NoServer`] where the service has no server.
+    /// [`Code::NoServer`] where the service has no server, [`Code::Overloaded`] where no server will
+    /// be free in time.
     pub(crate) async fn permit(self: &Rc<Self>, ask: Ask) -> Result<Permit, Failure> {
         loop {
-            let ticket = Ticket(self.desk.tickets.get());
-            self.desk.tickets.set(ticket.0 + 1);
-            let verdict =
-                self.desk
-                    .dispatcher
-                    .borrow_mut()
-                    .ask(Instant::now(), ticket, ask.clone());
-            let place = Place {
-                gateway: Rc::clone(self),
-                ticket,
-                outcome: Cell::new(Outcome::Void),
-            };
+            let permit = id::Permit(self.desk.numbers.get());
+            self.desk.numbers.set(permit.0 + 1);
+            let now = Instant::now();
+            let verdict = self
+                .desk
+                .dispatcher
+                .borrow_mut()
+                .ask(now, permit, ask.clone());
+            let place = Place::new(Rc::clone(self), Held::Here(permit));
             let server = match verdict {
                 Verdict::Granted(server) => server,
                 Verdict::NoServer => return Err(no_server()),
+                Verdict::Refused(back) => return Err(overloaded(back)),
                 Verdict::Waiting => {
                     let (waiter, granted) = oneshot::channel();
-                    self.desk.waiters.borrow_mut().insert(ticket, waiter);
-                    granted.await.map_err(|_| no_server())?
+                    self.desk.waiters.borrow_mut().insert(permit, waiter);
+                    let granted = granted.await.map_err(|_| no_server())?;
+                    granted.ok_or_else(|| overloaded(GIVEN_UP))?
                 }
             };
             let known = self.world.borrow().server(&server);
@@ -144,6 +206,12 @@
     }
 }
 
-fn no_server() -> Failure {
+/// A request that would wait in vain.
+pub(super) fn overloaded(back: Duration) -> Failure {
+    let failure = Failure::refused(Code::Overloaded, "no server will be free in time");
+    failure.retry_after(back)
+}
+
+pub(super) fn no_server() -> Failure {
     Failure::refused(Code::NoServer, "the service has no server now").retry_after(NO_SERVER)
 }
--- a/src/gateway/reserve.rs
+++ b/src/gateway/reserve.rs
@@ -115,7 +115,7 @@
 
     async fn ask_counter(self: &Rc<Self>, peer: &Peer, question: Question) -> Option<Reply> {
         if peer.address == self.address() {
-            return Some(self.answer(peer.address, question).await);
+            return Some(self.answer((peer.address, 0), question).await);
         }
         self.peers.ask(peer.address, &question).await
     }
--- /dev/null
+++ b/src/gateway/takeover.rs
@@ -0,0 +1,229 @@
+//! How a VM goes on with a partition that another VM has counted.
+
+use super::keeper::{ALIVE_KEY, IDLE, Keeper, OURS, decode, writer};
+use super::part::{Hold, Part};
+use crate::clock;
+use crate::platform::records::{ALLOWANCE_TOPIC, DETOUR_TOPIC};
+use crate::platform::store::{Fault, Keyed, Newest};
+use crate::policy::allowance::Ledger;
+use crate::telemetry::event;
+use bytes::Bytes;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// The key of the record that names the VM that counts a partition; no program has such a name.
+const OWNER_KEY: &str = "@owner";
+/// How long a VM that has taken a partition is left with it, unless it does not answer.
+const LATELY: Duration = Duration::from_secs(3);
+/// Epochs in one millisecond of the clock: so many VMs can be told apart.
+const EPOCHS: u64 = 1 << 12;
+/// By how much an epoch is raised that is too low: ten seconds of the clock.
+const EPOCH_STEP: u64 = 10_000 * EPOCHS;
+/// How long a VM must have run to trust that it was told of all programs that still go on.
+const COPIES_COMPLETE: Duration = Duration::from_secs(5);
+/// The key of the record that tells until when what was given without a record may have been
+/// forgotten: the time of day in milliseconds.
+const DOUBT_KEY: &str = "@doubt";
+/// How long before the oldest VM began to run a partition must have been recorded last for an
+/// outage of the store to have come between. VMs that all lose power are back after up to 2 s.
+const OUTAGE: Duration = Duration::from_millis(2500);
+
+impl Keeper {
+    /// The VM that has taken a partition last, if that was a moment ago.
+    ///
+    /// When all VMs start at once, each knows a part of the others and takes itself or another one
+    /// for the first by rank. Without this look they shut each other out ten times for each
+    /// partition, and callers were refused for two seconds more.
+    pub(super) async fn lately_taken(&self, number: u64) -> Option<SocketAddr> {
+        let newest = self.store.newest(ALLOWANCE_TOPIC, number).await.ok()?;
+        let record = newest
+            .records
+            .iter()
+            .find(|record| record.key == OWNER_KEY)?;
+        let text = std::str::from_utf8(record.value.as_ref()?).ok()?;
+        let (address, taken) = text.split_once(' ')?;
+        let taken = Duration::from_millis(taken.parse().ok()?);
+        let address: SocketAddr = address.parse().ok()?;
+        let lately = clock::wall().saturating_sub(taken) < LATELY && address != self.address;
+        lately.then_some(address)
+    }
+
+    /// Takes a partition over: shuts out the writer before, then reads what it has recorded.
+    pub(super) async fn take(&self, number: u64, part: &Part) -> Result<(), Fault> {
+        let _taking = part.taking.lock().await;
+        if part.hold.get().is_some_and(|hold| hold.fenced) {
+            return Ok(());
+        }
+        let hold = self.fence(number).await?;
+        let newest = self.read_records(number, part).await?;
+        let kept = part.kept.take();
+        let ledger = self.ledger(part, &newest.records, &kept);
+        event!(
+            info,
+            "allowances_taken",
+            part = number,
+            epoch = hold.epoch,
+            programs = ledger.len(),
+            copies = kept.len(),
+            oldest_ms = part.oldest_ms.get(),
+            doubtful = ledger.is_doubtful()
+        );
+        // What the store has not taken yet must not be lost to the next VM.
+        for (program, (allowed, _)) in kept {
+            let recorded = newest.records.iter().find(|record| record.key == program);
+            let recorded = recorded.and_then(|record| record.value.as_ref().and_then(decode));
+            if recorded.unwrap_or_default() < allowed {
+                part.lack(&program, allowed);
+            }
+        }
+        part.lack(ALIVE_KEY, clock::wall_ms());
+        part.ledger.replace(ledger);
+        part.hold.set(Some(hold));
+        part.successor.set(None);
+        Ok(())
+    }
+
+    /// Raises the epoch of a partition's writer, so that the store refuses the one before.
+    async fn fence(&self, number: u64) -> Result<Hold, Fault> {
+        let owner = [Keyed {
+            key: OWNER_KEY.to_owned(),
+            value: Some(Bytes::from(format!(
+                "{} {}",
+                self.address,
+                clock::wall_ms()
+            ))),
+        }];
+        let mut epoch = self.epoch();
+        loop {
+            let writer = writer(epoch, 0);
+            let append = self
+                .store
+                .append(ALLOWANCE_TOPIC, number, &owner, Some(&writer));
+            match append.await {
+                Ok(()) => {
+                    return Ok(Hold {
+                        epoch,
+                        sequence: 1,
+                        fenced: true,
+                    });
+                }
+                // The clock of the VM before is ahead of this one's.
+                Err(Fault::Fenced) => epoch += EPOCH_STEP,
+                Err(fault) => {
+                    self.heard(false);
+                    return Err(fault);
+                }
+            }
+        }
+    }
+
+    /// Reads the records of a partition, and adds those that went through others to the copies.
+    async fn read_records(&self, number: u64, part: &Part) -> Result<Newest, Fault> {
+        let detours = self
+            .other_parts(number)
+            .map(|other| self.store.newest(DETOUR_TOPIC, other));
+        let (newest, detours) = tokio::join!(
+            self.store.newest(ALLOWANCE_TOPIC, number),
+            futures::future::join_all(detours),
+        );
+        self.heard(newest.is_ok());
+        let newest = newest?;
+        let detours = detours.iter().flatten();
+        for detour in detours.flat_map(|detours| &detours.records) {
+            let (Some(value), true) = (&detour.value, self.part_of(&detour.key) == number) else {
+                continue;
+            };
+            let mut kept = part.kept.borrow_mut();
+            let known = kept.entry(detour.key.clone());
+            let known = known.or_insert((0, Instant::now()));
+            known.0 = decode(value).unwrap_or_default().max(known.0);
+        }
+        Ok(newest)
+    }
+
+    /// The accounts as the records and the copies tell them.
+    fn ledger(
+        &self,
+        part: &Part,
+        records: &[Keyed],
+        kept: &HashMap<String, (u64, Instant)>,
+    ) -> Ledger {
+        let now = Instant::now();
+        // What was adopted, or counted while the store was away, is known better than its records.
+        let mut ledger = part.ledger.take();
+        if part.hold.get().is_none() {
+            let doubtful = ledger.is_doubtful();
+            ledger = Ledger::default();
+            if doubtful {
+                ledger.doubt();
+            }
+        }
+        let programs = records.iter();
+        for record in programs.filter(|record| !record.key.starts_with(OURS)) {
+            let allowed = record.value.as_ref().and_then(decode);
+            ledger.restore(now, &record.key, allowed.unwrap_or_default());
+        }
+        for (program, (allowed, _)) in kept {
+            ledger.restore(now, program, *allowed);
+        }
+        // Where nobody was asked, this VM has been told all by the one before.
+        let oldest_ms = part.oldest_ms.get().max(self.up_ms());
+        if is_doubtful(records, oldest_ms) {
+            ledger.doubt();
+            let until = clock::wall_ms() + u64::try_from(IDLE.as_millis()).unwrap_or(u64::MAX);
+            part.lack(DOUBT_KEY, until);
+        }
+        ledger
+    }
+
+    /// Counts a partition while the store is away, from the copies that this VM was told.
+    ///
+    /// The VM that counted before may still live behind a partition of the network; it can't go
+    /// beyond allowances that are durable or copied, and all of those are taken as spent here.
+    pub(super) fn take_from_copies(&self, number: u64, part: &Part) -> bool {
+        let kept = part.kept.borrow();
+        if kept.is_empty() || self.began.elapsed() < COPIES_COMPLETE {
+            return false;
+        }
+        let mut ledger = Ledger::default();
+        for (program, (allowed, _)) in kept.iter() {
+            ledger.restore(Instant::now(), program, *allowed);
+            // Which of them the store lacks is not known while it is away.
+            part.lack(program, *allowed);
+        }
+        event!(
+            warn,
+            "allowances_taken_from_copies",
+            part = number,
+            programs = kept.len()
+        );
+        part.ledger.replace(ledger);
+        part.hold.set(Some(Hold {
+            epoch: self.epoch(),
+            sequence: 0,
+            fenced: false,
+        }));
+        true
+    }
+
+    /// An epoch that is higher than those before, and no other VM's: two writers of one epoch would
+    /// not shut each other out.
+    fn epoch(&self) -> u64 {
+        clock::wall_ms() * EPOCHS + self.vm % EPOCHS
+    }
+}
+
+/// Whether the VM that counted a partition may have given what no record and no live VM tells
+/// of: it could not record for a while, and then all VMs were lost.
+fn is_doubtful(records: &[Keyed], oldest_ms: u64) -> bool {
+    let time = |key| {
+        let record = records.iter().find(|record| record.key == key);
+        record.and_then(|record| record.value.as_ref().and_then(decode))
+    };
+    let now = clock::wall_ms();
+    let outage = u64::try_from(OUTAGE.as_millis()).unwrap_or(u64::MAX);
+    let lost = time(ALIVE_KEY).is_some_and(|alive| alive + outage + oldest_ms < now);
+    lost || time(DOUBT_KEY).is_some_and(|until| now < until)
+}
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -1,5 +1,6 @@
 //! The headers that callers and backend servers use, decoded into what they say.
 
+use crate::policy::dispatch::Load;
 use http::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HOST, HeaderMap};
 use http::header::{HeaderName, HeaderValue, RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
 use std::time::Duration;
@@ -18,7 +19,12 @@
 const TOKEN_BUDGET: HeaderName = HeaderName::from_static("x-token-budget");
 /// Two numbers: tokens of the prompt, and the most tokens to generate.
 const TOKEN_COUNT: HeaderName = HeaderName::from_static("x-token-count");
+/// The parts of the prompt in order, each an identity, a colon and its tokens; the first ones are
+/// shared with other programs, and every turn adds one.
+const PROMPT_PARTS: HeaderName = HeaderName::from_static("x-prompt-prefix");
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+/// Three numbers: requests that run, requests that wait, and places.
+const SERVER_LOAD: HeaderName = HeaderName::from_static("x-server-load");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
@@ -57,12 +63,14 @@
     pub(crate) program: Option<String>,
     /// The line of turns within the program.
     pub(crate) line: Option<String>,
-    /// The time left until the whole program should be finished.
-    pub(crate) finish: Option<Duration>,
+    /// Milliseconds until the whole program should be finished; below zero when it is late.
+    pub(crate) finish_ms: Option<i64>,
     /// Tokens that all turns of the program may generate.
     pub(crate) budget: Option<u64>,
     /// The most tokens that this turn generates.
     pub(crate) most_tokens: u64,
+    /// Parts of the prompt.
+    pub(crate) prompt_parts: usize,
     /// The last event that the caller has.
     pub(crate) last_event: Option<u64>,
 }
@@ -88,9 +96,10 @@
             wait: number(headers, &DEADLINE).map(Duration::from_millis),
             program: text(headers, &PROGRAM),
             line: text(headers, &SESSION),
-            finish: number(headers, &FINISH).map(Duration::from_millis),
+            finish_ms: text(headers, &FINISH).and_then(|text| text.parse().ok()),
             budget: number(headers, &TOKEN_BUDGET),
             most_tokens: most.unwrap_or_default(),
+            prompt_parts: text(headers, &PROMPT_PARTS).map_or(0, |parts| parts.split(',').count()),
             last_event: number(headers, &LAST_EVENT),
         }
     }
@@ -176,6 +185,8 @@
     pub(crate) keep: Option<Duration>,
     /// Whether the server closes the connection after this answer.
     pub(crate) closes: bool,
+    /// What the server says of its load.
+    pub(crate) load: Option<Load>,
 }
 
 impl Verdict {
@@ -193,10 +204,19 @@
             encoded: headers.contains_key(CONTENT_ENCODING),
             keep,
             closes: closes.to_ascii_lowercase().contains("close"),
+            load: text(headers, &SERVER_LOAD).and_then(|text| load(&text)),
         }
     }
 }
 
+fn load(text: &str) -> Option<Load> {
+    let mut numbers = text.split(',').map(|number| number.trim().parse());
+    Some(Load {
+        running: numbers.next()?.ok()?,
+        waiting: numbers.next()?.ok()?,
+    })
+}
+
 /// The header that echoes a request's identity in answers of our own.
 pub(crate) fn echo(id: &str) -> Option<(HeaderName, HeaderValue)> {
     let value = HeaderValue::from_str(id).ok()?;
--- a/src/policy/allowance.rs
+++ b/src/policy/allowance.rs
@@ -103,6 +103,21 @@
 pub struct Ledger {
     accounts: HashMap<String, Account>,
     open: HashMap<Reservation, (String, u64)>,
+    doubtful: bool,
+}
+
+impl Turn {
+    /// Tokens that a program may be given at the most beyond what is durable.
+    ///
+    /// While nothing can be recorded, what is given is kept in the memory of some VMs; should all
+    /// of them be lost, it is not known any more that it was given. So it is bounded, and after
+    /// such a loss the bound counts as spent: then no program goes beyond its budget. Half is
+    /// enough: programs that end by themselves use up to 0.58 of their budgets, reserved tokens of
+    /// the last turn among them.
+    #[must_use]
+    pub fn undurable(&self) -> u64 {
+        (self.budget / 2).max(self.most)
+    }
 }
 
 impl Ledger {
@@ -114,6 +129,25 @@
         account.allowed = account.allowed.max(allowed);
     }
 
+    /// What was given without a record may have been forgotten: for every program that is met from
+    /// now on, the most of it counts as spent.
+    pub const fn doubt(&mut self) {
+        self.doubtful = true;
+    }
+
+    /// Whether what was given without a record may have been forgotten.
+    #[must_use]
+    pub const fn is_doubtful(&self) -> bool {
+        self.doubtful
+    }
+
+    /// Whether what is spent and reserved of a program may be covered without a record.
+    #[must_use]
+    pub fn bears(&self, program: &str, turn: Turn) -> bool {
+        let (_, total) = self.standing(program);
+        total <= self.allowed(program) + turn.undurable()
+    }
+
     /// All that is known, for a VM that goes on with it.
     #[must_use]
     pub fn export(&self) -> Vec<Entry> {
@@ -174,11 +208,12 @@
         turn: Turn,
     ) -> Verdict {
         let known = self.open.contains_key(&reservation);
+        let doubted = if self.doubtful { turn.undurable() } else { 0 };
         let account = self.account(now, program);
         account.used = now;
         if account.turns == 0 {
             // What was seen counts the turns under way at their most. Later it is known better.
-            account.spent = account.spent.max(turn.seen);
+            account.spent = (account.spent + doubted).max(turn.seen);
         }
         if !known {
             // Beyond the budget goes at most the last turn that began within it.
--- /dev/null
+++ b/src/policy/backlog.rs
@@ -0,0 +1,118 @@
+//! The servers of one service and the requests that wait for them.
+
+use super::dispatch::{Ask, Crowd};
+use super::flow::Flow;
+use super::programs::Programs;
+use super::queue::{Band, Order, Queue};
+use super::standing::Standing;
+use super::window::Server;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Requests that are looked at for each chance to grant.
+pub(super) const SCAN: usize = 32;
+/// The bounds of the time after which a refused caller may come back.
+const COME_BACK: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(2));
+
+/// A request that waits.
+#[derive(Debug)]
+pub(super) struct Waiting {
+    pub(super) ask: Ask,
+    pub(super) standing: Standing,
+}
+
+impl Waiting {
+    pub(super) fn is_held(&self, clock: i64) -> bool {
+        let held = i64::try_from(self.ask.held().as_millis()).unwrap_or(i64::MAX);
+        self.standing.asked + held < clock
+    }
+}
+
+impl Order for Waiting {
+    const LATE_SHARE: u64 = Standing::LATE_SHARE;
+
+    fn band(&self, now: i64) -> (Band, i64) {
+        self.standing.band(now)
+    }
+
+    fn key(&self, band: Band) -> i64 {
+        self.standing.key(band)
+    }
+}
+
+/// The servers of one service and the requests that wait for them.
+#[derive(Debug, Default)]
+pub(super) struct Pool {
+    pub(super) servers: Vec<Server>,
+    pub(super) queue: Queue<Waiting>,
+    pub(super) flow: Flow,
+    /// Of those that went to programs that were not let in.
+    pub(super) late: Flow,
+    pub(super) programs: Programs,
+    /// The usual time for one unit of work, in milliseconds.
+    pub(super) pace: Option<f64>,
+}
+
+impl Pool {
+    /// Places that can be used now.
+    pub(super) fn capacity(&self, now: Instant) -> f64 {
+        let usable = self.servers.iter().filter(|server| server.is_usable(now));
+        let places = usable.map(|server| server.about.slots as f64 - server.others.max(0.0));
+        places.map(|places| places.max(0.0)).sum()
+    }
+
+    pub(super) fn crowd<'a>(&'a self, now: Instant, service: &'a str) -> Crowd<'a> {
+        let [in_time, late, past] = self.queue.bands();
+        Crowd {
+            service,
+            in_time,
+            late,
+            past,
+            running: self.servers.iter().map(|server| server.in_flight).sum(),
+            places: self.capacity(now),
+            per_second: self.flow.per_second(now).unwrap_or_default(),
+            programs: self.programs.len().1,
+            needs: self.programs.needs(),
+        }
+    }
+
+    /// When a request may come back that would wait in vain.
+    pub(super) fn hopeless(&self, now: Instant, band: Band, ask: &Ask) -> Option<Duration> {
+        let (flow, ahead, limit) = match band {
+            Band::OnTime => (&self.flow, self.queue.ahead(band), ask.limit()),
+            Band::Late | Band::Fills => {
+                let ahead = self.queue.ahead(band) - self.queue.ahead(Band::OnTime);
+                (&self.late, ahead, ask.held())
+            }
+        };
+        let wait = Duration::from_secs_f64(flow.wait_ms(now, ahead) / 1000.0);
+        let (least, most) = COME_BACK;
+        (wait > limit).then(|| wait.clamp(least, most))
+    }
+
+    /// A request is over, after this time at a server.
+    pub(super) fn over(&mut self, now: Instant, program: Option<u64>, took: Duration) {
+        if let Some(program) = program {
+            self.programs.done(now, program, took);
+        }
+    }
+
+    /// Frees what ended programs had set aside, and lets in those that wait and fit now.
+    pub(super) fn sweep(&mut self, now: Instant, clock: i64) {
+        self.programs.sweep(now, clock);
+        let capacity = self.capacity(now);
+        for permit in self.queue.first(clock, SCAN) {
+            let Some((Waiting { ask, standing }, Band::Late)) = self.queue.get(permit) else {
+                continue;
+            };
+            let Some(program) = ask.program else { continue };
+            if standing.promised || !self.programs.promise(clock, program, capacity) {
+                continue;
+            }
+            if let Some(Waiting { ask, standing }) = self.queue.remove(permit) {
+                let standing = self.programs.standing(standing.asked, program, &ask);
+                self.queue.push(clock, permit, Waiting { ask, standing });
+            }
+        }
+    }
+}
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -5,31 +5,27 @@
 //! request therefore waits here while every server works on as many requests as fit its window,
 //! and the most urgent one goes first when a server is done.
 
+use super::backlog::{Pool, SCAN, Waiting};
+use super::queue::{Band, Order};
+use super::window::{Server, choose, learn};
+use crate::id::Permit;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// How long a server rests after a failure; doubled with each further one in a row.
-const REST: Duration = Duration::from_millis(250);
-/// The longest rest: a server that is back should be found again within a few seconds.
-const LONGEST_REST: Duration = Duration::from_secs(4);
-/// Weight of the newest answer in the time that a server takes against its kind.
-const NEWEST: f64 = 0.15;
-/// Bounds of that ratio, so that one odd answer does not decide.
-const RATIO: (f64, f64) = (0.25, 8.0);
-/// What it costs to leave the zone, in parts of a server's window: bytes between zones are paid
-/// for, but a wait costs more.
-const FAR: f64 = 0.12;
-/// What it saves to go where the line of turns was before, in parts of a window: its prompt is
-/// kept there, and reading it again takes about as long as a tenth of a turn.
-const NEAR_LINE: f64 = 0.25;
 /// Lines of turns whose server is remembered.
 const LINES: usize = 50_000;
-
-/// The number by which a request is known here.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Ticket(pub u64);
+/// Time between two looks at programs that have ended.
+const SWEEP: Duration = Duration::from_millis(200);
+/// When a caller may come back that was given up.
+pub const GIVEN_UP: Duration = Duration::from_millis(900);
+/// How long a request of a program that can't end in time waits for a place that others leave. It
+/// is a quarter of the targets of the shorter programs: whoever waits longer had better come back.
+const HELD: Duration = Duration::from_millis(700);
+/// The part of its own time that such a request waits at the most.
+const HELD_PART: f64 = 0.35;
 
 /// A backend server as the dispatcher has to know it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -47,22 +43,53 @@
 }
 
 /// A request that asks for a server.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Ask {
     /// The service.
     pub service: Arc<str>,
     /// The availability zone that it comes from.
     pub zone: Arc<str>,
-    /// Its place in the order: the lowest goes first.
-    pub urgency: i64,
+    /// The rank of its route; 0 goes first.
+    pub rank: u8,
+    /// The program that it belongs to, by a hash.
+    pub program: Option<u64>,
+    /// Turns of the program so far, this one included; zero where that is not known.
+    pub turns: u32,
+    /// Milliseconds until its program should be finished; below zero when it is late.
+    pub left_ms: i64,
+    /// Milliseconds for which it may wait.
+    pub limit_ms: u64,
     /// The line of turns that it belongs to.
     pub line: Option<u64>,
     /// Servers that have failed it.
     pub avoid: Vec<Arc<str>>,
 }
 
+impl Ask {
+    pub(super) fn limit(&self) -> Duration {
+        Duration::from_millis(self.limit_ms)
+    }
+
+    /// How long it waits where its program can't end in time.
+    pub(super) fn held(&self) -> Duration {
+        HELD.min(self.limit().mul_f64(HELD_PART))
+    }
+}
+
+/// What a server says of its load, when it begins an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Load {
+    /// Requests that run.
+    pub running: usize,
+    /// Requests that wait there.
+    pub waiting: usize,
+}
+
 /// How a request ended at its server.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub enum Outcome {
     /// Answered; how its time compares with what is usual.
     Done {
@@ -70,6 +97,8 @@
         took: Duration,
         /// The size of its work, in any unit that is the same for all requests of the service.
         work: f64,
+        /// What the server said of its load.
+        load: Option<Load>,
     },
     /// The server turned it away, as it is full.
     Full,
@@ -79,60 +108,16 @@
     Void,
 }
 
-#[derive(Debug)]
-struct Server {
-    about: Description,
-    in_flight: usize,
-    /// The time that it takes against the usual one.
-    ratio: f64,
-    failures: u32,
-    rests_until: Option<Instant>,
-}
-
-impl Server {
-    fn new(about: Description) -> Self {
-        Self {
-            about,
-            in_flight: 0,
-            ratio: 1.0,
-            failures: 0,
-            rests_until: None,
-        }
-    }
-
-    fn has_room(&self, now: Instant) -> bool {
-        !self.about.leaving
-            && self.in_flight < self.about.slots
-            && self.rests_until.is_none_or(|until| until <= now)
-    }
-
-    /// How little it is wanted: the part of its window that is taken, on a slow server more.
-    fn cost(&self) -> f64 {
-        (self.in_flight as f64 + 0.5) / self.about.slots as f64 * self.ratio
-    }
-
-    fn rest(&mut self, now: Instant) {
-        let rest = REST * 2_u32.saturating_pow(self.failures.min(6));
-        self.failures += 1;
-        self.rests_until = Some(now + rest.min(LONGEST_REST));
-    }
-}
-
-/// The servers of one service and the requests that wait for them.
-#[derive(Debug, Default)]
-struct Pool {
-    servers: Vec<Server>,
-    queue: BTreeMap<(i64, Ticket), Ask>,
-    /// The usual time for one unit of work, in milliseconds.
-    pace: Option<f64>,
-}
-
 /// A request that runs at a server.
 #[derive(Debug)]
 struct Flight {
     service: Arc<str>,
     server: Arc<str>,
     line: Option<u64>,
+    program: Option<u64>,
+    since: Instant,
+    /// Requests from here that ran there at its start, this one included.
+    together: usize,
 }
 
 /// Whether a request may go.
@@ -144,15 +129,51 @@
     Waiting,
     /// The service has no server.
     NoServer,
+    /// It can't be served in the time that it may wait; it may come back after this time.
+    Refused(Duration),
+}
+
+/// What has changed with time.
+#[derive(Debug, Default)]
+pub struct Ticked {
+    /// Requests that may go, and to which server.
+    pub granted: Vec<(Permit, Arc<str>)>,
+    /// Requests that are given up; they have not run.
+    pub refused: Vec<Permit>,
+}
+
+/// A service for whose servers requests wait.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Crowd<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// Requests of programs that were let in.
+    pub in_time: usize,
+    /// Requests of programs that may still end within twice their time.
+    pub late: usize,
+    /// Requests of programs past that.
+    pub past: usize,
+    /// Places that are taken by requests from here.
+    pub running: usize,
+    /// Places that can be used now.
+    pub places: f64,
+    /// Requests granted in a second.
+    pub per_second: f64,
+    /// Programs that were let in.
+    pub programs: usize,
+    /// Places that a program needs at a time, by rank.
+    pub needs: &'a BTreeMap<u8, f64>,
 }
 
 /// The windows of all servers.
 #[derive(Debug, Default)]
 pub struct Dispatcher {
     pools: HashMap<Arc<str>, Pool>,
-    flights: HashMap<Ticket, Flight>,
-    waiting: HashMap<Ticket, (Arc<str>, i64)>,
+    flights: HashMap<Permit, Flight>,
+    waiting: HashMap<Permit, Arc<str>>,
     lines: HashMap<u64, Arc<str>>,
+    epoch: Option<Instant>,
+    swept: Option<Instant>,
 }
 
 impl Dispatcher {
@@ -185,27 +206,58 @@
     }
 
     /// Takes in a request.
-    pub fn ask(&mut self, now: Instant, ticket: Ticket, ask: Ask) -> Verdict {
+    pub fn ask(&mut self, now: Instant, permit: Permit, ask: Ask) -> Verdict {
+        let clock = self.clock(now);
         let Some(pool) = self.pools.get_mut(&ask.service) else {
             return Verdict::NoServer;
         };
         if pool.servers.iter().all(|server| server.about.leaving) {
             return Verdict::NoServer;
         }
-        let first = pool.queue.first_key_value();
-        let goes_first = first.is_none_or(|((urgency, _), _)| ask.urgency < *urgency);
-        if goes_first && let Some(index) = choose(&pool.servers, &ask, &self.lines, now) {
-            return Verdict::Granted(self.start(ticket, &ask, index));
+        let capacity = pool.capacity(now);
+        let standing = pool.programs.arrive(now, clock, &ask, capacity);
+        let (band, _) = standing.band(clock);
+        let ahead = pool.queue.ahead(band);
+        if ahead == 0
+            && let Some(index) = choose(&pool.servers, &ask, &self.lines, now)
+        {
+            return Verdict::Granted(self.start(now, permit, &ask, index));
+        }
+        if let Some(back) = pool.hopeless(now, band, &ask) {
+            pool.over(now, ask.program, Duration::ZERO);
+            return Verdict::Refused(back);
         }
-        let key = (ask.urgency, ticket);
-        self.waiting
-            .insert(ticket, (Arc::clone(&ask.service), ask.urgency));
-        pool.queue.insert(key, ask);
+        self.waiting.insert(permit, Arc::clone(&ask.service));
+        pool.queue.push(clock, permit, Waiting { ask, standing });
         Verdict::Waiting
     }
 
+    /// Gives the requests that may go now, and those that are given up: a caller that waits long and
+    /// is not served in the end has waited for nothing.
+    pub fn tick(&mut self, now: Instant) -> Ticked {
+        let clock = self.clock(now);
+        if self.swept.is_none_or(|swept| swept + SWEEP <= now) {
+            self.swept = Some(now);
+            for pool in self.pools.values_mut() {
+                pool.sweep(now, clock);
+            }
+        }
+        let granted = self.grant(now);
+        let mut refused = Vec::new();
+        for pool in self.pools.values_mut() {
+            for permit in pool.queue.behind(|waiting| waiting.is_held(clock)) {
+                if let Some(waiting) = pool.queue.remove(permit) {
+                    pool.over(now, waiting.ask.program, Duration::ZERO);
+                    self.waiting.remove(&permit);
+                    refused.push(permit);
+                }
+            }
+        }
+        Ticked { granted, refused }
+    }
+
     /// Gives the requests that may go now.
-    pub fn grant(&mut self, now: Instant) -> Vec<(Ticket, Arc<str>)> {
+    pub fn grant(&mut self, now: Instant) -> Vec<(Permit, Arc<str>)> {
         let services: Vec<_> = self
             .pools
             .iter()
@@ -223,28 +275,43 @@
         &mut self,
         now: Instant,
         service: &Arc<str>,
-        granted: &mut Vec<(Ticket, Arc<str>)>,
+        granted: &mut Vec<(Permit, Arc<str>)>,
     ) {
-        while let Some(pool) = self.pools.get_mut(service) {
-            let Some((&key, ask)) = pool.queue.first_key_value() else {
+        let clock = self.clock(now);
+        let Some(pool) = self.pools.get_mut(service) else {
+            return;
+        };
+        for permit in pool.queue.first(clock, SCAN) {
+            let Some(pool) = self.pools.get_mut(service) else {
                 return;
             };
-            let Some(index) = choose(&pool.servers, ask, &self.lines, now) else {
-                return;
+            let Some((waiting, band)) = pool.queue.get(permit) else {
+                continue;
             };
-            let Some(ask) = pool.queue.remove(&key) else {
+            let Some(index) = choose(&pool.servers, &waiting.ask, &self.lines, now) else {
                 return;
             };
-            self.waiting.remove(&key.1);
-            granted.push((key.1, self.start(key.1, &ask, index)));
+            let Some(waiting) = pool.queue.remove(permit) else {
+                continue;
+            };
+            pool.queue.granted();
+            if band != Band::OnTime {
+                pool.late.count(now);
+            }
+            self.waiting.remove(&permit);
+            granted.push((permit, self.start(now, permit, &waiting.ask, index)));
         }
     }
 
-    fn start(&mut self, ticket: Ticket, ask: &Ask, index: usize) -> Arc<str> {
+    fn start(&mut self, now: Instant, permit: Permit, ask: &Ask, index: usize) -> Arc<str> {
         let pool = self
             .pools
             .get_mut(&ask.service)
             .expect("the pool was just found");
+        pool.flow.count(now);
+        if let Some(program) = ask.program {
+            pool.programs.granted(program);
+        }
         let server = &mut pool.servers[index];
         server.in_flight += 1;
         let id = Arc::clone(&server.about.id);
@@ -252,32 +319,42 @@
             service: Arc::clone(&ask.service),
             server: Arc::clone(&id),
             line: ask.line,
+            program: ask.program,
+            since: now,
+            together: server.in_flight,
         };
-        self.flights.insert(ticket, flight);
+        self.flights.insert(permit, flight);
         id
     }
 
     /// A request is over, whether it waited or ran.
-    pub fn done(&mut self, now: Instant, ticket: Ticket, outcome: Outcome) {
-        if let Some((service, urgency)) = self.waiting.remove(&ticket)
+    pub fn done(&mut self, now: Instant, permit: Permit, outcome: Outcome) {
+        if let Some(service) = self.waiting.remove(&permit)
             && let Some(pool) = self.pools.get_mut(&service)
         {
-            pool.queue.remove(&(urgency, ticket));
+            let waited = pool.queue.remove(permit);
+            let program = waited.and_then(|waiting| waiting.ask.program);
+            pool.over(now, program, Duration::ZERO);
         }
-        let Some(flight) = self.flights.remove(&ticket) else {
+        let Some(flight) = self.flights.remove(&permit) else {
             return;
         };
         let Some(pool) = self.pools.get_mut(&flight.service) else {
             return;
         };
+        let took = now.saturating_duration_since(flight.since);
+        pool.over(now, flight.program, took);
         let mut servers = pool.servers.iter_mut();
         let Some(server) = servers.find(|server| server.about.id == flight.server) else {
             return;
         };
         server.in_flight = server.in_flight.saturating_sub(1);
         match outcome {
-            Outcome::Done { took, work } => {
+            Outcome::Done { took, work, load } => {
                 server.failures = 0;
+                if let Some(load) = load {
+                    server.report(load, flight.together);
+                }
                 learn(server, &mut pool.pace, took, work);
                 if let Some(line) = flight.line {
                     if self.lines.len() >= LINES {
@@ -291,12 +368,24 @@
         }
     }
 
-    /// When a resting server is to be tried again, if one rests while requests wait.
+    /// The load of the services for which requests wait.
+    pub fn loads(&self, now: Instant) -> impl Iterator<Item = Crowd<'_>> {
+        let pools = self.pools.iter();
+        let crowded = pools.filter(|(_, pool)| !pool.queue.is_empty());
+        crowded.map(move |(service, pool)| pool.crowd(now, service))
+    }
+
+    /// Whether requests wait.
     #[must_use]
-    pub fn next(&self) -> Option<Instant> {
-        let pools = self.pools.values().filter(|pool| !pool.queue.is_empty());
-        let servers = pools.flat_map(|pool| &pool.servers);
-        servers.filter_map(|server| server.rests_until).min()
+    pub fn is_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
+    /// Milliseconds since the first request.
+    fn clock(&mut self, now: Instant) -> i64 {
+        let epoch = *self.epoch.get_or_insert(now);
+        let since = now.saturating_duration_since(epoch).as_millis();
+        i64::try_from(since).unwrap_or(i64::MAX)
     }
 
     /// Requests that wait and requests that run at each server, by service.
@@ -306,6 +395,7 @@
             let servers = pool.servers.iter().map(|server| {
                 let row = serde_json::json!({
                     "in_flight": server.in_flight,
+                    "others": server.others,
                     "slots": server.about.slots,
                     "slowness": server.ratio,
                     "failures": server.failures,
@@ -313,52 +403,15 @@
                 (server.about.id.to_string(), row)
             });
             let servers: serde_json::Map<_, _> = servers.collect();
-            let row = serde_json::json!({ "waiting": pool.queue.len(), "servers": servers });
+            let (known, promised) = pool.programs.len();
+            let row = serde_json::json!({
+                "waiting": pool.queue.len(),
+                "programs": known,
+                "programs_let_in": promised,
+                "servers": servers,
+            });
             (service.to_string(), row)
         });
         serde_json::Value::Object(pools.collect())
     }
 }
-
-fn learn(server: &mut Server, pace: &mut Option<f64>, took: Duration, work: f64) {
-    let sample = took.as_secs_f64() * 1000.0 / work.max(0.001);
-    let usual = pace.get_or_insert(sample);
-    let ratio = (sample / usual.max(0.001)).clamp(RATIO.0, RATIO.1);
-    server.ratio += NEWEST * (ratio - server.ratio);
-    // A server that is slow must not make the usual time longer.
-    *usual += NEWEST / 8.0 * (sample / server.ratio.max(RATIO.0) - *usual);
-}
-
-fn choose(
-    servers: &[Server],
-    ask: &Ask,
-    lines: &HashMap<u64, Arc<str>>,
-    now: Instant,
-) -> Option<usize> {
-    let line = ask.line.and_then(|line| lines.get(&line));
-    let cost = |server: &Server| {
-        let far = if server.about.zone == ask.zone {
-            0.0
-        } else {
-            FAR
-        };
-        let near = if line == Some(&server.about.id) {
-            NEAR_LINE
-        } else {
-            0.0
-        };
-        let avoided = if ask.avoid.contains(&server.about.id) {
-            100.0
-        } else {
-            0.0
-        };
-        server.cost() + far + avoided - near
-    };
-    let open = servers
-        .iter()
-        .enumerate()
-        .filter(|(_, server)| server.has_room(now));
-    open.map(|(index, server)| (index, cost(server)))
-        .min_by(|(_, one), (_, other)| one.total_cmp(other))
-        .map(|(index, _)| index)
-}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,14 +5,20 @@
 pub mod admit;
 pub mod allowance;
 pub mod ask;
+mod backlog;
 pub mod cache;
 pub mod dispatch;
 pub mod estimate;
+mod flow;
 pub mod forecast;
 pub mod pace;
 pub mod pool;
+mod programs;
 mod queue;
 mod server;
+mod slack;
+mod standing;
+mod window;
 
 pub use ask::{Action, Ask, Outcome};
 pub use pool::Pool;
--- a/src/policy/pool.rs
+++ b/src/policy/pool.rs
@@ -2,8 +2,9 @@
 
 use super::ask::{Action, Ask, Outcome};
 use super::pace::{Pace, Rates};
-use super::queue::{Band, Queue, Waiting};
+use super::queue::{Band, Queue};
 use super::server::Server;
+use super::slack::Waiting;
 use crate::code::{Code, Failure};
 use crate::id::{Permit, Program, Server as Name};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -54,7 +55,7 @@
     resting: BTreeSet<(Instant, usize)>,
     running: HashMap<Permit, usize>,
     places: HashMap<Program, Vec<usize>>,
-    queue: Queue,
+    queue: Queue<Waiting>,
     pace: Pace,
     epoch: Option<Instant>,
     exports: bool,
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -1,16 +1,8 @@
 //! Calls that wait, in the order in which they should go.
 
-use super::ask::Ask;
 use crate::id::Permit;
 use std::collections::{BTreeSet, HashMap};
 
-/// One in so many grants goes to a program that can no longer make its target.
-const LATE_SHARE: u64 = 8;
-/// Share of the remaining time by which the estimate may be off before a program counts as late.
-const TOLERANCE: f64 = 0.5;
-/// A program whose slack is so many times what remains only fills what others leave.
-const FILLS: f64 = 6.0;
-
 /// Where a call stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Band {
@@ -22,63 +14,30 @@
     Late,
 }
 
-/// A call that waits. Times are milliseconds of the pool's clock.
-#[derive(Debug, Clone)]
-pub(super) struct Waiting {
-    pub(super) ask: Ask,
-    /// When it must start for the whole program to make its target.
-    pub(super) start_by: i64,
-    pub(super) asked: i64,
-}
-
-impl Waiting {
-    fn rest(&self) -> i64 {
-        i64::try_from(self.ask.remaining_ms).unwrap_or(i64::MAX)
-    }
-
-    #[expect(clippy::cast_possible_truncation, reason = "milliseconds")]
-    fn shifted(&self, share: f64) -> i64 {
-        let shift = (self.rest() as f64 * share) as i64;
-        self.start_by.saturating_add(shift)
-    }
+/// How a call that waits is ordered. Times are milliseconds of the queue's clock.
+pub(super) trait Order {
+    /// One in so many grants goes to a program that can no longer make its target.
+    const LATE_SHARE: u64;
 
     /// The band at a time, and when that ends.
-    fn band(&self, now: i64) -> (Band, i64) {
-        let tightens = self.shifted(-FILLS);
-        let late = self.shifted(TOLERANCE);
-        // Nothing is known of what remains where it is zero.
-        if self.ask.remaining_ms > 0 && now <= tightens {
-            (Band::Fills, tightens)
-        } else if now <= late {
-            (Band::OnTime, late)
-        } else {
-            (Band::Late, i64::MAX)
-        }
-    }
+    fn band(&self, now: i64) -> (Band, i64);
 
-    fn key(&self, band: Band) -> i64 {
-        match band {
-            // The shortest rest first: what has begun ends, and its cache is not held for long.
-            Band::Fills => self.rest(),
-            Band::OnTime => self.start_by,
-            // The same, but waiting counts against it, so that none starves.
-            Band::Late => self.asked.saturating_add(self.rest()),
-        }
-    }
+    /// The place within a band; the lowest goes first.
+    fn key(&self, band: Band) -> i64;
 }
 
 #[derive(Debug)]
-struct Place {
-    waiting: Waiting,
+struct Place<W> {
+    waiting: W,
     band: Band,
     until: i64,
 }
 
 /// The calls that wait: by least slack those that can make their target, then the late ones,
 /// then those that only fill.
-#[derive(Debug, Default)]
-pub(super) struct Queue {
-    places: HashMap<Permit, Place>,
+#[derive(Debug)]
+pub(super) struct Queue<W> {
+    places: HashMap<Permit, Place<W>>,
     fills: BTreeSet<(i64, Permit)>,
     on_time: BTreeSet<(i64, Permit)>,
     late: BTreeSet<(i64, Permit)>,
@@ -86,7 +45,20 @@
     grants: u64,
 }
 
-impl Queue {
+impl<W> Default for Queue<W> {
+    fn default() -> Self {
+        Self {
+            places: HashMap::new(),
+            fills: BTreeSet::new(),
+            on_time: BTreeSet::new(),
+            late: BTreeSet::new(),
+            changes: BTreeSet::new(),
+            grants: 0,
+        }
+    }
+}
+
+impl<W: Order> Queue<W> {
     pub(super) fn len(&self) -> usize {
         self.places.len()
     }
@@ -95,12 +67,12 @@
         self.places.is_empty()
     }
 
-    pub(super) fn get(&self, permit: Permit) -> Option<(&Waiting, Band)> {
+    pub(super) fn get(&self, permit: Permit) -> Option<(&W, Band)> {
         let place = self.places.get(&permit)?;
         Some((&place.waiting, place.band))
     }
 
-    pub(super) fn push(&mut self, now: i64, permit: Permit, waiting: Waiting) {
+    pub(super) fn push(&mut self, now: i64, permit: Permit, waiting: W) {
         let (band, until) = waiting.band(now);
         self.order(band).insert((waiting.key(band), permit));
         if until < i64::MAX {
@@ -114,7 +86,7 @@
         self.places.insert(permit, place);
     }
 
-    pub(super) fn remove(&mut self, permit: Permit) -> Option<Waiting> {
+    pub(super) fn remove(&mut self, permit: Permit) -> Option<W> {
         let Place {
             waiting,
             band,
@@ -133,6 +105,30 @@
         }
     }
 
+    /// Calls that go before a new one of this band.
+    pub(super) fn ahead(&self, band: Band) -> usize {
+        match band {
+            Band::OnTime => self.on_time.len(),
+            Band::Late => self.on_time.len() + self.late.len(),
+            Band::Fills => self.len(),
+        }
+    }
+
+    /// Calls that wait: those in time, the late ones, and those that only fill.
+    pub(super) fn bands(&self) -> [usize; 3] {
+        [self.on_time.len(), self.late.len(), self.fills.len()]
+    }
+
+    /// Calls that can no longer make their target and for which `over` holds.
+    pub(super) fn behind(&self, over: impl Fn(&W) -> bool) -> Vec<Permit> {
+        let behind = self.late.iter().chain(&self.fills);
+        let places = behind.filter_map(|(_, permit)| Some((permit, self.places.get(permit)?)));
+        places
+            .filter(|(_, place)| over(&place.waiting))
+            .map(|(permit, _)| *permit)
+            .collect()
+    }
+
     /// Counts a grant, which decides when late calls have their turn.
     pub(super) fn granted(&mut self) {
         self.grants += 1;
@@ -142,7 +138,7 @@
     /// as many of those that fill.
     pub(super) fn first(&mut self, now: i64, count: usize) -> Vec<Permit> {
         self.sort_out(now);
-        let turn = usize::from(self.grants % LATE_SHARE == LATE_SHARE - 1);
+        let turn = usize::from(self.grants % W::LATE_SHARE == W::LATE_SHARE - 1);
         let late = self.late.iter().take(turn);
         let on_time = self.on_time.iter();
         let competing = late
--- /dev/null
+++ b/src/policy/window.rs
@@ -0,0 +1,127 @@
+//! The window of one backend server: what runs there, how fast it is, and whether it is wanted.
+//!
+//! Load it answers: servers that are slow, fail, or run requests of others. Each is judged by its
+//! own answers against those of its kind; one that fails rests, and is then tried again.
+
+use super::dispatch::{Ask, Description, Load};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// How long a server rests after a failure; doubled with each further one in a row.
+const REST: Duration = Duration::from_millis(250);
+/// The longest rest: a server that is back should be found again within a few seconds.
+const LONGEST_REST: Duration = Duration::from_secs(4);
+/// Weight of the newest answer in the time that a server takes against its kind.
+const NEWEST: f64 = 0.15;
+/// Bounds of that ratio, so that one odd answer does not decide.
+const RATIO: (f64, f64) = (0.25, 8.0);
+/// What it costs to leave the zone, in parts of a server's window: bytes between zones are paid
+/// for, but a wait costs more.
+const FAR: f64 = 0.12;
+/// What it saves to go where the line of turns was before, in parts of a window: its prompt is
+/// kept there, and reading it again holds up all that run there for a tenth of a turn each.
+const NEAR_LINE: f64 = 1.0;
+/// Weight of the newest report in what a server runs beyond the requests sent from here.
+const NEWEST_REPORT: f64 = 0.1;
+
+/// One server.
+#[derive(Debug)]
+pub(super) struct Server {
+    pub(super) about: Description,
+    pub(super) in_flight: usize,
+    /// Requests of others that run there; below zero where requests sent from here have ended
+    /// without a word.
+    pub(super) others: f64,
+    /// The time that it takes against the usual one.
+    pub(super) ratio: f64,
+    pub(super) failures: u32,
+    pub(super) rests_until: Option<Instant>,
+}
+
+impl Server {
+    pub(super) fn new(about: Description) -> Self {
+        Self {
+            about,
+            in_flight: 0,
+            others: 0.0,
+            ratio: 1.0,
+            failures: 0,
+            rests_until: None,
+        }
+    }
+
+    pub(super) fn is_usable(&self, now: Instant) -> bool {
+        !self.about.leaving && self.rests_until.is_none_or(|until| until <= now)
+    }
+
+    pub(super) fn has_room(&self, now: Instant) -> bool {
+        self.is_usable(now) && self.taken() + 0.5 <= self.about.slots as f64
+    }
+
+    /// How little it is wanted: the part of its window that is taken, on a slow server more.
+    pub(super) fn cost(&self) -> f64 {
+        (self.taken() + 0.5) / self.about.slots as f64 * self.ratio
+    }
+
+    /// Places that are taken, as far as is known.
+    pub(super) fn taken(&self) -> f64 {
+        (self.in_flight as f64 + self.others).max(0.0)
+    }
+
+    /// Takes in a report that was made when so many requests from here ran there.
+    pub(super) fn report(&mut self, load: Load, in_flight: usize) {
+        let others = (load.running + load.waiting) as f64 - in_flight as f64;
+        self.others += NEWEST_REPORT * (others - self.others);
+    }
+
+    pub(super) fn rest(&mut self, now: Instant) {
+        let rest = REST * 2_u32.saturating_pow(self.failures.min(6));
+        self.failures += 1;
+        self.rests_until = Some(now + rest.min(LONGEST_REST));
+    }
+}
+
+pub(super) fn learn(server: &mut Server, pace: &mut Option<f64>, took: Duration, work: f64) {
+    let sample = took.as_secs_f64() * 1000.0 / work.max(0.001);
+    let usual = pace.get_or_insert(sample);
+    let ratio = (sample / usual.max(0.001)).clamp(RATIO.0, RATIO.1);
+    server.ratio += NEWEST * (ratio - server.ratio);
+    // A server that is slow must not make the usual time longer.
+    *usual += NEWEST / 8.0 * (sample / server.ratio.max(RATIO.0) - *usual);
+}
+
+pub(super) fn choose(
+    servers: &[Server],
+    ask: &Ask,
+    lines: &HashMap<u64, Arc<str>>,
+    now: Instant,
+) -> Option<usize> {
+    let line = ask.line.and_then(|line| lines.get(&line));
+    let cost = |server: &Server| {
+        let far = if server.about.zone == ask.zone {
+            0.0
+        } else {
+            FAR
+        };
+        let near = if line == Some(&server.about.id) {
+            NEAR_LINE
+        } else {
+            0.0
+        };
+        let avoided = if ask.avoid.contains(&server.about.id) {
+            100.0
+        } else {
+            0.0
+        };
+        server.cost() + far + avoided - near
+    };
+    let open = servers
+        .iter()
+        .enumerate()
+        .filter(|(_, server)| server.has_room(now));
+    open.map(|(index, server)| (index, cost(server)))
+        .min_by(|(_, one), (_, other)| one.total_cmp(other))
+        .map(|(index, _)| index)
+}
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -141,6 +141,23 @@
     assert_eq!(ledger.len(), 1);
 }
 
+/// The store is away, a program gets tokens without a record, and then all VMs lose power. Nobody
+/// knows of them any more; so they were bounded, and the bound counts as spent afterwards, without
+/// which the program would get 290 tokens more than its budget and a turn.
+#[test]
+fn what_was_given_without_a_record_counts_as_spent_after_a_loss() {
+    let now = Instant::now();
+    let mut ledger = Ledger::default();
+    ledger.reserve(now, "p", reservation(1), turn(0));
+    assert!(ledger.bears("p", turn(0)));
+    ledger.reserve(now, "p", reservation(2), turn(0));
+    assert!(!ledger.bears("p", turn(0)));
+    let mut next = Ledger::default();
+    next.doubt();
+    next.reserve(now, "p", reservation(3), turn(0));
+    assert_eq!(next.standing("p"), (1, BUDGET / 2 + MOST));
+}
+
 #[derive(Debug, Clone)]
 enum Step {
     /// A turn asks, and if it may, hands out a part of its most.
@@ -151,6 +168,12 @@
     HandOver,
     /// The answer to the newest record is lost: it is durable, and the turn does not run.
     LostRecord,
+    /// From now on nothing can be recorded; what is given is kept by other VMs.
+    Outage,
+    /// All is recorded again.
+    Back,
+    /// All VMs are lost, and with them what was not recorded.
+    Loss,
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -159,6 +182,9 @@
         1 => Just(Step::Crash),
         1 => Just(Step::HandOver),
         1 => Just(Step::LostRecord),
+        1 => Just(Step::Outage),
+        1 => Just(Step::Back),
+        1 => Just(Step::Loss),
     ]
 }
 
@@ -170,6 +196,7 @@
         let mut durable: HashMap<&str, u64> = HashMap::new();
         let mut ledger = Ledger::default();
         let mut handed = 0;
+        let mut away = false;
         for (number, step) in steps.into_iter().enumerate() {
             let reservation = reservation(number as u64);
             match step {
@@ -177,6 +204,12 @@
                     match ledger.reserve(now, "p", reservation, turn(0)) {
                         Verdict::Spent => continue,
                         Verdict::Covered => {}
+                        Verdict::Record(_) if away => {
+                            if !ledger.bears("p", turn(0)) {
+                                ledger.settle(now, reservation, 0);
+                                continue;
+                            }
+                        }
                         Verdict::Record(allowed) => {
                             durable.insert("p", allowed);
                             ledger.recorded("p", allowed);
@@ -187,6 +220,25 @@
                         ledger.settle(now, reservation, used);
                     }
                 }
+                Step::Outage => away = true,
+                Step::Back => {
+                    away = false;
+                    // What was given meanwhile is recorded first.
+                    let (_, total) = ledger.standing("p");
+                    if total > ledger.allowed("p") {
+                        durable.insert("p", total);
+                        ledger.recorded("p", total);
+                    }
+                }
+                Step::Loss => {
+                    let lost = std::mem::take(&mut ledger);
+                    ledger.restore(now, "p", durable.get("p").copied().unwrap_or(0));
+                    if away || lost.is_doubtful() {
+                        ledger.doubt();
+                    }
+                    away = false;
+                }
+                Step::Crash | Step::LostRecord if away => {}
                 Step::LostRecord => {
                     if let Verdict::Record(allowed) = ledger.reserve(now, "p", reservation, turn(0)) {
                         durable.insert("p", allowed);
@@ -194,12 +246,19 @@
                     ledger.settle(now, reservation, 0);
                 }
                 Step::Crash => {
+                    let doubtful = ledger.is_doubtful();
                     ledger = Ledger::default();
                     ledger.restore(now, "p", durable.get("p").copied().unwrap_or(0));
+                    if doubtful {
+                        ledger.doubt();
+                    }
                 }
                 Step::HandOver => {
-                    let entries = ledger.export();
+                    let (entries, doubtful) = (ledger.export(), ledger.is_doubtful());
                     ledger = Ledger::default();
+                    if doubtful {
+                        ledger.doubt();
+                    }
                     ledger.restore(now, "p", durable.get("p").copied().unwrap_or(0));
                     for entry in entries {
                         ledger.adopt(now, entry);
--- a/tests/budget.rs
+++ b/tests/budget.rs
@@ -165,3 +165,32 @@
         );
     }
 }
+
+/// The store is away for some seconds, in which a looping program gets tokens that nobody can
+/// record. Then all VMs are killed, and the store is back before them. The VMs that start know
+/// from the age of the newest records that some may be missing, and stop the program early enough.
+#[test]
+fn the_budget_holds_over_the_loss_of_all_vms_in_an_outage() {
+    let backend = engine(20);
+    let (store, mut vms) = site(&backend, 2);
+    let mut handed = turn(&vms[0], "p", 870, "first").1;
+    store.set_down(true);
+    for number in 0..12 {
+        handed += turn(&vms[number % 2], "p", 870, &format!("a{number}")).1;
+    }
+    std::thread::sleep(std::time::Duration::from_secs(4));
+    for vm in &mut vms {
+        vm.kill();
+    }
+    store.set_down(false);
+    for vm in &mut vms {
+        vm.restart();
+    }
+    for vm in &vms {
+        vm.wait_ready();
+    }
+    for number in 0..12 {
+        handed += turn(&vms[number % 2], "p", 870, &format!("b{number}")).1;
+    }
+    assert!(handed <= 870 + 290, "{handed}");
+}
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
-use vanillatrail::policy::dispatch::{Ask, Description, Dispatcher, Outcome, Ticket, Verdict};
+use vanillatrail::id::Permit;
+use vanillatrail::policy::dispatch::{Ask, Description, Dispatcher, Load, Outcome, Verdict};
 
 fn server(id: &str, zone: &str, slots: usize) -> Description {
     Description {
@@ -15,16 +16,38 @@
     }
 }
 
-fn ask(urgency: i64) -> Ask {
+/// A request of a route of this rank that is part of no program.
+fn ask(rank: u8) -> Ask {
     Ask {
         service: "pool".into(),
         zone: "a".into(),
-        urgency,
+        rank,
+        program: None,
+        turns: 0,
+        left_ms: 1000,
+        limit_ms: 4000,
         line: None,
         avoid: Vec::new(),
     }
 }
 
+/// A turn of a program that should be finished in `left_ms`.
+fn turn(program: u64, left_ms: i64) -> Ask {
+    Ask {
+        program: Some(program),
+        left_ms,
+        ..ask(0)
+    }
+}
+
+const fn done(took: Duration) -> Outcome {
+    Outcome::Done {
+        took,
+        work: 1.0,
+        load: None,
+    }
+}
+
 fn granted(verdict: Verdict) -> Arc<str> {
     match verdict {
         Verdict::Granted(server) => server,
@@ -33,22 +56,22 @@
 }
 
 /// A burst fills every server, and more requests come. The servers would admit them in the order of
-/// arrival; here the most urgent one goes first when a place is free.
+/// arrival; here the one of the highest rank goes first when a server is done.
 #[test]
-fn the_most_urgent_request_goes_first() {
+fn the_highest_rank_goes_first() {
     let (now, mut dispatcher) = (Instant::now(), Dispatcher::default());
     dispatcher.configure([server("s", "a", 1)]);
-    granted(dispatcher.ask(now, Ticket(1), ask(100)));
-    for (ticket, urgency) in [(2, 300), (3, 200), (4, 250)] {
+    granted(dispatcher.ask(now, Permit(1), ask(0)));
+    for (permit, rank) in [(2, 2), (3, 0), (4, 1)] {
         assert_eq!(
-            dispatcher.ask(now, Ticket(ticket), ask(urgency)),
+            dispatcher.ask(now, Permit(permit), ask(rank)),
             Verdict::Waiting
         );
     }
-    dispatcher.done(now, Ticket(1), Outcome::Void);
+    dispatcher.done(now, Permit(1), Outcome::Void);
     let first = dispatcher.grant(now);
     assert_eq!(first.len(), 1);
-    assert_eq!(first[0].0, Ticket(3));
+    assert_eq!(first[0].0, Permit(3));
 }
 
 /// Requests spread over the servers of a service, first within the zone that they come from.
@@ -56,8 +79,8 @@
 fn the_emptier_server_is_chosen_and_the_own_zone_preferred() {
     let (now, mut dispatcher) = (Instant::now(), Dispatcher::default());
     dispatcher.configure([server("near", "a", 4), server("far", "b", 4)]);
-    assert_eq!(&*granted(dispatcher.ask(now, Ticket(1), ask(0))), "near");
-    assert_eq!(&*granted(dispatcher.ask(now, Ticket(2), ask(0))), "far");
+    assert_eq!(&*granted(dispatcher.ask(now, Permit(1), ask(0))), "near");
+    assert_eq!(&*granted(dispatcher.ask(now, Permit(2), ask(0))), "far");
 }
 
 /// A server that fails its requests rests, longer each time, and is then tried again; callers are
@@ -66,17 +89,17 @@
 fn a_failing_server_rests_and_comes_back() {
     let (now, mut dispatcher) = (Instant::now(), Dispatcher::default());
     dispatcher.configure([server("good", "b", 4), server("bad", "a", 4)]);
-    assert_eq!(&*granted(dispatcher.ask(now, Ticket(1), ask(0))), "bad");
-    dispatcher.done(now, Ticket(1), Outcome::Failed);
-    for ticket in 2..5 {
+    assert_eq!(&*granted(dispatcher.ask(now, Permit(1), ask(0))), "bad");
+    dispatcher.done(now, Permit(1), Outcome::Failed);
+    for permit in 2..5 {
         assert_eq!(
-            &*granted(dispatcher.ask(now, Ticket(ticket), ask(0))),
+            &*granted(dispatcher.ask(now, Permit(permit), ask(0))),
             "good"
         );
-        dispatcher.done(now, Ticket(ticket), Outcome::Void);
+        dispatcher.done(now, Permit(permit), Outcome::Void);
     }
     let later = now + Duration::from_secs(5);
-    assert_eq!(&*granted(dispatcher.ask(later, Ticket(9), ask(0))), "bad");
+    assert_eq!(&*granted(dispatcher.ask(later, Permit(9), ask(0))), "bad");
 }
 
 /// A server works five times slower than the others and says nothing of it. Its answers tell, and
@@ -85,24 +108,24 @@
 fn a_slow_server_gets_less() {
     let (now, mut dispatcher) = (Instant::now(), Dispatcher::default());
     dispatcher.configure([server("fast", "a", 16), server("slow", "a", 16)]);
-    let mut running: Vec<(u64, Ticket, u64)> = Vec::new();
+    let mut running: Vec<(u64, Permit, u64)> = Vec::new();
     let (mut slow, mut clock) = (0, 0);
     for number in 0..400 {
         clock += 10;
         let at = now + Duration::from_millis(clock);
-        running.retain(|&(end, ticket, took)| {
+        running.retain(|&(end, permit, took)| {
             if end <= clock {
                 let took = Duration::from_millis(took);
-                dispatcher.done(at, ticket, Outcome::Done { took, work: 1.0 });
+                dispatcher.done(at, permit, done(took));
             }
             end > clock
         });
-        let chosen = granted(dispatcher.ask(at, Ticket(number), ask(0)));
+        let chosen = granted(dispatcher.ask(at, Permit(number), ask(0)));
         let took = if &*chosen == "slow" { 250 } else { 50 };
         if number >= 200 && &*chosen == "slow" {
             slow += 1;
         }
-        running.push((clock + took, Ticket(number), took));
+        running.push((clock + took, Permit(number), took));
     }
     assert!(slow < 60, "{slow} of 200 to the slow server");
 }
@@ -117,9 +140,9 @@
         ..server("s", "a", 4)
     };
     dispatcher.configure([leaving.clone(), server("t", "b", 4)]);
-    assert_eq!(&*granted(dispatcher.ask(now, Ticket(1), ask(0))), "t");
+    assert_eq!(&*granted(dispatcher.ask(now, Permit(1), ask(0))), "t");
     dispatcher.configure([leaving]);
-    assert_eq!(dispatcher.ask(now, Ticket(2), ask(0)), Verdict::NoServer);
+    assert_eq!(dispatcher.ask(now, Permit(2), ask(0)), Verdict::NoServer);
 }
 
 /// The next turn of a line goes where its prompt is kept, unless that server is busier.
@@ -131,12 +154,12 @@
         line: Some(line),
         ..ask(0)
     };
-    let first = granted(dispatcher.ask(now, Ticket(1), line(7)));
+    let first = granted(dispatcher.ask(now, Permit(1), line(7)));
     let took = Duration::from_millis(50);
-    dispatcher.done(now, Ticket(1), Outcome::Done { took, work: 1.0 });
-    for ticket in 2..5 {
-        assert_eq!(granted(dispatcher.ask(now, Ticket(ticket), line(7))), first);
-        dispatcher.done(now, Ticket(ticket), Outcome::Done { took, work: 1.0 });
+    dispatcher.done(now, Permit(1), done(took));
+    for permit in 2..5 {
+        assert_eq!(granted(dispatcher.ask(now, Permit(permit), line(7))), first);
+        dispatcher.done(now, Permit(permit), done(took));
     }
 }
 
@@ -146,15 +169,73 @@
 fn a_request_that_is_given_up_is_not_granted() {
     let (now, mut dispatcher) = (Instant::now(), Dispatcher::default());
     dispatcher.configure([server("s", "a", 1)]);
-    granted(dispatcher.ask(now, Ticket(1), ask(0)));
-    dispatcher.ask(now, Ticket(2), ask(0));
-    dispatcher.ask(now, Ticket(3), ask(1));
-    dispatcher.done(now, Ticket(2), Outcome::Void);
-    dispatcher.done(now, Ticket(1), Outcome::Void);
+    granted(dispatcher.ask(now, Permit(1), ask(0)));
+    dispatcher.ask(now, Permit(2), ask(0));
+    dispatcher.ask(now, Permit(3), ask(1));
+    dispatcher.done(now, Permit(2), Outcome::Void);
+    dispatcher.done(now, Permit(1), Outcome::Void);
     let granted: Vec<_> = dispatcher
         .grant(now)
         .into_iter()
-        .map(|(ticket, _)| ticket)
+        .map(|(permit, _)| permit)
         .collect();
-    assert_eq!(granted, [Ticket(3)]);
+    assert_eq!(granted, [Permit(3)]);
+}
+
+/// More programs come than the servers can finish. Those that were let in go on before a new one
+/// that came earlier, and the new one steps back instead of making all of them late.
+#[test]
+fn programs_that_were_let_in_go_before_those_that_do_not_fit() {
+    let (now, mut dispatcher) = (Instant::now(), Dispatcher::default());
+    dispatcher.configure([server("s", "a", 1)]);
+    granted(dispatcher.ask(now, Permit(1), turn(1, 3000)));
+    assert_eq!(
+        dispatcher.ask(now, Permit(2), turn(2, 3000)),
+        Verdict::Waiting
+    );
+    let later = now + Duration::from_millis(100);
+    assert_eq!(
+        dispatcher.ask(later, Permit(3), turn(1, 2900)),
+        Verdict::Waiting
+    );
+    dispatcher.done(later, Permit(1), done(Duration::from_millis(100)));
+    assert_eq!(dispatcher.grant(later)[0].0, Permit(3));
+}
+
+/// A request of a program that can't end in time waits in vain. It is given up while its caller has
+/// time to come back, and its place in the queue is free.
+#[test]
+fn a_request_that_waits_in_vain_is_given_up() {
+    let (now, mut dispatcher) = (Instant::now(), Dispatcher::default());
+    dispatcher.configure([server("s", "a", 1)]);
+    granted(dispatcher.ask(now, Permit(1), turn(1, 3000)));
+    dispatcher.ask(now, Permit(2), turn(2, 3000));
+    assert!(dispatcher.tick(now).refused.is_empty());
+    let later = now + Duration::from_millis(800);
+    assert_eq!(dispatcher.tick(later).refused, [Permit(2)]);
+    dispatcher.done(later, Permit(1), Outcome::Void);
+    assert!(dispatcher.grant(later).is_empty());
+}
+
+/// VMs that are cut off from this one send requests to the same server. Its reports tell, and it
+/// gets fewer requests from here.
+#[test]
+fn the_load_of_others_takes_places() {
+    let (now, mut dispatcher) = (Instant::now(), Dispatcher::default());
+    dispatcher.configure([server("s", "a", 4)]);
+    let load = Some(Load {
+        running: 4,
+        waiting: 0,
+    });
+    let outcome = Outcome::Done {
+        took: Duration::from_millis(50),
+        work: 1.0,
+        load,
+    };
+    for permit in 0..50 {
+        granted(dispatcher.ask(now, Permit(permit), ask(0)));
+        dispatcher.done(now, Permit(permit), outcome);
+    }
+    granted(dispatcher.ask(now, Permit(100), ask(0)));
+    assert_eq!(dispatcher.ask(now, Permit(101), ask(0)), Verdict::Waiting);
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 /// A store with one server `s` of the service `pool`, and a VM that is ready.
@@ -380,3 +380,51 @@
     let dropped = dropped.and_then(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
     assert!(dropped.unwrap_or(0.0) > 0.0, "{metrics}");
 }
+
+/// Turns come in through three VMs at once, twelve before an engine of four places. The VMs share
+/// one queue: the engine never has more than four, so that those that wait can still be ordered.
+#[test]
+fn the_queue_before_an_engine_is_one_for_all_vms() {
+    let running = std::sync::Arc::new((AtomicUsize::new(0), AtomicUsize::new(0)));
+    let counted = std::sync::Arc::clone(&running);
+    let backend = Backend::start(move |request, _| {
+        let now = counted.0.fetch_add(1, Ordering::SeqCst) + 1;
+        counted.1.fetch_max(now, Ordering::SeqCst);
+        std::thread::sleep(Duration::from_millis(100));
+        counted.0.fetch_sub(1, Ordering::SeqCst);
+        Act::Keep((head(request) + &events(1..=2) + "0\r\n\r\n").into_bytes())
+    });
+    let store = Store::start();
+    store.configure(1, &[("/a/", "stream", json!({}))]);
+    store.register("s", "pool", backend.address, "ready");
+    let vms: Vec<Vm> = (0..3).map(|_| Vm::start(&store)).collect();
+    vms.iter().for_each(Vm::wait_ready);
+    for vm in &vms {
+        until("the VMs know each other", || {
+            let state = vm.state();
+            state["members"]
+                .as_array()
+                .is_some_and(|members| members.len() == 3)
+        });
+    }
+    let callers: Vec<_> = (0..12)
+        .map(|number| {
+            let to = vms[number % 3].callers;
+            std::thread::spawn(move || {
+                let id = format!("r{number}");
+                let headers = [
+                    ("X-Request-Id", &*id),
+                    ("X-Program", &*id),
+                    ("X-Session", &*id),
+                    ("X-Finish-Ms", "4000"),
+                    ("X-Deadline-Ms", "4000"),
+                ];
+                call(to, "POST", "/a/x", &headers, b"").status
+            })
+        })
+        .collect();
+    let statuses = callers.into_iter().map(std::thread::JoinHandle::join);
+    assert!(statuses.flatten().all(|status| status == 200));
+    let most = running.1.load(Ordering::SeqCst);
+    assert!(most <= 4, "{most} at once");
+}
