--- a/src/gateway/counter.rs
+++ b/src/gateway/counter.rs
@@ -84,7 +84,7 @@
     /// Answers a question of another VM.
     pub(crate) async fn answer(self: &Rc<Self>, asked: Asked, question: Question) -> Reply {
         match question {
-            Question::Place(ask) => self.lend(asked, ask).await,
+            Question::Place(ask) => self.lease_to(asked, ask).await,
             Question::Reserve {
                 part,
                 program,
@@ -150,7 +150,7 @@
     /// Takes in what another VM tells.
     pub(crate) async fn noted(&self, from: SocketAddr, note: Note) {
         match note {
-            Note::Left { number, outcome } => self.loans.end(&(from, number), outcome),
+            Note::Left { number, outcome } => self.leases.end(&(from, number), outcome),
             Note::Settled {
                 part,
                 reservation,
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -4,8 +4,8 @@
 use super::feed::{self, World};
 use super::forward;
 use super::keeper::{self, Keeper};
+use super::lease::Leases;
 use super::link::Links;
-use super::loan::Loans;
 use super::metrics::Metrics;
 use super::peers::{self, Peers};
 use super::permit::Desk;
@@ -164,7 +164,7 @@
         zone: settings.zone.as_str().into(),
         links: Links::default(),
         desk: Desk::default(),
-        loans: Loans::default(),
+        leases: Leases::default(),
         metrics: Metrics::new(),
         sampler: Sampler::new(),
         path: path.to_owned(),
@@ -341,7 +341,7 @@
     loop {
         tick.tick().await;
         gateway.desk.tick();
-        gateway.end_loans();
+        gateway.expire_leases();
         let (ready, held) = (gateway.is_eligible(), gateway.keeper.claims());
         beats.send_if_modified(|beat| {
             let changed = beat.ready != ready || beat.held != held;
--- a/src/gateway/loan.rs
+++ b/src/gateway/lease.rs
@@ -1,4 +1,4 @@
-//! One queue for the servers of a service: the VM that holds it lends places to the others.
+//! One queue for the servers of a service: the VM that holds it leases places to the others.
 //!
 //! Each VM alone sees a small part of what a server runs. With 84 VMs before 44 servers of six
 //! places, requests waited at the servers, where no order can be kept, and after a burst every
@@ -27,25 +27,25 @@
 /// A VM holds a queue if it has at least the strongest one's processor time divided by this: each
 /// request costs three datagrams there, up to 3,000 a second for all VMs of a deployment.
 const STRONG: u64 = 2;
-/// How long a place stays lent after its request must have ended: its end was told in a datagram
+/// How long a lease goes on after its request must have ended: its end was told in a datagram
 /// that was lost, or the VM has ended.
 const OVERDUE: Duration = Duration::from_millis(300);
 
 /// A place that another VM uses.
 #[derive(Debug)]
-struct Loan {
+struct Lease {
     permit: Permit,
     until: Instant,
 }
 
 /// What other VMs wait for and use.
 #[derive(Debug, Default)]
-pub(crate) struct Loans {
+pub(crate) struct Leases {
     waiting: RefCell<HashMap<Asked, oneshot::Sender<()>>>,
-    lent: RefCell<HashMap<Asked, Loan>>,
+    granted: RefCell<HashMap<Asked, Lease>>,
 }
 
-impl Loans {
+impl Leases {
     /// A request is over, or waits no longer.
     pub(super) fn end(&self, asked: &Asked, outcome: Outcome) {
         let waiting = self.waiting.borrow_mut().remove(asked);
@@ -53,21 +53,21 @@
             // It may have been granted in this very moment; then it is found below.
             let _ = waiting.send(());
         }
-        let loan = self.lent.borrow_mut().remove(asked);
-        if let Some(loan) = loan {
-            loan.permit.end(outcome);
+        let lease = self.granted.borrow_mut().remove(asked);
+        if let Some(lease) = lease {
+            lease.permit.end(outcome);
         }
     }
 
     fn server(&self, asked: &Asked) -> Option<Arc<str>> {
-        let lent = self.lent.borrow();
-        let loan = lent.get(asked)?;
-        Some(Arc::clone(&loan.permit.server.id))
+        let granted = self.granted.borrow();
+        let lease = granted.get(asked)?;
+        Some(Arc::clone(&lease.permit.server.id))
     }
 
     /// How many requests of other VMs wait and run.
     pub(crate) fn len(&self) -> (usize, usize) {
-        (self.waiting.borrow().len(), self.lent.borrow().len())
+        (self.waiting.borrow().len(), self.granted.borrow().len())
     }
 }
 
@@ -105,7 +105,7 @@
     /// be free in time.
     pub(crate) async fn permit_shared(self: &Rc<Self>, ask: &mut Ask) -> Result<Permit, Failure> {
         for peer in self.holders(&ask.service) {
-            while let Some(reply) = self.borrow(peer.address, ask).await {
+            while let Some(reply) = self.acquire(peer.address, ask).await {
                 match reply {
                     Ok(permit) => return Ok(permit),
                     Err(Unusable::Failure(failure)) => return Err(failure),
@@ -117,7 +117,7 @@
     }
 
     /// Asks one VM for a place; none where it does not answer.
-    async fn borrow(
+    async fn acquire(
         self: &Rc<Self>,
         peer: SocketAddr,
         ask: &Ask,
@@ -143,16 +143,16 @@
         })
     }
 
-    /// Lends a place to another VM, as soon as there is one.
-    pub(super) async fn lend(self: &Rc<Self>, asked: Asked, ask: Ask) -> Reply {
-        if let Some(server) = self.loans.server(&asked) {
+    /// Leases a place to another VM, as soon as there is one.
+    pub(super) async fn lease_to(self: &Rc<Self>, asked: Asked, ask: Ask) -> Reply {
+        if let Some(server) = self.leases.server(&asked) {
             // The answer before was lost.
             return Reply::Placed(server);
         }
         let limit = Duration::from_millis(ask.limit_ms);
         let until = Instant::now() + limit + OVERDUE;
         let (cancel, cancelled) = oneshot::channel();
-        self.loans.waiting.borrow_mut().insert(asked, cancel);
+        self.leases.waiting.borrow_mut().insert(asked, cancel);
         let mut permit = pin!(self.permit(ask));
         let at_once = tokio::select! {
             biased;
@@ -167,17 +167,17 @@
                 permit = &mut permit => permit,
                 _ = cancelled => return Reply::NotOwner,
                 () = sleep(limit) => {
-                    self.loans.waiting.borrow_mut().remove(&asked);
+                    self.leases.waiting.borrow_mut().remove(&asked);
                     return Reply::NotOwner;
                 }
             }
         };
-        self.loans.waiting.borrow_mut().remove(&asked);
+        self.leases.waiting.borrow_mut().remove(&asked);
         match permit {
             Ok(permit) => {
                 let server = Arc::clone(&permit.server.id);
-                let loan = Loan { permit, until };
-                self.loans.lent.borrow_mut().insert(asked, loan);
+                let lease = Lease { permit, until };
+                self.leases.granted.borrow_mut().insert(asked, lease);
                 Reply::Placed(server)
             }
             Err(failure) if failure.code == Code::NoServer => Reply::NoServer,
@@ -188,8 +188,8 @@
     }
 
     /// Takes places back whose request must have ended, or whose VM has gone.
-    pub(crate) fn end_loans(&self) {
-        if self.loans.lent.borrow().is_empty() {
+    pub(crate) fn expire_leases(&self) {
+        if self.leases.granted.borrow().is_empty() {
             return;
         }
         let view = self.view.borrow();
@@ -199,17 +199,17 @@
             .map(|member| peers::address(member.address))
             .collect();
         let now = Instant::now();
-        let lent = self.loans.lent.borrow();
-        let over = lent
+        let granted = self.leases.granted.borrow();
+        let over = granted
             .iter()
-            .filter(|((vm, _), loan)| loan.until <= now || !members.contains(vm));
+            .filter(|((vm, _), lease)| lease.until <= now || !members.contains(vm));
         let over: Vec<Asked> = over.map(|(asked, _)| *asked).collect();
-        drop(lent);
+        drop(granted);
         if !over.is_empty() {
             event!(info, "places_taken_back", places = over.len());
         }
         for asked in over {
-            self.loans.end(&asked, Outcome::Void);
+            self.leases.end(&asked, Outcome::Void);
         }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,8 +15,8 @@
 mod front;
 mod job;
 mod keeper;
+mod lease;
 mod link;
-mod loan;
 mod metrics;
 mod operators;
 mod part;
@@ -36,8 +36,8 @@
 use crate::settings;
 use feed::World;
 use keeper::Keeper;
+use lease::Leases;
 use link::Links;
-use loan::Loans;
 use metrics::Metrics;
 use peers::Peers;
 use permit::Desk;
@@ -67,7 +67,7 @@
     keeper: Rc<Keeper>,
     links: Links,
     desk: Desk,
-    loans: Loans,
+    leases: Leases,
     metrics: Metrics,
     sampler: Sampler,
     stopping: Cell<bool>,
--- a/src/gateway/operators.rs
+++ b/src/gateway/operators.rs
@@ -68,7 +68,7 @@
         let world = self.world.borrow();
         let view = self.view.borrow();
         let (partitions, programs) = self.keeper.size();
-        let (waiting, places) = self.loans.len();
+        let (waiting, places) = self.leases.len();
         let servers = world.directory.iter().map(|entry| {
             json!({
                 "id": &*entry.id,
@@ -86,7 +86,7 @@
             "store_heard_ms": world.heard.map(|heard| heard.elapsed().as_millis()),
             "servers": servers.collect::<Vec<_>>(),
             "services": self.desk.state(),
-            "lent": json!({ "waiting": waiting, "places": places }),
+            "leases": json!({ "waiting": waiting, "places": places }),
             "counted": json!({ "partitions": partitions, "programs": programs }),
             "idle_connections": self.links.len(),
             "members": view.members.values().map(|member| &member.vm).collect::<Vec<_>>(),
--- a/src/policy/backlog.rs
+++ b/src/policy/backlog.rs
@@ -46,7 +46,7 @@
     pub(super) servers: Vec<Server>,
     pub(super) queue: Queue<Waiting>,
     pub(super) flow: Flow,
-    /// Of those that went to programs that were not let in.
+    /// Of those that went to programs that were not admitted.
     pub(super) late: Flow,
     pub(super) programs: Programs,
     /// The usual time for one unit of work, in milliseconds.
@@ -97,7 +97,7 @@
         }
     }
 
-    /// Frees what ended programs had set aside, and lets in those that wait and fit now.
+    /// Frees what ended programs had set aside, and admits those that wait and fit now.
     pub(super) fn sweep(&mut self, now: Instant, clock: i64) {
         self.programs.sweep(now, clock);
         let capacity = self.capacity(now);
@@ -106,7 +106,7 @@
                 continue;
             };
             let Some(program) = ask.program else { continue };
-            if standing.promised || !self.programs.promise(clock, program, capacity) {
+            if standing.admitted || !self.programs.admit(clock, program, capacity) {
                 continue;
             }
             if let Some(Waiting { ask, standing }) = self.queue.remove(permit) {
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -147,7 +147,7 @@
 pub struct Crowd<'a> {
     /// The service.
     pub service: &'a str,
-    /// Requests of programs that were let in.
+    /// Requests of programs that were admitted.
     pub in_time: usize,
     /// Requests of programs that may still end within twice their time.
     pub late: usize,
@@ -159,7 +159,7 @@
     pub places: f64,
     /// Requests granted in a second.
     pub per_second: f64,
-    /// Programs that were let in.
+    /// Programs that were admitted.
     pub programs: usize,
     /// Places that a program needs at a time, by rank.
     pub needs: &'a BTreeMap<u8, f64>,
@@ -403,11 +403,11 @@
                 (server.about.id.to_string(), row)
             });
             let servers: serde_json::Map<_, _> = servers.collect();
-            let (known, promised) = pool.programs.len();
+            let (known, admitted) = pool.programs.len();
             let row = serde_json::json!({
                 "waiting": pool.queue.len(),
                 "programs": known,
-                "programs_let_in": promised,
+                "programs_admitted": admitted,
                 "servers": servers,
             });
             (service.to_string(), row)
--- a/src/policy/programs.rs
+++ b/src/policy/programs.rs
@@ -3,9 +3,9 @@
 //!
 //! Load it answers: a burst of programs of many turns. The first turns of all of them find room,
 //! and then their later turns and sub-agents need more than there is: every program is late, and
-//! engines read prompts again that they dropped meanwhile. So a new program is let in only while
+//! engines read prompts again that they dropped meanwhile. So a new program is admitted only while
 //! the places that programs need at a time fit into the servers; the rest wait behind those that
-//! were let in, and cost nothing meanwhile.
+//! were admitted, and cost nothing meanwhile.
 
 use super::dispatch::Ask;
 use super::standing::Standing;
@@ -20,7 +20,7 @@
 /// How many times as long as on idle servers a program may take to its target.
 const STRETCH: f64 = 1.5;
 /// The part of the places that programs may need. Their turns come when they come and engines slow
-/// down when they are full: at 0.95 programs that were let in waited for 90 ms at each turn, at 0.55
+/// down when they are full: at 0.95 programs that were admitted waited for 90 ms at each turn, at 0.55
 /// places stayed free.
 const FIT: f64 = 0.65;
 /// Weight of the newest program in what is learned.
@@ -40,8 +40,8 @@
     finish: i64,
     rank: u8,
     started: bool,
-    /// The places that are set aside for it, if it was let in.
-    promised: Option<f64>,
+    /// The places that are set aside for it, if it was admitted.
+    admitted: Option<f64>,
     ended: bool,
     /// Whether it was seen from its first request on, and not held up.
     whole: bool,
@@ -57,7 +57,7 @@
 pub(super) struct Programs {
     known: HashMap<u64, Program>,
     /// Places that are set aside.
-    promised: f64,
+    admitted: f64,
     /// Places that a program needs at a time, by rank.
     needs: BTreeMap<u8, f64>,
 }
@@ -78,13 +78,13 @@
                 finish,
                 asked: clock,
                 started: true,
-                promised: true,
+                admitted: true,
                 rank: ask.rank,
             };
         };
         if self.known.len() >= PROGRAMS {
             self.known.clear();
-            self.promised = 0.0;
+            self.admitted = 0.0;
         }
         // One that began before it was known here has used a part of its time that can only be
         // guessed; it must not count as new.
@@ -95,7 +95,7 @@
             finish,
             rank: ask.rank,
             started: met,
-            promised: None,
+            admitted: None,
             ended: false,
             whole: !met,
             used_ms: 0.0,
@@ -105,7 +105,7 @@
         program.open += 1;
         program.seen = now;
         program.ended = false;
-        self.promise(clock, key, capacity);
+        self.admit(clock, key, capacity);
         self.standing(clock, key, ask)
     }
 
@@ -117,25 +117,25 @@
             finish: program.map_or(asked, |program| program.finish),
             asked,
             started: program.is_none_or(|program| program.started),
-            promised: program.is_none_or(|program| program.promised.is_some()),
+            admitted: program.is_none_or(|program| program.admitted.is_some()),
             rank: ask.rank,
         }
     }
 
-    /// Lets a program in if it fits beside the others. Tells whether it is.
-    pub(super) fn promise(&mut self, clock: i64, key: u64, capacity: f64) -> bool {
+    /// Admits a program if it fits beside the others. Tells whether it is.
+    pub(super) fn admit(&mut self, clock: i64, key: u64, capacity: f64) -> bool {
         let Some(program) = self.known.get_mut(&key) else {
             return false;
         };
-        if program.promised.is_some() {
+        if program.admitted.is_some() {
             return true;
         }
         let need = self.needs.get(&program.rank).copied().unwrap_or(NEED);
-        if program.finish <= clock || self.promised + need > capacity * FIT {
+        if program.finish <= clock || self.admitted + need > capacity * FIT {
             return false;
         }
-        program.promised = Some(need);
-        self.promised += need;
+        program.admitted = Some(need);
+        self.admitted += need;
         true
     }
 
@@ -168,7 +168,7 @@
                 }
             }
             if idle || program.finish <= clock {
-                self.promised -= program.promised.take().unwrap_or_default();
+                self.admitted -= program.admitted.take().unwrap_or_default();
             }
         }
         self.known
@@ -182,11 +182,11 @@
 
     /// How many programs are known, and how many of them count on ending in time.
     pub(super) fn len(&self) -> (usize, usize) {
-        let promised = self
+        let admitted = self
             .known
             .values()
-            .filter(|program| program.promised.is_some());
-        (self.known.len(), promised.count())
+            .filter(|program| program.admitted.is_some());
+        (self.known.len(), admitted.count())
     }
 }
 
--- a/src/policy/standing.rs
+++ b/src/policy/standing.rs
@@ -3,7 +3,7 @@
 //! Load it answers: a burst that brings more programs than the servers can finish in time. By the
 //! earliest deadline, every program is served a little too late, and once the backlog is as long
 //! as the slack of a program, so is every later one for as long as the load lasts. So programs that
-//! were let in go first, the oldest of them before the others, which keeps what has begun going.
+//! were admitted go first, the oldest of them before the others, which keeps what has begun going.
 
 use super::queue::{Band, Order};
 
@@ -21,8 +21,8 @@
     pub(super) asked: i64,
     /// Whether a request of its program was granted before.
     pub(super) started: bool,
-    /// Whether its program was let in.
-    pub(super) promised: bool,
+    /// Whether its program was admitted.
+    pub(super) admitted: bool,
     /// The rank of its route; 0 goes first.
     pub(super) rank: u8,
 }
@@ -33,7 +33,7 @@
     fn band(&self, now: i64) -> (Band, i64) {
         // A program that ends within twice its time is still of use to its caller.
         let useful = self.finish + (self.finish - self.begun).max(0);
-        if self.promised && now <= self.finish {
+        if self.admitted && now <= self.finish {
             (Band::OnTime, self.finish)
         } else if now <= useful {
             (Band::Late, useful)
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -182,10 +182,10 @@
     assert_eq!(granted, [Permit(3)]);
 }
 
-/// More programs come than the servers can finish. Those that were let in go on before a new one
+/// More programs come than the servers can finish. Those that were admitted go on before a new one
 /// that came earlier, and the new one steps back instead of making all of them late.
 #[test]
-fn programs_that_were_let_in_go_before_those_that_do_not_fit() {
+fn programs_that_were_admitted_go_before_those_that_do_not_fit() {
     let (now, mut dispatcher) = (Instant::now(), Dispatcher::default());
     dispatcher.configure([server("s", "a", 1)]);
     granted(dispatcher.ask(now, Permit(1), turn(1, 3000)));
--- /dev/null
+++ b/tests/dispatch_burst.rs
@@ -0,0 +1,197 @@
+//! A burst of programs before the engines of one pool, replayed in virtual time.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+use vanillatrail::id::Permit;
+use vanillatrail::policy::dispatch::{Ask, Description, Dispatcher, Outcome, Verdict};
+
+/// Engines, and the turns that each runs at a time.
+const ENGINES: usize = 8;
+const SLOTS: usize = 6;
+/// What a turn takes, and the pause until the next one, in milliseconds.
+const TURN_MS: i64 = 250;
+const PAUSE_MS: i64 = 150;
+/// Turns of a program. The engines finish 48 programs a second.
+const TURNS: u32 = 4;
+/// Time to the target: 1.5 times the time on idle engines, and a quarter of a second.
+const TARGET_MS: i64 = 2425;
+/// When a caller that was refused asks again, and how often it does.
+const AGAIN_MS: i64 = 900;
+const TRIES: u32 = 4;
+/// Milliseconds of one step.
+const STEP_MS: i64 = 5;
+
+#[derive(Debug)]
+struct Program {
+    begun: i64,
+    turns: u32,
+    tries: u32,
+    ended: Option<i64>,
+}
+
+#[derive(Debug)]
+struct Turn {
+    permit: Permit,
+    program: usize,
+    since: Option<i64>,
+}
+
+#[derive(Debug, Default)]
+struct Pool {
+    dispatcher: Dispatcher,
+    /// What engines have got, in the order of arrival; the first ones run.
+    engines: Vec<VecDeque<Turn>>,
+    programs: Vec<Program>,
+    /// Turns that are asked for at a time: when, and of which program.
+    due: Vec<(i64, usize)>,
+    waiting: Vec<(Permit, usize)>,
+    permits: u64,
+}
+
+impl Pool {
+    fn start(begin: Instant) -> Self {
+        let mut pool = Self::default();
+        let description = |engine: usize| Description {
+            id: engine.to_string().into(),
+            service: "pool".into(),
+            zone: "z".into(),
+            slots: SLOTS,
+            leaving: false,
+        };
+        pool.dispatcher.configure((0..ENGINES).map(description));
+        pool.engines.resize_with(ENGINES, VecDeque::new);
+        pool.dispatcher.tick(begin);
+        pool
+    }
+
+    fn ask(&mut self, now: Instant, clock: i64, index: usize) {
+        self.permits += 1;
+        let permit = Permit(self.permits);
+        let program = &self.programs[index];
+        let ask = Ask {
+            service: "pool".into(),
+            zone: "z".into(),
+            rank: 0,
+            program: Some(index as u64),
+            turns: program.turns + 1,
+            left_ms: program.begun + TARGET_MS - clock,
+            limit_ms: 4000,
+            line: Some(index as u64),
+            avoid: Vec::new(),
+        };
+        match self.dispatcher.ask(now, permit, ask) {
+            Verdict::Granted(engine) => self.send(permit, index, &engine),
+            Verdict::Waiting => self.waiting.push((permit, index)),
+            Verdict::Refused(_) => self.refused(clock, index),
+            Verdict::NoServer => panic!("there are engines"),
+        }
+    }
+
+    fn send(&mut self, permit: Permit, program: usize, engine: &Arc<str>) {
+        let engine: usize = engine.parse().expect("a number");
+        self.engines[engine].push_back(Turn {
+            permit,
+            program,
+            since: None,
+        });
+    }
+
+    fn refused(&mut self, clock: i64, index: usize) {
+        self.programs[index].tries += 1;
+        if self.programs[index].tries < TRIES {
+            self.due.push((clock + AGAIN_MS, index));
+        }
+    }
+
+    fn step(&mut self, now: Instant, clock: i64) {
+        let due: Vec<_> = self.due.extract_if(.., |(at, _)| *at <= clock).collect();
+        for (_, index) in due {
+            self.ask(now, clock, index);
+        }
+        for engine in 0..ENGINES {
+            for turn in self.engines[engine].iter_mut().take(SLOTS) {
+                turn.since.get_or_insert(clock);
+            }
+            let over = |turn: &Turn| turn.since.is_some_and(|since| since + TURN_MS <= clock);
+            while let Some(at) = self.engines[engine].iter().position(over) {
+                let turn = self.engines[engine].remove(at).expect("it was found");
+                self.end(now, clock, &turn);
+            }
+        }
+        let ticked = self.dispatcher.tick(now);
+        for (permit, engine) in ticked.granted {
+            let at = self.waiting.iter().position(|(of, _)| *of == permit);
+            let (_, index) = self.waiting.remove(at.expect("it waits"));
+            self.send(permit, index, &engine);
+        }
+        for permit in ticked.refused {
+            let at = self.waiting.iter().position(|(of, _)| *of == permit);
+            let (_, index) = self.waiting.remove(at.expect("it waits"));
+            self.refused(clock, index);
+        }
+    }
+
+    fn end(&mut self, now: Instant, clock: i64, turn: &Turn) {
+        let outcome = Outcome::Done {
+            took: Duration::from_millis(TURN_MS.unsigned_abs()),
+            work: 1.0,
+            load: None,
+        };
+        self.dispatcher.done(now, turn.permit, outcome);
+        let program = &mut self.programs[turn.program];
+        program.turns += 1;
+        if program.turns == TURNS {
+            program.ended = Some(clock);
+        } else {
+            self.due.push((clock + PAUSE_MS, turn.program));
+        }
+    }
+
+    /// The share of the programs begun between these seconds that made their target.
+    fn in_time(&self, from: i64, to: i64) -> f64 {
+        let begun = |program: &&Program| (from * 1000..to * 1000).contains(&program.begun);
+        let all: Vec<_> = self.programs.iter().filter(begun).collect();
+        let made = all.iter().filter(|program| {
+            let by = program.begun + TARGET_MS;
+            program.ended.is_some_and(|ended| ended <= by)
+        });
+        made.count() as f64 / all.len() as f64
+    }
+}
+
+/// Programs come at three quarters of what the engines can do, and at 2.6 times as many for four
+/// seconds. Served in the order of their deadlines, all of them are late from the burst on, for as
+/// long as the load stays as it is. Here a part of the burst is turned away or late, and those that
+/// come some seconds after it are not touched by it.
+#[test]
+fn a_burst_does_not_make_later_programs_late() {
+    let begin = Instant::now();
+    let mut pool = Pool::start(begin);
+    for step in 0..(26_000 / STEP_MS) {
+        let clock = step * STEP_MS;
+        let now = begin + Duration::from_millis(clock.unsigned_abs());
+        let burst = (6000..10_000).contains(&clock);
+        let every = if burst { 10 } else { 27 };
+        if clock < 22_000 && clock % every < STEP_MS {
+            pool.programs.push(Program {
+                begun: clock,
+                turns: 0,
+                tries: 0,
+                ended: None,
+            });
+            let index = pool.programs.len() - 1;
+            pool.ask(now, clock, index);
+        }
+        pool.step(now, clock);
+    }
+    let (before, burst, after) = (
+        pool.in_time(0, 6),
+        pool.in_time(6, 10),
+        pool.in_time(13, 22),
+    );
+    assert!(before > 0.95, "{before:.2} before the burst");
+    assert!(burst > 0.3, "{burst:.2} in the burst");
+    assert!(after > 0.9, "{after:.2} after the burst");
+}
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -87,7 +87,10 @@
     }
 }
 
-fn listen(address: SocketAddr, serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
+pub fn listen(
+    address: SocketAddr,
+    serve: impl Fn(TcpStream) + Send + Sync + 'static,
+) -> SocketAddr {
     let listener = TcpListener::bind(address).expect("the address is free");
     let bound = listener.local_addr().expect("it is bound");
     let serve = Arc::new(serve);
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -48,6 +48,14 @@
         }
     }
 
+    /// The same store behind a proxy.
+    pub fn behind(&self, proxy: SocketAddr) -> Self {
+        Self {
+            address: proxy,
+            ..self.clone()
+        }
+    }
+
     /// Whether it refuses every call.
     pub fn set_down(&self, down: bool) {
         self.down.store(down, Ordering::Relaxed);
