Let no copy replace a newer record, and none be counted on beside the store

(2) a VM without the store went on from copies for 0.6 s while another had already taken the partition at the store. Ruled out: the bound of undurable tokens (one epoch before and after the loss, no gap in the records). Change: what the store lacks is only what is above its record; a VM that reaches the store refuses to keep copies of one that has not shut out the writer before, and all that are asked are waited for.

Copies, the listeners of the platform and of operators, and questions between VMs are in files and types of their own.

--- a/src/gateway/counter.rs
+++ b/src/gateway/counter.rs
@@ -7,7 +7,6 @@
 use crate::id::{Shard, rendezvous};
 use crate::policy::allowance::{Entry, Reservation, Turn, Verdict};
 use crate::telemetry::event;
-use futures::StreamExt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,17 +14,10 @@
 
 /// How long a turn waits for a partition to be taken over, two calls to the store.
 const TAKE: Duration = Duration::from_secs(1);
-/// How long the VMs that may keep copies are waited for.
-const GATHER: Duration = Duration::from_millis(70);
 /// Copies in one datagram.
 const COPIES_SENT: usize = 40;
 /// Programs in one datagram of a partition that is handed over.
 const ADOPTED: usize = 4;
-/// How many other VMs keep what the store has not taken. Where more than half of all VMs are lost at
-/// once, two copies are lost with the VM that counts in one of six cases, four in one of twenty.
-const COPIES: usize = 4;
-/// How many of them are waited for.
-const COPIES_KEPT: usize = 2;
 /// How long a VM that was shut out does not take the same partition again. Until the members have
 /// heard of the new counter, requests that are sent here would make the two shut each other out
 /// again and again, and every time what was handed out counts as spent.
@@ -108,8 +100,11 @@
             }
             Question::Keep(copy) => {
                 let part = self.keeper.part(copy.part);
-                if part.hold.get().is_some_and(|hold| hold.epoch > copy.epoch) {
-                    // The VM that asks stood still while this one took over.
+                // The VM that asks stood still while this one took over, or it goes on from copies
+                // while this one reaches the store: another one may count there already, and a
+                // program would get its tokens from both.
+                let newer = part.hold.get().is_some_and(|hold| hold.epoch > copy.epoch);
+                if newer || (!copy.fenced && self.has_store()) {
                     self.keeper.keep(copy);
                     return Reply::NotOwner;
                 }
@@ -402,6 +397,7 @@
             program: program.to_owned(),
             allowed,
             epoch: hold.map_or(0, |hold| hold.epoch),
+            fenced: hold.is_some_and(|hold| hold.fenced),
         };
         match timeout(patience, durable).await {
             Ok(recorded) => {
@@ -422,93 +418,4 @@
             Err(_) => self.copy(copy, part).await,
         }
     }
-
-    /// Asks the VMs that may keep copies for allowances that the store may lack. Gives for how long
-    /// the oldest of them has run, in milliseconds.
-    async fn gather(&self, part: u64) -> u64 {
-        let others = self.counters(part).into_iter();
-        let others = others.filter(|peer| peer.vm != self.settings.vm);
-        let asks = others.take(COPIES + 1).map(|peer| async move {
-            let question = Question::Copies { part };
-            timeout(GATHER, self.peers.ask(peer.address, &question)).await
-        });
-        let mut oldest_ms = self.keeper.up_ms();
-        for reply in futures::future::join_all(asks).await {
-            let Ok(Some(Reply::Copies { allowed, up_ms })) = reply else {
-                continue;
-            };
-            oldest_ms = up_ms.max(oldest_ms);
-            for (program, allowed) in allowed {
-                let epoch = 0;
-                self.keeper.keep(Copy {
-                    part,
-                    program,
-                    allowed,
-                    epoch,
-                });
-            }
-        }
-        oldest_ms
-    }
-
-    /// Tells all VMs of allowances that this one gave and could not record.
-    pub(crate) async fn tell_orphans(&self) {
-        let orphans = self.keeper.orphans.take();
-        if orphans.is_empty() {
-            return;
-        }
-        let members = self.counters(0);
-        event!(
-            info,
-            "allowances_told",
-            programs = orphans.len(),
-            members = members.len()
-        );
-        for copy in orphans {
-            for peer in members.iter().filter(|peer| peer.vm != self.settings.vm) {
-                self.peers
-                    .tell(peer.address, Note::Copied(copy.clone()))
-                    .await;
-            }
-        }
-    }
-
-    /// Tells the VM that would take over of a durable allowance, for a time without the store.
-    async fn tell_next(&self, copy: Copy) {
-        let next = self.next_counter(copy.part);
-        if let Some(next) = next {
-            self.peers.tell(next.address, Note::Copied(copy)).await;
-        }
-    }
-
-    /// Has the VMs that would take over keep an allowance.
-    async fn copy(&self, copy: Copy, part: &Part) -> bool {
-        let question = Question::Keep(copy.clone());
-        let others = self.counters(copy.part).into_iter();
-        let others = others.filter(|peer| peer.vm != self.settings.vm);
-        let asks = others.take(COPIES).map(|peer| {
-            let question = &question;
-            async move { self.peers.ask(peer.address, question).await }
-        });
-        let mut replies = futures::stream::iter(asks).buffer_unordered(COPIES);
-        let mut copies = 0;
-        while let Some(reply) = replies.next().await {
-            if reply == Some(Reply::NotOwner) {
-                self.keeper.shut_out(copy.part, part, copy.epoch);
-                return false;
-            }
-            copies += usize::from(reply.is_some());
-            if copies >= COPIES_KEPT {
-                break;
-            }
-        }
-        event!(
-            info,
-            "allowance_copied",
-            program = copy.program,
-            allowed = copy.allowed,
-            copies = copies
-        );
-        copies > 0
-    }
 }
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -6,6 +6,7 @@
 use super::keeper::{self, Keeper};
 use super::lease::Leases;
 use super::link::Links;
+use super::listen::{self, ACCEPT_PAUSE};
 use super::metrics::Metrics;
 use super::peers::{self, Peers};
 use super::permit::Desk;
@@ -18,13 +19,11 @@
 use crate::supervisor::Supervisor;
 use crate::telemetry::event;
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
+use http::{Response, StatusCode};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::cell::Cell;
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
@@ -54,8 +53,6 @@
 const SWEEP: Duration = Duration::from_millis(500);
 /// Time between two looks at servers that rest.
 const TICK: Duration = Duration::from_millis(50);
-/// The pause after a failed accept, which is out of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Forwards requests until a signal to stop.
 ///
@@ -291,26 +288,7 @@
 }
 
 async fn answer_balancer(gateway: Rc<Gateway>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let gateway = Rc::clone(&gateway);
-        spawn_local(async move {
-            let service = service_fn(move |_: Request<Incoming>| {
-                let ready = gateway.is_ready();
-                async move { Ok::<_, Infallible>(readiness(ready)) }
-            });
-            let builder = http1::Builder::new();
-            // The balancer asks again when a connection breaks.
-            drop(
-                builder
-                    .serve_connection(TokioIo::new(stream), service)
-                    .await,
-            );
-        });
-    }
+    listen::serve(listener, move |_| readiness(gateway.is_ready())).await;
 }
 
 fn readiness(ready: bool) -> Response<Body> {
@@ -388,7 +366,7 @@
     }
 
     /// Whether the store answers this VM.
-    fn has_store(&self) -> bool {
+    pub(super) fn has_store(&self) -> bool {
         let heard = self.world.borrow().heard;
         heard.is_some_and(|heard| heard.elapsed() < UNHEARD) && self.keeper.has_store()
     }
--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -242,6 +242,7 @@
             program,
             allowed,
             epoch,
+            fenced: true,
         });
         self.orphans.borrow_mut().extend(copies);
         part.written.notify_waiters();
--- /dev/null
+++ b/src/gateway/listen.rs
@@ -0,0 +1,39 @@
+//! Listeners for the platform and for operators, whose questions are answered at once.
+
+use super::body::Body;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use std::convert::Infallible;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// The pause after a failed accept, which is out of descriptors.
+pub(super) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Answers every request by `respond`, until the process ends.
+pub(super) async fn serve(
+    listener: TcpListener,
+    respond: impl Fn(&Request<Incoming>) -> Response<Body> + Clone + 'static,
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let respond = respond.clone();
+        spawn_local(async move {
+            let service = service_fn(move |request: Request<Incoming>| {
+                let response = respond(&request);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            // Whoever asks does so again when a connection breaks.
+            drop(connection.await);
+        });
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod attempt;
 mod body;
 mod contact;
+mod copies;
 mod counter;
 mod detour;
 pub mod directory;
@@ -17,6 +18,7 @@
 mod keeper;
 mod lease;
 mod link;
+mod listen;
 mod metrics;
 mod operators;
 mod part;
--- a/src/gateway/operators.rs
+++ b/src/gateway/operators.rs
@@ -2,46 +2,21 @@
 
 use super::Gateway;
 use super::body::Body;
+use super::listen;
 use super::snapshot::{self, Snapshot};
 use crate::telemetry;
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
+use http::{Response, StatusCode};
 use serde_json::{Value, json};
-use std::convert::Infallible;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::task::spawn_local;
-use tokio::time::sleep;
-
-/// The pause after a failed accept, which is out of descriptors.
-const PAUSE: Duration = Duration::from_millis(50);
 
 /// Answers operators, and VMs that need a copy of the configuration.
 pub(crate) async fn run(gateway: Rc<Gateway>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(PAUSE).await;
-            continue;
-        };
-        let gateway = Rc::clone(&gateway);
-        spawn_local(async move {
-            let service = service_fn(move |request: Request<Incoming>| {
-                let response = gateway.operator(request.uri().path());
-                async move { Ok::<_, Infallible>(response) }
-            });
-            // An operator whose connection breaks asks again.
-            drop(
-                http1::Builder::new()
-                    .serve_connection(TokioIo::new(stream), service)
-                    .await,
-            );
-        });
-    }
+    listen::serve(listener, move |request| {
+        gateway.operator(request.uri().path())
+    })
+    .await;
 }
 
 impl Gateway {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -16,7 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::sync::oneshot;
+use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 
 /// Time after which a question is sent again. A round trip within a region takes 1 to 4 ms.
@@ -24,6 +24,8 @@
 /// The same while the answer is known to be worked on: long, since many requests may wait under
 /// load, and short enough to notice soon that the other VM is gone.
 const WORKING: Duration = Duration::from_millis(250);
+/// Answers to one question that are kept: that it is worked on, and the answer itself, each repeated.
+const REPLIES: usize = 4;
 /// How often it is sent; a VM that answers none of them stands still or is gone.
 const SENDS: usize = 4;
 /// For how long a VM that did not answer is not asked first.
@@ -81,6 +83,8 @@
     pub(crate) allowed: u64,
     /// The epoch of the VM that gave it.
     pub(crate) epoch: u64,
+    /// Whether the store had shut out the VM before that one.
+    pub(crate) fenced: bool,
 }
 
 /// An answer.
@@ -163,7 +167,7 @@
     sealer: Sealer,
     /// Numbers of questions; begins at random, so that a restart repeats none.
     numbers: Cell<u64>,
-    waiting: RefCell<HashMap<u64, oneshot::Sender<Reply>>>,
+    waiting: RefCell<HashMap<u64, mpsc::Sender<Reply>>>,
     /// Questions that are being worked on, so that a repeated one is not worked on twice.
     working: RefCell<HashSet<(SocketAddr, u64)>>,
     silent: RefCell<HashMap<SocketAddr, Instant>>,
@@ -209,27 +213,24 @@
         question: &Question,
     ) -> Option<Reply> {
         let packet = Packet::Question(number, question.clone());
+        let (answers, mut replies) = mpsc::channel(REPLIES);
+        self.waiting.borrow_mut().insert(number, answers);
+        let _waiting = Waiting {
+            peers: self,
+            number,
+        };
         let (mut sends, mut pause) = (0, AGAIN);
         while sends < SENDS {
-            let (answer, mut answered) = oneshot::channel();
-            self.waiting.borrow_mut().insert(number, answer);
             self.send(peer, &packet).await;
             sends += 1;
-            let mut reply = timeout(pause, &mut answered).await;
-            pause = AGAIN;
-            if let Ok(Ok(Reply::Working)) = reply {
-                let (answer, answered) = oneshot::channel();
-                self.waiting.borrow_mut().insert(number, answer);
-                sends = 0;
-                reply = timeout(WORKING, answered).await;
-            }
-            match reply {
-                Ok(Ok(Reply::Working)) => pause = WORKING,
-                Ok(Ok(reply)) => return Some(reply),
-                Ok(Err(_)) | Err(_) => {}
+            while let Ok(Some(reply)) = timeout(pause, replies.recv()).await {
+                if reply != Reply::Working {
+                    return Some(reply);
+                }
+                (sends, pause) = (0, WORKING);
             }
+            pause = AGAIN;
         }
-        self.waiting.borrow_mut().remove(&number);
         event!(warn, "peer_silent", peer = peer, sends = sends);
         let until = Instant::now() + SILENT;
         self.silent.borrow_mut().insert(peer, until);
@@ -255,13 +256,25 @@
     }
 
     fn answered(&self, number: u64, reply: Reply) {
-        if let Some(waiting) = self.waiting.borrow_mut().remove(&number) {
-            // Whoever asked may have given up meanwhile.
-            drop(waiting.send(reply));
+        if let Some(waiting) = self.waiting.borrow().get(&number) {
+            // Of repeated answers one is enough.
+            drop(waiting.try_send(reply));
         }
     }
 }
 
+/// A question that waits for its answer. Whoever asked may give up at any time.
+struct Waiting<'a> {
+    peers: &'a Peers,
+    number: u64,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.peers.waiting.borrow_mut().remove(&self.number);
+    }
+}
+
 /// The port of the datagrams of this module: the one after that of membership.
 pub(crate) fn address(member: SocketAddr) -> SocketAddr {
     SocketAddr::new(member.ip(), member.port() + 1)
--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -72,12 +72,16 @@
         );
         // What the store has not taken yet must not be lost to the next VM.
         for (program, (allowed, _)) in kept {
-            let recorded = newest.records.iter().find(|record| record.key == program);
-            let recorded = recorded.and_then(|record| record.value.as_ref().and_then(decode));
-            if recorded.unwrap_or_default() < allowed {
-                part.lack(&program, allowed);
-            }
+            part.lack(&program, allowed);
         }
+        // A copy may be older than the record, which would then be replaced by less than was given.
+        let recorded = |key: &str| {
+            let record = newest.records.iter().find(|record| record.key == key)?;
+            record.value.as_ref().and_then(decode)
+        };
+        let mut pending = part.pending.borrow_mut();
+        pending.retain(|key, allowed| recorded(key).is_none_or(|recorded| recorded < *allowed));
+        drop(pending);
         part.lack(ALIVE_KEY, clock::wall_ms());
         part.ledger.replace(ledger);
         part.hold.set(Some(hold));
--- a/tests/budget.rs
+++ b/tests/budget.rs
@@ -194,3 +194,40 @@
     }
     assert!(handed <= 870 + 290, "{handed}");
 }
+
+/// A program's newest allowance went through another partition, so the other VM's copy is older.
+/// Then the store is away and the VM that counted is killed: the other one goes on from its copy,
+/// and when the store is back it must not replace the newer record by that copy.
+#[test]
+fn an_older_copy_does_not_replace_a_record() {
+    let backend = engine(20);
+    let (store, mut vms) = site(&backend, 2);
+    let counts = |vm: &Vm| vm.state()["counted"]["programs"].as_u64().unwrap_or(0) > 0;
+    let mut handed = turn(&vms[0], "p", 2900, "first").1;
+    until("a VM counts", || vms.iter().any(counts));
+    let first = usize::from(!counts(&vms[0]));
+    let recorded = || store.values("keyed.allowance").get("p").cloned();
+    let before = recorded();
+    store.set_stuck(Some("keyed.allowance"));
+    for number in 0..4 {
+        handed += turn(&vms[first], "p", 2900, &format!("a{number}")).1;
+    }
+    store.set_stuck(None);
+    until("the record is newer", || recorded() != before);
+    let newest: u64 = recorded().expect("it is there").parse().expect("a number");
+    std::thread::sleep(std::time::Duration::from_secs(5));
+    store.set_down(true);
+    vms[first].kill();
+    let other = 1 - first;
+    until("the other one counts", || {
+        turn(&vms[other], "p", 2900, "again");
+        counts(&vms[other])
+    });
+    store.set_down(false);
+    until("it has taken the partition", || {
+        !vms[other].lines("event=allowances_taken part").is_empty()
+    });
+    std::thread::sleep(std::time::Duration::from_secs(1));
+    let now: u64 = recorded().expect("it is there").parse().expect("a number");
+    assert!(now >= newest, "{now} after {newest}, {handed} tokens");
+}
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -21,17 +21,24 @@
     pub address: SocketAddr,
     partitions: Arc<Mutex<HashMap<(String, u64), Partition>>>,
     down: Arc<AtomicBool>,
+    /// The topic of which no partition takes records.
+    stuck: Arc<Mutex<Option<String>>>,
 }
 
 impl Store {
     pub fn start() -> Self {
         let partitions: Arc<Mutex<HashMap<(String, u64), Partition>>> = Arc::default();
         let down = Arc::new(AtomicBool::new(false));
+        let stuck: Arc<Mutex<Option<String>>> = Arc::default();
         let (served, off) = (Arc::clone(&partitions), Arc::clone(&down));
+        let refused = Arc::clone(&stuck);
         let bound = listen(SocketAddr::new(address(), 0), move |mut stream| {
             let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
             while let Some(request) = Request::read(&mut reader) {
-                let reply = if off.load(Ordering::Relaxed) {
+                let topic = refused.lock().expect("not poisoned").clone();
+                let appends = request.target.starts_with("/log-append");
+                let is_stuck = appends && topic.as_deref() == request.query("topic");
+                let reply = if off.load(Ordering::Relaxed) || is_stuck {
                     answer("503 Service Unavailable", b"{}")
                 } else {
                     serve(&served, &request)
@@ -45,9 +52,15 @@
             address: bound,
             partitions,
             down,
+            stuck,
         }
     }
 
+    /// Names the topic that takes no records, if there is one.
+    pub fn set_stuck(&self, topic: Option<&str>) {
+        *self.stuck.lock().expect("not poisoned") = topic.map(ToOwned::to_owned);
+    }
+
     /// The same store behind a proxy.
     pub fn behind(&self, proxy: SocketAddr) -> Self {
         Self {
