--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -22,7 +22,11 @@
 use std::time::Duration;
 
 /// Seeds of the short run; those that once failed stay here, with a line on the cause.
-const SEEDS: std::ops::Range<u64> = 1..3;
+const SEEDS: [u64; 3] = [
+    1, 2,
+    // A copy of an allowance replaced a newer record: 1,200 tokens against 870 + 290.
+    110,
+];
 /// Faults of one run.
 const FAULTS: usize = 8;
 /// Callers that ask at the same time.
@@ -237,5 +241,8 @@
         let (from, to) = text.split_once("..")?;
         Some(from.parse().ok()?..to.parse().ok()?)
     });
-    seeds.unwrap_or(SEEDS).for_each(play);
+    match seeds {
+        Some(seeds) => std::ops::Range::for_each(seeds, play),
+        None => SEEDS.into_iter().for_each(play),
+    }
 }
