Let the pauses between tries of a record grow

Cause: each VM tries for each partition that it counts every 100 ms while the store does not take records, and since they tell each second that they can record, all partitions do. Change: 100 to 400 ms.

--- a/src/gateway/keeper.rs
+++ b/src/gateway/keeper.rs
@@ -34,8 +34,9 @@
 const ALIVE: Duration = Duration::from_secs(1);
 /// How long a copy is kept.
 const KEPT: Duration = Duration::from_mins(2);
-/// The pause between two tries of a record.
-const AGAIN: Duration = Duration::from_millis(100);
+/// The pause between two tries of a record, at first and at most: every VM that counts tries for each
+/// of its partitions, and a store that is away should not be met by all of that at once.
+const AGAIN: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(400));
 /// Failures in a row after which this VM says that it has lost the store.
 const LOST: u32 = 2;
 /// After this long without a failure the store is tried again.
@@ -163,7 +164,7 @@
             };
             if !hold.fenced {
                 if self.take(number, &part).await.is_err() {
-                    sleep(AGAIN).await;
+                    sleep(AGAIN.0).await;
                 }
                 continue;
             }
@@ -183,6 +184,7 @@
     /// Appends one batch. Gives false where it has to be looked at anew.
     async fn append(&self, number: u64, part: &Part, hold: Hold, records: &[Keyed]) -> bool {
         let writer = writer(hold.epoch, hold.sequence);
+        let mut pause = AGAIN.0;
         loop {
             let done = self
                 .store
@@ -216,7 +218,7 @@
                         expected = expected
                     );
                     next(expected);
-                    sleep(AGAIN).await;
+                    sleep(AGAIN.0).await;
                     return false;
                 }
                 // The same sequence number again: if it was done, the store says so.
@@ -224,7 +226,8 @@
                     if !part.failing.replace(true) {
                         event!(warn, "records_stuck", part = number, reason = fault);
                     }
-                    sleep(AGAIN).await;
+                    sleep(pause).await;
+                    pause = (pause * 2).min(AGAIN.1);
                 }
             }
         }
