Keep the turns of conversations, and tell two runs of a server apart

Cause: a route with `retain` sends only the new input of a turn and names the turn before.

Change: a room `conversation` (pure) and `gateway/conversation` (I/O). Each finished turn is one immutable record under its own identity, written before its answer ends; the VMs that a hash of the identity names are told who has it in memory, and read a bucket of the store where nobody has. Where the store takes nothing, other partitions are tried and other VMs keep copies. A server's identity is now its name and the time of its start; entries that can't be read name no server to use, are told once, and the others hold.

Ruled out: whole chains in each record (bytes grow with the square of the turns), one read of the store for each turn that comes through another VM (0.1 to 0.5 MB each), the counter of the program's tokens as the place (a new program may go on from an old one's turn).

--- a/src/code.rs
+++ b/src/code.rs
@@ -89,6 +89,7 @@
     UnknownModel = 1010, 422, "The configuration has no pool for the model.";
     UnknownCall = 1011, 404, "The program has no such call.";
     UnknownRoute = 1012, 404, "No route leads to the host and path.";
+    UnknownTurn = 1013, 404, "There is no such turn to go on from, or it is no longer kept.";
     BudgetExceeded = 2001, 409, "The call could pass the budget of the program.";
     TurnLimit = 2002, 409, "The program has made as many calls as its class allows.";
     DepthLimit = 2003, 409, "The program is nested as deep as its class allows.";
@@ -107,6 +108,7 @@
     RingFull = 3008, 503, "A queue inside the VM is full.";
     NotReady = 3009, 503, "The VM has not caught up with the configuration.";
     HistoryGap = 3010, 503, "Records of the program are missing from the log.";
+    HistoryAway = 3011, 503, "What was said before in the conversation can't be read now.";
     EngineFailed = 4001, 502, "The model engine failed.";
     ServiceFailed = 4002, 502, "The service failed.";
     OutcomeUnknown = 4003, 502, "The call was sent and its outcome is not known; it is not sent again.";
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -142,11 +142,11 @@
     mut link: Link,
     last_event: Option<u64>,
 ) -> Result<Attempt, Broken> {
-    let mut request = Request::new(Full::new(job.body.clone()));
+    let mut request = Request::new(Full::new(job.body.borrow().clone()));
     *request.method_mut() = job.method.clone();
     *request.uri_mut() = job.uri.clone();
     *request.headers_mut() =
-        headers::request(&job.headers, &permit.server.id, job.left(), last_event);
+        headers::request(&job.headers, &permit.server.name, job.left(), last_event);
     let began = Instant::now();
     let before = job.sent.replace(true);
     let reply = link.send(request).await;
--- /dev/null
+++ b/src/gateway/conversation/lane.rs
@@ -0,0 +1,154 @@
+//! Writes the turns of one bucket to the store.
+//!
+//! Load it answers: a turn each few milliseconds, each of which holds up the end of an answer; a store
+//! whose answers are late or lost; and a store that is away, which must not be met by every turn. A
+//! record is immutable, so a write whose answer is late is simply sent again beside the first.
+
+use super::Conversations;
+use crate::clock;
+use crate::conversation::{Bucket, Id, Outbox, Turn};
+use crate::platform::records::turn_topic;
+use crate::platform::store::{Fault, Keyed};
+use crate::telemetry::event;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::sleep;
+
+/// Bytes of one write; the store takes 2 MB.
+const WRITE_BYTES: usize = 1 << 20;
+/// Time after which a write is sent again on another connection, doubled for each further one. The
+/// store answers in 8 ms on a good day; one whose answers take 240 ms gets three writes for one.
+const HEDGE: Duration = Duration::from_millis(60);
+/// Writes of one batch that may be under way at a time.
+const HEDGES: usize = 3;
+/// The pause after a failed write, at first and at most.
+const PAUSE: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(800));
+
+/// The turns of one bucket that the store has not taken yet.
+#[derive(Debug, Default)]
+pub(super) struct Lane {
+    pub(super) outbox: RefCell<Outbox>,
+    writing: Cell<bool>,
+    /// Whether the last write failed.
+    pub(super) failing: Cell<bool>,
+    written: Notify,
+}
+
+impl Lane {
+    /// Waits until the store has a turn.
+    pub(super) async fn recorded(&self, id: &Id) {
+        loop {
+            let written = self.written.notified();
+            if !self.outbox.borrow().lacks(id) {
+                return;
+            }
+            written.await;
+        }
+    }
+}
+
+impl Conversations {
+    /// Has a turn recorded, at once or as soon as the store takes it.
+    pub(super) fn post(self: &Rc<Self>, bucket: Bucket, turn: Rc<Turn>) -> Rc<Lane> {
+        let lane = self.lane(bucket);
+        lane.outbox.borrow_mut().push(turn);
+        if !lane.writing.replace(true) {
+            tokio::task::spawn_local(Rc::clone(self).write(bucket, Rc::clone(&lane)));
+        }
+        lane
+    }
+
+    /// Writes until nothing is left; turns that come meanwhile share the next write.
+    async fn write(self: Rc<Self>, bucket: Bucket, lane: Rc<Lane>) {
+        let mut pause = PAUSE.0;
+        loop {
+            lane.outbox.borrow_mut().expire(clock::wall_ms());
+            let batch = lane.outbox.borrow().batch(WRITE_BYTES);
+            if batch.is_empty() {
+                lane.writing.set(false);
+                return;
+            }
+            match self.append(bucket, &batch).await {
+                Ok(()) => {
+                    lane.outbox.borrow_mut().recorded(&batch);
+                    lane.written.notify_waiters();
+                    self.store_takes(&lane, bucket);
+                    pause = PAUSE.0;
+                }
+                Err(fault) => {
+                    self.misses.set(self.misses.get().saturating_add(1));
+                    if !lane.failing.replace(true) {
+                        event!(warn, "turns_stuck", bucket = bucket, reason = fault);
+                    }
+                    self.pause(pause).await;
+                    pause = (pause * 2).min(PAUSE.1);
+                }
+            }
+        }
+    }
+
+    fn store_takes(&self, lane: &Lane, bucket: Bucket) {
+        self.misses.set(0);
+        self.back.notify_waiters();
+        if lane.failing.replace(false) {
+            event!(info, "turns_flow", bucket = bucket);
+        }
+    }
+
+    /// The pause after a failed write. While the store is away one bucket tries it for all.
+    async fn pause(&self, time: Duration) {
+        if self.is_away() && self.probing.get() {
+            tokio::select! {
+                () = self.back.notified() => {}
+                () = sleep(PAUSE.1 * 2) => {}
+            }
+            return;
+        }
+        self.probing.set(true);
+        sleep(time).await;
+        self.probing.set(false);
+    }
+
+    async fn append(&self, bucket: Bucket, batch: &[Rc<Turn>]) -> Result<(), Fault> {
+        let records: Vec<Keyed> = batch.iter().map(|turn| record(turn)).collect();
+        let topic = turn_topic(self.layout.topic(bucket));
+        let part = self.layout.partition(bucket);
+        let mut writes = FuturesUnordered::new();
+        let (mut sent, mut hedge) = (0, HEDGE);
+        loop {
+            if sent < HEDGES {
+                let store = self.store.borrow().clone();
+                let (topic, records) = (&topic, &records);
+                writes.push(async move { store.append(topic, part, records, None).await });
+                sent += 1;
+            }
+            let late = sleep(hedge);
+            tokio::pin!(late);
+            loop {
+                let done = tokio::select! {
+                    Some(done) = writes.next() => done,
+                    () = &mut late, if sent < HEDGES => break,
+                };
+                match done {
+                    Err(Fault::Unknown(_)) if !writes.is_empty() => {}
+                    done => return done,
+                }
+            }
+            hedge *= 2;
+            // The connection may have gone silent, and those beside it.
+            self.store.borrow_mut().reconnect();
+        }
+    }
+}
+
+/// The record of a turn.
+pub(super) fn record(turn: &Turn) -> Keyed {
+    Keyed {
+        key: turn.id.to_string(),
+        value: Some(turn.encode()),
+    }
+}
--- /dev/null
+++ b/src/gateway/conversation/load.rs
@@ -0,0 +1,179 @@
+//! Reads a bucket of turns at the store.
+//!
+//! Load it answers: the loss of all VMs, after which every program that goes on asks for a turn that
+//! no memory holds. Each bucket is read by one VM, once for all that ask meanwhile.
+
+use super::{Conversations, Gateway};
+use crate::conversation::{Bucket, Id, Turn};
+use crate::gateway::peers::Reply;
+use crate::platform::records::{DETOURED_TURN_TOPIC, turn_topic};
+use crate::platform::store::{Fault, Keyed, Newest};
+use crate::telemetry::event;
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Mutex;
+use tokio::time::{Instant, timeout};
+
+/// How long one read may take before it is made again on another connection: a read of 1 MB takes
+/// about 30 ms on a good day.
+const READ: Duration = Duration::from_millis(300);
+/// Reads of one bucket before it counts as not readable now.
+const READS: usize = 3;
+
+/// What whoever asks for a turn knows already.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Known {
+    /// A VM that was named before and did not give it.
+    pub(super) lost: Option<SocketAddr>,
+    /// Whether another VM has looked for it at the store.
+    pub(super) sought: bool,
+}
+
+/// When each bucket was last read, and whether it is being read.
+#[derive(Debug, Default)]
+pub(super) struct Loads {
+    buckets: RefCell<HashMap<Bucket, Rc<Mutex<Option<Instant>>>>>,
+}
+
+impl Conversations {
+    /// Takes a bucket into memory as the store has it now, or had it after this call began.
+    async fn load(&self, bucket: Bucket) -> Result<(), Fault> {
+        let asked = Instant::now();
+        let load = {
+            let mut buckets = self.loads.buckets.borrow_mut();
+            Rc::clone(buckets.entry(bucket).or_default())
+        };
+        let mut read_at = load.lock().await;
+        if read_at.is_some_and(|at| at > asked) {
+            return Ok(());
+        }
+        let began = Instant::now();
+        let turns = self.take_in(began, bucket, &self.read(bucket).await?);
+        *read_at = Some(began);
+        event!(
+            info,
+            "turns_loaded",
+            bucket = bucket,
+            turns = turns,
+            took_ms = began.elapsed().as_millis()
+        );
+        Ok(())
+    }
+
+    /// Another VM has a turn in memory.
+    pub(in crate::gateway) fn told(&self, turn: Id, holder: SocketAddr) {
+        let mut pointers = self.pointers.borrow_mut();
+        pointers.set(Instant::now(), turn, holder);
+    }
+
+    /// Takes those turns of a bucket into memory that went through other partitions than their own.
+    async fn load_detours(&self, bucket: Bucket) -> Result<(), Fault> {
+        let others = self.layout.others(bucket).into_iter();
+        let others = others.map(|part| self.newest(DETOURED_TURN_TOPIC, part));
+        // A partition that is away now may have been there when a turn went through it.
+        for other in futures::future::join_all(others).await {
+            let mut records = other?.records;
+            records.retain(|record| self.is_of(bucket, record));
+            self.take_in(Instant::now(), bucket, &records);
+        }
+        Ok(())
+    }
+
+    /// Looks for a turn at the store, and takes it into memory with all of its bucket.
+    pub(super) async fn seek(&self, id: &Id) -> Result<bool, Fault> {
+        let bucket = self.layout.bucket(id);
+        let own = self.load(bucket).await;
+        if self.find(id).is_some() {
+            return Ok(true);
+        }
+        // Few turns take this way, so that it is looked at last.
+        self.load_detours(bucket).await?;
+        if self.find(id).is_some() {
+            return Ok(true);
+        }
+        own.map(|()| false)
+    }
+
+    /// Takes records into memory; gives how many were turns.
+    fn take_in(&self, now: Instant, bucket: Bucket, records: &[Keyed]) -> usize {
+        let mut turns = 0;
+        for record in records {
+            let Some(turn) = record.value.as_deref().and_then(Turn::decode) else {
+                event!(warn, "turn_unreadable", bucket = bucket, key = record.key);
+                continue;
+            };
+            turns += 1;
+            self.cache.borrow_mut().insert(now, Rc::new(turn));
+        }
+        turns
+    }
+
+    async fn read(&self, bucket: Bucket) -> Result<Vec<Keyed>, Fault> {
+        let topic = turn_topic(self.layout.topic(bucket));
+        let newest = self.newest(&topic, self.layout.partition(bucket));
+        newest.await.map(|newest| newest.records)
+    }
+
+    fn is_of(&self, bucket: Bucket, record: &Keyed) -> bool {
+        let id = record.key.parse::<Id>();
+        id.is_ok_and(|id| self.layout.bucket(&id) == bucket)
+    }
+
+    async fn newest(&self, topic: &str, part: u64) -> Result<Newest, Fault> {
+        let mut fault = Fault::Unknown("no read was made".to_owned());
+        for _ in 0..READS {
+            let store = self.store.borrow().clone();
+            match timeout(READ, store.newest(topic, part)).await {
+                Ok(Ok(newest)) => return Ok(newest),
+                // Nothing was ever written there.
+                Ok(Err(Fault::Refused(404))) => return Ok(Newest::default()),
+                Ok(Err(error @ Fault::Refused(_))) => return Err(error),
+                Ok(Err(error)) => fault = error,
+                Err(_) => fault = Fault::Unknown("the read took too long".to_owned()),
+            }
+            self.store.borrow_mut().reconnect();
+        }
+        Err(fault)
+    }
+}
+
+impl Gateway {
+    /// Tells another VM where a turn is.
+    pub(crate) async fn locate(&self, id: &Id, known: Known) -> Reply {
+        let all = &self.conversations;
+        if all.find(id).is_some() {
+            return Reply::HeldAt(self.address());
+        }
+        let told = all.pointers.borrow().get(id);
+        if let Some(holder) = told.filter(|holder| Some(*holder) != known.lost) {
+            if self.is_member(holder) && !self.peers.is_silent(holder) {
+                return Reply::HeldAt(holder);
+            }
+            all.pointers.borrow_mut().remove(id);
+        }
+        if !known.sought {
+            match all.seek(id).await {
+                Ok(true) => return Reply::HeldAt(self.address()),
+                Ok(false) => {}
+                Err(fault) => {
+                    event!(info, "turn_unlocated", turn = id, reason = fault);
+                    return Reply::Away;
+                }
+            }
+        }
+        let certain = all.is_certain() && self.has_store();
+        event!(info, "turn_absent", turn = id, certain = certain);
+        Reply::NoTurn { certain }
+    }
+
+    fn is_member(&self, address: SocketAddr) -> bool {
+        let view = self.view.borrow();
+        let mut members = view.members.values();
+        members.any(|member| crate::gateway::peers::address(member.address) == address)
+    }
+}
--- a/src/gateway/counter.rs
+++ b/src/gateway/counter.rs
@@ -47,14 +47,18 @@
 
     /// The VMs that may count a partition, the one that should first, silent ones last.
     pub(super) fn counters(&self, part: u64) -> Vec<Peer> {
+        self.ranked(&format!("allowance/{part}"))
+    }
+
+    /// All VMs in their order for a duty, silent ones last.
+    pub(super) fn ranked(&self, key: &str) -> Vec<Peer> {
         let view = self.view.borrow();
-        let key = format!("allowance/{part}");
         let mut members: Vec<_> = view
             .members
             .values()
             .map(|member| {
                 let silent = self.peers.is_silent(peers::address(member.address));
-                let rank = rendezvous(&key, member.vm.as_str());
+                let rank = rendezvous(key, member.vm.as_str());
                 (member.ready && !silent, rank, member)
             })
             .collect();
@@ -114,6 +118,7 @@
                 self.keeper.keep(copy);
                 Reply::Kept
             }
+            Question::Locate { turn, known } => self.locate(&turn, known).await,
             Question::Copies { part } => {
                 let part = self.keeper.part(part);
                 let lacking = part.lacking.borrow();
@@ -159,6 +164,7 @@
                 }
             }
             Note::Copied(copy) => self.keeper.keep(copy),
+            Note::Holds { turn } => self.conversations.told(turn, from),
         }
     }
 
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -1,6 +1,6 @@
 //! The thread that follows the configuration and the directory.
 
-use super::directory::Directory;
+use super::directory::{Change, Directory};
 use super::snapshot::{self, Snapshot};
 use super::table::Table;
 use crate::id::Offset;
@@ -334,9 +334,9 @@
         .collect();
     let missing: Vec<_> = directory
         .iter()
-        .filter(|entry| !present.contains(&*entry.id))
+        .filter(|entry| !present.contains(&*entry.name))
         .map(|entry| Keyed {
-            key: entry.id.to_string(),
+            key: entry.name.to_string(),
             value: None,
         })
         .collect();
@@ -353,35 +353,44 @@
 }
 
 fn apply(directory: &mut Directory, record: &Keyed) -> bool {
+    let mut refused = false;
     let change = match server(record) {
         Ok(change) => change,
         Err(reason) => {
-            event!(warn, "server_refused", server = record.key, reason = reason);
-            return false;
+            // Another writer's, or rubbish: it names no server to use, and the others hold.
+            let raw = record.value.as_deref().unwrap_or_default();
+            refused = directory.refuse(&record.key, raw);
+            if refused {
+                event!(warn, "server_refused", server = record.key, reason = reason);
+            }
+            Change::Removed(record.key.as_str().into())
         }
     };
-    let before = directory.get(&record.key).map(|entry| entry.draining);
+    let before = directory.named(&record.key).cloned();
     let changed = directory.apply(change);
     if !changed {
-        return false;
+        return refused;
     }
     if let Some(value) = &record.value {
         directory.keep(&record.key, value.clone());
     }
-    match (before, directory.get(&record.key)) {
-        (None, Some(entry)) => event!(
+    match (before, directory.named(&record.key)) {
+        (Some(before), Some(entry)) if before.id == entry.id => {
+            if entry.draining && !before.draining {
+                event!(info, "server_draining", server = entry.id);
+            }
+        }
+        (before, Some(entry)) => event!(
             info,
             "server_added",
             server = entry.id,
+            instead_of = before.as_ref().map_or("", |before| &*before.id),
             service = entry.service,
             address = entry.address,
             zone = entry.zone
         ),
-        (Some(_), None) => event!(info, "server_removed", server = record.key),
-        (Some(false), Some(entry)) if entry.draining => {
-            event!(info, "server_draining", server = entry.id);
-        }
-        _ => {}
+        (Some(before), None) => event!(info, "server_removed", server = before.id),
+        (None, None) => {}
     }
     changed
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -3,11 +3,14 @@
 use super::Gateway;
 use super::attempt::{Answer, Attempt, Next, Source, Stream, attempt};
 use super::body::{Body, Cut};
+use super::conversation::INPUT_BYTES;
 use super::event::Batch;
 use super::job::Job;
 use super::permit::Permit;
 use super::reply;
+use super::table::Route;
 use crate::code::{Code, Failure};
+use crate::conversation::{self, Transcript, prompt};
 use crate::platform::headers::{self, Meta};
 use crate::policy::dispatch::{Ask, Outcome};
 use crate::telemetry::event;
@@ -36,6 +39,8 @@
 const TURNED_AWAY: Duration = Duration::from_millis(500);
 /// What is left for the answer to reach the caller before it stops waiting.
 const WAY: Duration = Duration::from_millis(15);
+/// When a caller may come back that had better begin again.
+const AT_ONCE: Duration = Duration::from_millis(50);
 /// How often a stream may go on after a break.
 const RESUMES: usize = 4;
 
@@ -130,6 +135,7 @@
             ));
         }
     };
+    let prev = prev_turn(route, &meta, &body)?;
     let draw = xxh3_64(meta.program.as_deref().unwrap_or(&meta.id).as_bytes());
     let Some(service) = route.service(draw) else {
         return Err(Failure::refused(Code::NoServer, "the route leads nowhere"));
@@ -148,19 +154,49 @@
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
-        body,
+        input: body.clone(),
+        body: RefCell::new(body),
+        prev,
         arrived,
         deadline,
         allowance: RefCell::new(None),
         servers: RefCell::default(),
         waited: Cell::default(),
         allowed: Cell::default(),
+        assembled: Cell::default(),
+        kept: Cell::default(),
         sent: Cell::new(false),
         told: Cell::new(false),
         events: Cell::new(0),
     })
 }
 
+/// The turn that a request goes on from, where its route keeps turns.
+fn prev_turn(
+    route: &Route,
+    meta: &Meta,
+    input: &Bytes,
+) -> Result<Option<conversation::Id>, Failure> {
+    if !route.keeps_turns {
+        return Ok(None);
+    }
+    if meta.last_event.is_some() {
+        // The caller has the first part of an answer that left no turn; what comes now would be half
+        // of one. From its start it is a turn.
+        let failure = Failure::refused(Code::HistoryAway, "a kept turn begins at its first event");
+        return Err(failure.retry_after(AT_ONCE));
+    }
+    if input.len() > INPUT_BYTES {
+        let failure = Failure::refused(Code::TooLarge, "the turn is larger than can be kept");
+        return Err(failure);
+    }
+    let Some(prev) = &meta.prev_turn else {
+        return Ok(None);
+    };
+    let malformed = |_| Failure::refused(Code::UnknownTurn, "no turn has such an identity");
+    prev.parse().map(Some).map_err(malformed)
+}
+
 fn no_route(gateway: &Gateway) -> Failure {
     if gateway.is_blind() {
         // A route may have been added since; a 404 would end the caller's program.
@@ -172,7 +208,8 @@
 
 /// Sends the request until a server answers it.
 async fn run(job: &Rc<Job>) -> Result<Response<Body>, Failure> {
-    allow(job).await?;
+    // Both before anything is sent, and at once: a turn's target leaves 30 ms for all of its way.
+    tokio::try_join!(allow(job), assemble(job))?;
     let mut avoid = Vec::new();
     let mut ran = 0;
     for _ in 0..TRIES {
@@ -227,6 +264,19 @@
     permit
 }
 
+/// Puts what was said before in front of what the caller sent.
+async fn assemble(job: &Job) -> Result<(), Failure> {
+    let Some(prev) = &job.prev else {
+        return Ok(());
+    };
+    let began = Instant::now();
+    let turns = job.gateway.history(prev).await;
+    job.assembled.set(began.elapsed());
+    job.gateway.metrics.assembled(began.elapsed());
+    job.body.replace(prompt(&turns?, &job.input));
+    Ok(())
+}
+
 /// Gets leave for the tokens of a turn, before anything of it is sent.
 async fn allow(job: &Job) -> Result<(), Failure> {
     let (Some(program), Some(budget)) = (&job.meta.program, job.meta.budget) else {
@@ -310,6 +360,7 @@
         permit,
         source: stream.source,
         last: job.meta.last_event,
+        said: job.route.keeps_turns.then(Transcript::default),
         chunks,
     };
     tokio::task::spawn_local(pump.run(stream.first));
@@ -324,6 +375,8 @@
     source: Source,
     /// The last event that was passed on.
     last: Option<u64>,
+    /// What was said, where the system keeps turns.
+    said: Option<Transcript>,
     chunks: mpsc::Sender<Result<Bytes, Cut>>,
 }
 
@@ -369,6 +422,9 @@
         self.last = batch.last.or(self.last);
         let job = &self.job;
         job.events.set(job.events.get() + batch.events);
+        if let Some(said) = &mut self.said {
+            said.push(&batch.bytes);
+        }
         let sent = tokio::time::timeout_at(job.deadline, self.chunks.send(Ok(batch.bytes))).await;
         match sent {
             Ok(Ok(())) => None,
@@ -420,38 +476,51 @@
             job,
             permit,
             source,
+            said,
             chunks,
             ..
         } = self;
+        if end == End::Whole {
+            let (took, load) = (source.began.elapsed(), source.load);
+            source.finish(&job);
+            permit.end(Outcome::Done {
+                took,
+                work: (job.events.get() + 1) as f64,
+                load,
+            });
+            let kept = keep(&job, said).await;
+            job.ended(if kept { "200" } else { "cut:not_kept" }, kept);
+            if !kept {
+                drop(chunks.send(Err(Cut)).await);
+            }
+            return;
+        }
         let result = match end {
-            End::Whole => "200",
+            End::Whole => return,
             End::CallerLeft => "caller_left",
             End::Late => "cut:late",
             End::Broken(reason) => reason,
         };
-        job.ended(result, end == End::Whole);
-        match end {
-            End::Whole => {
-                let (took, load) = (source.began.elapsed(), source.load);
-                source.finish(&job);
-                permit.end(Outcome::Done {
-                    took,
-                    work: (job.events.get() + 1) as f64,
-                    load,
-                });
-            }
-            End::CallerLeft => {}
-            End::Late | End::Broken(_) => {
-                if matches!(end, End::Broken(_)) {
-                    permit.end(Outcome::Failed);
-                }
-                // The caller has left where this fails.
-                drop(chunks.send(Err(Cut)).await);
-            }
+        job.ended(result, false);
+        if matches!(end, End::Broken(_)) {
+            permit.end(Outcome::Failed);
+        }
+        if end != End::CallerLeft {
+            // The caller has left where this fails.
+            drop(chunks.send(Err(Cut)).await);
         }
     }
 }
 
+/// Keeps a turn whose last event came; false where it could not be kept in time.
+async fn keep(job: &Job, said: Option<Transcript>) -> bool {
+    let Some(said) = said else {
+        return true;
+    };
+    let kept = timeout_at(job.deadline, job.gateway.keep_turn(job, said));
+    kept.await.unwrap_or(false)
+}
+
 fn log_resume(job: &Job, server: &str, reason: &str, attempt: &Attempt, last: Option<u64>) {
     let outcome = match attempt {
         Attempt::Stream(_) => "resumed",
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -1,6 +1,7 @@
 //! Accepts callers, answers the balancer, and stops without cutting anyone.
 
 use super::body::Body;
+use super::conversation::{self, Conversations};
 use super::feed::{self, World};
 use super::forward;
 use super::keeper::{self, Keeper};
@@ -158,6 +159,11 @@
             settings.store.address,
             settings.store.partitions,
         )),
+        conversations: Rc::new(Conversations::new(
+            settings.store.address,
+            settings.store.partitions,
+            &settings.peer_key,
+        )),
         zone: settings.zone.as_str().into(),
         links: Links::default(),
         desk: Desk::default(),
@@ -188,6 +194,7 @@
     spawn_local(snapshot::keep(Rc::clone(&gateway)));
     spawn_local(peers::receive(Rc::clone(&gateway)));
     spawn_local(keeper::keep_house(Rc::clone(&gateway)));
+    spawn_local(conversation::keep_house(Rc::clone(&gateway)));
     spawn_local(contact::run(gateway.settings.clone(), outside.contacts));
     let accepting = spawn_local(accept(Rc::clone(&gateway), callers, stop.clone()));
     let (mut terminate, mut hangup) = (
@@ -290,7 +297,10 @@
 }
 
 async fn answer_balancer(gateway: Rc<Gateway>, listener: TcpListener) {
-    listen::serve(listener, move |_| readiness(gateway.is_ready())).await;
+    listen::serve(listener, move |_| {
+        std::future::ready(readiness(gateway.is_ready()))
+    })
+    .await;
 }
 
 fn readiness(ready: bool) -> Response<Body> {
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -4,6 +4,7 @@
 use super::directory::Id;
 use super::keeper::Allowance;
 use super::table::Route;
+use crate::conversation;
 use crate::platform::headers::Meta;
 use crate::telemetry::event;
 use bytes::Bytes;
@@ -26,7 +27,12 @@
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    /// What the caller sent.
+    pub(crate) input: Bytes,
+    /// What a server gets: the input, after what was said before where the system keeps that.
+    pub(crate) body: RefCell<Bytes>,
+    /// The turn that it goes on from, where the system keeps turns.
+    pub(crate) prev: Option<conversation::Id>,
     pub(crate) arrived: Instant,
     /// When it gets its final answer at the latest.
     pub(crate) deadline: Instant,
@@ -40,6 +46,10 @@
     pub(crate) waited: Cell<Duration>,
     /// How long it waited for leave to generate tokens.
     pub(crate) allowed: Cell<Duration>,
+    /// How long it waited for what was said before.
+    pub(crate) assembled: Cell<Duration>,
+    /// How long its end waited for its turn to be kept.
+    pub(crate) kept: Cell<Duration>,
     /// Whether a server may have run it.
     pub(crate) sent: Cell<bool>,
     /// Whether its end was told.
@@ -88,6 +98,9 @@
             events = self.events.get(),
             waited_ms = self.waited.get().as_millis(),
             allowed_ms = self.allowed.get().as_millis(),
+            prev = self.prev.as_ref().map_or("", conversation::Id::as_str),
+            history_ms = self.assembled.get().as_millis(),
+            kept_ms = self.kept.get().as_millis(),
             total_ms = total.as_millis(),
             limit_ms = self
                 .deadline
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -1,4 +1,4 @@
-//! Listeners for the platform and for operators, whose questions are answered at once.
+//! Listeners for the platform and for operators, whose questions are answered by themselves.
 
 use super::body::Body;
 use http::{Request, Response};
@@ -18,7 +18,7 @@
 /// Answers every request by `respond`, until the process ends.
 pub(super) async fn serve(
     listener: TcpListener,
-    respond: impl Fn(&Request<Incoming>) -> Response<Body> + Clone + 'static,
+    respond: impl AsyncFn(Request<Incoming>) -> Response<Body> + Clone + 'static,
 ) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -27,9 +27,8 @@
         };
         let respond = respond.clone();
         spawn_local(async move {
-            let service = service_fn(move |request: Request<Incoming>| {
-                let response = respond(&request);
-                async move { Ok::<_, Infallible>(response) }
+            let service = service_fn(async |request: Request<Incoming>| {
+                Ok::<_, Infallible>(respond(request).await)
             });
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             // Whoever asks does so again when a connection breaks.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -27,6 +27,10 @@
     waited_ms: Histogram<f64>,
     /// Time that turns waited for leave to generate tokens.
     allowed_ms: Histogram<f64>,
+    /// Time that the ends of answers waited for their turns to be kept, by where they are kept.
+    kept_ms: Histogram<f64>,
+    /// Time that turns waited for what was said before.
+    history_ms: Histogram<f64>,
     _dropped: ObservableCounter<u64>,
 }
 
@@ -54,6 +58,8 @@
             total_ms: histogram("request_ms", "Milliseconds from the head to the last byte"),
             waited_ms: histogram("waited_ms", "Milliseconds of waiting for a backend server"),
             allowed_ms: histogram("allowed_ms", "Milliseconds of waiting for leave for tokens"),
+            kept_ms: histogram("turn_kept_ms", "Milliseconds of keeping a turn, by place"),
+            history_ms: histogram("history_ms", "Milliseconds of waiting for earlier turns"),
             _dropped: meter
                 .u64_observable_counter("log_lines_dropped")
                 .with_description("Log lines dropped, since nobody read them fast enough")
@@ -86,6 +92,17 @@
         self.allowed_ms.record(millis(time), &[]);
     }
 
+    /// The end of an answer waited for its turn to be kept.
+    pub(crate) fn kept(&self, time: Duration, place: &'static str) {
+        self.kept_ms
+            .record(millis(time), &[KeyValue::new("place", place)]);
+    }
+
+    /// A turn waited for what was said before.
+    pub(crate) fn assembled(&self, time: Duration) {
+        self.history_ms.record(millis(time), &[]);
+    }
+
     /// The text that is served to operators.
     pub(crate) fn text(&self) -> String {
         self.exporter.text()
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod attempt;
 mod body;
 mod contact;
+mod conversation;
 mod copies;
 mod counter;
 mod detour;
@@ -36,6 +37,7 @@
 
 use crate::member::View;
 use crate::settings;
+use conversation::Conversations;
 use feed::World;
 use keeper::Keeper;
 use lease::Leases;
@@ -67,6 +69,7 @@
     view: watch::Receiver<Arc<View>>,
     peers: Peers,
     keeper: Rc<Keeper>,
+    conversations: Rc<Conversations>,
     links: Links,
     desk: Desk,
     leases: Leases,
--- a/src/gateway/operators.rs
+++ b/src/gateway/operators.rs
@@ -2,6 +2,7 @@
 
 use super::Gateway;
 use super::body::Body;
+use super::conversation;
 use super::listen;
 use super::snapshot::{self, Snapshot};
 use crate::telemetry;
@@ -11,9 +12,12 @@
 use std::rc::Rc;
 use tokio::net::TcpListener;
 
-/// Answers operators, and VMs that need a copy of the configuration.
+/// Answers operators, and VMs that need turns or a copy of the configuration.
 pub(crate) async fn run(gateway: Rc<Gateway>, listener: TcpListener) {
-    listen::serve(listener, move |request| {
+    listen::serve(listener, async move |request| {
+        if request.uri().path() == conversation::PATH {
+            return conversation::serve(Rc::clone(&gateway), request).await;
+        }
         gateway.operator(request.uri().path())
     })
     .await;
@@ -63,6 +67,7 @@
             "services": self.desk.state(),
             "leases": json!({ "waiting": waiting, "places": places }),
             "counted": json!({ "partitions": partitions, "programs": programs }),
+            "conversations": self.conversations.size(),
             "idle_connections": self.links.len(),
             "members": view.members.values().map(|member| &member.vm).collect::<Vec<_>>(),
             "dropped_log_lines": telemetry::dropped_lines(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -3,6 +3,8 @@
 //! A datagram costs one system call on each side, and one that is lost holds up no other.
 
 use super::Gateway;
+use super::conversation::Known;
+use crate::conversation::Id;
 use crate::id::Vm;
 use crate::member::{DATAGRAM, Sealer};
 use crate::policy::allowance::{Entry, Reservation};
@@ -57,6 +59,9 @@
     /// Which server may a request go to? Answered when one has room.
     #[serde(rename = "p")]
     Place(Ask),
+    /// Where is a turn?
+    #[serde(rename = "t")]
+    Locate { turn: Id, known: Known },
     /// Go on counting a partition, whose writer had this epoch.
     #[serde(rename = "a")]
     Adopt {
@@ -96,6 +101,12 @@
     /// The budget is spent.
     #[serde(rename = "s")]
     Spent,
+    /// The VM at this address has the turn in memory.
+    #[serde(rename = "h")]
+    HeldAt(SocketAddr),
+    /// The turn is neither in memory nor at the store; `certain` where it was never kept elsewhere.
+    #[serde(rename = "u")]
+    NoTurn { certain: bool },
     /// Another VM counts this program.
     #[serde(rename = "o")]
     NotOwner,
@@ -141,6 +152,9 @@
     /// A durable allowance.
     #[serde(rename = "c")]
     Copied(Copy),
+    /// The VM that tells this has a turn in memory.
+    #[serde(rename = "h")]
+    Holds { turn: Id },
     /// A request that asked for a place under this number is over, or waits no longer.
     #[serde(rename = "l")]
     Left { number: u64, outcome: Outcome },
--- a/src/gateway/reserve.rs
+++ b/src/gateway/reserve.rs
@@ -121,7 +121,7 @@
     }
 
     /// Where other VMs ask this one.
-    fn address(&self) -> SocketAddr {
+    pub(super) fn address(&self) -> SocketAddr {
         peers::address(self.settings.listen.peers)
     }
 
--- a/src/gateway/table.rs
+++ b/src/gateway/table.rs
@@ -80,6 +80,8 @@
     pub targets: Vec<Target>,
     /// Whether a broken stream may go on at another backend server.
     pub resumable: bool,
+    /// Whether callers send only what is new in a turn, and the system keeps what was said before.
+    pub keeps_turns: bool,
     /// How long a program may pause between two turns and still come back.
     pub program_idle: Option<Duration>,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`ownership`] | which VM owns a shard, by the order of the log alone | `ownership` |
 //! | [`program`] | the order of calls, the history, the budget and the kept answers | `program` |
 //! | [`effect`] | whether a call that must not be repeated may be sent | `effect` |
+//! | [`conversation`] | which turns lead to a turn, and which the store still lacks | |
 //! | [`config`] | which change of the configuration counts | `config` |
 //! | [`policy`] | which call goes to which backend server, and when | `policy` |
 //! | [`member`] | which VMs are alive, and what they say of themselves | `member` |
@@ -19,6 +20,7 @@
 pub mod cli;
 pub mod code;
 pub mod config;
+pub mod conversation;
 pub mod effect;
 pub mod gateway;
 pub mod id;
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -22,6 +22,8 @@
 /// The parts of the prompt in order, each an identity, a colon and its tokens; the first ones are
 /// shared with other programs, and every turn adds one.
 const PROMPT_PARTS: HeaderName = HeaderName::from_static("x-prompt-prefix");
+/// The identity of the request that made the turn that this one goes on from.
+const PREV_TURN: HeaderName = HeaderName::from_static("x-prev-turn");
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
 /// Three numbers: requests that run, requests that wait, and places.
 const SERVER_LOAD: HeaderName = HeaderName::from_static("x-server-load");
@@ -73,6 +75,8 @@
     pub(crate) prompt_parts: usize,
     /// The last event that the caller has.
     pub(crate) last_event: Option<u64>,
+    /// The turn that it goes on from.
+    pub(crate) prev_turn: Option<String>,
 }
 
 fn text(headers: &HeaderMap, name: &HeaderName) -> Option<String> {
@@ -101,6 +105,10 @@
             most_tokens: most.unwrap_or_default(),
             prompt_parts: text(headers, &PROMPT_PARTS).map_or(0, |parts| parts.split(',').count()),
             last_event: number(headers, &LAST_EVENT),
+            prev_turn: headers.get(&PREV_TURN).map(|value| {
+                let text = value.to_str().unwrap_or_default();
+                text.trim().to_owned()
+            }),
         }
     }
 }
@@ -140,7 +148,7 @@
         kept.insert(HOST, host.clone());
     }
     // A caller may name these in `Connection`; the server needs them all the same.
-    for name in [REQUEST_ID, PROGRAM, SESSION] {
+    for name in [REQUEST_ID, PROGRAM, SESSION, PREV_TURN] {
         if let Some(value) = headers.get(&name) {
             kept.insert(name, value.clone());
         }
--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -1,11 +1,12 @@
 //! The records that operators and backend servers write to the store.
 
 use super::store::Keyed;
-use crate::gateway::directory::{Change, Entry};
+use crate::gateway::directory::{Change, Entry, identity};
 use crate::gateway::table::{Engine, Limits, Route, Service, Table, Target};
 use serde::Deserialize;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::num::NonZeroUsize;
 use std::time::Duration;
 
 /// The topic whose record [`CONFIG_KEY`] is the configuration.
@@ -18,11 +19,21 @@
 pub(crate) const ALLOWANCE_TOPIC: &str = "keyed.allowance";
 /// Our own topic of allowances whose partition does not take them.
 pub(crate) const DETOUR_TOPIC: &str = "keyed.detour";
+/// How many topics hold turns of conversations. A bucket is read as a whole when no VM has a turn in
+/// memory; with 12 partitions there are 48, of 0.1 to 0.5 MB each at 100 to 500 turns a second.
+pub(crate) const TURN_TOPICS: u64 = 4;
+/// Our own topic of turns whose partition does not take them.
+pub(crate) const DETOURED_TURN_TOPIC: &str = "keyed.turndetour";
 /// Our own topic of copies of the configuration and the directory.
 pub(crate) const SNAPSHOT_TOPIC: &str = "keyed.snapshot";
 /// Our own topic of the addresses at which VMs first reach each other.
 pub(crate) const CONTACT_TOPIC: &str = "keyed.contact";
 
+/// One of our own topics of turns of conversations.
+pub(crate) fn turn_topic(number: u64) -> String {
+    format!("keyed.turns{number}")
+}
+
 /// Servers that a request may run on where a route does not say.
 const ATTEMPTS: u32 = 2;
 /// Tokens of one event where the engine does not say.
@@ -58,8 +69,11 @@
     split: Vec<SplitBody>,
     #[serde(default)]
     can_resume: bool,
-    /// Seconds for which a stopped program may still come back. The name speaks of retaining a
-    /// prompt, but it is given where prompts are not kept, too.
+    /// Whether callers send only what is new in a turn, and the system keeps what was said before.
+    #[serde(default)]
+    retain: bool,
+    /// Seconds for which a stopped program may still come back, and for which a turn is kept. It is
+    /// given where no turns are kept, too.
     retain_s: Option<f64>,
 }
 
@@ -102,13 +116,24 @@
     service: String,
     addr: SocketAddr,
     zone: String,
-    #[serde(default)]
-    slots: usize,
-    /// `ready` or `draining`.
-    #[serde(default)]
-    state: String,
-    #[serde(default)]
+    slots: NonZeroUsize,
+    state: StateBody,
     cold_left_ms: f64,
+    /// The milliseconds since the Unix epoch of the server's start; some versions do not say.
+    #[serde(default)]
+    born: u64,
+    // The rest is not used. An entry without it is not a server's.
+    #[serde(rename = "version")]
+    _version: String,
+    #[serde(rename = "seq")]
+    _seq: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "camelCase")]
+enum StateBody {
+    Ready,
+    Draining,
 }
 
 fn millis(number: f64) -> Duration {
@@ -137,6 +162,7 @@
             rank: self.priority,
             targets,
             resumable: self.can_resume,
+            keeps_turns: self.retain,
             program_idle: self.retain_s.map(|seconds| millis(seconds * 1000.0)),
         })
     }
@@ -184,18 +210,20 @@
 
 /// Decodes one record of the directory.
 pub(crate) fn server(record: &Keyed) -> Result<Change, String> {
-    let id = record.key.as_str().into();
+    let name = record.key.as_str().into();
     let Some(value) = &record.value else {
-        return Ok(Change::Removed(id));
+        return Ok(Change::Removed(name));
     };
     let body: ServerBody = serde_json::from_slice(value).map_err(|error| error.to_string())?;
     Ok(Change::Set(Entry {
-        id,
+        id: identity(&record.key, body.born),
+        name,
+        born_ms: body.born,
         service: body.service,
         address: body.addr,
         zone: body.zone,
-        slots: body.slots.max(1),
-        draining: body.state == "draining",
+        slots: body.slots.get(),
+        draining: body.state == StateBody::Draining,
         cold: millis(body.cold_left_ms),
     }))
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -5,7 +5,7 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::{BufMut, Bytes, BytesMut};
-use reqwest::{Response, StatusCode};
+use reqwest::{Response, StatusCode, Url};
 use serde::Deserialize;
 use std::fmt;
 use std::net::SocketAddr;
@@ -153,7 +153,10 @@
         loop {
             let mut url = format!("{}/log-newest?topic={topic}&part={part}", self.base);
             if !after.is_empty() {
-                url = format!("{url}&after={after}");
+                // Keys of other writers may hold any character.
+                url = Url::parse_with_params(&url, [("after", &after)])
+                    .map_err(|error| Fault::Malformed(error.to_string()))?
+                    .into();
             }
             let reply = checked(self.client.get(url).timeout(CALL_TIMEOUT).send().await).await?;
             let bytes = reply.bytes().await.map_err(|error| unknown(&error))?;
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -124,7 +124,7 @@
     pub fn register(&self, id: &str, service: &str, address: SocketAddr, state: &str) {
         let entry = json!({
             "service": service, "addr": address.to_string(), "zone": "z", "slots": 4,
-            "state": state, "coldLeftMs": 0, "seq": 1,
+            "version": "v1", "state": state, "coldLeftMs": 0, "seq": 1,
         });
         self.put("keyed.servers", id, Some(&entry));
     }
