Let no answer end before the store has its turn

Change: copies are no longer kept. A VM that the store turns away has another one record the turn (relay); while the store serves nobody the end of the answer waits, its events having gone out, and is cut when the caller's time is over. With that a VM that has read the store knows that a turn does not exist, and answers 404 at once where it said 503.

--- a/src/conversation/outbox.rs
+++ b/src/conversation/outbox.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Drops a turn whose answer did not end as whole: nobody goes on from it.
+    pub fn forget(&mut self, id: &Id) {
+        self.turns.remove(id);
+    }
+
     /// Drops turns that nobody can come back to.
     pub fn expire(&mut self, now_ms: u64) {
         self.turns.retain(|_, turn| turn.until_ms > now_ms);
--- a/src/gateway/conversation/assemble.rs
+++ b/src/gateway/conversation/assemble.rs
@@ -1,6 +1,6 @@
 //! Puts together what was said before a turn.
 
-use super::{Gateway, HISTORY_BYTES, Known};
+use super::{Gateway, HISTORY_BYTES};
 use crate::code::{Code, Failure};
 use crate::conversation::{Id, Turn, Walk};
 use crate::gateway::peers::{Peer, Question, Reply};
@@ -42,9 +42,7 @@
                 }
                 Walk::Missing(id) => id,
             };
-            if all.find(&missing).is_none() {
-                self.fetch(&missing).await?;
-            }
+            self.fetch(&missing).await?;
         }
         Err(away())
     }
@@ -52,42 +50,44 @@
     /// Brings a turn, and what is with it, into memory.
     async fn fetch(self: &Rc<Self>, id: &Id) -> Result<(), Failure> {
         let bucket = self.conversations.layout.bucket(id);
-        let mut sought = false;
         for home in self.homes(bucket).into_iter().take(ASKED) {
-            match self.fetch_by(&home, id, sought).await {
+            match self.fetch_by(&home, id).await {
                 Found::Here => return Ok(()),
-                Found::Nowhere { certain } if certain && self.conversations.is_certain() => {
-                    return Err(Failure::refused(
-                        Code::UnknownTurn,
-                        "there is no such turn to go on from",
-                    ));
-                }
-                Found::Nowhere { .. } => sought = true,
+                Found::Nowhere => return Err(unknown()),
                 Found::Unknown => {}
             }
         }
         // The VMs that should know are gone or cut off.
-        if !sought && matches!(self.conversations.seek(id).await, Ok(true)) {
-            return Ok(());
+        match self.conversations.seek(id).await {
+            Ok(true) => Ok(()),
+            Ok(false) => Err(unknown()),
+            Err(fault) => {
+                event!(
+                    warn,
+                    "history_away",
+                    turn = id,
+                    bucket = bucket,
+                    reason = fault
+                );
+                Err(away())
+            }
         }
-        event!(warn, "history_away", turn = id, bucket = bucket);
-        Err(away())
     }
 
     /// Asks one VM where a turn is, and gets it from there.
-    async fn fetch_by(self: &Rc<Self>, home: &Peer, id: &Id, sought: bool) -> Found {
-        let mut known = Known { lost: None, sought };
+    async fn fetch_by(self: &Rc<Self>, home: &Peer, id: &Id) -> Found {
+        let mut lost = None;
         for _ in 0..TWICE {
             let reply = if home.vm == self.settings.vm {
-                Some(self.locate(id, known).await)
+                Some(self.locate(id, lost).await)
             } else {
                 let turn = id.clone();
-                let question = Question::Locate { turn, known };
+                let question = Question::Locate { turn, lost };
                 self.peers.ask(home.address, &question).await
             };
             let holder = match reply {
                 Some(Reply::HeldAt(holder)) => holder,
-                Some(Reply::NoTurn { certain }) => return Found::Nowhere { certain },
+                Some(Reply::NoTurn) => return Found::Nowhere,
                 _ => return Found::Unknown,
             };
             if holder == self.address() {
@@ -98,7 +98,7 @@
             } else if self.fetch_from(holder, id).await {
                 return Found::Here;
             }
-            known.lost = Some(holder);
+            lost = Some(holder);
         }
         Found::Unknown
     }
@@ -108,13 +108,15 @@
 enum Found {
     /// It is in memory now.
     Here,
-    /// The store does not have it; `certain` where there can be no such turn.
-    Nowhere {
-        certain: bool,
-    },
+    /// There is no such turn: the store, which has each one before its answer ends, does not.
+    Nowhere,
     Unknown,
 }
 
+fn unknown() -> Failure {
+    Failure::refused(Code::UnknownTurn, "there is no such turn to go on from")
+}
+
 fn away() -> Failure {
     let failure = Failure::refused(Code::HistoryAway, "what was said before can't be read now");
     failure.retry_after(COME_BACK)
--- a/src/gateway/conversation/exchange.rs
+++ b/src/gateway/conversation/exchange.rs
@@ -31,9 +31,9 @@
     /// Give a turn, and those that lead to it.
     #[serde(rename = "f")]
     Fetch(Id),
-    /// Keep a turn that the store does not take from the VM that served it.
-    #[serde(rename = "k")]
-    Keep(Turn),
+    /// Record a turn that the store does not take from the VM that served it.
+    #[serde(rename = "r")]
+    Record(Turn),
 }
 
 /// What it answers.
@@ -42,12 +42,9 @@
     /// Turns, the newest first; none where the turn is not there.
     #[serde(rename = "t")]
     Turns(Vec<Rc<Turn>>),
-    /// The turn is kept.
-    #[serde(rename = "k")]
-    Kept {
-        /// Whether the store has it.
-        recorded: bool,
-    },
+    /// Whether the store has the turn.
+    #[serde(rename = "r")]
+    Recorded(bool),
 }
 
 /// Sends messages to other VMs.
@@ -129,9 +126,9 @@
     let message = bytes.ok().and_then(|bytes| sealer.open(&bytes));
     let answer = match message {
         Some(Message::Fetch(id)) => gateway.turns_to(&id),
-        Some(Message::Keep(turn)) => Answer::Kept {
-            recorded: gateway.conversations.keep_copy(turn).await,
-        },
+        Some(Message::Record(turn)) => {
+            Answer::Recorded(gateway.conversations.record_for(turn).await)
+        }
         None => {
             event!(warn, "exchange_refused");
             let mut refused = Response::new(Body::whole(Bytes::new()));
--- a/src/gateway/conversation/lane.rs
+++ b/src/gateway/conversation/lane.rs
@@ -25,8 +25,12 @@
 const HEDGE: Duration = Duration::from_millis(60);
 /// Writes of one batch that may be under way at a time.
 const HEDGES: usize = 3;
-/// The pause after a failed write, at first and at most.
-const PAUSE: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(800));
+/// The pause after a failed write, at first and at most. While the store is away each VM makes about
+/// three writes a second, and the ends of answers that wait go out 0.3 s after it is back.
+const PAUSE: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(300));
+
+/// How long a bucket waits to be told that the store is back before it tries by itself.
+const UNTOLD: Duration = Duration::from_millis(1500);
 
 /// The turns of one bucket that the store has not taken yet.
 #[derive(Debug, Default)]
@@ -80,7 +84,7 @@
                     pause = PAUSE.0;
                 }
                 Err(fault) => {
-                    self.misses.set(self.misses.get().saturating_add(1));
+                    self.miss();
                     if !lane.failing.replace(true) {
                         event!(warn, "turns_stuck", bucket = bucket, reason = fault);
                     }
@@ -104,7 +108,7 @@
         if self.is_away() && self.probing.get() {
             tokio::select! {
                 () = self.back.notified() => {}
-                () = sleep(PAUSE.1 * 2) => {}
+                () = sleep(UNTOLD) => {}
             }
             return;
         }
--- a/src/gateway/conversation/load.rs
+++ b/src/gateway/conversation/load.rs
@@ -9,7 +9,6 @@
 use crate::platform::records::{DETOURED_TURN_TOPIC, turn_topic};
 use crate::platform::store::{Fault, Keyed, Newest};
 use crate::telemetry::event;
-use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -24,16 +23,6 @@
 /// Reads of one bucket before it counts as not readable now.
 const READS: usize = 3;
 
-/// What whoever asks for a turn knows already.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub(crate) struct Known {
-    /// A VM that was named before and did not give it.
-    pub(super) lost: Option<SocketAddr>,
-    /// Whether another VM has looked for it at the store.
-    pub(super) sought: bool,
-}
-
 /// When each bucket was last read, and whether it is being read.
 #[derive(Debug, Default)]
 pub(super) struct Loads {
@@ -143,32 +132,29 @@
 }
 
 impl Gateway {
-    /// Tells another VM where a turn is.
-    pub(crate) async fn locate(&self, id: &Id, known: Known) -> Reply {
+    /// Tells another VM where a turn is. `lost` is one that was named before and did not give it.
+    pub(crate) async fn locate(&self, id: &Id, lost: Option<SocketAddr>) -> Reply {
         let all = &self.conversations;
         if all.find(id).is_some() {
             return Reply::HeldAt(self.address());
         }
         let told = all.pointers.borrow().get(id);
-        if let Some(holder) = told.filter(|holder| Some(*holder) != known.lost) {
+        if let Some(holder) = told.filter(|holder| Some(*holder) != lost) {
             if self.is_member(holder) && !self.peers.is_silent(holder) {
                 return Reply::HeldAt(holder);
             }
             all.pointers.borrow_mut().remove(id);
         }
-        if !known.sought {
-            match all.seek(id).await {
-                Ok(true) => return Reply::HeldAt(self.address()),
-                Ok(false) => {}
-                Err(fault) => {
-                    event!(info, "turn_unlocated", turn = id, reason = fault);
-                    return Reply::Away;
-                }
+        match all.seek(id).await {
+            Ok(true) => return Reply::HeldAt(self.address()),
+            Ok(false) => {}
+            Err(fault) => {
+                event!(info, "turn_unlocated", turn = id, reason = fault);
+                return Reply::Away;
             }
         }
-        let certain = all.is_certain() && self.has_store();
-        event!(info, "turn_absent", turn = id, certain = certain);
-        Reply::NoTurn { certain }
+        event!(info, "turn_absent", turn = id);
+        Reply::NoTurn
     }
 
     fn is_member(&self, address: SocketAddr) -> bool {
--- a/src/gateway/conversation/mod.rs
+++ b/src/gateway/conversation/mod.rs
@@ -7,15 +7,14 @@
 //! of this module calls back into the life of a request.
 
 mod assemble;
-mod copies;
 mod exchange;
 mod lane;
 mod load;
 mod record;
+mod relay;
 mod sweep;
 
 pub(super) use exchange::{PATH, serve};
-pub(crate) use load::Known;
 pub(super) use sweep::run as keep_house;
 
 use super::Gateway;
@@ -73,8 +72,6 @@
     probing: Cell<bool>,
     /// Told when the store takes a record.
     back: Notify,
-    /// When a turn may last have been kept by VMs alone, as far as this one knows.
-    doubted: Cell<Instant>,
 }
 
 impl Conversations {
@@ -93,7 +90,6 @@
             misses: Cell::new(0),
             probing: Cell::new(false),
             back: Notify::new(),
-            doubted: Cell::new(Instant::now()),
         }
     }
 
@@ -106,27 +102,14 @@
         self.misses.get() >= AWAY
     }
 
-    /// A turn from memory, or from what the store has yet to take.
-    fn find(&self, id: &Id) -> Option<Rc<Turn>> {
-        let now = Instant::now();
-        if let Some(turn) = self.cache.borrow_mut().get(now, id) {
-            return Some(turn);
-        }
-        let lane = self.lane(self.layout.bucket(id));
-        let turn = lane.outbox.borrow().get(id).map(Rc::clone)?;
-        self.cache.borrow_mut().insert(now, Rc::clone(&turn));
-        Some(turn)
+    /// The store did not take a record in time.
+    fn miss(&self) {
+        self.misses.set(self.misses.get().saturating_add(1));
     }
 
-    /// Some turn may be kept by VMs alone from now on.
-    fn doubt(&self) {
-        self.doubted.set(Instant::now());
-    }
-
-    /// Whether a turn that the store does not have does not exist: none was kept without the store
-    /// for as long as any is kept.
-    fn is_certain(&self) -> bool {
-        self.doubted.get().elapsed() > KEPT * KEPT_TIMES + SKEW
+    /// A turn from memory.
+    fn find(&self, id: &Id) -> Option<Rc<Turn>> {
+        self.cache.borrow_mut().get(Instant::now(), id)
     }
 
     /// Turns and bytes in memory, turns that the store lacks, and pointers.
--- a/src/gateway/conversation/record.rs
+++ b/src/gateway/conversation/record.rs
@@ -12,7 +12,7 @@
 use futures::future::select_ok;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// How long the end of an answer waits for the store before other ways are tried beside it. A record
 /// takes 8 ms on a good day; longer waits cost programs their targets, shorter ones send bytes to
@@ -22,8 +22,8 @@
 const SHORT: Duration = Duration::from_millis(20);
 /// How long the other ways may take.
 const ELSEWHERE: Duration = Duration::from_millis(350);
-/// How long the store is waited for where no other way was open.
-const LAST: Duration = Duration::from_millis(700);
+/// The pause before the other ways are tried again.
+const AGAIN: Duration = Duration::from_millis(250);
 /// VMs that are told where a turn is: one hint in some hundred is lost, and VMs may disagree for a
 /// moment on who comes first.
 const TOLD: usize = 2;
@@ -32,10 +32,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Kept {
     Store,
+    /// At the store, in another partition.
     Detour,
-    /// At other VMs alone.
-    Copies,
-    Nowhere,
+    /// At the store, through another VM.
+    Relay,
 }
 
 impl Kept {
@@ -43,8 +43,7 @@
         match self {
             Self::Store => "store",
             Self::Detour => "detour",
-            Self::Copies => "copies",
-            Self::Nowhere => "nowhere",
+            Self::Relay => "relay",
         }
     }
 }
@@ -52,8 +51,10 @@
 impl Gateway {
     /// Keeps the turn of a request whose last event came; gives whether its answer may end as whole.
     ///
-    /// An answer that ended before its turn is kept would promise what a crash can break: the next
-    /// turn of the program would find nothing to go on from.
+    /// An answer that ended before the store has its turn would promise what a crash can break: the
+    /// store was away for 4 s, 59 VMs lost power before it was back, and what programs wanted to go
+    /// on from was gone. While the store is away the end waits, for as long as the caller does; the
+    /// events have long gone out.
     pub(crate) async fn keep_turn(self: &Rc<Self>, job: &Job, said: Transcript) -> bool {
         let Ok(id) = job.meta.id.parse::<Id>() else {
             // Nobody can name it.
@@ -69,38 +70,44 @@
             input: Bytes::copy_from_slice(&job.input),
             output: Bytes::copy_from_slice(&said.finish()),
         });
-        let kept = if turn.size() > TURN_BYTES {
-            Kept::Nowhere
-        } else {
-            self.record(&turn).await
-        };
+        if turn.size() > TURN_BYTES {
+            event!(warn, "turn_too_large", id = turn.id, bytes = turn.size());
+            return false;
+        }
+        let kept = timeout_at(job.deadline, self.record(&turn)).await.ok();
         job.kept.set(began.elapsed());
-        self.metrics.kept(began.elapsed(), kept.name());
-        if kept != Kept::Store || self.sampler.takes(&job.meta.id) {
+        let at = kept.map_or("nowhere", Kept::name);
+        self.metrics.kept(began.elapsed(), at);
+        if kept != Some(Kept::Store) || self.sampler.takes(&job.meta.id) {
             event!(
                 info,
                 "turn_kept",
                 id = turn.id,
                 prev = turn.prev.as_ref().map_or("", Id::as_str),
                 bytes = turn.size(),
-                at = kept.name(),
+                at = at,
                 took_ms = began.elapsed().as_millis()
             );
         }
-        if kept == Kept::Nowhere {
+        let all = &self.conversations;
+        if kept != Some(Kept::Store) {
+            let lane = all.lane(all.layout.bucket(&turn.id));
+            lane.outbox.borrow_mut().forget(&turn.id);
+        }
+        if kept.is_none() {
             return false;
         }
+        let now = Instant::now();
+        all.cache.borrow_mut().insert(now, Rc::clone(&turn));
         self.tell_holder(&turn.id).await;
-        self.conversations.refresh(&turn, kept_for);
+        all.refresh(&turn, kept_for);
         true
     }
 
+    /// Waits until the store has a turn, by whichever way is open.
     async fn record(self: &Rc<Self>, turn: &Rc<Turn>) -> Kept {
         let all = &self.conversations;
         let bucket = all.layout.bucket(&turn.id);
-        all.cache
-            .borrow_mut()
-            .insert(Instant::now(), Rc::clone(turn));
         let lane = all.post(bucket, Rc::clone(turn));
         let patience = if lane.failing.get() || all.is_away() {
             SHORT
@@ -110,31 +117,23 @@
         if timeout(patience, lane.recorded(&turn.id)).await.is_ok() {
             return Kept::Store;
         }
-        all.misses.set(all.misses.get() + 1);
+        all.miss();
         let elsewhere = async {
-            let detour = timeout(ELSEWHERE, self.detour_turn(bucket, turn));
-            let copies = timeout(ELSEWHERE, self.copy_turn(bucket, turn));
-            let (detour, copies) = tokio::join!(detour, copies);
-            match (detour, copies) {
-                (Ok(true), _) => Kept::Detour,
-                (_, Ok(copies)) if copies.recorded => Kept::Store,
-                (_, Ok(copies)) if copies.enough => Kept::Copies,
-                _ => Kept::Nowhere,
+            loop {
+                let detour = timeout(ELSEWHERE, self.detour_turn(bucket, turn));
+                let (detour, relay) = tokio::join!(detour, self.relay_turn(bucket, turn));
+                if relay {
+                    return Kept::Relay;
+                }
+                if detour == Ok(true) {
+                    return Kept::Detour;
+                }
+                sleep(AGAIN).await;
             }
         };
-        let kept = tokio::select! {
+        tokio::select! {
             () = lane.recorded(&turn.id) => Kept::Store,
             kept = elsewhere => kept,
-        };
-        if kept == Kept::Copies {
-            all.doubt();
-        }
-        if kept != Kept::Nowhere {
-            return kept;
-        }
-        match timeout(LAST, lane.recorded(&turn.id)).await {
-            Ok(()) => Kept::Store,
-            Err(_) => Kept::Nowhere,
         }
     }
 
--- a/src/gateway/conversation/sweep.rs
+++ b/src/gateway/conversation/sweep.rs
@@ -25,9 +25,6 @@
         let now = Instant::now();
         all.cache.borrow_mut().expire(now);
         all.pointers.borrow_mut().expire(now);
-        if !gateway.has_store() {
-            all.doubt();
-        }
         if swept.elapsed() >= SWEEP && gateway.has_store() {
             swept = now;
             gateway.sweep_store().await;
--- a/src/gateway/counter.rs
+++ b/src/gateway/counter.rs
@@ -118,7 +118,7 @@
                 self.keeper.keep(copy);
                 Reply::Kept
             }
-            Question::Locate { turn, known } => self.locate(&turn, known).await,
+            Question::Locate { turn, lost } => self.locate(&turn, lost).await,
             Question::Copies { part } => {
                 let part = self.keeper.part(part);
                 let lacking = part.lacking.borrow();
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -512,13 +512,12 @@
     }
 }
 
-/// Keeps a turn whose last event came; false where it could not be kept in time.
+/// Keeps a turn whose last event came, where its route wants that; false where it is not kept.
 async fn keep(job: &Job, said: Option<Transcript>) -> bool {
     let Some(said) = said else {
         return true;
     };
-    let kept = timeout_at(job.deadline, job.gateway.keep_turn(job, said));
-    kept.await.unwrap_or(false)
+    job.gateway.keep_turn(job, said).await
 }
 
 fn log_resume(job: &Job, server: &str, reason: &str, attempt: &Attempt, last: Option<u64>) {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -3,7 +3,6 @@
 //! A datagram costs one system call on each side, and one that is lost holds up no other.
 
 use super::Gateway;
-use super::conversation::Known;
 use crate::conversation::Id;
 use crate::id::Vm;
 use crate::member::{DATAGRAM, Sealer};
@@ -61,7 +60,11 @@
     Place(Ask),
     /// Where is a turn?
     #[serde(rename = "t")]
-    Locate { turn: Id, known: Known },
+    Locate {
+        turn: Id,
+        /// A VM that was named before and did not give it.
+        lost: Option<SocketAddr>,
+    },
     /// Go on counting a partition, whose writer had this epoch.
     #[serde(rename = "a")]
     Adopt {
@@ -104,9 +107,9 @@
     /// The VM at this address has the turn in memory.
     #[serde(rename = "h")]
     HeldAt(SocketAddr),
-    /// The turn is neither in memory nor at the store; `certain` where it was never kept elsewhere.
+    /// There is no such turn.
     #[serde(rename = "u")]
-    NoTurn { certain: bool },
+    NoTurn,
     /// Another VM counts this program.
     #[serde(rename = "o")]
     NotOwner,
