--- a/tests/budget.rs
+++ b/tests/budget.rs
@@ -4,6 +4,7 @@
 
 use platform::{Act, Backend, Store, Vm, call, events, head, until};
 use serde_json::json;
+use std::time::{Duration, Instant};
 
 /// Tokens that one event stands for, as the fake configuration says.
 const EVENT: u64 = 10;
@@ -231,3 +232,34 @@
     let now: u64 = recorded().expect("it is there").parse().expect("a number");
     assert!(now >= newest, "{now} after {newest}, {handed} tokens");
 }
+
+/// The store goes silent: calls are taken and nothing comes back. A turn waited there for its own
+/// partition and then for each of three others, a quarter of a second each, and so did every new
+/// program for as long as the store was away. Now a VM finds out once, and then asks other VMs alone.
+#[test]
+fn a_silent_store_is_waited_for_once() {
+    let backend = engine(1);
+    let (store, vms) = site(&backend, 3);
+    let programs = |name: &str| {
+        (0..12)
+            .map(|number| format!("{name}{number}"))
+            .collect::<Vec<_>>()
+    };
+    for program in programs("before") {
+        // Each partition has a VM that counts it.
+        until("it is served", || {
+            turn(&vms[0], &program, 2000, &program).0 == 200
+        });
+    }
+    store.set_silent(true);
+    for program in programs("first") {
+        turn(&vms[0], &program, 2000, &program);
+    }
+    let waits = programs("later").into_iter().map(|program| {
+        let began = Instant::now();
+        assert_eq!(turn(&vms[0], &program, 2000, &program).0, 200);
+        began.elapsed()
+    });
+    let longest = waits.max().expect("there are some");
+    assert!(longest < Duration::from_millis(600), "{longest:?}");
+}
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -21,8 +21,10 @@
     pub address: SocketAddr,
     partitions: Arc<Mutex<HashMap<(String, u64), Partition>>>,
     down: Arc<AtomicBool>,
-    /// The topic of which no partition takes records.
+    /// How the names of topics begin of which no partition takes records.
     stuck: Arc<Mutex<Option<String>>>,
+    /// Whether it answers nothing.
+    silent: Arc<AtomicBool>,
 }
 
 impl Store {
@@ -32,12 +34,20 @@
         let stuck: Arc<Mutex<Option<String>>> = Arc::default();
         let (served, off) = (Arc::clone(&partitions), Arc::clone(&down));
         let refused = Arc::clone(&stuck);
+        let silent = Arc::new(AtomicBool::new(false));
+        let mute = Arc::clone(&silent);
         let bound = listen(SocketAddr::new(address(), 0), move |mut stream| {
             let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
             while let Some(request) = Request::read(&mut reader) {
                 let topic = refused.lock().expect("not poisoned").clone();
                 let appends = request.target.starts_with("/log-append");
-                let is_stuck = appends && topic.as_deref() == request.query("topic");
+                let named = request.query("topic").unwrap_or_default();
+                let is_stuck = appends && topic.is_some_and(|stuck| named.starts_with(&stuck));
+                if mute.load(Ordering::Relaxed) {
+                    // Nothing is done, and the connection says nothing any more.
+                    std::thread::sleep(Duration::from_secs(5));
+                    return;
+                }
                 let reply = if off.load(Ordering::Relaxed) || is_stuck {
                     answer("503 Service Unavailable", b"{}")
                 } else {
@@ -53,10 +63,16 @@
             partitions,
             down,
             stuck,
+            silent,
         }
     }
 
-    /// Names the topic that takes no records, if there is one.
+    /// Whether it takes calls and answers none.
+    pub fn set_silent(&self, silent: bool) {
+        self.silent.store(silent, Ordering::Relaxed);
+    }
+
+    /// How the names of the topics begin that take no records, if there are some.
     pub fn set_stuck(&self, topic: Option<&str>) {
         *self.stuck.lock().expect("not poisoned") = topic.map(ToOwned::to_owned);
     }
