Give the gateway a room for each duty

The 29 files of src/gateway stood side by side. They are now rooms (front, request, server, queue, tokens, world, conversation) with a page that says who calls which; no behaviour changed.

--- a/src/gateway/conversation/exchange.rs
+++ b/src/gateway/conversation/exchange.rs
@@ -2,7 +2,7 @@
 
 use super::Gateway;
 use crate::conversation::{Id, Turn};
-use crate::gateway::body::Body;
+use crate::gateway::request::body::Body;
 use crate::member::Sealer;
 use crate::telemetry::event;
 use bytes::Bytes;
--- a/src/gateway/listen.rs
+++ b/src/gateway/front/listen.rs
@@ -1,6 +1,6 @@
 //! Listeners for the platform and for operators, whose questions are answered by themselves.
 
-use super::body::Body;
+use crate::gateway::request::body::Body;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -13,10 +13,10 @@
 use tokio::time::sleep;
 
 /// The pause after a failed accept, which is out of descriptors.
-pub(super) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Answers every request by `respond`, until the process ends.
-pub(super) async fn serve(
+pub(crate) async fn serve(
     listener: TcpListener,
     respond: impl AsyncFn(Request<Incoming>) -> Response<Body> + Clone + 'static,
 ) {
--- a/src/gateway/front.rs
+++ b/src/gateway/front/mod.rs
@@ -1,19 +1,23 @@
 //! Accepts callers, answers the balancer, and stops without cutting anyone.
 
-use super::body::Body;
-use super::conversation::{self, Conversations};
-use super::feed::{self, World};
-use super::forward;
-use super::keeper::{self, Keeper};
-use super::lease::Leases;
-use super::link::Links;
-use super::listen::{self, ACCEPT_PAUSE};
-use super::metrics::Metrics;
-use super::peers::{self, Peers};
-use super::permit::Desk;
-use super::sample::Sampler;
-use super::{Gateway, contact, operators, snapshot, socket};
+pub(crate) mod listen;
+pub(crate) mod metrics;
+pub(crate) mod operators;
+pub(crate) mod sample;
+pub(crate) mod socket;
+
 use crate::code::{Code, Failure};
+use crate::gateway::conversation::Conversations;
+use crate::gateway::peers::Peers;
+use crate::gateway::queue::lease::Leases;
+use crate::gateway::queue::permit::Desk;
+use crate::gateway::request::body::Body;
+use crate::gateway::server::link::Links;
+use crate::gateway::tokens::keeper;
+use crate::gateway::tokens::keeper::Keeper;
+use crate::gateway::world::feed::World;
+use crate::gateway::world::{contact, feed, snapshot};
+use crate::gateway::{Gateway, conversation, peers, request};
 use crate::id::{Boot, Offset};
 use crate::member::{self, Beat, List, View};
 use crate::settings;
@@ -24,6 +28,9 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use listen::ACCEPT_PAUSE;
+use metrics::Metrics;
+use sample::Sampler;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -280,7 +287,7 @@
         .as_ref()
         .map(|table| table.limits);
     let limits = limits.unwrap_or_default();
-    let service = service_fn(move |request| forward::handle(Rc::clone(&gateway), request));
+    let service = service_fn(move |request| request::handle(Rc::clone(&gateway), request));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle)
@@ -378,7 +385,7 @@
     }
 
     /// Whether the store answers this VM.
-    pub(super) fn has_store(&self) -> bool {
+    pub(crate) fn has_store(&self) -> bool {
         let heard = self.world.borrow().heard;
         heard.is_some_and(|heard| heard.elapsed() < UNHEARD) && self.keeper.has_store()
     }
--- a/src/gateway/operators.rs
+++ b/src/gateway/front/operators.rs
@@ -1,10 +1,10 @@
 //! What operators see of a running process: its metrics and its state.
 
-use super::Gateway;
-use super::body::Body;
-use super::conversation;
-use super::listen;
-use super::snapshot::{self, Snapshot};
+use crate::gateway::front::listen;
+use crate::gateway::request::body::Body;
+use crate::gateway::world::snapshot;
+use crate::gateway::world::snapshot::Snapshot;
+use crate::gateway::{Gateway, conversation};
 use crate::telemetry;
 use bytes::Bytes;
 use http::{Response, StatusCode};
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -2,56 +2,47 @@
 //!
 //! One thread carries a request from its first byte to its last; what follows the store, and what
 //! may block, are threads of their own.
+//!
+//! | Module | What it does | Who calls it |
+//! |---|---|---|
+//! | `front` | accepts callers, answers the balancer and operators, starts and stops the rest | the command |
+//! | `request` | the life of one request, from its head to its last byte | `front` |
+//! | `tokens` | counts what programs may generate | `request`, other VMs |
+//! | `conversation` | keeps turns, and finds what was said before | `request`, other VMs |
+//! | `queue` | lets a request wait for a place at a server | `request`, other VMs |
+//! | `server` | connections to backend servers, and one attempt at one of them | `request` |
+//! | `world` | follows the configuration and the directory of servers | all |
+//! | `peers` | messages between VMs that requests wait for | `tokens`, `conversation`, `queue` |
 
-mod attempt;
-mod body;
-mod contact;
 mod conversation;
-mod copies;
-mod counter;
-mod detour;
-pub mod directory;
-mod event;
-mod feed;
-mod forward;
 mod front;
-mod job;
-mod keeper;
-mod lease;
-mod link;
-mod listen;
-mod metrics;
-mod operators;
-mod part;
 mod peers;
-mod permit;
-mod reply;
-mod reserve;
-mod sample;
-mod snapshot;
-mod socket;
-pub mod table;
-mod takeover;
+mod queue;
+mod request;
+mod server;
+mod tokens;
+mod world;
 
 pub(crate) use front::run;
+pub use world::{directory, table};
 
 use crate::member::View;
 use crate::settings;
 use conversation::Conversations;
-use feed::World;
-use keeper::Keeper;
-use lease::Leases;
-use link::Links;
-use metrics::Metrics;
+use front::metrics::Metrics;
+use front::sample::Sampler;
 use peers::Peers;
-use permit::Desk;
-use sample::Sampler;
+use queue::lease::Leases;
+use queue::permit::Desk;
+use server::link::Links;
 use std::cell::Cell;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use tokens::keeper::Keeper;
 use tokio::sync::watch;
+use world::feed::World;
 
 /// How long the store may be silent before a VM no longer trusts that its configuration is the
 /// newest.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -2,8 +2,8 @@
 //!
 //! A datagram costs one system call on each side, and one that is lost holds up no other.
 
-use super::Gateway;
 use crate::conversation::Id;
+use crate::gateway::Gateway;
 use crate::id::Vm;
 use crate::member::{DATAGRAM, Sealer};
 use crate::policy::allowance::{Entry, Reservation};
@@ -267,7 +267,7 @@
     }
 
     /// Tells whoever asked that an answer will follow.
-    pub(super) async fn tell_working(&self, (peer, number): Asked) {
+    pub(crate) async fn tell_working(&self, (peer, number): Asked) {
         self.send(peer, &Packet::Reply(number, Reply::Working))
             .await;
     }
--- a/src/gateway/lease.rs
+++ b/src/gateway/queue/lease.rs
@@ -4,10 +4,10 @@
 //! places, requests waited at the servers, where no order can be kept, and after a burst every
 //! program was late for as long as the day lasted.
 
-use super::Gateway;
-use super::peers::{self, Asked, Peer, Question, Reply};
-use super::permit::{Held, Permit, Place, no_server, overloaded};
 use crate::code::{Code, Failure};
+use crate::gateway::peers::{Asked, Peer, Question, Reply};
+use crate::gateway::queue::permit::{Held, Permit, Place, no_server, overloaded};
+use crate::gateway::{Gateway, peers};
 use crate::id::{self, rendezvous};
 use crate::policy::dispatch::{Ask, Outcome};
 use crate::telemetry::event;
@@ -50,7 +50,7 @@
 
 impl Leases {
     /// A request is over, or waits no longer.
-    pub(super) fn end(&self, asked: &Asked, outcome: Outcome) {
+    pub(crate) fn end(&self, asked: &Asked, outcome: Outcome) {
         let waiting = self.waiting.borrow_mut().remove(asked);
         if let Some(waiting) = waiting {
             // It may have been granted in this very moment; then it is found below.
@@ -148,7 +148,7 @@
     }
 
     /// Leases a place to another VM, as soon as there is one.
-    pub(super) async fn lease_to(self: &Rc<Self>, asked: Asked, ask: Ask) -> Reply {
+    pub(crate) async fn lease_to(self: &Rc<Self>, asked: Asked, ask: Ask) -> Reply {
         if let Some(server) = self.leases.server(&asked) {
             // The answer before was lost.
             return Reply::Placed(server);
--- a/src/gateway/permit.rs
+++ b/src/gateway/queue/permit.rs
@@ -1,10 +1,10 @@
 //! Leave to send one request to one backend server.
 
-use super::Gateway;
-use super::directory::{Directory, Entry, Id};
-use super::feed::World;
-use super::peers::Note;
 use crate::code::{Code, Failure};
+use crate::gateway::Gateway;
+use crate::gateway::peers::Note;
+use crate::gateway::world::directory::{Directory, Entry, Id};
+use crate::gateway::world::feed::World;
 use crate::id;
 use crate::policy::dispatch::{Ask, Description, Dispatcher, GIVEN_UP, Outcome, Ticked, Verdict};
 use crate::telemetry::event;
@@ -106,7 +106,7 @@
 
 /// Where a place is kept.
 #[derive(Debug, Clone, Copy)]
-pub(super) enum Held {
+pub(crate) enum Held {
     /// In the windows of this VM.
     Here(id::Permit),
     /// In those of another VM, under the number of the question for it.
@@ -115,14 +115,14 @@
 
 /// A place in the window of a server, or in the queue before it. Dropping it gives it back.
 #[derive(Debug)]
-pub(super) struct Place {
+pub(crate) struct Place {
     gateway: Rc<Gateway>,
     held: Held,
     outcome: Cell<Outcome>,
 }
 
 impl Place {
-    pub(super) const fn new(gateway: Rc<Gateway>, held: Held) -> Self {
+    pub(crate) const fn new(gateway: Rc<Gateway>, held: Held) -> Self {
         Self {
             gateway,
             held,
@@ -153,7 +153,7 @@
 }
 
 impl Permit {
-    pub(super) const fn new(place: Place, server: Arc<Entry>) -> Self {
+    pub(crate) const fn new(place: Place, server: Arc<Entry>) -> Self {
         Self { place, server }
     }
 
@@ -207,11 +207,11 @@
 }
 
 /// A request that would wait in vain.
-pub(super) fn overloaded(back: Duration) -> Failure {
+pub(crate) fn overloaded(back: Duration) -> Failure {
     let failure = Failure::refused(Code::Overloaded, "no server will be free in time");
     failure.retry_after(back)
 }
 
-pub(super) fn no_server() -> Failure {
+pub(crate) fn no_server() -> Failure {
     Failure::refused(Code::NoServer, "the service has no server now").retry_after(NO_SERVER)
 }
--- a/src/gateway/job.rs
+++ b/src/gateway/request/job.rs
@@ -1,10 +1,10 @@
 //! One request on its way: what it is, how long it has, and what is known of its fate.
 
-use super::Gateway;
-use super::directory::Id;
-use super::keeper::Allowance;
-use super::table::Route;
 use crate::conversation;
+use crate::gateway::Gateway;
+use crate::gateway::tokens::keeper::Allowance;
+use crate::gateway::world::directory::Id;
+use crate::gateway::world::table::Route;
 use crate::platform::headers::Meta;
 use crate::telemetry::event;
 use bytes::Bytes;
--- a/src/gateway/forward.rs
+++ b/src/gateway/request/mod.rs
@@ -1,23 +1,26 @@
 //! The life of one request, from its head to its last byte.
 
-use super::Gateway;
-use super::attempt::{Answer, Attempt, Next, Source, Stream, attempt};
-use super::body::{Body, Cut};
-use super::conversation::INPUT_BYTES;
-use super::event::Batch;
-use super::job::Job;
-use super::permit::Permit;
-use super::reply;
-use super::table::Route;
+pub(crate) mod body;
+pub(crate) mod job;
+pub(crate) mod reply;
+
 use crate::code::{Code, Failure};
 use crate::conversation::{self, Transcript, prompt};
+use crate::gateway::Gateway;
+use crate::gateway::conversation::INPUT_BYTES;
+use crate::gateway::queue::permit::Permit;
+use crate::gateway::server::attempt::{Answer, Attempt, Next, Source, Stream, attempt};
+use crate::gateway::server::event::Batch;
+use crate::gateway::world::table::Route;
 use crate::platform::headers::{self, Meta};
 use crate::policy::dispatch::{Ask, Outcome};
 use crate::telemetry::event;
+use body::{Body, Cut};
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use job::Job;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::rc::Rc;
--- a/src/gateway/reply.rs
+++ b/src/gateway/request/reply.rs
@@ -1,7 +1,7 @@
 //! Answers of our own.
 
-use super::body::Body;
 use crate::code::{Code, Failure, Ran};
+use crate::gateway::request::body::Body;
 use crate::platform::headers;
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header};
--- a/src/gateway/attempt.rs
+++ b/src/gateway/server/attempt.rs
@@ -1,10 +1,10 @@
 //! One attempt of a request at one backend server.
 
-use super::event::{Batch, Splitter};
-use super::job::Job;
-use super::link::{Broken, Link};
-use super::permit::Permit;
-use super::table::Kind;
+use crate::gateway::queue::permit::Permit;
+use crate::gateway::request::job::Job;
+use crate::gateway::server::event::{Batch, Splitter};
+use crate::gateway::server::link::{Broken, Link};
+use crate::gateway::world::table::Kind;
 use crate::platform::headers::{self, Verdict};
 use crate::policy::dispatch::{Load, Outcome};
 use bytes::{Bytes, BytesMut};
--- a/src/gateway/link.rs
+++ b/src/gateway/server/link.rs
@@ -1,7 +1,7 @@
 //! Kept connections to backend servers.
 
-use super::directory::{Entry, Id};
-use super::socket;
+use crate::gateway::front::socket;
+use crate::gateway::world::directory::{Entry, Id};
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
--- a/src/gateway/copies.rs
+++ b/src/gateway/tokens/copies.rs
@@ -1,8 +1,8 @@
 //! Copies of allowances at other VMs, for a time in which the store takes no records.
 
-use super::Gateway;
-use super::part::Part;
-use super::peers::{Copy, Note, Question, Reply};
+use crate::gateway::Gateway;
+use crate::gateway::peers::{Copy, Note, Question, Reply};
+use crate::gateway::tokens::part::Part;
 use crate::telemetry::event;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -16,7 +16,7 @@
 impl Gateway {
     /// Asks the VMs that may keep copies for allowances that the store may lack. Gives for how long
     /// the oldest of them has run, in milliseconds.
-    pub(super) async fn gather(&self, part: u64) -> u64 {
+    pub(crate) async fn gather(&self, part: u64) -> u64 {
         let others = self.counters(part).into_iter();
         let others = others.filter(|peer| peer.vm != self.settings.vm);
         let asks = others.take(COPIES + 1).map(|peer| async move {
@@ -43,7 +43,7 @@
     }
 
     /// Tells all VMs of allowances that this one gave and could not record.
-    pub(super) async fn tell_orphans(&self) {
+    pub(crate) async fn tell_orphans(&self) {
         let orphans = self.keeper.orphans.take();
         if orphans.is_empty() {
             return;
@@ -65,7 +65,7 @@
     }
 
     /// Tells the VM that would take over of a durable allowance, for a time without the store.
-    pub(super) async fn tell_next(&self, copy: Copy) {
+    pub(crate) async fn tell_next(&self, copy: Copy) {
         let next = self.next_counter(copy.part);
         if let Some(next) = next {
             self.peers.tell(next.address, Note::Copied(copy)).await;
@@ -73,7 +73,7 @@
     }
 
     /// Has the VMs that would take over keep an allowance.
-    pub(super) async fn copy(&self, copy: Copy, part: &Part) -> bool {
+    pub(crate) async fn copy(&self, copy: Copy, part: &Part) -> bool {
         let question = Question::Keep(copy.clone());
         let others = self.counters(copy.part).into_iter();
         let others = others.filter(|peer| peer.vm != self.settings.vm);
--- a/src/gateway/counter.rs
+++ b/src/gateway/tokens/counter.rs
@@ -1,9 +1,9 @@
 //! Counts the tokens of programs for the VMs that ask, and passes partitions on.
 
-use super::Gateway;
-use super::keeper::PATIENCE;
-use super::part::Part;
-use super::peers::{self, Asked, Copy, Note, Peer, Question, Reply};
+use crate::gateway::peers::{Asked, Copy, Note, Peer, Question, Reply};
+use crate::gateway::tokens::keeper::PATIENCE;
+use crate::gateway::tokens::part::Part;
+use crate::gateway::{Gateway, peers};
 use crate::id::{Shard, rendezvous};
 use crate::policy::allowance::{Entry, Reservation, Turn, Verdict};
 use crate::telemetry::event;
@@ -35,7 +35,7 @@
 
 impl Gateway {
     /// The VM that says that it counts a partition.
-    pub(super) fn claimed(&self, part: u64) -> Option<Peer> {
+    pub(crate) fn claimed(&self, part: u64) -> Option<Peer> {
         let view = self.view.borrow();
         let owner = view.owner(Shard(part))?;
         Some(Peer {
@@ -46,12 +46,12 @@
     }
 
     /// The VMs that may count a partition, the one that should first, silent ones last.
-    pub(super) fn counters(&self, part: u64) -> Vec<Peer> {
+    pub(crate) fn counters(&self, part: u64) -> Vec<Peer> {
         self.ranked(&format!("allowance/{part}"))
     }
 
     /// All VMs in their order for a duty, silent ones last.
-    pub(super) fn ranked(&self, key: &str) -> Vec<Peer> {
+    pub(crate) fn ranked(&self, key: &str) -> Vec<Peer> {
         let view = self.view.borrow();
         let mut members: Vec<_> = view
             .members
@@ -72,7 +72,7 @@
     }
 
     /// The VM that takes a partition over where this one can't go on.
-    pub(super) fn next_counter(&self, part: u64) -> Option<Peer> {
+    pub(crate) fn next_counter(&self, part: u64) -> Option<Peer> {
         let mut others = self.counters(part).into_iter();
         others.find(|peer| peer.vm != self.settings.vm)
     }
--- a/src/gateway/detour.rs
+++ b/src/gateway/tokens/detour.rs
@@ -1,8 +1,8 @@
 //! Allowances whose partition of the store does not take them go through other partitions.
 
-use super::keeper::{Keeper, PATIENCE, encode};
-use super::part::Part;
-use super::peers::Copy;
+use crate::gateway::peers::Copy;
+use crate::gateway::tokens::keeper::{Keeper, PATIENCE, encode};
+use crate::gateway::tokens::part::Part;
 use crate::platform::records::DETOUR_TOPIC;
 use crate::platform::store::Keyed;
 use crate::telemetry::event;
@@ -14,7 +14,7 @@
     ///
     /// The store may lose some of its partitions and serve the rest. If all VMs lost power then,
     /// copies in memory would be gone, and a program would get its budget a second time.
-    pub(super) async fn detour(&self, number: u64, part: &Part, copy: &Copy) -> bool {
+    pub(crate) async fn detour(&self, number: u64, part: &Part, copy: &Copy) -> bool {
         if self.is_away() {
             return false;
         }
@@ -47,7 +47,7 @@
     }
 
     /// Drops the detours of allowances that their own partition has taken.
-    pub(super) async fn end_detours(&self, number: u64, part: &Part) {
+    pub(crate) async fn end_detours(&self, number: u64, part: &Part) {
         let ended = part.detours.take();
         for other in self.other_parts(number) {
             let of_it = ended.iter().filter(|(through, _)| *through == other);
@@ -68,7 +68,7 @@
 
     /// The partitions through which detours go. With a quarter of all away, one of three is there
     /// in 98 of 100 cases.
-    pub(super) fn other_parts(&self, number: u64) -> [u64; 3] {
+    pub(crate) fn other_parts(&self, number: u64) -> [u64; 3] {
         [self.count / 2, self.count / 3, 1].map(|offset| (number + offset) % self.count)
     }
 }
--- a/src/gateway/keeper.rs
+++ b/src/gateway/tokens/keeper.rs
@@ -4,10 +4,10 @@
 //! VM that takes over raises the epoch of the partition's writer at the store, and from then on the
 //! store refuses the records of the one before.
 
-use super::Gateway;
-use super::part::{Hold, Part};
-use super::peers::{self, Copy};
 use crate::clock;
+use crate::gateway::peers::Copy;
+use crate::gateway::tokens::part::{Hold, Part};
+use crate::gateway::{Gateway, peers};
 use crate::id::{Epoch, Shard};
 use crate::platform::records::ALLOWANCE_TOPIC;
 use crate::platform::store::{Fault, Keyed, Store, Writer};
@@ -24,12 +24,12 @@
 
 /// How long a turn waits for the store before its allowance is kept by other VMs instead. A record
 /// takes about 8 ms on a good day; a store that is slow or away must not hold up every program.
-pub(super) const PATIENCE: Duration = Duration::from_millis(250);
+pub(crate) const PATIENCE: Duration = Duration::from_millis(250);
 /// Keys that begin so are not of programs.
-pub(super) const OURS: char = '@';
+pub(crate) const OURS: char = '@';
 /// The key of the record that tells when the VM that counts a partition last could record: the time
 /// of day in milliseconds.
-pub(super) const ALIVE_KEY: &str = "@alive";
+pub(crate) const ALIVE_KEY: &str = "@alive";
 /// Time between two records of [`ALIVE_KEY`].
 const ALIVE: Duration = Duration::from_secs(1);
 /// How long a copy is kept.
@@ -42,7 +42,7 @@
 /// After this long without a failure the store is tried again.
 const TRY_AGAIN: Duration = Duration::from_secs(1);
 /// How long a program may pause where its route does not say.
-pub(super) const IDLE: Duration = Duration::from_mins(1);
+pub(crate) const IDLE: Duration = Duration::from_mins(1);
 /// Added to the pause of a program before its record is dropped.
 const IDLE_MARGIN: Duration = Duration::from_secs(30);
 
@@ -50,28 +50,28 @@
 #[derive(Debug)]
 pub(crate) struct Keeper {
     /// Where other VMs ask this one.
-    pub(super) address: SocketAddr,
+    pub(crate) address: SocketAddr,
     /// The number of this VM.
-    pub(super) vm: u64,
-    pub(super) store: Store,
-    pub(super) count: u64,
+    pub(crate) vm: u64,
+    pub(crate) store: Store,
+    pub(crate) count: u64,
     parts: RefCell<HashMap<u64, Rc<Part>>>,
-    pub(super) seen: RefCell<HashMap<String, u64>>,
+    pub(crate) seen: RefCell<HashMap<String, u64>>,
     /// Allowances that were given and can't be recorded, since this VM was shut out.
-    pub(super) orphans: RefCell<Vec<Copy>>,
+    pub(crate) orphans: RefCell<Vec<Copy>>,
     /// The VM that last granted a reservation of a partition.
-    pub(super) counted_at: RefCell<HashMap<u64, SocketAddr>>,
+    pub(crate) counted_at: RefCell<HashMap<u64, SocketAddr>>,
     failures: Cell<u32>,
     failed: Cell<Option<Instant>>,
-    pub(super) began: Instant,
+    pub(crate) began: Instant,
 }
 
 /// Leave for one turn to generate tokens; ends with [`Gateway::settle`].
 #[derive(Debug, Clone)]
 pub(crate) struct Allowance {
-    pub(super) owner: Option<SocketAddr>,
-    pub(super) part: u64,
-    pub(super) reservation: u64,
+    pub(crate) owner: Option<SocketAddr>,
+    pub(crate) part: u64,
+    pub(crate) reservation: u64,
     /// Turns of the program so far, this one included.
     pub(crate) turns: u32,
 }
@@ -93,21 +93,21 @@
         }
     }
 
-    pub(super) fn part(&self, number: u64) -> Rc<Part> {
+    pub(crate) fn part(&self, number: u64) -> Rc<Part> {
         Rc::clone(self.parts.borrow_mut().entry(number).or_default())
     }
 
-    pub(super) fn part_of(&self, program: &str) -> u64 {
+    pub(crate) fn part_of(&self, program: &str) -> u64 {
         xxh3_64(program.as_bytes()) % self.count
     }
 
     /// For how long this VM has run, in milliseconds.
-    pub(super) fn up_ms(&self) -> u64 {
+    pub(crate) fn up_ms(&self) -> u64 {
         u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
     /// Records that this VM can record.
-    pub(super) fn tell_alive(self: &Rc<Self>) {
+    pub(crate) fn tell_alive(self: &Rc<Self>) {
         for (number, part) in self.held() {
             part.lack(ALIVE_KEY, clock::wall_ms());
             Rc::clone(self).start_writing(number, part);
@@ -126,11 +126,11 @@
     /// Whether no partition takes records from this VM. Once that is known, callers are not made to
     /// find it out again: the records of the partitions that it counts are tried all the time, and
     /// tell when the store is back.
-    pub(super) fn is_away(&self) -> bool {
+    pub(crate) fn is_away(&self) -> bool {
         self.failures.get() >= LOST && (!self.has_store() || !self.held().is_empty())
     }
 
-    pub(super) fn heard(&self, good: bool) {
+    pub(crate) fn heard(&self, good: bool) {
         let before = self.has_store();
         self.failures
             .set(if good { 0 } else { self.failures.get() + 1 });
@@ -142,14 +142,14 @@
         }
     }
 
-    pub(super) fn settle(&self, part: u64, reservation: Reservation, used: u64) {
+    pub(crate) fn settle(&self, part: u64, reservation: Reservation, used: u64) {
         let part = self.part(part);
         part.ledger
             .borrow_mut()
             .settle(Instant::now(), reservation, used);
     }
 
-    pub(super) fn start_writing(self: Rc<Self>, number: u64, part: Rc<Part>) {
+    pub(crate) fn start_writing(self: Rc<Self>, number: u64, part: Rc<Part>) {
         if !part.writing.replace(true) {
             tokio::task::spawn_local(self.write(number, part));
         }
@@ -241,7 +241,7 @@
     }
 
     /// Another VM counts the partition.
-    pub(super) fn shut_out(&self, number: u64, part: &Part, epoch: u64) {
+    pub(crate) fn shut_out(&self, number: u64, part: &Part, epoch: u64) {
         event!(warn, "allowances_lost", part = number, epoch = epoch);
         part.hold.set(None);
         part.shut_out.set(Some(Instant::now()));
@@ -286,7 +286,7 @@
     }
 
     /// Keeps the copy of an allowance.
-    pub(super) fn keep(&self, copy: Copy) {
+    pub(crate) fn keep(&self, copy: Copy) {
         let part = self.part(copy.part);
         if part.hold.get().is_some() {
             // The VM that counted before has given more than was known here, and could not record
@@ -304,7 +304,7 @@
     }
 
     /// Goes on with a partition that another VM hands over.
-    pub(super) fn adopt(&self, number: u64, epoch: u64, entries: Vec<(Entry, u64)>, fenced: bool) {
+    pub(crate) fn adopt(&self, number: u64, epoch: u64, entries: Vec<(Entry, u64)>, fenced: bool) {
         let part = self.part(number);
         let now = Instant::now();
         for (entry, lacking) in entries {
@@ -345,7 +345,7 @@
     }
 
     /// The partitions that this VM counts.
-    pub(super) fn held(&self) -> Vec<(u64, Rc<Part>)> {
+    pub(crate) fn held(&self) -> Vec<(u64, Rc<Part>)> {
         let parts = self.parts.borrow();
         let held = parts.iter().filter(|(_, part)| part.hold.get().is_some());
         held.map(|(number, part)| (*number, Rc::clone(part)))
@@ -362,7 +362,7 @@
     }
 }
 
-pub(super) fn writer(epoch: u64, sequence: u64) -> Writer {
+pub(crate) fn writer(epoch: u64, sequence: u64) -> Writer {
     Writer {
         name: "allowance".to_owned(),
         epoch,
@@ -370,14 +370,14 @@
     }
 }
 
-pub(super) fn encode(program: &str, allowed: u64) -> Keyed {
+pub(crate) fn encode(program: &str, allowed: u64) -> Keyed {
     Keyed {
         key: program.to_owned(),
         value: Some(Bytes::from(allowed.to_string())),
     }
 }
 
-pub(super) fn decode(value: &Bytes) -> Option<u64> {
+pub(crate) fn decode(value: &Bytes) -> Option<u64> {
     std::str::from_utf8(value).ok()?.parse().ok()
 }
 
--- a/src/gateway/reserve.rs
+++ b/src/gateway/tokens/reserve.rs
@@ -1,9 +1,9 @@
 //! Asks the VM that counts a program for leave to generate tokens.
 
-use super::Gateway;
-use super::keeper::Allowance;
-use super::peers::{self, Note, Peer, Question, Reply};
 use crate::code::{Code, Failure};
+use crate::gateway::peers::{Note, Peer, Question, Reply};
+use crate::gateway::tokens::keeper::Allowance;
+use crate::gateway::{Gateway, peers};
 use crate::policy::allowance::Reservation;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -121,16 +121,16 @@
     }
 
     /// Where other VMs ask this one.
-    pub(super) fn address(&self) -> SocketAddr {
+    pub(crate) fn address(&self) -> SocketAddr {
         peers::address(self.settings.listen.peers)
     }
 
     /// The number of this VM.
-    pub(super) fn number(&self) -> u64 {
+    pub(crate) fn number(&self) -> u64 {
         peers::vm_number(self.address())
     }
 
-    pub(super) fn own(&self, reservation: u64) -> Reservation {
+    pub(crate) fn own(&self, reservation: u64) -> Reservation {
         Reservation {
             vm: self.number(),
             number: reservation,
--- a/src/gateway/takeover.rs
+++ b/src/gateway/tokens/takeover.rs
@@ -1,8 +1,8 @@
 //! How a VM goes on with a partition that another VM has counted.
 
-use super::keeper::{ALIVE_KEY, IDLE, Keeper, OURS, decode, writer};
-use super::part::{Hold, Part};
 use crate::clock;
+use crate::gateway::tokens::keeper::{ALIVE_KEY, IDLE, Keeper, OURS, decode, writer};
+use crate::gateway::tokens::part::{Hold, Part};
 use crate::platform::records::{ALLOWANCE_TOPIC, DETOUR_TOPIC};
 use crate::platform::store::{Fault, Keyed, Newest};
 use crate::policy::allowance::Ledger;
@@ -36,7 +36,7 @@
     /// When all VMs start at once, each knows a part of the others and takes itself or another one
     /// for the first by rank. Without this look they shut each other out ten times for each
     /// partition, and callers were refused for two seconds more.
-    pub(super) async fn lately_taken(&self, number: u64) -> Option<SocketAddr> {
+    pub(crate) async fn lately_taken(&self, number: u64) -> Option<SocketAddr> {
         let newest = self.store.newest(ALLOWANCE_TOPIC, number).await.ok()?;
         let record = newest
             .records
@@ -51,7 +51,7 @@
     }
 
     /// Takes a partition over: shuts out the writer before, then reads what it has recorded.
-    pub(super) async fn take(&self, number: u64, part: &Part) -> Result<(), Fault> {
+    pub(crate) async fn take(&self, number: u64, part: &Part) -> Result<(), Fault> {
         let _taking = part.taking.lock().await;
         if part.hold.get().is_some_and(|hold| hold.fenced) {
             return Ok(());
@@ -186,7 +186,7 @@
     ///
     /// The VM that counted before may still live behind a partition of the network; it can't go
     /// beyond allowances that are durable or copied, and all of those are taken as spent here.
-    pub(super) fn take_from_copies(&self, number: u64, part: &Part) -> bool {
+    pub(crate) fn take_from_copies(&self, number: u64, part: &Part) -> bool {
         let kept = part.kept.borrow();
         if kept.is_empty() || self.began.elapsed() < COPIES_COMPLETE {
             return false;
--- a/src/gateway/feed.rs
+++ b/src/gateway/world/feed.rs
@@ -1,8 +1,9 @@
 //! The thread that follows the configuration and the directory.
 
-use super::directory::{Change, Directory};
-use super::snapshot::{self, Snapshot};
-use super::table::Table;
+use crate::gateway::world::directory::{Change, Directory};
+use crate::gateway::world::snapshot;
+use crate::gateway::world::snapshot::Snapshot;
+use crate::gateway::world::table::Table;
 use crate::id::Offset;
 use crate::member::View;
 use crate::platform::records::{CONFIG_KEY, CONFIG_TOPIC, DIRECTORY_TOPIC, server, table};
--- a/src/gateway/snapshot.rs
+++ b/src/gateway/world/snapshot.rs
@@ -4,8 +4,8 @@
 //! Two ways lead to a copy: partitions of the store other than those of the originals, and the VMs
 //! that run. After the loss of all VMs in a partial outage only the first is left.
 
-use super::Gateway;
-use super::feed::World;
+use crate::gateway::Gateway;
+use crate::gateway::world::feed::World;
 use crate::platform::records::SNAPSHOT_TOPIC;
 use crate::platform::store::{Keyed, Store};
 use crate::telemetry::event;
