--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -429,3 +429,46 @@
     let most = running.1.load(Ordering::SeqCst);
     assert!(most <= 6, "{most} at once");
 }
+
+/// A server that has answered so far runs requests and answers no more, its health being good. A request
+/// that may be repeated does not wait there until its caller's time is over: once the answer is later
+/// than usual, it goes to another server as well.
+#[test]
+fn a_late_answer_is_asked_for_again() {
+    const ANSWERED: usize = 12;
+    let hung = Backend::start(|request, number| {
+        if number < ANSWERED {
+            ok(request)
+        } else {
+            Act::Hang(Vec::new())
+        }
+    });
+    let (store, vm) = site(&hung, &[("/a/", "safe", json!({}))]);
+    let ask = |number: usize| {
+        let id = format!("r{number}");
+        let headers = [("X-Request-Id", id.as_str()), ("X-Deadline-Ms", "3000")];
+        call(vm.callers, "GET", "/a/x", &headers, b"").status
+    };
+    for number in 0..ANSWERED {
+        assert_eq!(ask(number), 200);
+    }
+    let quick = Backend::start(|request, _| ok(request));
+    store.register("quick", "pool", quick.address, "ready");
+    until("it is known", || {
+        vm.state()["servers"].as_array().map(Vec::len) == Some(2)
+    });
+    let began = Instant::now();
+    while hung.count() == ANSWERED {
+        assert_eq!(ask(100 + quick.count()), 200);
+        assert!(began.elapsed() < Duration::from_secs(10));
+    }
+    assert!(
+        began.elapsed() < Duration::from_millis(2500),
+        "{:?}",
+        began.elapsed()
+    );
+    until("it was told", || {
+        !vm.lines("event=request_hedged").is_empty()
+    });
+    assert_eq!(hung.count(), ANSWERED + 1);
+}
