--- a/src/gateway/front/mod.rs
+++ b/src/gateway/front/mod.rs
@@ -11,7 +11,6 @@
 use crate::gateway::peers::Peers;
 use crate::gateway::queue::lease::Leases;
 use crate::gateway::queue::permit::Desk;
-use crate::gateway::request::again::Hedges;
 use crate::gateway::request::body::Body;
 use crate::gateway::server::link::Links;
 use crate::gateway::tokens::keeper;
@@ -176,7 +175,6 @@
         links: Links::default(),
         desk: Desk::default(),
         leases: Leases::default(),
-        hedges: Hedges::default(),
         metrics: Metrics::new(),
         sampler: Sampler::new(),
         path: path.to_owned(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -34,7 +34,6 @@
 use peers::Peers;
 use queue::lease::Leases;
 use queue::permit::Desk;
-use request::again::Hedges;
 use server::link::Links;
 use std::cell::Cell;
 use std::path::PathBuf;
@@ -65,7 +64,6 @@
     links: Links,
     desk: Desk,
     leases: Leases,
-    hedges: Hedges,
     metrics: Metrics,
     sampler: Sampler,
     stopping: Cell<bool>,
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -11,7 +11,6 @@
 pub mod estimate;
 mod flow;
 pub mod forecast;
-pub mod hedge;
 pub mod pace;
 pub mod pool;
 mod programs;
