--- a/src/gateway/conversation/assemble.rs
+++ b/src/gateway/conversation/assemble.rs
@@ -7,12 +7,15 @@
 use crate::telemetry::event;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 /// VMs that are asked where a turn is: members may disagree for a moment on who comes first.
 const ASKED: usize = 3;
 /// How often one VM is asked: the holder that it names first may have just ended.
 const TWICE: usize = 2;
+/// How long one VM is waited for: twice as long as a small one takes to read a bucket when many ask.
+/// The next one is asked after that, while there is still time.
+const PATIENCE: Duration = Duration::from_millis(600);
 /// Turns that are looked for one by one, where each VM holds only one of them.
 const FETCHES: usize = 64;
 /// When a caller may come back whose conversation can't be read now: the store's short troubles and a
@@ -83,7 +86,8 @@
             } else {
                 let turn = id.clone();
                 let question = Question::Locate { turn, lost };
-                self.peers.ask(home.address, &question).await
+                let reply = timeout(PATIENCE, self.peers.ask(home.address, &question));
+                reply.await.ok().flatten()
             };
             let holder = match reply {
                 Some(Reply::HeldAt(holder)) => holder,
--- a/src/gateway/conversation/load.rs
+++ b/src/gateway/conversation/load.rs
@@ -17,16 +17,19 @@
 use tokio::sync::Mutex;
 use tokio::time::{Instant, timeout};
 
-/// How long one read may take before it is made again on another connection: a read of 1 MB takes
-/// about 30 ms on a good day.
-const READ: Duration = Duration::from_millis(300);
+/// How long one read may take before it is made again on another connection. A small VM takes 40 ms
+/// for one bucket, and after the loss of all VMs reads several at a time.
+const READ: Duration = Duration::from_millis(800);
 /// Reads of one bucket before it counts as not readable now.
-const READS: usize = 3;
+const READS: usize = 2;
 
-/// When each bucket was last read, and whether it is being read.
+/// The last read of a bucket: when it began, and what came of it.
+type Read = Option<(Instant, Result<(), Fault>)>;
+
+/// The last read of each bucket; locked while the bucket is being read.
 #[derive(Debug, Default)]
 pub(super) struct Loads {
-    buckets: RefCell<HashMap<Bucket, Rc<Mutex<Option<Instant>>>>>,
+    buckets: RefCell<HashMap<Bucket, Rc<Mutex<Read>>>>,
 }
 
 impl Conversations {
@@ -37,13 +40,19 @@
             let mut buckets = self.loads.buckets.borrow_mut();
             Rc::clone(buckets.entry(bucket).or_default())
         };
-        let mut read_at = load.lock().await;
-        if read_at.is_some_and(|at| at > asked) {
-            return Ok(());
+        let mut last = load.lock().await;
+        // A failure is shared as well: if each that waits tried again, the last would wait for all.
+        if let Some((_, done)) = last.as_ref().filter(|(began, _)| *began > asked) {
+            return done.clone();
         }
         let began = Instant::now();
+        let done = self.load_now(began, bucket).await;
+        *last = Some((began, done.clone()));
+        done
+    }
+
+    async fn load_now(&self, began: Instant, bucket: Bucket) -> Result<(), Fault> {
         let turns = self.take_in(began, bucket, &self.read(bucket).await?);
-        *read_at = Some(began);
         event!(
             info,
             "turns_loaded",
@@ -115,7 +124,9 @@
 
     async fn newest(&self, topic: &str, part: u64) -> Result<Newest, Fault> {
         let mut fault = Fault::Unknown("no read was made".to_owned());
-        for _ in 0..READS {
+        // Callers need not find out that the store is away.
+        let reads = if self.is_away() { 1 } else { READS };
+        for _ in 0..reads {
             let store = self.store.borrow().clone();
             match timeout(READ, store.newest(topic, part)).await {
                 Ok(Ok(newest)) => return Ok(newest),
--- a/tests/budget.rs
+++ b/tests/budget.rs
@@ -5,6 +5,7 @@
 use platform::{Act, Backend, Store, Vm, call, events, head, until};
 use serde_json::json;
 use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Tokens that one event stands for, as the fake configuration says.
 const EVENT: u64 = 10;
@@ -263,3 +264,40 @@
     let longest = waits.max().expect("there are some");
     assert!(longest < Duration::from_millis(600), "{longest:?}");
 }
+
+/// A partition of the store takes no records, so that two allowances go through another one. It takes
+/// the first, and no more; then the VM that counts is killed. The second one is known from the detour
+/// alone: dropped with the first, the program would get its budget once more.
+#[test]
+fn a_detour_stays_until_its_program_is_over() {
+    let backend = engine(12);
+    let (store, mut vms) = site(&backend, 1);
+    let same_part = |number: &usize| xxh3_64(format!("p{number}").as_bytes()).is_multiple_of(4);
+    let programs: Vec<String> = (0..)
+        .filter(same_part)
+        .take(2)
+        .map(|n| format!("p{n}"))
+        .collect();
+    let [first, second] = &*programs else {
+        panic!("there are two");
+    };
+    assert_eq!(turn(&vms[0], first, 580, "warm").0, 200);
+    store.set_stuck(Some("keyed.allowance"));
+    assert_eq!(turn(&vms[0], first, 2000, "first").0, 200);
+    assert_eq!(turn(&vms[0], second, 580, "second").0, 200);
+    assert!(store.values("keyed.detour").contains_key(second));
+    store.pass(1);
+    std::thread::sleep(Duration::from_secs(1));
+    vms[0].kill();
+    store.set_stuck(None);
+    vms[0].restart();
+    vms[0].wait_ready();
+    until("the budget is known to be spent", || {
+        turn(&vms[0], second, 580, "again").0 == 402
+    });
+    let seen = backend.requests.lock().expect("not poisoned");
+    let again = seen
+        .iter()
+        .filter(|request| request.header("x-request-id") == "again");
+    assert_eq!(again.count(), 0);
+}
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::io::{BufReader, Write};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -23,6 +23,8 @@
     down: Arc<AtomicBool>,
     /// How the names of topics begin of which no partition takes records.
     stuck: Arc<Mutex<Option<String>>>,
+    /// How many more records of those topics it takes all the same.
+    passes: Arc<AtomicUsize>,
     /// Whether it answers nothing.
     silent: Arc<AtomicBool>,
 }
@@ -36,6 +38,8 @@
         let refused = Arc::clone(&stuck);
         let silent = Arc::new(AtomicBool::new(false));
         let mute = Arc::clone(&silent);
+        let passes = Arc::new(AtomicUsize::new(0));
+        let left = Arc::clone(&passes);
         let bound = listen(SocketAddr::new(address(), 0), move |mut stream| {
             let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
             while let Some(request) = Request::read(&mut reader) {
@@ -43,6 +47,12 @@
                 let appends = request.target.starts_with("/log-append");
                 let named = request.query("topic").unwrap_or_default();
                 let is_stuck = appends && topic.is_some_and(|stuck| named.starts_with(&stuck));
+                let one_less = |left: usize| left.checked_sub(1);
+                let passes = is_stuck
+                    && left
+                        .fetch_update(Ordering::Relaxed, Ordering::Relaxed, one_less)
+                        .is_ok();
+                let is_stuck = is_stuck && !passes;
                 if mute.load(Ordering::Relaxed) {
                     // Nothing is done, and the connection says nothing any more.
                     std::thread::sleep(Duration::from_secs(5));
@@ -63,6 +73,7 @@
             partitions,
             down,
             stuck,
+            passes,
             silent,
         }
     }
@@ -77,6 +88,11 @@
         *self.stuck.lock().expect("not poisoned") = topic.map(ToOwned::to_owned);
     }
 
+    /// Takes so many more calls of the topics that take none.
+    pub fn pass(&self, calls: usize) {
+        self.passes.store(calls, Ordering::Relaxed);
+    }
+
     /// The same store behind a proxy.
     pub fn behind(&self, proxy: SocketAddr) -> Self {
         Self {
