--- a/tests/budget.rs
+++ b/tests/budget.rs
@@ -275,13 +275,13 @@
     let same_part = |number: &usize| xxh3_64(format!("p{number}").as_bytes()).is_multiple_of(4);
     let programs: Vec<String> = (0..)
         .filter(same_part)
-        .take(2)
+        .take(3)
         .map(|n| format!("p{n}"))
         .collect();
-    let [first, second] = &*programs else {
-        panic!("there are two");
+    let [warm, first, second] = &*programs else {
+        panic!("there are three");
     };
-    assert_eq!(turn(&vms[0], first, 580, "warm").0, 200);
+    assert_eq!(turn(&vms[0], warm, 580, "warm").0, 200);
     store.set_stuck(Some("keyed.allowance"));
     assert_eq!(turn(&vms[0], first, 2000, "first").0, 200);
     assert_eq!(turn(&vms[0], second, 580, "second").0, 200);
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::io::{BufReader, Write};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -27,6 +27,8 @@
     passes: Arc<AtomicUsize>,
     /// Whether it answers nothing.
     silent: Arc<AtomicBool>,
+    /// Milliseconds that it takes to give the newest records of a partition.
+    read_ms: Arc<AtomicU64>,
 }
 
 impl Store {
@@ -40,6 +42,8 @@
         let mute = Arc::clone(&silent);
         let passes = Arc::new(AtomicUsize::new(0));
         let left = Arc::clone(&passes);
+        let read_ms = Arc::new(AtomicU64::new(0));
+        let pause = Arc::clone(&read_ms);
         let bound = listen(SocketAddr::new(address(), 0), move |mut stream| {
             let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
             while let Some(request) = Request::read(&mut reader) {
@@ -47,6 +51,9 @@
                 let appends = request.target.starts_with("/log-append");
                 let named = request.query("topic").unwrap_or_default();
                 let is_stuck = appends && topic.is_some_and(|stuck| named.starts_with(&stuck));
+                if request.target.starts_with("/log-newest") {
+                    std::thread::sleep(Duration::from_millis(pause.load(Ordering::Relaxed)));
+                }
                 let one_less = |left: usize| left.checked_sub(1);
                 let passes = is_stuck
                     && left
@@ -75,6 +82,7 @@
             stuck,
             passes,
             silent,
+            read_ms,
         }
     }
 
@@ -88,6 +96,12 @@
         *self.stuck.lock().expect("not poisoned") = topic.map(ToOwned::to_owned);
     }
 
+    /// How long it takes to give the newest records of a partition.
+    pub fn set_read_time(&self, time: Duration) {
+        let millis = u64::try_from(time.as_millis()).expect("a short time");
+        self.read_ms.store(millis, Ordering::Relaxed);
+    }
+
     /// Takes so many more calls of the topics that take none.
     pub fn pass(&self, calls: usize) {
         self.passes.store(calls, Ordering::Relaxed);
--- a/tests/promise_conversation.rs
+++ b/tests/promise_conversation.rs
@@ -239,3 +239,33 @@
     let served = say(&vms[0], "t2", Some("t1"), "two").status == 200;
     assert_eq!(ended, served);
 }
+
+/// All VMs lose power, and reading a bucket of turns takes half a second then, since small VMs read many
+/// at once. Callers come back all together; each goes on within its time, those that want a turn of one
+/// bucket after one read of it. Reads were given up after 0.3 s, and begun again for each that waited.
+#[test]
+fn many_go_on_after_the_loss_of_all_vms() {
+    const MANY: usize = 12;
+    let backend = talker();
+    let store = store(&backend);
+    let [mut vm] = vms::<1>(&store);
+    for number in 0..MANY {
+        whole(&vm, &format!("t{number}"), None, "one");
+    }
+    vm.kill();
+    store.set_read_time(Duration::from_millis(500));
+    vm.restart();
+    vm.wait_ready();
+    let (vm, next) = (&vm, |number| format!("u{number}"));
+    std::thread::scope(|scope| {
+        let callers = (0..MANY * 2).map(|number| {
+            let prev = format!("t{}", number % MANY);
+            scope.spawn(move || say(vm, &next(number), Some(&prev), "two"))
+        });
+        let callers: Vec<_> = callers.collect();
+        for caller in callers {
+            let reply = caller.join().expect("it does not panic");
+            assert!(reply.status == 200 && reply.whole, "{reply:?}");
+        }
+    });
+}
