--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -73,6 +73,9 @@
 fn late(job: &Job) -> Failure {
     if job.sent.get() {
         reply::unknown(Code::DeadlinePassed, "no server answered in time")
+    } else if job.prev.is_some() && job.assembled.get().is_zero() {
+        let failure = Failure::refused(Code::HistoryAway, "what was said before came too late");
+        failure.retry_after(TURNED_AWAY)
     } else {
         let failure = Failure::refused(Code::Overloaded, "no server was free in time");
         failure.retry_after(TURNED_AWAY)
