--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -9,6 +9,7 @@
 mod queue;
 mod roster;
 mod sync;
+mod tick;
 mod view;
 mod wire;
 
