--- a/src/gateway/front/mod.rs
+++ b/src/gateway/front/mod.rs
@@ -321,8 +321,11 @@
 async fn follow_world(gateway: Rc<Gateway>) {
     let mut world = gateway.world.clone();
     loop {
-        let directory = Arc::clone(&world.borrow_and_update().directory);
-        gateway.desk.configure(&directory);
+        let (directory, table) = {
+            let world = world.borrow_and_update();
+            (Arc::clone(&world.directory), world.table.clone())
+        };
+        gateway.desk.configure(&directory, table.as_deref());
         if world.changed().await.is_err() {
             return;
         }
--- a/src/gateway/queue/permit.rs
+++ b/src/gateway/queue/permit.rs
@@ -5,6 +5,7 @@
 use crate::gateway::peers::Note;
 use crate::gateway::world::directory::{Directory, Entry, Id};
 use crate::gateway::world::feed::World;
+use crate::gateway::world::table::Table;
 use crate::id;
 use crate::policy::dispatch::{Ask, Description, Dispatcher, GIVEN_UP, Outcome, Ticked, Verdict};
 use crate::telemetry::event;
@@ -30,13 +31,19 @@
 }
 
 impl Desk {
-    /// Takes in the directory.
-    pub(crate) fn configure(&self, directory: &Directory) {
+    /// Takes in the directory, and what the configuration says of its services.
+    pub(crate) fn configure(&self, directory: &Directory, table: Option<&Table>) {
+        let memory_tokens = |service: &str| {
+            let service = table.and_then(|table| table.services.get(service));
+            let engine = service.and_then(|service| service.engine.as_ref());
+            engine.map_or(0, |engine| engine.memory_tokens)
+        };
         let descriptions = directory.iter().map(|entry| Description {
             id: Id::clone(&entry.id),
             service: entry.service.as_str().into(),
             zone: entry.zone.as_str().into(),
             slots: entry.slots,
+            memory_tokens: memory_tokens(&entry.service),
             leaving: entry.draining,
         });
         self.dispatcher.borrow_mut().configure(descriptions);
--- a/src/gateway/request/job.rs
+++ b/src/gateway/request/job.rs
@@ -94,7 +94,7 @@
             servers = self.servers.borrow().join(","),
             program = self.meta.program.as_deref().unwrap_or_default(),
             turn = allowance.as_ref().map_or(0, |allowance| allowance.turns),
-            parts = self.meta.prompt_parts,
+            parts = self.meta.prompt.len(),
             events = self.events.get(),
             waited_ms = self.waited.get().as_millis(),
             allowed_ms = self.allowed.get().as_millis(),
--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -186,6 +186,7 @@
         left_ms: job.meta.finish_ms.unwrap_or(objective_ms) - age_ms,
         limit_ms: u64::try_from(job.left().as_millis()).unwrap_or(u64::MAX),
         line: job.meta.line.as_ref().map(|line| hash(line)),
+        prompt: job.meta.prompt.clone(),
         avoid: avoid.to_vec(),
     }
 }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -1,9 +1,11 @@
 //! The headers that callers and backend servers use, decoded into what they say.
 
 use crate::policy::dispatch::Load;
+use crate::policy::prefix::Part;
 use http::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HOST, HeaderMap};
 use http::header::{HeaderName, HeaderValue, RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
 use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
@@ -71,8 +73,8 @@
     pub(crate) budget: Option<u64>,
     /// The most tokens that this turn generates.
     pub(crate) most_tokens: u64,
-    /// Parts of the prompt.
-    pub(crate) prompt_parts: usize,
+    /// The first parts of the prompt.
+    pub(crate) prompt: Vec<Part>,
     /// The last event that the caller has.
     pub(crate) last_event: Option<u64>,
     /// The turn that it goes on from.
@@ -88,6 +90,22 @@
     text(headers, name)?.parse().ok()
 }
 
+/// Parts of a prompt that are looked at; prompts of the programs known have up to four.
+const PARTS: usize = 16;
+
+/// The parts of the prompt; none where they can't be read.
+fn prompt(headers: &HeaderMap) -> Vec<Part> {
+    let text = text(headers, &PROMPT_PARTS).unwrap_or_default();
+    let parts = text.split(',').take(PARTS).map(|part| {
+        let (id, tokens) = part.trim().rsplit_once(':')?;
+        Some(Part {
+            id: xxh3_64(id.as_bytes()),
+            tokens: tokens.parse().ok()?,
+        })
+    });
+    parts.collect::<Option<_>>().unwrap_or_default()
+}
+
 impl Meta {
     pub(crate) fn of(headers: &HeaderMap) -> Self {
         let counts = text(headers, &TOKEN_COUNT).unwrap_or_default();
@@ -103,7 +121,7 @@
             finish_ms: text(headers, &FINISH).and_then(|text| text.parse().ok()),
             budget: number(headers, &TOKEN_BUDGET),
             most_tokens: most.unwrap_or_default(),
-            prompt_parts: text(headers, &PROMPT_PARTS).map_or(0, |parts| parts.split(',').count()),
+            prompt: prompt(headers),
             last_event: number(headers, &LAST_EVENT),
             prev_turn: headers.get(&PREV_TURN).map(|value| {
                 let text = value.to_str().unwrap_or_default();
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -6,6 +6,7 @@
 //! and the first by its standing goes when a server is done.
 
 use super::backlog::{Pool, SCAN, Waiting};
+use super::prefix::Part;
 use super::queue::{Band, Order};
 use super::window::{Server, choose, learn};
 use crate::id::Permit;
@@ -39,6 +40,8 @@
     pub zone: Arc<str>,
     /// Requests that it works on at a time.
     pub slots: usize,
+    /// Tokens of prompts that it keeps; zero where it keeps none, or does not say.
+    pub memory_tokens: u64,
     /// Whether it must get nothing new.
     pub leaving: bool,
 }
@@ -65,6 +68,8 @@
     pub limit_ms: u64,
     /// The line of turns that it belongs to.
     pub line: Option<u64>,
+    /// The parts of its prompt.
+    pub prompt: Vec<Part>,
     /// Servers that have failed it.
     pub avoid: Vec<Arc<str>>,
 }
@@ -318,6 +323,9 @@
         }
         let server = &mut pool.servers[index];
         server.in_flight += 1;
+        server
+            .prefixes
+            .read(&ask.prompt, server.about.memory_tokens);
         let id = Arc::clone(&server.about.id);
         let flight = Flight {
             service: Arc::clone(&ask.service),
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -13,6 +13,7 @@
 pub mod forecast;
 pub mod pace;
 pub mod pool;
+pub mod prefix;
 mod programs;
 mod queue;
 mod server;
--- a/src/policy/window.rs
+++ b/src/policy/window.rs
@@ -4,6 +4,7 @@
 //! own answers against those of its kind; one that fails rests, and is then tried again.
 
 use super::dispatch::{Ask, Description, Load};
+use super::prefix::Prefixes;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,6 +24,9 @@
 /// What it saves to go where the line of turns was before, in parts of a window: its prompt is
 /// kept there, and reading it again holds up all that run there for a tenth of a turn each.
 const NEAR_LINE: f64 = 1.0;
+/// Tokens to be read that cost as much as a whole window. A prompt of 1,500 tokens takes a tenth of
+/// the time of a turn, in which all that run there stand still.
+const WINDOW_TOKENS: f64 = 1500.0;
 /// What it saves to go where the VM that asks has sent a request a moment ago, in parts of a window:
 /// its connection is likely to be open still, and a new one takes 2 ms more.
 const WARM: f64 = 0.15;
@@ -41,6 +45,8 @@
 pub(super) struct Server {
     pub(super) about: Description,
     pub(super) in_flight: usize,
+    /// The parts of prompts that it keeps.
+    pub(super) prefixes: Prefixes,
     /// When requests of VMs last ended here, by VM.
     used: HashMap<u64, Instant>,
     /// Requests of others that run there; below zero where requests sent from here have ended
@@ -57,6 +63,7 @@
         Self {
             about,
             in_flight: 0,
+            prefixes: Prefixes::default(),
             others: 0.0,
             used: HashMap::new(),
             ratio: 1.0,
@@ -149,7 +156,8 @@
         } else {
             0.0
         };
-        server.cost() + far + avoided - near - warm
+        let unread = server.prefixes.missing(&ask.prompt) as f64 / WINDOW_TOKENS;
+        server.cost() + far + avoided + unread - near - warm
     };
     let open = servers
         .iter()
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -5,6 +5,7 @@
 use tokio::time::Instant;
 use vanillatrail::id::Permit;
 use vanillatrail::policy::dispatch::{Ask, Description, Dispatcher, Load, Outcome, Verdict};
+use vanillatrail::policy::prefix::{Part, Prefixes};
 
 fn server(id: &str, zone: &str, slots: usize) -> Description {
     Description {
@@ -12,6 +13,7 @@
         service: "pool".into(),
         zone: zone.into(),
         slots,
+        memory_tokens: 100_000,
         leaving: false,
     }
 }
@@ -28,6 +30,7 @@
         left_ms: 1000,
         limit_ms: 4000,
         line: None,
+        prompt: Vec::new(),
         avoid: Vec::new(),
     }
 }
@@ -262,3 +265,37 @@
         dispatcher.done(now, Permit(permit), done(Duration::from_millis(50)));
     }
 }
+
+/// A program starts sub-agents, each of which begins with all that the program has read. They go where
+/// that is kept, though another server has less to do; a prompt that is kept nowhere goes to the latter.
+#[test]
+fn sub_agents_go_where_their_beginning_is_kept() {
+    let (now, mut dispatcher) = (Instant::now(), Dispatcher::default());
+    dispatcher.configure([server("s", "a", 12), server("t", "a", 12)]);
+    let part = |id, tokens| Part { id, tokens };
+    let ask = |prompt| Ask { prompt, ..ask(0) };
+    let parent = vec![part(1, 500), part(2, 1500)];
+    let first = granted(dispatcher.ask(now, Permit(1), ask(parent)));
+    for agent in 0..4 {
+        let prompt = vec![part(1, 500), part(2, 1500), part(10 + agent, 300)];
+        let permit = Permit(2 + agent);
+        assert_eq!(granted(dispatcher.ask(now, permit, ask(prompt))), first);
+    }
+    let other = granted(dispatcher.ask(now, Permit(6), ask(vec![part(3, 800)])));
+    assert_ne!(other, first);
+}
+
+/// A server keeps so many tokens and no more; what was of use last stays, and what follows a gap does not
+/// count.
+#[test]
+fn the_oldest_beginning_is_forgotten_first() {
+    let part = |id| Part { id, tokens: 400 };
+    let mut prefixes = Prefixes::default();
+    prefixes.read(&[part(1), part(2)], 1200);
+    prefixes.read(&[part(1), part(3)], 1200);
+    assert_eq!(prefixes.missing(&[part(1), part(2)]), 0);
+    prefixes.read(&[part(1), part(4)], 1200);
+    assert_eq!(prefixes.missing(&[part(1), part(2)]), 400);
+    assert_eq!(prefixes.missing(&[part(1), part(3)]), 0);
+    assert_eq!(prefixes.missing(&[part(2), part(3)]), 800);
+}
--- a/tests/dispatch_burst.rs
+++ b/tests/dispatch_burst.rs
@@ -58,6 +58,7 @@
             service: "pool".into(),
             zone: "z".into(),
             slots: SLOTS,
+            memory_tokens: 100_000,
             leaving: false,
         };
         pool.dispatcher.configure((0..ENGINES).map(description));
@@ -80,6 +81,7 @@
             left_ms: program.begun + TARGET_MS - clock,
             limit_ms: 4000,
             line: Some(index as u64),
+            prompt: Vec::new(),
             avoid: Vec::new(),
         };
         match self.dispatcher.ask(now, permit, ask) {
