Send prompts where their beginning is kept, not only lines of turns

More than half of all turns are sub-agents', whose prompts begin with their parent's, and they went anywhere. Ruled out: the queue and the admission (waits of 0.02 to 0.22 s), the ledger (4 ms), the keeping of turns (15 ms).

Where the parts are told, a line has no other preference.

--- a/src/policy/window.rs
+++ b/src/policy/window.rs
@@ -21,11 +21,13 @@
 /// What it costs to leave the zone, in parts of a server's window: bytes between zones are paid
 /// for, but a wait costs more.
 const FAR: f64 = 0.12;
-/// What it saves to go where the line of turns was before, in parts of a window: its prompt is
-/// kept there, and reading it again holds up all that run there for a tenth of a turn each.
+/// What it saves to go where the line of turns was before, in parts of a window, where nobody says of
+/// what the prompt consists.
 const NEAR_LINE: f64 = 1.0;
 /// Tokens to be read that cost as much as a whole window. A prompt of 1,500 tokens takes a tenth of
-/// the time of a turn, in which all that run there stand still.
+/// the time of a turn, in which all that run there stand still. Mean worth of four days under bursts
+/// over 12 VMs: 0.545 with lines alone, 0.584 with prompts; beginnings read again on days of 11 VMs:
+/// 2.1 to 2.4 million tokens, and 0.2 to 0.9.
 const WINDOW_TOKENS: f64 = 1500.0;
 /// What it saves to go where the VM that asks has sent a request a moment ago, in parts of a window:
 /// its connection is likely to be open still, and a new one takes 2 ms more.
@@ -141,7 +143,7 @@
         } else {
             FAR
         };
-        let near = if line == Some(&server.about.id) {
+        let near = if ask.prompt.is_empty() && line == Some(&server.about.id) {
             NEAR_LINE
         } else {
             0.0
