Leave a relayed turn to be written

Cause, found by reading: a VM that gave up recording another one's turn took it out of what it has to write, and a second try of the same turn, which had come meanwhile, then looked recorded. The answer would have ended without its turn at the store. Change: it stays.

--- a/src/gateway/conversation/relay.rs
+++ b/src/gateway/conversation/relay.rs
@@ -49,8 +49,8 @@
         }
         let turn = Rc::new(turn);
         let lane = self.post(self.layout.bucket(&turn.id), Rc::clone(&turn));
-        let recorded = timeout(TRY, lane.recorded(&turn.id)).await.is_ok();
-        lane.outbox.borrow_mut().forget(&turn.id);
-        recorded
+        // It stays to be written where the time is over: whoever takes it out could make another try of
+        // the same turn, which came meanwhile, look recorded.
+        timeout(TRY, lane.recorded(&turn.id)).await.is_ok()
     }
 }
