--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -33,7 +33,15 @@
 
 impl Store {
     pub fn start() -> Self {
-        let partitions: Arc<Mutex<HashMap<(String, u64), Partition>>> = Arc::default();
+        Self::over(Arc::default())
+    }
+
+    /// Another address of the same store, whose faults are its own.
+    pub fn door(&self) -> Self {
+        Self::over(Arc::clone(&self.partitions))
+    }
+
+    fn over(partitions: Arc<Mutex<HashMap<(String, u64), Partition>>>) -> Self {
         let down = Arc::new(AtomicBool::new(false));
         let stuck: Arc<Mutex<Option<String>>> = Arc::default();
         let (served, off) = (Arc::clone(&partitions), Arc::clone(&down));
--- a/tests/promise_conversation.rs
+++ b/tests/promise_conversation.rs
@@ -269,3 +269,33 @@
         }
     });
 }
+
+/// The store takes no turns from one VM, and serves the other. The turn is recorded by that one, the
+/// answer ends, and after the loss of both the conversation goes on.
+#[test]
+fn another_vm_records_what_the_store_does_not_take() {
+    let backend = talker();
+    let store = store(&backend);
+    let door = store.door();
+    let mut vms = [Vm::start(&door), Vm::start(&store)];
+    for vm in &vms {
+        vm.wait_ready();
+        until("they know each other", || {
+            vm.state()["members"].as_array().map(Vec::len) == Some(2)
+        });
+    }
+    door.set_stuck(Some("keyed.turn"));
+    whole(&vms[0], "t1", None, "one");
+    until("it is told", || {
+        !vms[0]
+            .lines("event=turn_kept id=t1 prev=\"\" bytes=13 at=relay")
+            .is_empty()
+    });
+    for vm in &mut vms {
+        vm.kill();
+    }
+    vms[1].restart();
+    vms[1].wait_ready();
+    whole(&vms[1], "t2", Some("t1"), "two");
+    assert_eq!(heard(&backend), "onet1.1\nt1.2\ntwo");
+}
