--- a/src/gateway/conversation/lane.rs
+++ b/src/gateway/conversation/lane.rs
@@ -21,7 +21,6 @@
 /// The pause after a failed write, at first and at most. While the store is away each VM makes about
 /// three writes a second, and the ends of answers that wait go out 0.3 s after it is back.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(300));
-
 /// How long a bucket waits to be told that the store is back before it tries by itself.
 const UNTOLD: Duration = Duration::from_millis(1500);
 
--- a/src/member/gossip.rs
+++ b/src/member/gossip.rs
@@ -53,7 +53,8 @@
 /// The membership as one VM sees it.
 ///
 /// ```
-/// /// use tokio::time::Instant;
+/// use std::time::Duration;
+/// use tokio::time::Instant;
 /// use vanillatrail::id::{Boot, Incarnation, Millicores, Offset};
 /// use vanillatrail::member::{Action, Beat, Gossip};
 ///
