Let nobody take a partition of programs over while the store refuses everybody

Cause: in an outage of the store each VM that had lost it handed the partitions that it counts to others that had lost it too, and each asker that was refused had somebody else take the partition. Ruled out: clocks and epochs (each taking had a higher one), and records that the store lost.

Change: a VM hands over only to one whose newest read began after it had lost the store itself (policy::outage); a VM that counts and can't record says so, and nobody takes over from it; whoever takes over first reads who took the partition last, and asks that one; a partition on its way is waited for in place of an answer that nobody counts it. Whether a VM has the store is no longer part of its profile: 300 VMs had news for all others in the same second.

--- a/src/gateway/conversation/record.rs
+++ b/src/gateway/conversation/record.rs
@@ -119,9 +119,12 @@
         }
         all.miss();
         let elsewhere = async {
+            let mut tried = 0;
             loop {
                 let detour = timeout(ELSEWHERE, self.detour_turn(bucket, turn));
-                let (detour, relay) = tokio::join!(detour, self.relay_turn(bucket, turn));
+                let relay = self.relay_turn(bucket, turn, tried);
+                tried += 1;
+                let (detour, relay) = tokio::join!(detour, relay);
                 if relay {
                     return Kept::Relay;
                 }
--- a/src/gateway/front/mod.rs
+++ b/src/gateway/front/mod.rs
@@ -13,6 +13,7 @@
 use crate::gateway::queue::permit::Desk;
 use crate::gateway::request::body::Body;
 use crate::gateway::server::link::Links;
+use crate::gateway::tokens::handover::Leave;
 use crate::gateway::tokens::keeper;
 use crate::gateway::tokens::keeper::Keeper;
 use crate::gateway::world::feed::World;
@@ -52,8 +53,8 @@
 /// How long the store may be silent before this VM says that it has lost it: a read that waits for a
 /// change of the configuration, and half a second for its answer.
 const UNHEARD: Duration = Duration::from_millis(1400);
-/// How long this VM has lost the store before it hands over what it counts. Until then the others
-/// have told whether they have lost it as well.
+/// How long this VM has lost the store before it hands over what it counts, and the pause between two
+/// tries: a VM that still has the store reads its directory twice in that time.
 const LOST: Duration = Duration::from_millis(800);
 /// Lists of other VMs that may wait.
 const CONTACTS: usize = 2;
@@ -230,7 +231,7 @@
     event!(info, "stopping", limit_ms = limit.as_millis());
     gateway.stopping.set(true);
     let handing = Rc::clone(gateway);
-    spawn_local(async move { handing.hand_over(true).await });
+    spawn_local(async move { handing.hand_over(Leave::Stopping).await });
     sleep(STILL_TAKING.min(limit)).await;
     stop.cancel();
     let rest = limit.saturating_sub(began.elapsed());
@@ -342,7 +343,9 @@
         tick.tick().await;
         gateway.desk.tick();
         gateway.expire_leases();
-        let (ready, held) = (gateway.is_eligible(), gateway.keeper.claims());
+        // Whether a VM has the store is not told to all: when it refuses everybody, each of 300 VMs would
+        // have news for all others at once, and their views differ for 5 s.
+        let (ready, held) = (gateway.is_ready(), gateway.keeper.claims());
         beats.send_if_modified(|beat| {
             let changed = beat.ready != ready || beat.held != held;
             (beat.ready, beat.held) = (ready, held);
@@ -352,10 +355,12 @@
         gateway.yield_claimed();
         let away = !gateway.has_store();
         lost = away.then(|| lost.unwrap_or_else(Instant::now));
-        if lost.is_some_and(|since| since.elapsed() >= LOST) && !handing.replace(true) {
+        if let Some(since) = lost.filter(|since| since.elapsed() >= LOST)
+            && !handing.replace(true)
+        {
             let (gateway, handing) = (Rc::clone(&gateway), Rc::clone(&handing));
             spawn_local(async move {
-                gateway.hand_over(false).await;
+                gateway.hand_over(Leave::Lost(since)).await;
                 sleep(LOST).await;
                 handing.set(false);
             });
@@ -389,13 +394,17 @@
 
     /// Whether the store answers this VM.
     pub(crate) fn has_store(&self) -> bool {
-        let heard = self.world.borrow().heard;
+        let world = self.world.borrow();
+        let heard = world.heard.max(world.read);
         heard.is_some_and(|heard| heard.elapsed() < UNHEARD) && self.keeper.has_store()
     }
 
-    /// Whether this VM can take work over from others.
-    fn is_eligible(&self) -> bool {
-        self.is_ready() && self.has_store()
+    /// How many milliseconds ago the newest call began that the store answered, unless it refuses the
+    /// records of this VM.
+    pub(crate) fn store_heard_ms(&self) -> Option<u64> {
+        let read = self.world.borrow().read?;
+        let ago_ms = u64::try_from(read.elapsed().as_millis()).unwrap_or(u64::MAX);
+        self.keeper.has_store().then_some(ago_ms)
     }
 
     /// Whether the balancer should send callers here.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -55,6 +55,12 @@
     /// Which allowances of a partition are kept that the store may lack?
     #[serde(rename = "l")]
     Copies { part: u64 },
+    /// Does this VM count a partition?
+    #[serde(rename = "h")]
+    Counts { part: u64 },
+    /// When did the newest call begin that the store answered this VM?
+    #[serde(rename = "s")]
+    Heard,
     /// Which server may a request go to? Answered when one has room.
     #[serde(rename = "p")]
     Place(Ask),
@@ -119,6 +125,15 @@
     /// The store can't be reached from here, and the program's records are not known.
     #[serde(rename = "a")]
     Away,
+    /// This VM counts the program, and can't record what the turn needs.
+    #[serde(rename = "x")]
+    Unrecorded,
+    /// Whether this VM counts the partition that was asked for.
+    #[serde(rename = "y")]
+    Counting(bool),
+    /// How many milliseconds ago that was; none where the store refuses records of this VM.
+    #[serde(rename = "e")]
+    Heard { ago_ms: Option<u64> },
     /// An answer will follow.
     #[serde(rename = "w")]
     Working,
--- a/src/gateway/tokens/counter.rs
+++ b/src/gateway/tokens/counter.rs
@@ -5,7 +5,7 @@
 use crate::gateway::tokens::part::Part;
 use crate::gateway::{Gateway, peers};
 use crate::id::{Shard, rendezvous};
-use crate::policy::allowance::{Entry, Reservation, Turn, Verdict};
+use crate::policy::allowance::{Reservation, Turn, Verdict};
 use crate::telemetry::event;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,15 +13,9 @@
 use tokio::time::{Instant, timeout};
 
 /// How long a turn waits for a partition to be taken over, two calls to the store.
-const TAKE: Duration = Duration::from_secs(1);
+pub(crate) const TAKE: Duration = Duration::from_secs(1);
 /// Copies in one datagram.
 const COPIES_SENT: usize = 40;
-/// Programs in one datagram of a partition that is handed over.
-const ADOPTED: usize = 4;
-/// How long a VM that was shut out does not take the same partition again. Until the members have
-/// heard of the new counter, requests that are sent here would make the two shut each other out
-/// again and again, and every time what was handed out counts as spent.
-const SHUT_OUT: Duration = Duration::from_millis(600);
 
 /// A reservation as the VM that counts the program sees it.
 #[derive(Debug)]
@@ -118,6 +112,13 @@
                 self.keeper.keep(copy);
                 Reply::Kept
             }
+            Question::Counts { part } => {
+                let part = self.keeper.part(part);
+                Reply::Counting(part.hold.get().is_some() || part.handing.get())
+            }
+            Question::Heard => Reply::Heard {
+                ago_ms: self.store_heard_ms(),
+            },
             Question::Locate { turn, lost } => self.locate(&turn, lost).await,
             Question::Copies { part } => {
                 let part = self.keeper.part(part);
@@ -168,115 +169,6 @@
         }
     }
 
-    async fn adopt(
-        self: &Rc<Self>,
-        number: u64,
-        epoch: u64,
-        entries: Vec<(Entry, u64)>,
-        (first, last): (bool, bool),
-        ending: bool,
-    ) -> Reply {
-        let part = self.keeper.part(number);
-        if first {
-            // What is left of a hand-over that broke off is older.
-            part.incoming.take();
-        }
-        part.incoming.borrow_mut().extend(entries);
-        if !last {
-            return Reply::Kept;
-        }
-        let entries = part.incoming.take();
-        let taken = timeout(TAKE, self.keeper.take(number, &part)).await;
-        let taken = matches!(taken, Ok(Ok(())));
-        if !taken && !ending {
-            return Reply::Away;
-        }
-        self.keeper.adopt(number, epoch, entries, taken);
-        Rc::clone(&self.keeper).start_writing(number, part);
-        Reply::Kept
-    }
-
-    /// Gives up partitions that another VM counts under a newer epoch.
-    pub(crate) fn yield_claimed(&self) {
-        for (number, part) in self.keeper.held() {
-            let view = self.view.borrow();
-            let others = view.members.values();
-            let others = others.filter(|member| member.vm != self.settings.vm);
-            let mut claims = others.flat_map(|member| &member.held);
-            let epoch = part.hold.get().map_or(0, |hold| hold.epoch);
-            if claims.any(|(shard, claimed)| shard.0 == number && claimed.0 > epoch) {
-                self.keeper.shut_out(number, &part, epoch);
-            }
-        }
-    }
-
-    /// Hands the partitions that this VM counts over to those that come next and have the store.
-    ///
-    /// A VM that has lost the store alone gives no more durable allowances; were it to go on with
-    /// copies, and all VMs lost power, what it gave would be given again.
-    pub(crate) async fn hand_over(&self, ending: bool) {
-        for (number, part) in self.keeper.held() {
-            let next = self.next_counter(number);
-            let Some(next) = next.filter(|next| next.ready || ending) else {
-                return;
-            };
-            let Some(hold) = part.hold.take() else {
-                continue;
-            };
-            part.handing.set(true);
-            part.written.notify_waiters();
-            let entries = part.ledger.borrow().export();
-            let doubtful = part.ledger.borrow().is_doubtful();
-            let pending = part.pending.borrow().clone();
-            let entries: Vec<_> = entries
-                .into_iter()
-                .map(|entry| {
-                    let lacking = pending.get(&entry.program).copied().unwrap_or_default();
-                    let allowed = entry.allowed.max(lacking);
-                    (Entry { allowed, ..entry }, lacking)
-                })
-                .collect();
-            part.successor.set(Some(next.address));
-            let chunks = entries.len().div_ceil(ADOPTED).max(1);
-            let mut sent = 0;
-            for index in 0..chunks {
-                let chunk = entries.iter().skip(index * ADOPTED).take(ADOPTED);
-                let question = Question::Adopt {
-                    part: number,
-                    epoch: hold.epoch,
-                    entries: chunk.cloned().collect(),
-                    doubtful,
-                    first: index == 0,
-                    last: index + 1 == chunks,
-                    ending,
-                };
-                if self.peers.ask(next.address, &question).await != Some(Reply::Kept) {
-                    break;
-                }
-                sent += 1;
-            }
-            let whole = sent == chunks;
-            if whole {
-                part.ledger.take();
-                part.pending.take();
-                part.shut_out.set(Some(Instant::now()));
-            } else {
-                // Nobody took it; if somebody did all the same, the store refuses what is written.
-                part.hold.set(Some(hold));
-                part.successor.set(None);
-            }
-            part.handing.set(false);
-            event!(
-                info,
-                "allowances_handed_over",
-                part = number,
-                to = next.vm,
-                programs = entries.len(),
-                whole = whole
-            );
-        }
-    }
-
     async fn count(self: &Rc<Self>, request: Request<'_>) -> Reply {
         let Request {
             part: number,
@@ -286,6 +178,8 @@
             takeover,
         } = request;
         let part = self.keeper.part(number);
+        // Whoever is told "not here" while a partition is on its way finds nobody who counts it.
+        part.settled().await;
         if part.hold.get().is_none() {
             let refusal = self.begin_to_count(number, &part, takeover).await;
             if let Some(refusal) = refusal {
@@ -324,78 +218,15 @@
         // Where it was asked twice, the other one may have failed and given the tokens back.
         if !covered || !held || !part.ledger.borrow().is_open(reservation) {
             self.keeper.settle(number, reservation, 0);
-            return Reply::Away;
+            return if held {
+                Reply::Unrecorded
+            } else {
+                Reply::NotOwner
+            };
         }
         Reply::Granted { turns, total }
     }
 
-    /// Takes a partition over; gives what is answered where that can't be.
-    async fn begin_to_count(
-        self: &Rc<Self>,
-        number: u64,
-        part: &Rc<Part>,
-        takeover: bool,
-    ) -> Option<Reply> {
-        let shut_out = part
-            .shut_out
-            .get()
-            .is_some_and(|at| at.elapsed() < SHUT_OUT);
-        if shut_out || part.handing.get() {
-            return Some(Reply::NotOwner);
-        }
-        let rightful = self.claimed(number);
-        let rightful = rightful.or_else(|| self.counters(number).into_iter().next());
-        if !takeover && rightful.is_some_and(|other| other.vm != self.settings.vm) {
-            return Some(Reply::NotOwner);
-        }
-        if self.keeper.is_away() {
-            // Both waits below are for the store.
-            self.gather(number).await;
-            return (!self.take_as_heir(number, part)).then_some(Reply::Away);
-        }
-        let silent = |address: &SocketAddr| self.peers.is_silent(*address);
-        let other = timeout(PATIENCE, self.keeper.lately_taken(number)).await;
-        if let Ok(Some(other)) = other
-            && part.hold.get().is_none()
-            && !silent(&other)
-        {
-            return Some(Reply::Taken(other));
-        }
-        // It goes on where this request gives up, so that the next one finds it done.
-        let keeper = Rc::clone(&self.keeper);
-        let taken = Rc::clone(part);
-        let gateway = Rc::clone(self);
-        let taking = tokio::task::spawn_local(async move {
-            let oldest_ms = gateway.gather(number).await;
-            taken.oldest_ms.set(oldest_ms);
-            let done = keeper.take(number, &taken).await;
-            keeper.start_writing(number, taken);
-            done
-        });
-        let patience = if self.has_store() { TAKE } else { PATIENCE };
-        let taken = matches!(timeout(patience, taking).await, Ok(Ok(Ok(()))));
-        if !taken {
-            self.keeper.heard(false);
-        }
-        (!taken && !self.take_as_heir(number, part)).then_some(Reply::Away)
-    }
-
-    /// Counts a partition from copies, where this VM comes next for it.
-    fn take_as_heir(&self, number: u64, part: &Part) -> bool {
-        part.hold.get().is_some()
-            || self.is_heir(number) && self.keeper.take_from_copies(number, part)
-    }
-
-    /// Whether this VM comes next for a partition that no live VM counts.
-    fn is_heir(&self, part: u64) -> bool {
-        let view = self.view.borrow();
-        let key = format!("allowance/{part}");
-        let first = view.members.values();
-        let first = first.max_by_key(|member| rendezvous(&key, member.vm.as_str()));
-        let mine = first.is_some_and(|first| first.vm == self.settings.vm);
-        mine && view.owner(Shard(part)).is_none()
-    }
-
     /// Waits until an allowance is durable, or kept by other VMs where the store does not take it.
     async fn cover(
         self: &Rc<Self>,
--- a/src/gateway/tokens/mod.rs
+++ b/src/gateway/tokens/mod.rs
@@ -6,6 +6,8 @@
 pub(crate) mod copies;
 pub(crate) mod counter;
 pub(crate) mod detour;
+pub(crate) mod failover;
+pub(crate) mod handover;
 pub(crate) mod keeper;
 pub(crate) mod part;
 pub(crate) mod reserve;
--- a/src/gateway/tokens/part.rs
+++ b/src/gateway/tokens/part.rs
@@ -37,6 +37,8 @@
     pub(crate) detours: RefCell<HashSet<(u64, String)>>,
     /// Whether it is being handed over to another VM.
     pub(crate) handing: Cell<bool>,
+    /// Told when that is over.
+    pub(crate) handed: Notify,
     /// What another VM is handing over.
     pub(crate) incoming: RefCell<Vec<(Entry, u64)>>,
     /// Where the partition was handed over to.
@@ -47,6 +49,29 @@
 }
 
 impl Part {
+    /// Waits until it is not being handed over.
+    pub(crate) async fn settled(&self) {
+        loop {
+            let handed = self.handed.notified();
+            if !self.handing.get() {
+                return;
+            }
+            handed.await;
+        }
+    }
+
+    /// Its programs, each with the allowance that the store still lacks, or zero.
+    pub(crate) fn entries(&self) -> Vec<(Entry, u64)> {
+        let pending = self.pending.borrow();
+        let entries = self.ledger.borrow().export().into_iter();
+        let entries = entries.map(|entry| {
+            let lacking = pending.get(&entry.program).copied().unwrap_or_default();
+            let allowed = entry.allowed.max(lacking);
+            (Entry { allowed, ..entry }, lacking)
+        });
+        entries.collect()
+    }
+
     /// The store lacks an allowance.
     pub(crate) fn lack(&self, program: &str, allowed: u64) {
         let mut pending = self.pending.borrow_mut();
--- a/src/gateway/tokens/reserve.rs
+++ b/src/gateway/tokens/reserve.rs
@@ -22,6 +22,14 @@
 /// Programs whose spending is remembered at the VM through which they came.
 const SEEN: usize = 50_000;
 
+fn uncounted() -> Failure {
+    let failure = Failure::refused(
+        Code::LogUnavailable,
+        "nobody can count the program's tokens",
+    );
+    failure.retry_after(COME_BACK)
+}
+
 impl Gateway {
     /// The VMs to ask for a partition, in this order: the one that last answered, the one that
     /// says that it counts, and those that would take over.
@@ -95,6 +103,10 @@
                             "the token budget of the program is spent",
                         ));
                     }
+                    // The VM that counts lives, and nobody else may count beside it: while the store
+                    // refuses everybody, 300 VMs that took partitions from each other gave a program
+                    // twice its budget.
+                    Some(Reply::Unrecorded) => return Err(uncounted()),
                     Some(Reply::Taken(address)) if asked < ASKED => {
                         candidates.push_front(Peer { address, ..peer });
                     }
@@ -106,11 +118,7 @@
             }
             sleep(SETTLE).await;
         }
-        let failure = Failure::refused(
-            Code::LogUnavailable,
-            "nobody can count the program's tokens",
-        );
-        Err(failure.retry_after(COME_BACK))
+        Err(uncounted())
     }
 
     async fn ask_counter(self: &Rc<Self>, peer: &Peer, question: Question) -> Option<Reply> {
--- a/src/gateway/tokens/takeover.rs
+++ b/src/gateway/tokens/takeover.rs
@@ -30,24 +30,34 @@
 /// outage of the store to have come between. VMs that all lose power are back after up to 2 s.
 const OUTAGE: Duration = Duration::from_millis(2500);
 
-impl Keeper {
-    /// The VM that has taken a partition last, if that was a moment ago.
-    ///
-    /// When all VMs start at once, each knows a part of the others and takes itself or another one
-    /// for the first by rank. Without this look they shut each other out ten times for each
-    /// partition, and callers were refused for two seconds more.
-    pub(crate) async fn lately_taken(&self, number: u64) -> Option<SocketAddr> {
-        let newest = self.store.newest(ALLOWANCE_TOPIC, number).await.ok()?;
-        let record = newest
-            .records
-            .iter()
-            .find(|record| record.key == OWNER_KEY)?;
-        let text = std::str::from_utf8(record.value.as_ref()?).ok()?;
+/// The VM that has taken a partition last.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Owner {
+    /// Where it is asked.
+    pub(crate) address: SocketAddr,
+    /// Whether that was a moment ago.
+    pub(crate) lately: bool,
+}
+
+impl Owner {
+    fn decode(value: &Bytes) -> Option<Self> {
+        let text = std::str::from_utf8(value).ok()?;
         let (address, taken) = text.split_once(' ')?;
         let taken = Duration::from_millis(taken.parse().ok()?);
-        let address: SocketAddr = address.parse().ok()?;
-        let lately = clock::wall().saturating_sub(taken) < LATELY && address != self.address;
-        lately.then_some(address)
+        Some(Self {
+            address: address.parse().ok()?,
+            lately: clock::wall().saturating_sub(taken) < LATELY,
+        })
+    }
+}
+
+impl Keeper {
+    /// The VM that has taken a partition last, as the store tells it.
+    pub(crate) async fn owner(&self, number: u64) -> Result<Option<Owner>, Fault> {
+        let newest = self.store.newest(ALLOWANCE_TOPIC, number).await?;
+        let mut records = newest.records.iter();
+        let record = records.find(|record| record.key == OWNER_KEY);
+        Ok(record.and_then(|record| Owner::decode(record.value.as_ref()?)))
     }
 
     /// Takes a partition over: shuts out the writer before, then reads what it has recorded.
--- a/src/gateway/world/feed.rs
+++ b/src/gateway/world/feed.rs
@@ -46,6 +46,9 @@
     pub(crate) heard: Option<Instant>,
     /// Whether the directory has been read.
     pub(crate) listed: bool,
+    /// When the newest read of the directory began that the store answered. It does not wait for a change,
+    /// so the store was there at that time; a read that waits may be answered after the store has gone.
+    pub(crate) read: Option<Instant>,
 }
 
 impl World {
@@ -56,6 +59,7 @@
             raw: None,
             heard: None,
             listed: false,
+            read: None,
         }
     }
 
@@ -276,6 +280,10 @@
         let before = Instant::now();
         match reader.read(&store, worlds).await {
             Ok(()) => {
+                worlds.send_if_modified(|world| {
+                    world.read = Some(before);
+                    false
+                });
                 if health.good().is_some() {
                     reader.lenient_until = Some(Instant::now() + RETURN);
                     reader.next = None;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -11,6 +11,7 @@
 pub mod estimate;
 mod flow;
 pub mod forecast;
+pub mod outage;
 pub mod pace;
 pub mod pool;
 pub mod prefix;
--- a/tests/budget.rs
+++ b/tests/budget.rs
@@ -2,57 +2,11 @@
 
 mod platform;
 
-use platform::{Act, Backend, Store, Vm, call, events, head, until};
-use serde_json::json;
+use platform::program::{EVENT, engine, site, turn};
+use platform::{Vm, until};
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Tokens that one event stands for, as the fake configuration says.
-const EVENT: u64 = 10;
-
-fn engine(turn_events: u64) -> Backend {
-    Backend::start(move |request, _| {
-        let text = head(request) + &events(1..=turn_events) + "0\r\n\r\n";
-        Act::Keep(text.into_bytes())
-    })
-}
-
-fn site(backend: &Backend, vms: usize) -> (Store, Vec<Vm>) {
-    let store = Store::start();
-    store.configure(1, &[("/a/", "stream", json!({}))]);
-    store.register("s", "pool", backend.address, "ready");
-    let vms: Vec<_> = (0..vms).map(|_| Vm::start(&store)).collect();
-    for vm in &vms {
-        vm.wait_ready();
-    }
-    for vm in &vms {
-        let count = vms.len();
-        until("the VMs know each other", || {
-            vm.state()["members"]
-                .as_array()
-                .is_some_and(|members| members.len() == count)
-        });
-    }
-    (store, vms)
-}
-
-/// Makes a turn of a program; gives the status and the tokens that were handed out.
-fn turn(vm: &Vm, program: &str, budget: u64, id: &str) -> (u16, u64) {
-    let budget = budget.to_string();
-    let headers = [
-        ("X-Request-Id", id),
-        ("X-Program", program),
-        ("X-Session", program),
-        ("X-Finish-Ms", "5000"),
-        ("X-Token-Budget", &budget),
-        ("X-Token-Count", "100,290"),
-        ("X-Deadline-Ms", "4000"),
-    ];
-    let reply = call(vm.callers, "POST", "/a/x", &headers, b"");
-    let events = reply.text().matches("data:").count() as u64;
-    (reply.status, events * EVENT)
-}
-
 /// A program loops without end, and its turns come in through three VMs in turn. Its budget holds
 /// over all of them: 402 ends it, and nothing of a refused turn reaches a server.
 #[test]
--- /dev/null
+++ b/tests/outage.rs
@@ -0,0 +1,116 @@
+//! The store refuses every VM, and what the VMs do to each other then.
+
+mod platform;
+
+use platform::program::{EVENT, engine, site, turn};
+use platform::{Store, Vm, until};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread;
+use std::time::Duration;
+
+const BUDGET: u64 = 870;
+const MOST: u64 = 290;
+
+fn takings(vms: &[Vm]) -> usize {
+    let lines = |vm: &Vm| vm.lines("event=allowances_taken").len();
+    vms.iter().map(lines).sum()
+}
+
+fn hand_overs(vms: &[Vm]) -> usize {
+    let lines = |vm: &Vm| vm.lines("event=allowances_handed_over").len();
+    vms.iter().map(lines).sum()
+}
+
+/// Callers see programs that loop without end, whose turns come in through six VMs at the same instant.
+/// The store refuses every VM for four seconds and is then back. The VMs that count live all the while, so
+/// nobody takes their partitions over or is handed them, and each program gets its budget once. Before,
+/// each VM that lost the store handed its partitions over, and each that was refused took them.
+#[test]
+fn nobody_takes_over_while_the_store_refuses_everybody() {
+    let backend = engine(2);
+    let (store, vms) = site(&backend, 6);
+    let programs: Vec<String> = (0..8).map(|number| format!("loop{number}")).collect();
+    for program in &programs {
+        until("it is counted", || {
+            turn(&vms[0], program, BUDGET, &format!("{program}-first")).0 == 200
+        });
+    }
+    let before = takings(&vms);
+    let handed: Vec<AtomicU64> = programs.iter().map(|_| AtomicU64::new(2 * EVENT)).collect();
+    let over = AtomicBool::new(false);
+    let in_outage = thread::scope(|scope| {
+        for (index, program) in programs.iter().enumerate() {
+            for (number, vm) in vms.iter().enumerate() {
+                let (handed, over) = (&handed[index], &over);
+                scope.spawn(move || {
+                    let mut made = 0;
+                    while !over.load(Ordering::Relaxed) {
+                        let id = format!("{program}-{number}-{made}");
+                        handed.fetch_add(turn(vm, program, BUDGET, &id).1, Ordering::Relaxed);
+                        made += 1;
+                        thread::sleep(Duration::from_millis(30));
+                    }
+                });
+            }
+        }
+        store.set_down(true);
+        thread::sleep(Duration::from_secs(4));
+        let in_outage = (takings(&vms), hand_overs(&vms));
+        store.set_down(false);
+        thread::sleep(Duration::from_secs(3));
+        over.store(true, Ordering::Relaxed);
+        in_outage
+    });
+    assert_eq!(
+        in_outage,
+        (before, 0),
+        "taken and handed over in the outage"
+    );
+    assert_eq!(takings(&vms), before, "taken after the outage");
+    for (program, handed) in programs.iter().zip(&handed) {
+        let handed = handed.load(Ordering::Relaxed);
+        assert!(handed <= BUDGET + MOST, "{program}: {handed}");
+    }
+}
+
+/// One VM loses the store and the other keeps it. What the first one counts is handed over within some
+/// seconds, so that callers go on getting turns whose tokens are recorded, through either VM.
+#[test]
+fn a_vm_that_loses_the_store_alone_hands_over() {
+    let backend = engine(2);
+    let store = Store::start();
+    let door = store.door();
+    store.configure(1, &[("/a/", "stream", serde_json::json!({}))]);
+    store.register("s", "pool", backend.address, "ready");
+    let vms = [Vm::start(&door), Vm::start(&store)];
+    for vm in &vms {
+        vm.wait_ready();
+        until("the VMs know each other", || {
+            vm.state()["members"]
+                .as_array()
+                .is_some_and(|members| members.len() == 2)
+        });
+    }
+    let programs: Vec<String> = (0..12).map(|number| format!("p{number}")).collect();
+    for program in &programs {
+        until("it is counted", || {
+            turn(&vms[0], program, BUDGET, &format!("{program}-first")).0 == 200
+        });
+    }
+    let counted = |vm: &Vm| vm.state()["counted"]["partitions"].as_u64().unwrap_or(0);
+    assert!(counted(&vms[0]) > 0);
+    door.set_down(true);
+    until("it is handed over", || {
+        counted(&vms[0]) == 0 && counted(&vms[1]) == 4
+    });
+    for program in &programs {
+        for (number, vm) in vms.iter().enumerate() {
+            let id = format!("{program}-{number}-after");
+            assert_eq!(
+                turn(vm, program, BUDGET, &id).0,
+                200,
+                "{program} at {number}"
+            );
+        }
+    }
+}
