Let VMs that start together know each other after one read of the store

Cause: 295 VMs that start, or lose power, together learned of each other by news, each within its budget of bytes: the last ones 9 s later, and 15 s after the loss of all. Meanwhile they disagreed on who counts and who queues: 9 disputes over partitions, and 170 places taken back from VMs that their holder did not know yet.

Change: each VM leaves its introduction at the store (member::introduction) once it is ready, and reads those of the others; they are members at once, are passed on to nobody, and probes drop those that are gone. Log lines of members are bounded: eight a second, then numbers.

--- a/src/gateway/front/mod.rs
+++ b/src/gateway/front/mod.rs
@@ -20,7 +20,7 @@
 use crate::gateway::world::{contact, feed, snapshot};
 use crate::gateway::{Gateway, conversation, peers, request};
 use crate::id::{Boot, Offset};
-use crate::member::{self, Beat, List, View};
+use crate::member::{self, Beat, Introduction, List, View};
 use crate::settings;
 use crate::supervisor::Supervisor;
 use crate::telemetry::event;
@@ -80,7 +80,8 @@
     };
     supervisor.duty("feed", move || feed::run(sources.clone(), worlds.clone()));
     let beats = Arc::new(watch::channel(first_beat(&settings)).0);
-    let contacts = member(&mut supervisor, &settings, views, &beats)?;
+    let (introduced, introduction) = watch::channel(None);
+    let contacts = member(&mut supervisor, &settings, views, introduced, &beats)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -90,6 +91,7 @@
         view,
         beats,
         contacts,
+        introduction,
     };
     LocalSet::new().block_on(&runtime, serve(path, settings, outside))
 }
@@ -101,6 +103,7 @@
     view: watch::Receiver<Arc<View>>,
     beats: Arc<watch::Sender<Beat>>,
     contacts: flume::Sender<List>,
+    introduction: watch::Receiver<Option<Introduction>>,
 }
 
 fn first_beat(settings: &settings::Gateway) -> Beat {
@@ -121,6 +124,7 @@
     supervisor: &mut Supervisor,
     settings: &settings::Gateway,
     views: watch::Sender<Arc<View>>,
+    introduction: watch::Sender<Option<Introduction>>,
     beats: &Arc<watch::Sender<Beat>>,
 ) -> Result<flume::Sender<List>, Failure> {
     let address = settings.listen.peers;
@@ -145,6 +149,7 @@
             listed: listed.clone(),
             local: beats.subscribe(),
             published: views.clone(),
+            introduction: introduction.clone(),
             leaving: leaving.clone(),
             stop: CancellationToken::new(),
         })
@@ -204,7 +209,11 @@
     spawn_local(peers::receive(Rc::clone(&gateway)));
     spawn_local(keeper::keep_house(Rc::clone(&gateway)));
     spawn_local(conversation::keep_house(Rc::clone(&gateway)));
-    spawn_local(contact::run(gateway.settings.clone(), outside.contacts));
+    spawn_local(contact::run(
+        gateway.settings.clone(),
+        outside.introduction,
+        outside.contacts,
+    ));
     let accepting = spawn_local(accept(Rc::clone(&gateway), callers, stop.clone()));
     let (mut terminate, mut hangup) = (
         signal(SignalKind::terminate()).map_err(internal)?,
--- a/src/member/duty.rs
+++ b/src/member/duty.rs
@@ -1,9 +1,11 @@
 //! The membership thread: drives the protocol over UDP.
 
+use super::changes::Changes;
 use super::gossip::{Action, Gossip};
+use super::introduction::Introduction;
 use super::list::List;
 use super::view::{Beat, View};
-use super::wire::{DATAGRAM, Sealer, State};
+use super::wire::{DATAGRAM, Sealer};
 use crate::clock;
 use crate::id::{Incarnation, Server};
 use crate::telemetry::event;
@@ -28,6 +30,8 @@
     /// What this VM says of itself; other duties keep it up to date.
     pub(crate) local: watch::Receiver<Beat>,
     pub(crate) published: watch::Sender<Arc<View>>,
+    /// What this VM leaves for others that start.
+    pub(crate) introduction: watch::Sender<Option<Introduction>>,
     /// Backend servers that other duties know to be leaving.
     pub(crate) leaving: flume::Receiver<Server>,
     pub(crate) stop: CancellationToken,
@@ -41,6 +45,7 @@
         seeds,
         mut local,
         published,
+        introduction,
         listed,
         leaving,
         stop,
@@ -52,6 +57,7 @@
     let mut gossip = Gossip::new(now, beat, first_incarnation(), seeds, rand::random());
     // One byte more than a datagram may have, so that a longer one is seen to be too long.
     let mut buffer = vec![0; DATAGRAM + 1];
+    let mut changes = Changes::default();
     let mut tick = interval(TICK);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -61,17 +67,19 @@
                     gossip.local(&local.borrow_and_update());
                 }
                 let actions = gossip.tick(Instant::now());
-                perform(&socket, &sealer, actions).await;
+                perform(&socket, &sealer, &mut changes, actions).await;
+                changes.flush(Instant::now());
                 // Not at each datagram: after a partition hundreds of them change the view.
                 if gossip.changed() {
                     published.send_replace(Arc::new(gossip.view(Instant::now())));
+                    introduction.send_replace(Some(gossip.introduction()));
                 }
             }
             received = socket.recv_from(&mut buffer) => {
                 let Ok((size, from)) = received else { continue };
                 if let Some(message) = sealer.open(&buffer[..size]) {
                     let actions = gossip.on_message(Instant::now(), from, message);
-                    perform(&socket, &sealer, actions).await;
+                    perform(&socket, &sealer, &mut changes, actions).await;
                 } else {
                     event!(warn, "datagram_refused", from = from, bytes = size);
                 }
@@ -79,6 +87,8 @@
             list = listed.recv_async() => {
                 let Ok(list) = list else { continue };
                 gossip.contact(list.vms);
+                let actions = gossip.introduce(Instant::now(), &list.introductions);
+                perform(&socket, &sealer, &mut changes, actions).await;
                 for server in &list.leaving {
                     gossip.leaving(Instant::now(), server);
                 }
@@ -89,25 +99,20 @@
             }
             () = stop.cancelled() => {
                 let actions = gossip.leave(Instant::now());
-                perform(&socket, &sealer, actions).await;
+                perform(&socket, &sealer, &mut changes, actions).await;
                 return;
             }
         }
     }
 }
 
-async fn perform(socket: &UdpSocket, sealer: &Sealer, actions: Vec<Action>) {
+async fn perform(socket: &UdpSocket, sealer: &Sealer, changes: &mut Changes, actions: Vec<Action>) {
     for action in actions {
         match action {
             Action::Send { to, message } => {
                 let _ = socket.send_to(&sealer.seal(&message), to).await;
             }
-            Action::Tell { vm, state } => match state {
-                State::Alive => event!(info, "member_alive", vm = vm),
-                State::Suspect => event!(warn, "member_suspect", vm = vm),
-                State::Gone => event!(warn, "member_gone", vm = vm),
-                State::Left => event!(info, "member_left", vm = vm),
-            },
+            Action::Tell { vm, state } => changes.tell(Instant::now(), &vm, state),
         }
     }
 }
--- a/src/member/learn.rs
+++ b/src/member/learn.rs
@@ -192,7 +192,7 @@
         newer
     }
 
-    fn learn_member(
+    pub(super) fn learn_member(
         &mut self,
         now: Instant,
         told: Told<'_>,
--- a/src/member/list.rs
+++ b/src/member/list.rs
@@ -1,6 +1,7 @@
 //! A client of the platform's VM list, which lags: it adds addresses to contact, and tells which
 //! backend servers are leaving; it never removes a member.
 
+use super::introduction::Introduction;
 use crate::id::Server;
 use crate::telemetry::event;
 use serde::Deserialize;
@@ -19,6 +20,9 @@
 pub(crate) struct List {
     /// Peer addresses of VMs.
     pub(crate) vms: Vec<SocketAddr>,
+    /// What VMs have left of themselves.
+    #[serde(skip)]
+    pub(crate) introductions: Vec<Introduction>,
     /// Backend servers that are leaving.
     pub(crate) leaving: Vec<Server>,
 }
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -1,8 +1,10 @@
 //! Membership of the system's own VMs: who is alive, ready, and owns what.
 
+mod changes;
 mod duty;
 mod gossip;
 mod hints;
+mod introduction;
 mod learn;
 mod list;
 mod probe;
@@ -14,6 +16,7 @@
 mod wire;
 
 pub use gossip::{Action, Counts, Gossip};
+pub use introduction::Introduction;
 pub use view::{Beat, Member, View};
 pub use wire::{Claim, DATAGRAM, Digest, Header, Kind, Message, News, Profile, Sealer, State};
 
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -239,6 +239,7 @@
             let (lists, listed) = flume::bounded(LISTS);
             let follow = member::follow(settings.vms, lists);
             let work = member::run(member::Setup {
+                introduction: watch::channel(None).0,
                 socket: socket.try_clone().expect("the system gives a handle"),
                 key: settings.peer_key,
                 seeds: settings.seeds,
--- a/tests/member_view.rs
+++ b/tests/member_view.rs
@@ -1,23 +1,13 @@
 //! The member view is published whenever it changes.
 
+mod beat;
+
+use beat::beat;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
-use vanillatrail::id::{Boot, Incarnation, Millicores, Offset};
-use vanillatrail::member::{Action, Beat, Gossip, View};
-
-fn beat(index: u16) -> Beat {
-    Beat {
-        vm: format!("vm-{index}").parse().expect("a name"),
-        zone: "zone-a".parse().expect("a name"),
-        boot: Boot(1),
-        address: SocketAddr::from(([127, 0, 0, 1], 7000 + index)),
-        cores: Millicores(1000),
-        ready: true,
-        applied: Offset(0),
-        held: Vec::new(),
-    }
-}
+use vanillatrail::id::{Incarnation, Offset};
+use vanillatrail::member::{Action, Gossip, View};
 
 /// A VM can't reach the log and learns from the header of any message that a peer has applied
 /// more of the configuration. Its other duties ask for the view only when it is said to have
--- a/tests/outage.rs
+++ b/tests/outage.rs
@@ -2,7 +2,7 @@
 
 mod platform;
 
-use platform::program::{EVENT, engine, site, turn};
+use platform::program::{EVENT, acquainted, engine, site, turn};
 use platform::{Store, Vm, until};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
@@ -83,14 +83,7 @@
     store.configure(1, &[("/a/", "stream", serde_json::json!({}))]);
     store.register("s", "pool", backend.address, "ready");
     let vms = [Vm::start(&door), Vm::start(&store)];
-    for vm in &vms {
-        vm.wait_ready();
-        until("the VMs know each other", || {
-            vm.state()["members"]
-                .as_array()
-                .is_some_and(|members| members.len() == 2)
-        });
-    }
+    acquainted(&vms);
     let programs: Vec<String> = (0..12).map(|number| format!("p{number}")).collect();
     for program in &programs {
         until("it is counted", || {
@@ -114,3 +107,23 @@
         }
     }
 }
+
+/// One VM has lost the store when operators add a route. The others tell it that a newer configuration is
+/// in force and it gets that from one of them, so that its callers are served on the new route.
+#[test]
+fn a_vm_without_the_store_gets_a_newer_configuration_from_another() {
+    let backend = engine(2);
+    let store = Store::start();
+    let door = store.door();
+    let route = |prefix| (prefix, "stream", serde_json::json!({}));
+    store.configure(1, &[route("/a/")]);
+    store.register("s", "pool", backend.address, "ready");
+    let vms = [Vm::start(&door), Vm::start(&store), Vm::start(&store)];
+    acquainted(&vms);
+    door.set_down(true);
+    store.configure(2, &[route("/a/"), route("/b/")]);
+    until("the new configuration is known", || {
+        vms[0].state()["config"] == 2
+    });
+    assert_eq!(vms[0].lines("event=config_applied version=2").len(), 1);
+}
--- a/tests/platform/program.rs
+++ b/tests/platform/program.rs
@@ -20,18 +20,22 @@
     store.configure(1, &[("/a/", "stream", json!({}))]);
     store.register("s", "pool", backend.address, "ready");
     let vms: Vec<_> = (0..vms).map(|_| Vm::start(&store)).collect();
-    for vm in &vms {
+    acquainted(&vms);
+    (store, vms)
+}
+
+/// Waits until the VMs are ready and know each other.
+pub fn acquainted(vms: &[Vm]) {
+    for vm in vms {
         vm.wait_ready();
     }
-    for vm in &vms {
-        let count = vms.len();
+    for vm in vms {
         until("the VMs know each other", || {
-            vm.state()["members"]
-                .as_array()
-                .is_some_and(|members| members.len() == count)
+            let state = vm.state();
+            let members = state["members"].as_array();
+            members.is_some_and(|members| members.len() == vms.len())
         });
     }
-    (store, vms)
 }
 
 /// Makes a turn of a program; gives the status and the tokens that were handed out.
