Split the feed of the world and the front of the gateway by what they do

No behaviour changes. What is known and how records change it is world::state, where it comes from and how often it is read world::sources, copies from other VMs world::copies; callers' connections are front::accept, what is looked after beside requests front::house.

--- /dev/null
+++ b/src/gateway/front/accept.rs
@@ -0,0 +1,64 @@
+//! Connections of callers.
+
+use super::listen::ACCEPT_PAUSE;
+use super::socket;
+use crate::gateway::{Gateway, request};
+use crate::telemetry::event;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::rc::Rc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+/// Accepts connections of callers until it is stopped, then waits for those that are open.
+pub(super) async fn accept(gateway: Rc<Gateway>, listener: TcpListener, stop: CancellationToken) {
+    let mut open = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                open.spawn_local(connection(Rc::clone(&gateway), stream, stop.clone()));
+                while open.try_join_next().is_some() {}
+            }
+            Err(error) => {
+                event!(warn, "accept_failed", reason = error);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    drop(listener);
+    while open.join_next().await.is_some() {}
+}
+
+async fn connection(gateway: Rc<Gateway>, stream: TcpStream, stop: CancellationToken) {
+    if let Err(error) = socket::tune(&stream) {
+        event!(debug, "socket_options_failed", reason = error);
+    }
+    let limits = gateway
+        .world
+        .borrow()
+        .table
+        .as_ref()
+        .map(|table| table.limits);
+    let limits = limits.unwrap_or_default();
+    let service = service_fn(move |request| request::handle(Rc::clone(&gateway), request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle)
+        .max_buf_size(limits.head_bytes.max(8192))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    // An error is the caller's leaving, or malformed input, which has been answered.
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = stop.cancelled() => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    drop(connection.await);
+}
--- /dev/null
+++ b/src/gateway/front/house.rs
@@ -0,0 +1,78 @@
+//! What a VM looks after as time passes, beside its requests.
+
+use crate::gateway::Gateway;
+use crate::gateway::tokens::handover::Leave;
+use crate::member::Beat;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
+
+/// How long this VM has lost the store before it hands over what it counts, and the pause between two
+/// tries: a VM that still has the store reads its directory twice in that time.
+const LOST: Duration = Duration::from_millis(800);
+/// Time between two sweeps of idle connections.
+const SWEEP: Duration = Duration::from_millis(500);
+/// Time between two looks at servers that rest.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Tells the windows of the servers what the directory and the configuration say of them.
+pub(super) async fn follow_world(gateway: Rc<Gateway>) {
+    let mut world = gateway.world.clone();
+    loop {
+        let (directory, table) = {
+            let world = world.borrow_and_update();
+            (Arc::clone(&world.directory), world.table.clone())
+        };
+        gateway.desk.configure(&directory, table.as_deref());
+        if world.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Keeps house until the process ends.
+pub(super) async fn keep(gateway: Rc<Gateway>, beats: Arc<watch::Sender<Beat>>) {
+    let mut tick = interval(TICK);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut swept = Instant::now();
+    let handing = Rc::new(Cell::new(false));
+    let mut lost = None;
+    loop {
+        tick.tick().await;
+        gateway.desk.tick();
+        gateway.expire_leases();
+        // Whether a VM has the store is not told to all: when it refuses everybody, each of 300 VMs would
+        // have news for all others at once, and their views differ for 5 s.
+        let (ready, held) = (gateway.is_ready(), gateway.keeper.claims());
+        let applied = gateway.applied();
+        beats.send_if_modified(|beat| {
+            let changed = (beat.ready, beat.applied) != (ready, applied) || beat.held != held;
+            (beat.ready, beat.applied, beat.held) = (ready, applied, held);
+            changed
+        });
+        gateway.tell_orphans().await;
+        gateway.yield_claimed();
+        let away = !gateway.has_store();
+        lost = away.then(|| lost.unwrap_or_else(Instant::now));
+        if let Some(since) = lost.filter(|since| since.elapsed() >= LOST)
+            && !handing.replace(true)
+        {
+            let (gateway, handing) = (Rc::clone(&gateway), Rc::clone(&handing));
+            spawn_local(async move {
+                gateway.hand_over(Leave::Lost(since)).await;
+                sleep(LOST).await;
+                handing.set(false);
+            });
+        }
+        if swept.elapsed() >= SWEEP {
+            swept = Instant::now();
+            gateway.desk.log();
+            let directory = Arc::clone(&gateway.world.borrow().directory);
+            gateway.links.sweep(|id| directory.get(id).is_some());
+        }
+    }
+}
--- a/src/gateway/front/mod.rs
+++ b/src/gateway/front/mod.rs
@@ -1,5 +1,7 @@
 //! Accepts callers, answers the balancer, and stops without cutting anyone.
 
+mod accept;
+mod house;
 pub(crate) mod listen;
 pub(crate) mod metrics;
 pub(crate) mod operators;
@@ -16,9 +18,10 @@
 use crate::gateway::tokens::handover::Leave;
 use crate::gateway::tokens::keeper;
 use crate::gateway::tokens::keeper::Keeper;
-use crate::gateway::world::feed::World;
+use crate::gateway::world::sources::Sources;
+use crate::gateway::world::state::World;
 use crate::gateway::world::{contact, feed, snapshot};
-use crate::gateway::{Gateway, conversation, peers, request};
+use crate::gateway::{Gateway, conversation, peers};
 use crate::id::{Boot, Offset};
 use crate::member::{self, Beat, Introduction, List, View};
 use crate::settings;
@@ -26,10 +29,6 @@
 use crate::telemetry::event;
 use bytes::Bytes;
 use http::{Response, StatusCode};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use listen::ACCEPT_PAUSE;
 use metrics::Metrics;
 use sample::Sampler;
 use std::cell::Cell;
@@ -38,11 +37,11 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
-use tokio::task::{JoinSet, LocalSet, spawn_local};
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 /// How long a VM that stops still takes new connections: the balancer asks once a second and
@@ -53,15 +52,8 @@
 /// How long the store may be silent before this VM says that it has lost it: two reads of its directory, or
 /// one that is made again.
 const UNHEARD: Duration = Duration::from_millis(1400);
-/// How long this VM has lost the store before it hands over what it counts, and the pause between two
-/// tries: a VM that still has the store reads its directory twice in that time.
-const LOST: Duration = Duration::from_millis(800);
 /// Lists of other VMs that may wait.
 const CONTACTS: usize = 2;
-/// Time between two sweeps of idle connections.
-const SWEEP: Duration = Duration::from_millis(500);
-/// Time between two looks at servers that rest.
-const TICK: Duration = Duration::from_millis(50);
 
 /// Forwards requests until a signal to stop.
 ///
@@ -71,7 +63,7 @@
     let (worlds, world) = watch::channel(World::empty());
     let mut supervisor = Supervisor::new(CancellationToken::new());
     let (views, view) = watch::channel(Arc::new(View::default()));
-    let sources = feed::Sources {
+    let sources = Sources {
         store: settings.store.address,
         port: settings.listen.operators.port(),
         seeds: settings.seeds.clone(),
@@ -199,8 +191,8 @@
     );
     let stop = CancellationToken::new();
     spawn_local(answer_balancer(Rc::clone(&gateway), ready));
-    spawn_local(follow_world(Rc::clone(&gateway)));
-    spawn_local(keep_house(Rc::clone(&gateway), outside.beats));
+    spawn_local(house::follow_world(Rc::clone(&gateway)));
+    spawn_local(house::keep(Rc::clone(&gateway), outside.beats));
     if let Some(address) = gateway.settings.listen.metrics {
         spawn_local(operators::run(Rc::clone(&gateway), bind(address).await?));
     }
@@ -214,7 +206,7 @@
         outside.introduction,
         outside.contacts,
     ));
-    let accepting = spawn_local(accept(Rc::clone(&gateway), callers, stop.clone()));
+    let accepting = spawn_local(accept::accept(Rc::clone(&gateway), callers, stop.clone()));
     let (mut terminate, mut hangup) = (
         signal(SignalKind::terminate()).map_err(internal)?,
         signal(SignalKind::hangup()).map_err(internal)?,
@@ -264,56 +256,6 @@
         .map_err(|error| Failure::refused(Code::BadSettings, format!("{address}: {error}")))
 }
 
-/// Accepts connections of callers until it is stopped, then waits for those that are open.
-async fn accept(gateway: Rc<Gateway>, listener: TcpListener, stop: CancellationToken) {
-    let mut open = JoinSet::new();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = stop.cancelled() => break,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                open.spawn_local(connection(Rc::clone(&gateway), stream, stop.clone()));
-                while open.try_join_next().is_some() {}
-            }
-            Err(error) => {
-                event!(warn, "accept_failed", reason = error);
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
-    drop(listener);
-    while open.join_next().await.is_some() {}
-}
-
-async fn connection(gateway: Rc<Gateway>, stream: TcpStream, stop: CancellationToken) {
-    if let Err(error) = socket::tune(&stream) {
-        event!(debug, "socket_options_failed", reason = error);
-    }
-    let limits = gateway
-        .world
-        .borrow()
-        .table
-        .as_ref()
-        .map(|table| table.limits);
-    let limits = limits.unwrap_or_default();
-    let service = service_fn(move |request| request::handle(Rc::clone(&gateway), request));
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle)
-        .max_buf_size(limits.head_bytes.max(8192))
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    // An error is the caller's leaving, or malformed input, which has been answered.
-    tokio::select! {
-        _ = connection.as_mut() => return,
-        () = stop.cancelled() => {}
-    }
-    connection.as_mut().graceful_shutdown();
-    drop(connection.await);
-}
-
 async fn answer_balancer(gateway: Rc<Gateway>, listener: TcpListener) {
     listen::serve(listener, move |_| {
         std::future::ready(readiness(gateway.is_ready()))
@@ -329,62 +271,6 @@
     response
 }
 
-async fn follow_world(gateway: Rc<Gateway>) {
-    let mut world = gateway.world.clone();
-    loop {
-        let (directory, table) = {
-            let world = world.borrow_and_update();
-            (Arc::clone(&world.directory), world.table.clone())
-        };
-        gateway.desk.configure(&directory, table.as_deref());
-        if world.changed().await.is_err() {
-            return;
-        }
-    }
-}
-
-async fn keep_house(gateway: Rc<Gateway>, beats: Arc<watch::Sender<Beat>>) {
-    let mut tick = interval(TICK);
-    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut swept = Instant::now();
-    let handing = Rc::new(Cell::new(false));
-    let mut lost = None;
-    loop {
-        tick.tick().await;
-        gateway.desk.tick();
-        gateway.expire_leases();
-        // Whether a VM has the store is not told to all: when it refuses everybody, each of 300 VMs would
-        // have news for all others at once, and their views differ for 5 s.
-        let (ready, held) = (gateway.is_ready(), gateway.keeper.claims());
-        let applied = gateway.applied();
-        beats.send_if_modified(|beat| {
-            let changed = (beat.ready, beat.applied) != (ready, applied) || beat.held != held;
-            (beat.ready, beat.applied, beat.held) = (ready, applied, held);
-            changed
-        });
-        gateway.tell_orphans().await;
-        gateway.yield_claimed();
-        let away = !gateway.has_store();
-        lost = away.then(|| lost.unwrap_or_else(Instant::now));
-        if let Some(since) = lost.filter(|since| since.elapsed() >= LOST)
-            && !handing.replace(true)
-        {
-            let (gateway, handing) = (Rc::clone(&gateway), Rc::clone(&handing));
-            spawn_local(async move {
-                gateway.hand_over(Leave::Lost(since)).await;
-                sleep(LOST).await;
-                handing.set(false);
-            });
-        }
-        if swept.elapsed() >= SWEEP {
-            swept = Instant::now();
-            gateway.desk.log();
-            let directory = Arc::clone(&gateway.world.borrow().directory);
-            gateway.links.sweep(|id| directory.get(id).is_some());
-        }
-    }
-}
-
 impl Gateway {
     /// Reads the settings again. Addresses and the store stay as they are until the next start; how
     /// long a stop may take is used at once.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -42,7 +42,7 @@
 use std::time::Duration;
 use tokens::keeper::Keeper;
 use tokio::sync::watch;
-use world::feed::World;
+use world::state::World;
 
 /// How long the store may be silent before a VM no longer trusts that its configuration is the
 /// newest.
--- a/src/gateway/queue/permit.rs
+++ b/src/gateway/queue/permit.rs
@@ -4,7 +4,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::peers::Note;
 use crate::gateway::world::directory::{Directory, Entry, Id};
-use crate::gateway::world::feed::World;
+use crate::gateway::world::state::World;
 use crate::gateway::world::table::Table;
 use crate::id;
 use crate::policy::dispatch::{Ask, Description, Dispatcher, GIVEN_UP, Outcome, Ticked, Verdict};
--- a/src/gateway/world/snapshot.rs
+++ b/src/gateway/world/snapshot.rs
@@ -5,7 +5,7 @@
 //! that run. After the loss of all VMs in a partial outage only the first is left.
 
 use crate::gateway::Gateway;
-use crate::gateway::world::feed::World;
+use crate::gateway::world::state::World;
 use crate::platform::records::SNAPSHOT_TOPIC;
 use crate::platform::store::{Keyed, Store};
 use crate::telemetry::event;
