Tell from logs where time went, and the story of a request

explain reads the logs of gateways from files or standard input, with or without a prefix before the time: by slices of time what ended how, times at 50, 90 and 99 in 100, and what VMs came to believe; or all lines of one request or program over all VMs, in the order of time. Tests run the binary on a recorded log (tests/explain.rs).

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -81,6 +81,9 @@
         #[arg(long)]
         json: bool,
     },
+    /// Tell from the logs of gateways where time went, or the story of one request or program.
+    #[command(after_help = "Example: vanillatrail explain --id 9c41d07be2a35f68 vm-a.log vm-b.log")]
+    Explain(Explain),
     /// Drive or look at one program.
     Program(ProgramArguments),
     /// Print the table of result codes, or what one code means.
@@ -111,6 +114,24 @@
     },
 }
 
+#[derive(Debug, Args)]
+struct Explain {
+    /// Log files; standard input without any. Text before `ts=` is left out of account.
+    files: Vec<PathBuf>,
+    /// Seconds of one slice of time.
+    #[arg(long, default_value = "2", value_parser = seconds)]
+    slice: Duration,
+    /// Only the lines of this request, over all VMs.
+    #[arg(long)]
+    id: Option<String>,
+    /// Only the lines of this program, over all VMs.
+    #[arg(long)]
+    program: Option<String>,
+    /// Print JSON.
+    #[arg(long)]
+    json: bool,
+}
+
 #[derive(Debug, Args)]
 struct Trial {
     /// The seed of the mix of programs.
@@ -333,6 +354,7 @@
         Command::Config(Config::History(of)) => command::config::history(&of.log, of.json),
         Command::Config(Config::Apply(apply)) => command::config::apply(&apply.into()),
         Command::State { vms, json } => command::state::run(&vms, json),
+        Command::Explain(of) => command::explain::run(&of.into()),
         Command::Program(of) => command::program::run(of.vm, of.action.into(), of.json),
         Command::Codes { code } => Ok(command::describe::codes(code)),
         Command::Schema { of } => command::describe::schema(of.into()),
@@ -430,3 +452,25 @@
         }
     }
 }
+
+impl From<Explain> for command::explain::Question {
+    fn from(of: Explain) -> Self {
+        Self {
+            files: of.files,
+            slice: of.slice,
+            id: of.id,
+            program: of.program,
+            json: of.json,
+        }
+    }
+}
+
+/// A time in seconds, from a millisecond to a day.
+fn seconds(text: &str) -> Result<Duration, String> {
+    let time = text.parse().map(Duration::try_from_secs_f64);
+    let bounds = Duration::from_millis(1)..=Duration::from_hours(24);
+    match time {
+        Ok(Ok(time)) if bounds.contains(&time) => Ok(time),
+        _ => Err("not a number of seconds from 0.001 to 86400".to_owned()),
+    }
+}
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 pub(crate) mod config;
 pub(crate) mod describe;
+pub(crate) mod explain;
 pub(crate) mod gateway;
 mod paint;
 pub(crate) mod program;
--- /dev/null
+++ b/src/explain/mod.rs
@@ -0,0 +1,7 @@
+//! Where time went and what was refused, from the log lines of VMs that forward requests.
+
+mod line;
+mod slice;
+
+pub use line::Line;
+pub use slice::{Report, Slice, Summary, Times};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`effect`] | whether a call that must not be repeated may be sent | `effect` |
 //! | [`conversation`] | which turns lead to a turn, and which the store still lacks | |
 //! | [`config`] | which change of the configuration counts | `config` |
+//! | [`explain`] | where time went, from the logs of gateways | |
 //! | [`policy`] | which call goes to which backend server, and when | `policy` |
 //! | [`member`] | which VMs are alive, and what they say of themselves | `member` |
 //! | [`order`] | which orders an engine is given to reach its wanted state | `order` |
@@ -22,6 +23,7 @@
 pub mod config;
 pub mod conversation;
 pub mod effect;
+pub mod explain;
 pub mod gateway;
 pub mod id;
 pub mod journal;
--- /dev/null
+++ b/tests/explain.rs
@@ -0,0 +1,84 @@
+//! `explain` on the logs of a short outage, by the binary.
+
+use assert_cmd::Command;
+use serde_json::Value;
+
+/// Two VMs before and during an outage of the store: one request is refused, a later try of it is served by
+/// the other VM.
+const A: &str = "\
+-1.2 vm-a ts=2026-12-03T02:01:24.156 level=info event=started vm=vm-a zone=z version=0.1.0
+-1.1 vm-a ts=2026-12-03T02:01:24.300 level=info event=request_ended id=a1 result=200 program=p allowed_ms=4 waited_ms=1 kept_ms=0 total_ms=40
+rubbish
+-1.0 vm-a ts=2026-12-03T02:01:26.010 level=warn event=store_lost for_what=config reason=\"refused with status 503\"
+-0.9 vm-a ts=2026-12-03T02:01:26.500 level=info event=request_ended id=a2 result=VT3002 program=p allowed_ms=660 waited_ms=0 kept_ms=0 total_ms=661
+";
+const B: &str = "\
+ts=2026-12-03T02:01:25.900 level=info event=request_ended id=b1 result=200 program=q allowed_ms=5 waited_ms=2 kept_ms=0 total_ms=60
+ts=2026-12-03T02:01:27.400 level=info event=request_ended id=a3 result=200 program=p allowed_ms=6 waited_ms=1 kept_ms=0 total_ms=50
+";
+
+fn explain(arguments: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_vanillatrail"));
+    command.arg("explain").args(arguments);
+    command
+}
+
+fn files() -> (tempfile::TempDir, [String; 2]) {
+    let dir = tempfile::tempdir().expect("a folder");
+    let write = |name: &str, text: &str| {
+        let path = dir.path().join(name);
+        std::fs::write(&path, text).expect("it can be written");
+        path.to_str().expect("a plain path").to_owned()
+    };
+    let paths = [write("b.log", B), write("a.log", A)];
+    (dir, paths)
+}
+
+#[test]
+fn slices_say_what_ended_and_what_changed() {
+    let (_dir, [b, a]) = files();
+    let output = explain(&[&b, &a, "--json"]).output().expect("it runs");
+    assert!(output.status.success());
+    let slices: Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    assert_eq!(slices.as_array().expect("slices").len(), 2);
+    let [before, during] = [&slices[0], &slices[1]];
+    assert_eq!(
+        (&before["good"], &before["results"]),
+        (&2.into(), &serde_json::json!({}))
+    );
+    assert_eq!(before["total"]["p99"], 60);
+    assert_eq!(during["results"], serde_json::json!({ "VT3002": 1 }));
+    assert_eq!(during["beliefs"], serde_json::json!({ "store_lost": 1 }));
+    let told = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(
+        told.contains("6 lines read, 1 that are none of a VM"),
+        "{told}"
+    );
+}
+
+#[test]
+fn a_program_is_followed_over_all_vms() {
+    let (_dir, [b, a]) = files();
+    let output = explain(&[&b, &a, "--program", "p"])
+        .output()
+        .expect("it runs");
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let ids: Vec<&str> = text
+        .lines()
+        .filter_map(|line| line.split("id=").nth(1)?.split(' ').next())
+        .collect();
+    assert_eq!(ids, ["a1", "a2", "a3"]);
+}
+
+#[test]
+fn standard_input_is_read_and_an_unknown_id_fails() {
+    let text = explain(&[]).write_stdin(A).output().expect("it runs");
+    assert!(String::from_utf8_lossy(&text.stdout).contains("VT3002=1; store_lost=1"));
+    explain(&["--id", "nobody"]).write_stdin(A).assert().code(1);
+}
+
+#[test]
+fn bad_input_is_told() {
+    explain(&["--slice", "0"]).write_stdin("").assert().code(2);
+    explain(&["absent.log"]).assert().code(2);
+}
