Let a reader of explain's output stop early

`explain ... | head` ended in a panic, since the pipe was closed: found on a log of 541,000 lines, which take 0.7 s. It is no fault now (a_reader_that_has_seen_enough_is_no_fault).

--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -5,7 +5,7 @@
 use crate::explain::{Line, Report, Summary};
 use std::collections::BTreeMap;
 use std::fs::File;
-use std::io::{BufRead, BufReader, stdin};
+use std::io::{self, BufRead, BufReader, BufWriter, ErrorKind, Write, stdin, stdout};
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -99,32 +99,48 @@
         if self.question.id.is_some() || self.question.program.is_some() {
             // Logs of several VMs come one after the other.
             self.story.sort();
-            for (_, line) in &self.story {
-                println!("{line}");
-            }
+            let written = written(tell(&self.story))?;
             return Ok(if self.story.is_empty() {
                 Exit::Failed
             } else {
-                Exit::Success
+                written
             });
         }
         let summaries = self.report.summaries();
         if json {
             print_json(&summaries)?;
-        } else {
-            print(&summaries);
+            return Ok(Exit::Success);
         }
-        Ok(Exit::Success)
+        written(print(&summaries))
+    }
+}
+
+/// Whoever reads the output may have seen enough, as `head` has.
+fn written(done: io::Result<()>) -> Result<Exit, Failure> {
+    match done {
+        Err(error) if error.kind() != ErrorKind::BrokenPipe => Err(internal(&error)),
+        _ => Ok(Exit::Success),
+    }
+}
+
+fn tell(story: &[(String, String)]) -> io::Result<()> {
+    let mut out = BufWriter::new(stdout().lock());
+    for (_, line) in story {
+        writeln!(out, "{line}")?;
     }
+    out.flush()
 }
 
-fn print(summaries: &[Summary]) {
-    println!(
+fn print(summaries: &[Summary]) -> io::Result<()> {
+    let mut out = BufWriter::new(stdout().lock());
+    writeln!(
+        out,
         "{:<23} {:>7} {:>16} {:>14} {:>14}  other results; what VMs came to believe",
         "from", "good", "total ms", "allowed ms", "waited ms"
-    );
+    )?;
     for slice in summaries {
-        println!(
+        writeln!(
+            out,
             "{:<23} {:>7} {:>16} {:>14} {:>14}  {}; {}",
             slice.begin.format("%Y-%m-%dT%H:%M:%S%.3f"),
             slice.good,
@@ -133,8 +149,9 @@
             slice.waited.to_string(),
             most(&slice.results),
             most(&slice.beliefs),
-        );
+        )?;
     }
+    out.flush()
 }
 
 /// The most frequent of some counts.
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -82,3 +82,21 @@
     explain(&["--slice", "0"]).write_stdin("").assert().code(2);
     explain(&["absent.log"]).assert().code(2);
 }
+
+/// The output goes to a program that reads one line and ends. That is no fault of the command.
+#[test]
+fn a_reader_that_has_seen_enough_is_no_fault() {
+    let many = A.repeat(20_000);
+    let (dir, _) = files();
+    let path = dir.path().join("many.log");
+    std::fs::write(&path, many).expect("it can be written");
+    let mut child = std::process::Command::new(env!("CARGO_BIN_EXE_vanillatrail"))
+        .args(["explain", "--program", "p"])
+        .arg(&path)
+        .stdout(std::process::Stdio::piped())
+        .stderr(std::process::Stdio::null())
+        .spawn()
+        .expect("it starts");
+    drop(child.stdout.take());
+    assert!(child.wait().expect("it ends").success());
+}
