--- a/src/gateway/front/house.rs
+++ b/src/gateway/front/house.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 
 /// How long this VM has lost the store before it hands over what it counts, and the pause between two
-/// tries: a VM that still has the store reads its directory twice in that time.
+/// tries. A VM that still has the store reads its directory about once in that time.
 const LOST: Duration = Duration::from_millis(800);
 /// Time between two sweeps of idle connections.
 const SWEEP: Duration = Duration::from_millis(500);
--- a/src/gateway/world/sources.rs
+++ b/src/gateway/world/sources.rs
@@ -21,6 +21,9 @@
 /// their records all the time, so that a read that waits returns at once. One read may be lost, and its
 /// timeout takes half of the shortest such time.
 const DIRECTORY_READS: u32 = 6;
+/// The longest time between two of them. A VM whose newest read is older than 1.4 s says that it has lost the
+/// store.
+const LONGEST_PERIOD: Duration = Duration::from_secs(1);
 
 /// Where the feed finds the originals and their copies.
 #[derive(Debug, Clone)]
@@ -48,7 +51,8 @@
 
     /// Time between two reads of the directory.
     pub(super) fn directory_period(&self) -> Duration {
-        Duration::from_millis(self.bounds.drain_ms) / DIRECTORY_READS
+        let period = Duration::from_millis(self.bounds.drain_ms) / DIRECTORY_READS;
+        period.min(LONGEST_PERIOD)
     }
 
     /// Whether some VM has applied a newer configuration.
