Ask in one place who reaches the store, and take nobody's word by the clock

The last read found: two ways to ask other VMs whether they have the store (in handover and in failover) are one now (tokens::reach); a VM that had taken a partition within 3 s was taken to count it without being asked, a special case from before it could be asked, which kept the partition of one that had died again for up to 3 s; now it is asked each time, and says so also while it is taking. Taking at the store and counting from copies are a function each. Names: heir and inherit, Leave, house and tried are is_next, count_from_copies, handover::Reason, housekeeping and round. The first directory was told twice where it was a copy. No bound or test is loosened.

--- a/src/explain/mod.rs
+++ b/src/explain/mod.rs
@@ -4,4 +4,4 @@
 mod slice;
 
 pub use line::Line;
-pub use slice::{Report, Slice, Summary, Times};
+pub use slice::{Report, Summary, Times};
--- a/src/explain/slice.rs
+++ b/src/explain/slice.rs
@@ -41,7 +41,7 @@
 
 /// One slice of time.
 #[derive(Debug)]
-pub struct Slice {
+struct Slice {
     good: u64,
     results: BTreeMap<String, u64>,
     beliefs: BTreeMap<String, u64>,
--- a/src/gateway/conversation/record.rs
+++ b/src/gateway/conversation/record.rs
@@ -100,6 +100,7 @@
             lane.outbox.borrow_mut().forget(&turn.id);
         }
         if kept.is_none() {
+            // What is under way ends before the answer is cut.
             sleep_until(job.deadline).await;
             return false;
         }
@@ -125,11 +126,10 @@
         }
         all.miss();
         let elsewhere = async {
-            let mut tried = 0;
+            let mut round = 0;
             loop {
                 let detour = timeout(ELSEWHERE, self.detour_turn(bucket, turn));
-                let relay = self.relay_turn(bucket, turn, tried);
-                tried += 1;
+                let relay = self.relay_turn(bucket, turn, round);
                 let (detour, relay) = tokio::join!(detour, relay);
                 if relay {
                     return Kept::Relay;
@@ -138,6 +138,7 @@
                     return Kept::Detour;
                 }
                 sleep(AGAIN).await;
+                round += 1;
             }
         };
         tokio::select! {
--- a/src/gateway/conversation/relay.rs
+++ b/src/gateway/conversation/relay.rs
@@ -21,17 +21,17 @@
 const TRY: Duration = Duration::from_millis(220);
 
 impl Gateway {
-    /// Whether another VM has recorded the turn, which was `tried` so often before.
+    /// Whether another VM has recorded the turn. `round` is the number of earlier tries.
     pub(super) async fn relay_turn(
         self: &Rc<Self>,
         bucket: Bucket,
         turn: &Turn,
-        tried: usize,
+        round: usize,
     ) -> bool {
         let mut others: Vec<Peer> = self.homes(bucket);
         others.retain(|peer| peer.ready && peer.vm != self.settings.vm);
-        // Each time others: those that come first may have lost the store as well.
-        let first = tried * ASKED % others.len().max(1);
+        // In each round others: those that come first may have lost the store as well.
+        let first = round * ASKED % others.len().max(1);
         others.rotate_left(first);
         others.truncate(ASKED);
         let message = Message::Record(turn.clone());
--- a/src/gateway/front/house.rs
+++ b/src/gateway/front/housekeeping.rs
@@ -1,7 +1,7 @@
 //! What a VM looks after as time passes, beside its requests.
 
 use crate::gateway::Gateway;
-use crate::gateway::tokens::handover::Leave;
+use crate::gateway::tokens::handover::Reason;
 use crate::member::Beat;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -63,7 +63,7 @@
         {
             let (gateway, handing) = (Rc::clone(&gateway), Rc::clone(&handing));
             spawn_local(async move {
-                gateway.hand_over(Leave::Lost(since)).await;
+                gateway.hand_over(Reason::Lost(since)).await;
                 sleep(LOST).await;
                 handing.set(false);
             });
--- a/src/gateway/front/mod.rs
+++ b/src/gateway/front/mod.rs
@@ -1,7 +1,7 @@
 //! Accepts callers, answers the balancer, and stops without cutting anyone.
 
 mod accept;
-mod house;
+mod housekeeping;
 pub(crate) mod listen;
 pub(crate) mod metrics;
 pub(crate) mod operators;
@@ -15,7 +15,7 @@
 use crate::gateway::queue::permit::Desk;
 use crate::gateway::request::body::Body;
 use crate::gateway::server::link::Links;
-use crate::gateway::tokens::handover::Leave;
+use crate::gateway::tokens::handover::Reason;
 use crate::gateway::tokens::keeper;
 use crate::gateway::tokens::keeper::Keeper;
 use crate::gateway::world::sources::Sources;
@@ -192,8 +192,8 @@
     );
     let stop = CancellationToken::new();
     spawn_local(answer_balancer(Rc::clone(&gateway), ready));
-    spawn_local(house::follow_world(Rc::clone(&gateway)));
-    spawn_local(house::keep(Rc::clone(&gateway), outside.beats));
+    spawn_local(housekeeping::follow_world(Rc::clone(&gateway)));
+    spawn_local(housekeeping::keep(Rc::clone(&gateway), outside.beats));
     if let Some(address) = gateway.settings.listen.metrics {
         spawn_local(operators::run(Rc::clone(&gateway), bind(address).await?));
     }
@@ -203,7 +203,7 @@
     spawn_local(keeper::keep_house(Rc::clone(&gateway)));
     spawn_local(conversation::keep_house(Rc::clone(&gateway)));
     spawn_local(contact::run(
-        gateway.settings.clone(),
+        gateway.settings.store.address,
         outside.introduction,
         outside.contacts,
     ));
@@ -234,7 +234,7 @@
     event!(info, "stopping", limit_ms = limit.as_millis());
     gateway.stopping.set(true);
     let handing = Rc::clone(gateway);
-    spawn_local(async move { handing.hand_over(Leave::Stopping).await });
+    spawn_local(async move { handing.hand_over(Reason::Stopping).await });
     sleep(STILL_TAKING.min(limit)).await;
     stop.cancel();
     let rest = limit.saturating_sub(began.elapsed());
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -55,7 +55,7 @@
     /// Which allowances of a partition are kept that the store may lack?
     #[serde(rename = "l")]
     Copies { part: u64 },
-    /// Does this VM count a partition?
+    /// Does this VM count a partition, or is it about to?
     #[serde(rename = "h")]
     Counts { part: u64 },
     /// When did the newest call begin that the store answered this VM?
@@ -128,7 +128,7 @@
     /// This VM counts the program, and can't record what the turn needs.
     #[serde(rename = "x")]
     Unrecorded,
-    /// Whether this VM counts the partition that was asked for.
+    /// Whether this VM counts the partition that was asked for, or is about to.
     #[serde(rename = "y")]
     Counting(bool),
     /// How many milliseconds ago that was; none where the store refuses records of this VM.
--- a/src/gateway/tokens/counter.rs
+++ b/src/gateway/tokens/counter.rs
@@ -114,7 +114,7 @@
             }
             Question::Counts { part } => {
                 let part = self.keeper.part(part);
-                Reply::Counting(part.hold.get().is_some() || part.handing.get())
+                Reply::Counting(part.is_claimed())
             }
             Question::Heard => Reply::Heard {
                 ago_ms: self.store_heard_ms(),
--- a/src/gateway/tokens/failover.rs
+++ b/src/gateway/tokens/failover.rs
@@ -5,9 +5,8 @@
 use crate::gateway::tokens::counter::TAKE;
 use crate::gateway::tokens::keeper::PATIENCE;
 use crate::gateway::tokens::part::Part;
-use crate::gateway::tokens::takeover::Owner;
 use crate::id::{Shard, rendezvous};
-use crate::policy::outage::still_heard;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -16,14 +15,19 @@
 /// heard of the new counter, requests that are sent here would make the two shut each other out
 /// again and again, and every time what was handed out counts as spent.
 const SHUT_OUT: Duration = Duration::from_millis(600);
-/// VMs that are asked whether they have the store, before one that has lost it counts from copies. Where a third
-/// of all is cut off, all of six are in one of 500 cases.
-const WITNESSES: usize = 6;
-/// How long they may take to answer: a round trip within a region takes 1 to 4 ms.
-const ANSWER: Duration = Duration::from_millis(70);
 /// How long ago a VM must have heard the store to have it: the directory is read once a second at least.
 const LATELY: Duration = Duration::from_millis(1200);
 
+/// What became of a try to take a partition at the store.
+enum Taking {
+    /// This VM counts it.
+    Done,
+    /// The VM at this address does.
+    CountedBy(SocketAddr),
+    /// The store did not answer in time, or refused.
+    Failed,
+}
+
 impl Gateway {
     /// Takes a partition over; gives what is answered where that can't be.
     ///
@@ -49,52 +53,54 @@
             return Some(Reply::NotOwner);
         }
         if self.keeper.is_away() {
-            // All waits below are for the store.
-            return self.inherit(number, part).await;
+            // What follows would wait for the store.
+            return self.count_from_copies(number, part).await;
         }
+        match self.take_at_store(number, part).await {
+            Taking::Done => None,
+            Taking::CountedBy(other) => Some(Reply::Taken(other)),
+            Taking::Failed => {
+                self.keeper.heard(false);
+                self.count_from_copies(number, part).await
+            }
+        }
+    }
+
+    /// Takes a partition at the store, unless another VM counts it there.
+    async fn take_at_store(self: &Rc<Self>, number: u64, part: &Rc<Part>) -> Taking {
         let patience = if self.has_store() { TAKE } else { PATIENCE };
         let Ok(Ok(owner)) = timeout(patience, self.keeper.owner(number)).await else {
             // Nobody takes a partition that the store does not show.
-            self.keeper.heard(false);
-            return self.inherit(number, part).await;
+            return Taking::Failed;
         };
         if let Some(owner) = owner
             && part.hold.get().is_none()
-            && self.counts_elsewhere(number, &owner).await
+            && self.counts_elsewhere(number, owner).await
         {
-            return Some(Reply::Taken(owner.address));
+            return Taking::CountedBy(owner);
         }
         // It goes on where this request gives up, so that the next one finds it done.
-        let keeper = Rc::clone(&self.keeper);
-        let taken = Rc::clone(part);
-        let gateway = Rc::clone(self);
+        let (gateway, taken) = (Rc::clone(self), Rc::clone(part));
         let taking = tokio::task::spawn_local(async move {
             let oldest_ms = gateway.gather(number).await;
             taken.oldest_ms.set(oldest_ms);
-            let done = keeper.take(number, &taken).await;
-            keeper.start_writing(number, taken);
+            let done = gateway.keeper.take(number, &taken).await;
+            Rc::clone(&gateway.keeper).start_writing(number, taken);
             done
         });
-        let taken = matches!(timeout(patience, taking).await, Ok(Ok(Ok(()))));
-        if !taken {
-            self.keeper.heard(false);
-        }
-        if taken {
-            return None;
+        match timeout(patience, taking).await {
+            Ok(Ok(Ok(()))) => Taking::Done,
+            _ => Taking::Failed,
         }
-        self.inherit(number, part).await
     }
 
     /// Whether the VM that took a partition last counts it still.
-    async fn counts_elsewhere(&self, number: u64, owner: &Owner) -> bool {
-        if owner.address == self.address() || self.peers.is_silent(owner.address) {
+    async fn counts_elsewhere(&self, number: u64, owner: SocketAddr) -> bool {
+        if owner == self.address() || self.peers.is_silent(owner) {
             return false;
         }
-        if owner.lately {
-            return true;
-        }
         let question = Question::Counts { part: number };
-        let reply = self.peers.ask(owner.address, &question).await;
+        let reply = self.peers.ask(owner, &question).await;
         reply == Some(Reply::Counting(true))
     }
 
@@ -104,37 +110,21 @@
     /// Not where another VM has the store: that one takes the partition there, and both would count the
     /// same programs. With a third of 295 VMs cut off from the store a program got 1,325 tokens where 825 are
     /// allowed.
-    async fn inherit(&self, number: u64, part: &Part) -> Option<Reply> {
-        if part.hold.get().is_none() && self.is_alone(number).await {
+    async fn count_from_copies(&self, number: u64, part: &Part) -> Option<Reply> {
+        if part.hold.get().is_some() {
+            return None;
+        }
+        if !self.reaching_store(number, LATELY).await.is_empty() {
             return Some(Reply::Away);
         }
         self.gather(number).await;
-        (!self.take_as_heir(number, part)).then_some(Reply::Away)
-    }
-
-    /// Whether some other VM has the store, which this one has lost.
-    async fn is_alone(&self, number: u64) -> bool {
-        let others = self.counters(number).into_iter();
-        let others = others.filter(|peer| peer.vm != self.settings.vm);
-        let asks = others.take(WITNESSES).map(|peer| async move {
-            let heard = timeout(ANSWER, self.peers.ask(peer.address, &Question::Heard));
-            match heard.await {
-                Ok(Some(Reply::Heard { ago_ms })) => ago_ms.map(Duration::from_millis),
-                _ => None,
-            }
-        });
-        let heard = futures::future::join_all(asks).await;
-        heard.into_iter().any(|heard| still_heard(LATELY, heard))
-    }
-
-    /// Counts a partition from copies, where this VM comes next for it.
-    fn take_as_heir(&self, number: u64, part: &Part) -> bool {
-        part.hold.get().is_some()
-            || self.is_heir(number) && self.keeper.take_from_copies(number, part)
+        let counts = part.hold.get().is_some()
+            || self.is_next(number) && self.keeper.take_from_copies(number, part);
+        (!counts).then_some(Reply::Away)
     }
 
     /// Whether this VM comes next for a partition that no live VM counts.
-    fn is_heir(&self, part: u64) -> bool {
+    fn is_next(&self, part: u64) -> bool {
         let view = self.view.borrow();
         let key = format!("allowance/{part}");
         let first = view.members.values();
--- a/src/gateway/tokens/handover.rs
+++ b/src/gateway/tokens/handover.rs
@@ -5,21 +5,16 @@
 use crate::gateway::tokens::counter::TAKE;
 use crate::gateway::tokens::part::{Hold, Part};
 use crate::policy::allowance::Entry;
-use crate::policy::outage::still_heard;
 use crate::telemetry::event;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::time::{Instant, timeout};
 
 /// Programs in one datagram of a partition that is handed over.
 const ADOPTED: usize = 4;
-/// VMs that are asked whether they still have the store, before a VM that has lost it keeps a partition. In an
-/// outage none has it; where single VMs are cut off, one of three has.
-const ASKED: usize = 3;
 
 /// Why a VM hands its partitions over.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Leave {
+pub(crate) enum Reason {
     /// It is about to end.
     Stopping,
     /// It has not reached the store since then.
@@ -32,9 +27,9 @@
     /// A VM that has lost the store alone gives no more durable allowances; were it to go on with
     /// copies, and all VMs lost power, what it gave would be given again. Where all have lost the store
     /// it goes on: those that it would hand over to can't record either.
-    pub(crate) async fn hand_over(&self, why: Leave) {
+    pub(crate) async fn hand_over(&self, reason: Reason) {
         for (number, part) in self.keeper.held() {
-            let Some(next) = self.successor(number, why).await else {
+            let Some(next) = self.successor(number, reason).await else {
                 event!(
                     info,
                     "allowances_stay",
@@ -43,31 +38,22 @@
                 );
                 return;
             };
-            self.hand_part_over(number, &part, &next, why).await;
+            self.hand_part_over(number, &part, &next, reason).await;
         }
     }
 
     /// The VM that goes on with a partition.
-    async fn successor(&self, number: u64, why: Leave) -> Option<Peer> {
-        let others = self.counters(number).into_iter();
-        let mut others = others.filter(|peer| peer.vm != self.settings.vm);
-        let Leave::Lost(since) = why else {
-            return others.next();
-        };
-        for peer in others.filter(|peer| peer.ready).take(ASKED) {
-            let Some(Reply::Heard { ago_ms }) =
-                self.peers.ask(peer.address, &Question::Heard).await
-            else {
-                continue;
-            };
-            if still_heard(since.elapsed(), ago_ms.map(Duration::from_millis)) {
-                return Some(peer);
+    async fn successor(&self, number: u64, reason: Reason) -> Option<Peer> {
+        match reason {
+            Reason::Stopping => self.next_counter(number),
+            Reason::Lost(since) => {
+                let mut reaching = self.reaching_store(number, since.elapsed()).await;
+                (!reaching.is_empty()).then(|| reaching.swap_remove(0))
             }
         }
-        None
     }
 
-    async fn hand_part_over(&self, number: u64, part: &Part, next: &Peer, why: Leave) {
+    async fn hand_part_over(&self, number: u64, part: &Part, next: &Peer, reason: Reason) {
         let Some(hold) = part.hold.take() else {
             return;
         };
@@ -76,7 +62,7 @@
         let entries = part.entries();
         part.successor.set(Some(next.address));
         let whole = self
-            .send_entries(number, part, (next, hold), &entries, why)
+            .send_entries(number, part, (next, hold), &entries, reason)
             .await;
         if whole {
             part.ledger.take();
@@ -106,7 +92,7 @@
         part: &Part,
         (next, hold): (&Peer, Hold),
         entries: &[(Entry, u64)],
-        why: Leave,
+        reason: Reason,
     ) -> bool {
         let doubtful = part.ledger.borrow().is_doubtful();
         let chunks = entries.len().div_ceil(ADOPTED).max(1);
@@ -119,7 +105,7 @@
                 doubtful,
                 first: index == 0,
                 last: index + 1 == chunks,
-                ending: why == Leave::Stopping,
+                ending: reason == Reason::Stopping,
             };
             if self.peers.ask(next.address, &question).await != Some(Reply::Kept) {
                 return false;
--- a/src/gateway/tokens/mod.rs
+++ b/src/gateway/tokens/mod.rs
@@ -10,5 +10,6 @@
 pub(crate) mod handover;
 pub(crate) mod keeper;
 pub(crate) mod part;
+pub(crate) mod reach;
 pub(crate) mod reserve;
 pub(crate) mod takeover;
--- a/src/gateway/tokens/part.rs
+++ b/src/gateway/tokens/part.rs
@@ -49,6 +49,12 @@
 }
 
 impl Part {
+    /// Whether this VM counts it, or is about to: it takes it at the store, or hands it over.
+    pub(crate) fn is_claimed(&self) -> bool {
+        let taking = self.taking.try_lock().is_err();
+        taking || self.hold.get().is_some() || self.handing.get()
+    }
+
     /// Waits until it is not being handed over.
     pub(crate) async fn settled(&self) {
         loop {
--- a/src/gateway/tokens/takeover.rs
+++ b/src/gateway/tokens/takeover.rs
@@ -15,8 +15,6 @@
 
 /// The key of the record that names the VM that counts a partition; no program has such a name.
 const OWNER_KEY: &str = "@owner";
-/// How long a VM that has taken a partition is left with it, unless it does not answer.
-const LATELY: Duration = Duration::from_secs(3);
 /// Epochs in one millisecond of the clock: so many VMs can be told apart.
 const EPOCHS: u64 = 1 << 12;
 /// By how much an epoch is raised that is too low: ten seconds of the clock.
@@ -30,34 +28,17 @@
 /// outage of the store to have come between. VMs that all lose power are back after up to 2 s.
 const OUTAGE: Duration = Duration::from_millis(2500);
 
-/// The VM that has taken a partition last.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Owner {
-    /// Where it is asked.
-    pub(crate) address: SocketAddr,
-    /// Whether that was a moment ago.
-    pub(crate) lately: bool,
-}
-
-impl Owner {
-    fn decode(value: &Bytes) -> Option<Self> {
-        let text = std::str::from_utf8(value).ok()?;
-        let (address, taken) = text.split_once(' ')?;
-        let taken = Duration::from_millis(taken.parse().ok()?);
-        Some(Self {
-            address: address.parse().ok()?,
-            lately: clock::wall().saturating_sub(taken) < LATELY,
-        })
-    }
-}
-
 impl Keeper {
-    /// The VM that has taken a partition last, as the store tells it.
-    pub(crate) async fn owner(&self, number: u64) -> Result<Option<Owner>, Fault> {
+    /// Where the VM is asked that has taken a partition last, as the store tells it.
+    pub(crate) async fn owner(&self, number: u64) -> Result<Option<SocketAddr>, Fault> {
         let newest = self.store.newest(ALLOWANCE_TOPIC, number).await?;
         let mut records = newest.records.iter();
         let record = records.find(|record| record.key == OWNER_KEY);
-        Ok(record.and_then(|record| Owner::decode(record.value.as_ref()?)))
+        Ok(record.and_then(|record| {
+            let text = std::str::from_utf8(record.value.as_ref()?).ok()?;
+            let (address, _taken_ms) = text.split_once(' ')?;
+            address.parse().ok()
+        }))
     }
 
     /// Takes a partition over: shuts out the writer before, then reads what it has recorded.
--- a/src/gateway/world/contact.rs
+++ b/src/gateway/world/contact.rs
@@ -4,10 +4,10 @@
 use crate::member::{Introduction, List};
 use crate::platform::records::CONTACT_TOPIC;
 use crate::platform::store::{Keyed, Store};
-use crate::settings;
 use crate::telemetry::event;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
@@ -46,11 +46,11 @@
 
 /// Leaves this VM's introduction at the store, and passes on those of the others.
 pub(crate) async fn run(
-    settings: settings::Gateway,
+    store: SocketAddr,
     mut introduction: watch::Receiver<Option<Introduction>>,
     contacts: flume::Sender<List>,
 ) {
-    let store = Store::new(settings.store.address);
+    let store = Store::new(store);
     let mut round = 0;
     let mut written = false;
     let settled =
@@ -59,7 +59,8 @@
     let _ = timeout(SETTLED, settled).await;
     loop {
         let mine = introduction.borrow().clone();
-        if let Some(mine) = mine.filter(|_| !written || round >= PAUSES.len()) {
+        let due = !written || round >= PAUSES.len();
+        if let Some(mine) = mine.filter(|_| due) {
             written = write(&store, mine).await;
         }
         if let Some(list) = read(&store).await
--- a/src/gateway/world/feed.rs
+++ b/src/gateway/world/feed.rs
@@ -161,7 +161,15 @@
         let Some(from) = self.next else {
             let newest = store.newest(DIRECTORY_TOPIC, 0).await?;
             self.next = Some(newest.end);
-            worlds.send_if_modified(|world| whole(world, &newest.records, lenient));
+            worlds.send_if_modified(|world| {
+                let first = !world.listed;
+                let changed = whole(world, &newest.records, lenient);
+                if first {
+                    // One line for all: 300 VMs that start before 3,600 servers would write a million.
+                    event!(info, "directory_read", servers = world.directory.len());
+                }
+                changed
+            });
             return Ok(());
         };
         let page = store.read(DIRECTORY_TOPIC, 0, from, Duration::ZERO).await?;
--- a/src/gateway/world/state.rs
+++ b/src/gateway/world/state.rs
@@ -104,10 +104,6 @@
     for record in records {
         changed |= apply(&mut directory, record, first);
     }
-    if first {
-        // One line for all: 300 VMs that start before 3,600 servers would write a million.
-        event!(info, "directory_read", servers = directory.len());
-    }
     let present: HashSet<&str> = records
         .iter()
         .filter(|record| record.value.is_some())
