--- a/tests/promise_answer.rs
+++ b/tests/promise_answer.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use serde_json::{Value, json};
-use support::{Environment, Stream, model, service};
+use support::stream::Stream;
+use support::{Environment, model, service};
 
 /// What a caller has put together from a stream.
 #[derive(Debug, Default)]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,11 +2,15 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+mod process;
+pub mod stream;
+
+pub use process::Process;
+
+use process::{serve, standin};
 use serde_json::{Value, json};
-use std::io::{BufRead, BufReader};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
@@ -14,62 +18,6 @@
 /// How long a poll goes on before the test fails; far more than any step takes.
 const LIMIT: Duration = Duration::from_mins(1);
 
-/// A process that is killed when the test is over.
-pub struct Process {
-    child: Child,
-    pub address: SocketAddr,
-    pub log: PathBuf,
-}
-
-impl Process {
-    pub fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        let status = Command::new("kill")
-            .args([&format!("-{name}"), &pid])
-            .status();
-        assert!(status.expect("kill runs").success(), "kill -{name} {pid}");
-    }
-
-    /// SIGKILL, and waits until the process is gone.
-    pub fn kill(&mut self) {
-        self.child.kill().expect("the process is ours");
-        self.child.wait().expect("the process is ours");
-    }
-
-    /// How many lines of its log hold `text`.
-    pub fn logged(&self, text: &str) -> usize {
-        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
-        log.lines().filter(|line| line.contains(text)).count()
-    }
-
-    /// The value of `offset=` in the newest line of its log that holds `text`.
-    pub fn offset_of(&self, text: &str) -> Option<u64> {
-        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
-        let line = log.lines().rfind(|line| line.contains(text))?;
-        let (_, rest) = line.split_once("offset=")?;
-        rest.split_whitespace().next()?.parse().ok()
-    }
-
-    /// Waits until the process has ended by itself.
-    pub fn wait(&mut self) -> std::process::ExitStatus {
-        let until = Instant::now() + LIMIT;
-        loop {
-            if let Some(status) = self.child.try_wait().expect("the process is ours") {
-                return status;
-            }
-            assert!(Instant::now() < until, "the process does not end");
-            std::thread::sleep(Duration::from_millis(20));
-        }
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 /// One VM: its process and its addresses.
 pub struct Vm {
     pub process: Process,
@@ -432,52 +380,6 @@
     }
 }
 
-/// The events of one answer as a caller reads them.
-pub struct Stream(std::io::Lines<BufReader<reqwest::blocking::Response>>);
-
-impl Iterator for Stream {
-    type Item = (String, Value);
-
-    fn next(&mut self) -> Option<(String, Value)> {
-        let (mut event, mut data) = (None, None);
-        loop {
-            let line = self.0.next()?.ok()?;
-            if let Some(name) = line.strip_prefix("event:") {
-                event = Some(name.trim().to_owned());
-            } else if let Some(text) = line.strip_prefix("data:") {
-                data = serde_json::from_str(text).ok();
-            } else if line.is_empty()
-                && let (Some(event), Some(data)) = (event.take(), data.take())
-            {
-                return Some((event, data));
-            }
-        }
-    }
-}
-
-impl Environment {
-    /// Makes a call at a VM and reads its answer as a stream.
-    pub fn stream_call(&self, vm: usize, program: &str, body: &Value) -> Stream {
-        let url = format!(
-            "http://{}/v1/programs/{program}/calls",
-            self.vms[vm].callers
-        );
-        Self::stream(self.http.post(url).body(body.to_string()))
-    }
-
-    /// Reads the rest of an answer as a stream.
-    pub fn stream_rest(&self, vm: usize, program: &str, rest: &str) -> Stream {
-        let base = format!("http://{}/v1/programs/{program}", self.vms[vm].callers);
-        Self::stream(self.http.get(format!("{base}/calls/{rest}")))
-    }
-
-    fn stream(request: reqwest::blocking::RequestBuilder) -> Stream {
-        let request = request.header("accept", "text/event-stream");
-        let reply = request.send().expect("the VM answers");
-        Stream(BufReader::new(reply).lines())
-    }
-}
-
 /// The body of a model call.
 pub fn model(call: u64, text: &str, max_tokens: u64) -> Value {
     let messages = json!([{ "role": "user", "content": text }]);
@@ -500,50 +402,3 @@
         std::thread::sleep(Duration::from_millis(50));
     }
 }
-
-fn standin(dir: &TempDir, kind: &str, index: usize) -> Process {
-    let address = free_address();
-    let log = dir.path().join(format!("{kind}-{index}.log"));
-    let process = spawn(
-        &["standin", kind, "--listen", &address.to_string()],
-        &log,
-        address,
-    );
-    poll("the stand-in listens", || {
-        std::net::TcpStream::connect(address).ok()
-    });
-    process
-}
-
-fn serve(dir: &TempDir, settings: &std::path::Path, callers: SocketAddr) -> Process {
-    let name = settings
-        .file_stem()
-        .expect("a file")
-        .to_string_lossy()
-        .into_owned();
-    let log = dir.path().join(format!("{name}.log"));
-    spawn(
-        &["serve", "--settings", &settings.to_string_lossy()],
-        &log,
-        callers,
-    )
-}
-
-fn spawn(arguments: &[&str], log: &std::path::Path, address: SocketAddr) -> Process {
-    let file = std::fs::OpenOptions::new()
-        .create(true)
-        .append(true)
-        .open(log)
-        .expect("our file");
-    let child = Command::new(env!("CARGO_BIN_EXE_vanillatrail"))
-        .args(arguments)
-        .stdout(Stdio::null())
-        .stderr(file)
-        .spawn()
-        .expect("the binary runs");
-    Process {
-        child,
-        address,
-        log: log.to_path_buf(),
-    }
-}
--- /dev/null
+++ b/tests/world/service.rs
@@ -0,0 +1,160 @@
+//! Calls that must not be repeated, and the service that runs them.
+
+use super::{Kind, Run, Sent, World, done, program};
+use vanillatrail::effect::{Action, Event};
+use vanillatrail::id::Call;
+use vanillatrail::journal::Body;
+use vanillatrail::program::Answer;
+
+impl World {
+    pub(super) fn send(&mut self, vm: usize, index: usize, run: Run) {
+        let next = self
+            .truth
+            .1
+            .last()
+            .expect("one")
+            .get(program(index))
+            .expect("open")
+            .next();
+        if run.call > next {
+            self.broken = Some(format!("call {} sent before {next} was over", run.call));
+        }
+        self.started.insert(run.number);
+        let boot = self.vms[vm].boot;
+        let (program, call) = (index, run.call);
+        self.wire.push(Sent {
+            vm,
+            boot,
+            program,
+            run: run.number,
+            call,
+            served: false,
+        });
+        self.vms[vm].runs.insert(index, run);
+    }
+
+    pub(super) fn drop_intent(&mut self, vm: usize, index: usize, mut run: Run) {
+        self.seen.dropped += 1;
+        self.refused.insert(run.number);
+        let dropped = Body::Dropped {
+            program: program(index),
+            call: run.call,
+        };
+        run.awaits = Some(self.push(vm, run.epoch, dropped));
+        self.vms[vm].runs.insert(index, run);
+    }
+
+    pub(super) fn withdraw(&mut self, vm: usize, index: usize) {
+        if self.vms[vm].paused {
+            return;
+        }
+        let Some(mut run) = self.vms[vm].runs.remove(&index) else {
+            return;
+        };
+        let action = match &mut run.kind {
+            Kind::Receipt(effect) => effect.take(Event::Withdrawn),
+            Kind::Model { .. } => Action::Wait,
+        };
+        if action == Action::Drop {
+            self.drop_intent(vm, index, run);
+        } else {
+            self.vms[vm].runs.insert(index, run);
+        }
+    }
+
+    pub(super) fn serve(&mut self, which: usize) {
+        let Some(sent) = self.wire.get_mut(which).filter(|sent| !sent.served) else {
+            return;
+        };
+        sent.served = true;
+        self.seen.effects += 1;
+        *self.effects.entry((sent.program, sent.call)).or_default() += 1;
+    }
+
+    pub(super) fn reply(&mut self, which: usize, lost: bool) {
+        let Some(sent) = self.wire.get(which) else {
+            return;
+        };
+        let (vm, index, number, served) = (sent.vm, sent.program, sent.run, sent.served);
+        let alive = self.vms[vm].boot == sent.boot && !self.vms[vm].paused;
+        if !alive || !(served || lost) {
+            return;
+        }
+        // A connection that breaks before the effect leaves the request on the wire.
+        if served {
+            self.wire.remove(which);
+        }
+        let Some(mut run) = self.vms[vm].runs.remove(&index) else {
+            return;
+        };
+        let Kind::Receipt(effect) = &mut run.kind else {
+            self.vms[vm].runs.insert(index, run);
+            return;
+        };
+        if run.number != number {
+            self.vms[vm].runs.insert(index, run);
+            return;
+        }
+        let event = if lost {
+            Event::Broken { sent: true }
+        } else {
+            Event::Replied
+        };
+        let answer = match effect.take(event) {
+            Action::Record => Answer::Service {
+                status: 200,
+                body: format!("receipt {number}"),
+            },
+            Action::RecordUnknown => Answer::Unknown {
+                message: "cut".to_owned(),
+            },
+            _ => {
+                self.vms[vm].runs.insert(index, run);
+                return;
+            }
+        };
+        run.awaits = Some(self.push(vm, run.epoch, done(index, &run, Vec::new(), answer)));
+        self.vms[vm].runs.insert(index, run);
+    }
+
+    pub(super) fn settle(&mut self, vm: usize) {
+        let state = &self.vms[vm];
+        let Some(epoch) = state.epoch.filter(|_| !state.paused) else {
+            return;
+        };
+        for index in 0..2 {
+            let state = &self.vms[vm];
+            let busy = state.runs.contains_key(&index)
+                || state.settling.iter().any(|(program, _)| *program == index);
+            let Ok(table) = state.table.get(program(index)) else {
+                continue;
+            };
+            let Some(intent) = table.intent.clone().filter(|_| !busy) else {
+                continue;
+            };
+            self.seen.unknown += 1;
+            let body = Body::Done {
+                program: program(index),
+                call: intent.call,
+                digest: intent.digest,
+                messages: Vec::new(),
+                answer: Answer::Unknown {
+                    message: "lost".to_owned(),
+                },
+            };
+            let sequence = self.push(vm, epoch, body);
+            self.vms[vm].settling.insert((index, sequence));
+        }
+    }
+
+    pub(super) fn tell(&mut self, index: usize, call: Call, answer: &Answer) {
+        self.seen.answered += 1;
+        let first = self
+            .told
+            .entry((index, call))
+            .or_insert_with(|| answer.clone());
+        if first != answer {
+            self.broken = Some(format!("call {call} was told {first:?}, then {answer:?}"));
+        }
+    }
+}
