Take a partition only if nobody wrote to it since it was read

Cause: VMs that start together after the loss of all read that nobody counts a partition, and each took it from the one before: 50 takings for 24 partitions, and each time what was allowed counted as spent. Ruled out: ranks by membership alone, since views differ for seconds after a start. Change: the record by which a VM takes a partition is conditional on where the partition ended when its owner was read (asOf); who is late asks the faster one. A VM that hands over because it lost the store looks first whether the store is back. Test: each_partition_is_taken_once_after_the_loss_of_all_vms, red on the code before (run), green now; outage tests 6 of 6.

--- a/src/gateway/tokens/failover.rs
+++ b/src/gateway/tokens/failover.rs
@@ -5,7 +5,8 @@
 use crate::gateway::tokens::counter::TAKE;
 use crate::gateway::tokens::keeper::PATIENCE;
 use crate::gateway::tokens::part::Part;
-use crate::id::{Shard, rendezvous};
+use crate::id::{Offset, Shard, rendezvous};
+use crate::platform::store::Fault;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,6 +16,9 @@
 /// heard of the new counter, requests that are sent here would make the two shut each other out
 /// again and again, and every time what was handed out counts as spent.
 const SHUT_OUT: Duration = Duration::from_millis(600);
+/// How often a partition is looked at anew to which somebody wrote while it was being taken. One that lives writes
+/// once a second where no turn comes.
+const TRIES: usize = 3;
 /// How long ago a VM must have heard the store to have it: the directory is read once a second at least.
 const LATELY: Duration = Duration::from_millis(1200);
 
@@ -69,29 +73,37 @@
     /// Takes a partition at the store, unless another VM counts it there.
     async fn take_at_store(self: &Rc<Self>, number: u64, part: &Rc<Part>) -> Taking {
         let patience = if self.has_store() { TAKE } else { PATIENCE };
-        let Ok(Ok(owner)) = timeout(patience, self.keeper.owner(number)).await else {
-            // Nobody takes a partition that the store does not show.
-            return Taking::Failed;
-        };
-        if let Some(owner) = owner
-            && part.hold.get().is_none()
-            && self.counts_elsewhere(number, owner).await
-        {
-            return Taking::CountedBy(owner);
-        }
-        // It goes on where this request gives up, so that the next one finds it done.
-        let (gateway, taken) = (Rc::clone(self), Rc::clone(part));
-        let taking = tokio::task::spawn_local(async move {
-            let oldest_ms = gateway.gather(number).await;
-            taken.oldest_ms.set(oldest_ms);
-            let done = gateway.keeper.take(number, &taken).await;
-            Rc::clone(&gateway.keeper).start_writing(number, taken);
-            done
-        });
-        match timeout(patience, taking).await {
-            Ok(Ok(Ok(()))) => Taking::Done,
-            _ => Taking::Failed,
+        for _ in 0..TRIES {
+            let Ok(Ok(owner)) = timeout(patience, self.keeper.owner(number)).await else {
+                // Nobody takes a partition that the store does not show.
+                return Taking::Failed;
+            };
+            if let Some(other) = owner.address()
+                && part.hold.get().is_none()
+                && self.counts_elsewhere(number, other).await
+            {
+                return Taking::CountedBy(other);
+            }
+            // It goes on where this request gives up, so that the next one finds it done.
+            let taking =
+                tokio::task::spawn_local(Rc::clone(self).take(number, Rc::clone(part), owner.end));
+            match timeout(patience, taking).await {
+                Ok(Ok(Ok(()))) => return Taking::Done,
+                // Another VM was faster, and says so when it is asked.
+                Ok(Ok(Err(Fault::Moved))) => {}
+                _ => return Taking::Failed,
+            }
         }
+        Taking::Failed
+    }
+
+    /// Takes a partition that ended at `end` when nobody counted it.
+    async fn take(self: Rc<Self>, number: u64, part: Rc<Part>, end: Offset) -> Result<(), Fault> {
+        let oldest_ms = self.gather(number).await;
+        part.oldest_ms.set(oldest_ms);
+        let done = self.keeper.take(number, &part, Some(end)).await;
+        Rc::clone(&self.keeper).start_writing(number, part);
+        done
     }
 
     /// Whether the VM that took a partition last counts it still.
--- a/src/gateway/tokens/handover.rs
+++ b/src/gateway/tokens/handover.rs
@@ -3,15 +3,20 @@
 use crate::gateway::Gateway;
 use crate::gateway::peers::{Peer, Question, Reply};
 use crate::gateway::tokens::counter::TAKE;
+use crate::gateway::tokens::keeper::PATIENCE;
 use crate::gateway::tokens::part::{Hold, Part};
 use crate::policy::allowance::Entry;
 use crate::telemetry::event;
 use std::rc::Rc;
-use tokio::time::{Instant, timeout};
+use std::time::Duration;
+use tokio::time::{Instant, sleep, timeout};
 
 /// Programs in one datagram of a partition that is handed over.
 const ADOPTED: usize = 4;
 
+/// The time in which a record that waits is tried again: tries are up to 400 ms apart.
+const RECORDED: Duration = Duration::from_millis(500);
+
 /// Why a VM hands its partitions over.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Reason {
@@ -21,6 +26,10 @@
     Lost(Instant),
 }
 
+fn stay(part: u64, reason: &'static str) {
+    event!(info, "allowances_stay", part = part, reason = reason);
+}
+
 impl Gateway {
     /// Hands the partitions that this VM counts over to others.
     ///
@@ -28,20 +37,31 @@
     /// copies, and all VMs lost power, what it gave would be given again. Where all have lost the store
     /// it goes on: those that it would hand over to can't record either.
     pub(crate) async fn hand_over(&self, reason: Reason) {
+        let mut tried = reason == Reason::Stopping;
         for (number, part) in self.keeper.held() {
             let Some(next) = self.successor(number, reason).await else {
-                event!(
-                    info,
-                    "allowances_stay",
-                    part = number,
-                    reason = "no VM reaches the store"
-                );
-                return;
+                return stay(number, "no VM reaches the store");
             };
+            if !std::mem::replace(&mut tried, true) && self.is_store_back(number).await {
+                return stay(number, "the store is back");
+            }
             self.hand_part_over(number, &part, &next, reason).await;
         }
     }
 
+    /// Whether the store takes records from this VM again.
+    ///
+    /// When the store is back for all, VMs find out within a second of each other: those that had not yet
+    /// handed their partitions to those that had.
+    async fn is_store_back(&self, number: u64) -> bool {
+        let read = timeout(PATIENCE, self.keeper.owner(number)).await;
+        if !matches!(read, Ok(Ok(_))) {
+            return false;
+        }
+        sleep(RECORDED).await;
+        self.keeper.has_store()
+    }
+
     /// The VM that goes on with a partition.
     async fn successor(&self, number: u64, reason: Reason) -> Option<Peer> {
         match reason {
@@ -133,7 +153,7 @@
             return Reply::Kept;
         }
         let entries = part.incoming.take();
-        let taken = timeout(TAKE, self.keeper.take(number, &part)).await;
+        let taken = timeout(TAKE, self.keeper.take(number, &part, None)).await;
         let taken = matches!(taken, Ok(Ok(())));
         if !taken && !ending {
             return Reply::Away;
--- a/src/gateway/tokens/keeper.rs
+++ b/src/gateway/tokens/keeper.rs
@@ -170,7 +170,7 @@
                 return;
             };
             if !hold.fenced {
-                if self.take(number, &part).await.is_err() {
+                if self.take(number, &part, None).await.is_err() {
                     sleep(AGAIN.0).await;
                 }
                 continue;
@@ -368,6 +368,7 @@
         name: "allowance".to_owned(),
         epoch,
         sequence,
+        as_of: None,
     }
 }
 
--- a/src/gateway/tokens/takeover.rs
+++ b/src/gateway/tokens/takeover.rs
@@ -3,8 +3,9 @@
 use crate::clock;
 use crate::gateway::tokens::keeper::{ALIVE_KEY, IDLE, Keeper, OURS, decode, writer};
 use crate::gateway::tokens::part::{Hold, Part};
+use crate::id::Offset;
 use crate::platform::records::{ALLOWANCE_TOPIC, DETOUR_TOPIC};
-use crate::platform::store::{Fault, Keyed, Newest};
+use crate::platform::store::{Fault, Keyed, Newest, Writer};
 use crate::policy::allowance::Ledger;
 use crate::telemetry::event;
 use bytes::Bytes;
@@ -28,26 +29,52 @@
 /// outage of the store to have come between. VMs that all lose power are back after up to 2 s.
 const OUTAGE: Duration = Duration::from_millis(2500);
 
+/// Who has taken a partition last, as the store tells it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Owner {
+    /// The record: where the VM is asked, and when it took the partition.
+    record: Option<Bytes>,
+    /// Where the partition ended when that was read.
+    pub(crate) end: Offset,
+}
+
+impl Owner {
+    /// Where the VM is asked.
+    pub(crate) fn address(&self) -> Option<SocketAddr> {
+        let text = std::str::from_utf8(self.record.as_ref()?).ok()?;
+        let (address, _taken_ms) = text.split_once(' ')?;
+        address.parse().ok()
+    }
+}
+
 impl Keeper {
-    /// Where the VM is asked that has taken a partition last, as the store tells it.
-    pub(crate) async fn owner(&self, number: u64) -> Result<Option<SocketAddr>, Fault> {
+    /// Who has taken a partition last.
+    pub(crate) async fn owner(&self, number: u64) -> Result<Owner, Fault> {
         let newest = self.store.newest(ALLOWANCE_TOPIC, number).await?;
-        let mut records = newest.records.iter();
+        let mut records = newest.records.into_iter();
         let record = records.find(|record| record.key == OWNER_KEY);
-        Ok(record.and_then(|record| {
-            let text = std::str::from_utf8(record.value.as_ref()?).ok()?;
-            let (address, _taken_ms) = text.split_once(' ')?;
-            address.parse().ok()
-        }))
+        Ok(Owner {
+            record: record.and_then(|record| record.value),
+            end: newest.end,
+        })
     }
 
     /// Takes a partition over: shuts out the writer before, then reads what it has recorded.
-    pub(crate) async fn take(&self, number: u64, part: &Part) -> Result<(), Fault> {
+    ///
+    /// With `as_of` only if nobody has written to the partition since it ended there. VMs that start together
+    /// all read that nobody counts; without the condition each took the partition from the one before,
+    /// 50 times for 24 partitions, and what was allowed counted as spent each time.
+    pub(crate) async fn take(
+        &self,
+        number: u64,
+        part: &Part,
+        as_of: Option<Offset>,
+    ) -> Result<(), Fault> {
         let _taking = part.taking.lock().await;
         if part.hold.get().is_some_and(|hold| hold.fenced) {
             return Ok(());
         }
-        let hold = self.fence(number).await?;
+        let hold = self.fence(number, as_of).await?;
         let newest = self.read_records(number, part).await?;
         let kept = part.kept.take();
         let ledger = self.ledger(part, &newest.records, &kept);
@@ -81,22 +108,28 @@
     }
 
     /// Raises the epoch of a partition's writer, so that the store refuses the one before.
-    async fn fence(&self, number: u64) -> Result<Hold, Fault> {
+    async fn fence(&self, number: u64, as_of: Option<Offset>) -> Result<Hold, Fault> {
+        let record = Bytes::from(format!("{} {}", self.address, clock::wall_ms()));
         let owner = [Keyed {
             key: OWNER_KEY.to_owned(),
-            value: Some(Bytes::from(format!(
-                "{} {}",
-                self.address,
-                clock::wall_ms()
-            ))),
+            value: Some(record.clone()),
         }];
         let mut epoch = self.epoch();
         loop {
-            let writer = writer(epoch, 0);
+            let writer = Writer {
+                as_of,
+                ..writer(epoch, 0)
+            };
             let append = self
                 .store
                 .append_surely(ALLOWANCE_TOPIC, number, &owner, Some(&writer));
-            match append.await {
+            let mut done = append.await;
+            // The answer may have been lost, and the partition ends later by this very record.
+            if done == Err(Fault::Moved) && self.owner(number).await?.record == Some(record.clone())
+            {
+                done = Ok(());
+            }
+            match done {
                 Ok(()) => {
                     return Ok(Hold {
                         epoch,
@@ -104,6 +137,7 @@
                         fenced: true,
                     });
                 }
+                Err(Fault::Moved) => return Err(Fault::Moved),
                 // The clock of the VM before is ahead of this one's.
                 Err(Fault::Fenced) => epoch += EPOCH_STEP,
                 Err(fault) => {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -39,6 +39,8 @@
     Fenced,
     /// The store expects another sequence number of this writer.
     Sequence(u64),
+    /// Somebody has written to the partition since it was read: nothing was done.
+    Moved,
     /// The answer can't be understood.
     Malformed(String),
 }
@@ -50,6 +52,7 @@
             Self::Unknown(reason) => write!(f, "no answer: {reason}"),
             Self::Trimmed(first) => write!(f, "records before {first} are gone"),
             Self::Fenced => f.write_str("fenced by a newer writer"),
+            Self::Moved => f.write_str("written to by another since it was read"),
             Self::Sequence(expected) => write!(f, "sequence {expected} is expected"),
             Self::Malformed(reason) => write!(f, "malformed answer: {reason}"),
         }
@@ -107,6 +110,8 @@
     pub(crate) name: String,
     pub(crate) epoch: u64,
     pub(crate) sequence: u64,
+    /// Where the partition has to end for anything to be written; none where that does not matter.
+    pub(crate) as_of: Option<Offset>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -263,9 +268,13 @@
             name,
             epoch,
             sequence,
+            as_of,
         }) = writer
         {
             url = format!("{url}&producer={name}&epoch={epoch}&seq={sequence}");
+            if let Some(end) = as_of {
+                url = format!("{url}&asOf={end}");
+            }
         }
         let mut body = BytesMut::new();
         for record in records {
@@ -302,6 +311,9 @@
     if status.is_success() {
         return Ok(reply);
     }
+    if status == StatusCode::PRECONDITION_FAILED {
+        return Err(Fault::Moved);
+    }
     if status != StatusCode::CONFLICT && status != StatusCode::GONE {
         return Err(Fault::Refused(status.as_u16()));
     }
--- a/tests/outage.rs
+++ b/tests/outage.rs
@@ -182,6 +182,44 @@
     assert!(from_copies.is_empty(), "{from_copies:?}");
 }
 
+/// All VMs lose power and start in the same moment, and callers come back through each of them at once. Each
+/// VM finds that nobody counts and would count itself. One of them takes each partition: every further
+/// taking counts what was allowed as spent, and a program that had begun was refused for good.
+#[test]
+fn each_partition_is_taken_once_after_the_loss_of_all_vms() {
+    let backend = engine(2);
+    let (store, mut vms) = site(&backend, 6);
+    let programs = programs();
+    for program in &programs {
+        until("it is counted", || {
+            turn(&vms[0], program, LARGE, &format!("{program}-first")).0 == 200
+        });
+    }
+    for vm in &mut vms {
+        vm.kill();
+    }
+    for vm in &mut vms {
+        vm.restart();
+    }
+    for vm in &vms {
+        vm.wait_ready();
+    }
+    // Between what a VM reads and what it writes others read the same.
+    store.set_read_time(Duration::from_millis(60));
+    thread::scope(|scope| {
+        for (number, vm) in vms.iter().enumerate() {
+            let programs = &programs;
+            scope.spawn(move || {
+                for program in programs {
+                    let id = format!("{program}-{number}-again");
+                    until("it goes on", || turn(vm, program, LARGE, &id).0 == 200);
+                }
+            });
+        }
+    });
+    assert_eq!(takings(&vms), 4);
+}
+
 /// One VM has lost the store when operators add a route. The others tell it that a newer configuration is
 /// in force and it gets that from one of them, so that its callers are served on the new route.
 #[test]
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -236,6 +236,10 @@
 ) -> Vec<u8> {
     let mut partitions = partitions.lock().expect("not poisoned");
     let partition = partitions.entry(key).or_default();
+    let end = partition.records.len() as u64;
+    if request.query("asOf").is_some() && request.number("asOf") != end {
+        return answer("412 Precondition Failed", br#"{"end":0}"#);
+    }
     if let Some(writer) = request.query("producer") {
         let (epoch, sequence) = (request.number("epoch"), request.number("seq"));
         let known = partition
