Know teams, their keys and their limits

Ruled out: a fixed share of each limit for each VM (33 requests a second of 86 teams come to each). Change: keys are compared by fingerprint, never kept, logged, copied or passed on; names of programs, lines and turns are their team's. The VM that counts a partition of programs counts the teams in it, each request asks it; policy::limit bounds a window and, for counters that know nothing of before, a bucket that starts empty; policy::quota admits whole programs; policy::trust halves where two may count. Tests: teams (7, through the binary), examples of the modules.

--- a/src/code.rs
+++ b/src/code.rs
@@ -90,6 +90,7 @@
     UnknownCall = 1011, 404, "The program has no such call.";
     UnknownRoute = 1012, 404, "No route leads to the host and path.";
     UnknownTurn = 1013, 404, "There is no such turn to go on from, or it is no longer kept.";
+    UnknownKey = 1014, 401, "The request has no key, or no team holds it.";
     BudgetExceeded = 2001, 409, "The call could pass the budget of the program.";
     TurnLimit = 2002, 409, "The program has made as many calls as its class allows.";
     DepthLimit = 2003, 409, "The program is nested as deep as its class allows.";
@@ -97,6 +98,7 @@
     HistoryLimit = 2005, 409, "The history is as large as the class allows.";
     TimeLimit = 2006, 409, "The program has run as long as its class allows.";
     BudgetSpent = 2008, 402, "The token budget of the program is spent.";
+    LimitReached = 2009, 429, "The team has used up its limit of requests.";
     TooManyPrograms = 2007, 429, "The VM holds as many open programs as it may.";
     Overloaded = 3001, 503, "There is no capacity to finish the program in its target.";
     LogUnavailable = 3002, 503, "The log cannot be reached.";
--- a/src/conversation/turn.rs
+++ b/src/conversation/turn.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 use std::str::FromStr;
 
-/// Bytes of an identity at the most; a key of the store has 255.
-const ID: usize = 128;
+/// Bytes of an identity at the most; a key of the store has 255. Callers use 16, and a team's name goes before.
+const ID: usize = 200;
 
 /// The identity of a turn, as its caller chose it.
 ///
--- a/src/gateway/conversation/record.rs
+++ b/src/gateway/conversation/record.rs
@@ -60,7 +60,7 @@
     /// on from was gone. While the store is away the end waits, for as long as the caller does; the
     /// events have long gone out.
     pub(crate) async fn keep_turn(self: &Rc<Self>, job: &Job, said: Transcript) -> bool {
-        let Ok(id) = job.meta.id.parse::<Id>() else {
+        let Ok(id) = job.meta.turn.parse::<Id>() else {
             // Nobody can name it.
             return true;
         };
--- a/src/gateway/front/housekeeping.rs
+++ b/src/gateway/front/housekeeping.rs
@@ -44,6 +44,7 @@
     loop {
         tick.tick().await;
         gateway.desk.tick();
+        gateway.look_at_clocks();
         gateway.expire_leases();
         // Whether a VM has the store is not told to all: when it refuses everybody, each of 300 VMs would
         // have news for all others at once, and their views differ for 5 s.
@@ -71,6 +72,7 @@
         if swept.elapsed() >= SWEEP {
             swept = Instant::now();
             gateway.desk.log();
+            gateway.note_members();
             let directory = Arc::clone(&gateway.world.borrow().directory);
             gateway.links.sweep(|id| directory.get(id).is_some());
         }
--- a/src/gateway/front/metrics.rs
+++ b/src/gateway/front/metrics.rs
@@ -27,6 +27,8 @@
     waited_ms: Histogram<f64>,
     /// Time that turns waited for leave to generate tokens.
     allowed_ms: Histogram<f64>,
+    /// Time that requests waited for the VM that counts their team.
+    limited_ms: Histogram<f64>,
     /// Time that the ends of answers waited for their turns to be kept, by where they are kept.
     kept_ms: Histogram<f64>,
     /// Time that turns waited for what was said before.
@@ -58,6 +60,10 @@
             total_ms: histogram("request_ms", "Milliseconds from the head to the last byte"),
             waited_ms: histogram("waited_ms", "Milliseconds of waiting for a backend server"),
             allowed_ms: histogram("allowed_ms", "Milliseconds of waiting for leave for tokens"),
+            limited_ms: histogram(
+                "limited_ms",
+                "Milliseconds of waiting for the count of a team",
+            ),
             kept_ms: histogram("turn_kept_ms", "Milliseconds of keeping a turn, by place"),
             history_ms: histogram("history_ms", "Milliseconds of waiting for earlier turns"),
             _dropped: meter
@@ -92,6 +98,11 @@
         self.allowed_ms.record(millis(time), &[]);
     }
 
+    /// A request waited for the VM that counts its team.
+    pub(crate) fn limited(&self, time: Duration) {
+        self.limited_ms.record(millis(time), &[]);
+    }
+
     /// The end of an answer waited for its turn to be kept.
     pub(crate) fn kept(&self, time: Duration, place: &'static str) {
         self.kept_ms
--- a/src/gateway/front/mod.rs
+++ b/src/gateway/front/mod.rs
@@ -9,7 +9,9 @@
 pub(crate) mod socket;
 
 use crate::code::{Code, Failure};
+use crate::gateway::census::Census;
 use crate::gateway::conversation::Conversations;
+use crate::gateway::limits::Limits;
 use crate::gateway::peers::Peers;
 use crate::gateway::queue::lease::Leases;
 use crate::gateway::queue::permit::Desk;
@@ -171,6 +173,8 @@
             settings.store.partitions,
             &settings.peer_key,
         )),
+        limits: Limits::default(),
+        census: Census::default(),
         zone: settings.zone.as_str().into(),
         links: Links::default(),
         desk: Desk::default(),
@@ -306,7 +310,7 @@
     }
 
     /// The version of the configuration that is in force here.
-    fn applied(&self) -> Offset {
+    pub(super) fn applied(&self) -> Offset {
         let world = self.world.borrow();
         Offset(world.table.as_ref().map_or(0, |table| table.version))
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,14 +8,18 @@
 //! | `front` | accepts callers, answers the balancer and operators, starts and stops the rest | the command |
 //! | `request` | the life of one request, from its head to its last byte | `front` |
 //! | `tokens` | counts what programs may generate | `request`, other VMs |
+//! | `limits` | counts the requests of teams | `request`, other VMs |
+//! | `census` | which VMs there were lately | `limits`, `tokens` |
 //! | `conversation` | keeps turns, and finds what was said before | `request`, other VMs |
 //! | `queue` | lets a request wait for a place at a server | `request`, other VMs |
 //! | `server` | connections to backend servers, and one attempt at one of them | `request` |
 //! | `world` | follows the configuration and the directory of servers | all |
 //! | `peers` | messages between VMs that requests wait for | `tokens`, `conversation`, `queue` |
 
+mod census;
 mod conversation;
 mod front;
+mod limits;
 mod peers;
 mod queue;
 mod request;
@@ -24,13 +28,15 @@
 mod world;
 
 pub(crate) use front::run;
-pub use world::{directory, table};
+pub use world::{directory, table, team};
 
 use crate::member::View;
 use crate::settings;
+use census::Census;
 use conversation::Conversations;
 use front::metrics::Metrics;
 use front::sample::Sampler;
+use limits::Limits;
 use peers::Peers;
 use queue::lease::Leases;
 use queue::permit::Desk;
@@ -60,6 +66,8 @@
     view: watch::Receiver<Arc<View>>,
     peers: Peers,
     keeper: Rc<Keeper>,
+    limits: Limits,
+    census: Census,
     conversations: Rc<Conversations>,
     links: Links,
     desk: Desk,
@@ -74,9 +82,11 @@
         Arc::clone(&self.zone)
     }
 
-    /// Whether the configuration may be out of date.
-    fn is_blind(&self) -> bool {
+    /// Whether the configuration may be out of date: the store has not been heard for a while, or another VM has
+    /// applied a newer one.
+    fn is_behind(&self) -> bool {
         let heard = self.world.borrow().heard;
-        heard.is_none_or(|heard| heard.elapsed() > BLIND)
+        let blind = heard.is_none_or(|heard| heard.elapsed() > BLIND);
+        blind || self.view.borrow().newest > self.applied()
     }
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -4,6 +4,7 @@
 
 use crate::conversation::Id;
 use crate::gateway::Gateway;
+use crate::gateway::limits::count::Take;
 use crate::id::Vm;
 use crate::member::{DATAGRAM, Sealer};
 use crate::policy::allowance::{Entry, Reservation};
@@ -33,7 +34,7 @@
 const SILENT: Duration = Duration::from_secs(1);
 
 /// A question to another VM.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Question {
     /// May a turn of a program run?
     #[serde(rename = "r")]
@@ -49,6 +50,14 @@
         /// Whether those that come first did not answer.
         takeover: bool,
     },
+    /// May a request of a team go?
+    #[serde(rename = "q")]
+    Take {
+        part: u64,
+        take: Take,
+        /// Whether those that come first did not answer.
+        takeover: bool,
+    },
     /// Keep an allowance that the store has not taken yet.
     #[serde(rename = "c")]
     Keep(Copy),
@@ -110,6 +119,12 @@
     /// The budget is spent.
     #[serde(rename = "s")]
     Spent,
+    /// The request may go, after so many milliseconds.
+    #[serde(rename = "m")]
+    Admitted { wait_ms: u64 },
+    /// The team has used up its limit; the request may come back after so many milliseconds.
+    #[serde(rename = "v")]
+    OverLimit { retry_ms: u64 },
     /// The VM at this address has the turn in memory.
     #[serde(rename = "h")]
     HeldAt(SocketAddr),
--- a/src/gateway/request/admit.rs
+++ b/src/gateway/request/admit.rs
@@ -1,5 +1,6 @@
 //! Reads a request and finds its route, or says why it goes no further.
 
+use super::identify::{claim, identify};
 use super::job::Job;
 use crate::code::{Code, Failure};
 use crate::conversation;
@@ -35,14 +36,14 @@
     request: Request<Incoming>,
     arrived: Instant,
 ) -> Result<Job, Failure> {
-    let (parts, body) = request.into_parts();
+    let (mut parts, body) = request.into_parts();
     if headers::ambiguous(&parts.headers) {
         return Err(Failure::refused(
             Code::BadBody,
             "the length of the body is ambiguous",
         ));
     }
-    let meta = Meta::of(&parts.headers);
+    let mut meta = Meta::of(&parts.headers);
     let table = gateway.world.borrow().table.clone();
     let Some(table) = table else {
         let failure = Failure::refused(Code::NotReady, "no configuration is known yet");
@@ -53,6 +54,8 @@
     let Some(route) = table.find(host, parts.uri.path()) else {
         return Err(no_route(gateway));
     };
+    let team = identify(gateway, &table, route, &mut parts.headers)?;
+    claim(&mut meta, &table, team.as_deref());
     let wait = meta.wait.unwrap_or(WAIT).saturating_sub(WAY);
     let deadline = arrived + wait.min(route.timeout);
     let limit = table.limits.body_bytes;
@@ -86,6 +89,7 @@
         gateway: Rc::clone(gateway),
         service: service.into(),
         tokens_per_event: engine.map_or(0, |engine| engine.tokens_per_event),
+        team,
         route: Arc::clone(route),
         version: table.version,
         meta,
@@ -101,6 +105,7 @@
         servers: RefCell::default(),
         waited: Cell::default(),
         allowed: Cell::default(),
+        limited: Cell::default(),
         assembled: Cell::default(),
         kept: Cell::default(),
         sent: Cell::new(false),
@@ -136,10 +141,14 @@
 }
 
 fn no_route(gateway: &Gateway) -> Failure {
-    if gateway.is_blind() {
-        // A route may have been added since; a 404 would end the caller's program.
+    // A route may have been added since; a 404 would end the caller's program.
+    behind(gateway).unwrap_or_else(|| Failure::refused(Code::UnknownRoute, "no route leads there"))
+}
+
+/// What is answered in place of a refusal for good where the configuration may be out of date.
+pub(super) fn behind(gateway: &Gateway) -> Option<Failure> {
+    gateway.is_behind().then(|| {
         let failure = Failure::refused(Code::NotReady, "the configuration may be out of date");
-        return failure.retry_after(NOT_READY);
-    }
-    Failure::refused(Code::UnknownRoute, "no route leads there")
+        failure.retry_after(NOT_READY)
+    })
 }
--- a/src/gateway/request/job.rs
+++ b/src/gateway/request/job.rs
@@ -5,6 +5,7 @@
 use crate::gateway::tokens::keeper::Allowance;
 use crate::gateway::world::directory::Id;
 use crate::gateway::world::table::Route;
+use crate::gateway::world::team::Team;
 use crate::platform::headers::Meta;
 use crate::telemetry::event;
 use bytes::Bytes;
@@ -20,6 +21,8 @@
 pub(crate) struct Job {
     pub(crate) gateway: Rc<Gateway>,
     pub(crate) meta: Meta,
+    /// The team whose key it carries.
+    pub(crate) team: Option<Arc<Team>>,
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<str>,
     /// The version of the configuration that routed it.
@@ -46,6 +49,8 @@
     pub(crate) waited: Cell<Duration>,
     /// How long it waited for leave to generate tokens.
     pub(crate) allowed: Cell<Duration>,
+    /// How long it waited for its team's limit.
+    pub(crate) limited: Cell<Duration>,
     /// How long it waited for what was said before.
     pub(crate) assembled: Cell<Duration>,
     /// How long its end waited for its turn to be kept.
@@ -64,6 +69,17 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// The name of its team, as servers get it.
+    pub(crate) fn team_name(&self) -> Option<&str> {
+        self.team.as_ref().map(|team| &*team.name)
+    }
+
+    /// Its rank: its team's, or else its route's.
+    pub(crate) fn rank(&self) -> u8 {
+        let team = self.team.as_ref().and_then(|team| team.rank);
+        team.unwrap_or(self.route.rank)
+    }
+
     /// How long ago it arrived, in milliseconds.
     pub(crate) fn age_ms(&self) -> u64 {
         u64::try_from(self.arrived.elapsed().as_millis()).unwrap_or(u64::MAX)
@@ -87,6 +103,7 @@
             "request_ended",
             id = self.meta.id,
             result = result,
+            team = self.team_name().unwrap_or_default(),
             route = self.route.name,
             kind = self.route.kind,
             config = self.version,
@@ -98,6 +115,7 @@
             events = self.events.get(),
             waited_ms = self.waited.get().as_millis(),
             allowed_ms = self.allowed.get().as_millis(),
+            limited_ms = self.limited.get().as_millis(),
             prev = self.prev.as_ref().map_or("", conversation::Id::as_str),
             history_ms = self.assembled.get().as_millis(),
             kept_ms = self.kept.get().as_millis(),
--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 pub(crate) mod body;
+mod identify;
 pub(crate) mod job;
 pub(crate) mod reply;
 mod stream;
@@ -13,6 +14,7 @@
 use crate::gateway::server::attempt::{Answer, Attempt, attempt};
 use crate::platform::headers::Meta;
 use crate::policy::dispatch::{Ask, Outcome};
+use crate::policy::quota;
 use crate::telemetry::event;
 use admit::admit;
 use body::Body;
@@ -24,7 +26,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use stream::relay;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Servers that are asked for one request, those that turn it away among them.
@@ -85,7 +87,8 @@
 /// Sends the request until a server answers it.
 async fn run(job: &Rc<Job>) -> Result<Response<Body>, Failure> {
     // Both before anything is sent, and at once: a turn's target leaves 30 ms for all of its way.
-    tokio::try_join!(allow(job), assemble(job))?;
+    let (pause, (), ()) = tokio::try_join!(take(job), allow(job), assemble(job))?;
+    sleep(pause).await;
     let mut avoid = Vec::new();
     let mut ran = 0;
     for _ in 0..TRIES {
@@ -153,6 +156,29 @@
     Ok(())
 }
 
+/// Takes the request out of its team's limit; gives how long it has to wait for that.
+async fn take(job: &Job) -> Result<Duration, Failure> {
+    let Some(team) = &job.team else {
+        return Ok(Duration::ZERO);
+    };
+    let begins = job.tokens_per_event > 0;
+    let request = quota::Request {
+        program: job.meta.program.as_ref().map(|program| hash(program)),
+        class: begins.then(|| hash(&job.route.name)),
+        // Beyond that what is left does not suffice for its server.
+        patience: job.left() / 2,
+    };
+    let began = Instant::now();
+    let pause = job
+        .gateway
+        .take_from_limit(team, job.version, request)
+        .await;
+    job.limited
+        .set(began.elapsed() + pause.as_ref().copied().unwrap_or_default());
+    job.gateway.metrics.limited(began.elapsed());
+    pause
+}
+
 /// Gets leave for the tokens of a turn, before anything of it is sent.
 async fn allow(job: &Job) -> Result<(), Failure> {
     let (Some(program), Some(budget)) = (&job.meta.program, job.meta.budget) else {
@@ -180,7 +206,7 @@
         service: Arc::clone(&job.service),
         zone: job.gateway.zone(),
         vm: job.gateway.number(),
-        rank: job.route.rank,
+        rank: job.rank(),
         program: job.meta.program.as_ref().map(|program| hash(program)),
         turns: allowance.as_ref().map_or(0, |allowance| allowance.turns),
         left_ms: job.meta.finish_ms.unwrap_or(objective_ms) - age_ms,
--- a/src/gateway/server/attempt.rs
+++ b/src/gateway/server/attempt.rs
@@ -145,8 +145,13 @@
     let mut request = Request::new(Full::new(job.body.borrow().clone()));
     *request.method_mut() = job.method.clone();
     *request.uri_mut() = job.uri.clone();
-    *request.headers_mut() =
-        headers::request(&job.headers, &permit.server.name, job.left(), last_event);
+    *request.headers_mut() = headers::request(
+        &job.headers,
+        &permit.server.name,
+        job.team_name(),
+        job.left(),
+        last_event,
+    );
     let began = Instant::now();
     let before = job.sent.replace(true);
     let reply = link.send(request).await;
--- a/src/gateway/tokens/counter.rs
+++ b/src/gateway/tokens/counter.rs
@@ -75,6 +75,11 @@
     pub(crate) async fn answer(self: &Rc<Self>, asked: Asked, question: Question) -> Reply {
         match question {
             Question::Place(ask) => self.lease_to(asked, ask).await,
+            Question::Take {
+                part,
+                take,
+                takeover,
+            } => self.take_of_team(part, take, takeover).await,
             Question::Reserve {
                 part,
                 program,
--- a/src/gateway/tokens/failover.rs
+++ b/src/gateway/tokens/failover.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 /// How long a VM that was shut out does not take the same partition again. Until the members have
 /// heard of the new counter, requests that are sent here would make the two shut each other out
@@ -80,9 +80,12 @@
             };
             if let Some(other) = owner.address()
                 && part.hold.get().is_none()
-                && self.counts_elsewhere(number, other).await
             {
-                return Taking::CountedBy(other);
+                match self.counts_elsewhere(number, other).await {
+                    Some(true) => return Taking::CountedBy(other),
+                    Some(false) => part.doubted.set(None),
+                    None => part.doubted.set(Some(Instant::now())),
+                }
             }
             // It goes on where this request gives up, so that the next one finds it done.
             let taking =
@@ -106,14 +109,17 @@
         done
     }
 
-    /// Whether the VM that took a partition last counts it still.
-    async fn counts_elsewhere(&self, number: u64, owner: SocketAddr) -> bool {
-        if owner == self.address() || self.peers.is_silent(owner) {
-            return false;
+    /// Whether the VM that took a partition last counts it still; none where it does not answer.
+    async fn counts_elsewhere(&self, number: u64, owner: SocketAddr) -> Option<bool> {
+        if owner == self.address() {
+            return Some(false);
+        }
+        if self.peers.is_silent(owner) {
+            return None;
         }
         let question = Question::Counts { part: number };
         let reply = self.peers.ask(owner, &question).await;
-        reply == Some(Reply::Counting(true))
+        reply.map(|reply| reply == Reply::Counting(true))
     }
 
     /// Counts a partition from what other VMs keep, where this one comes next for it; gives what is
--- a/src/gateway/tokens/keeper.rs
+++ b/src/gateway/tokens/keeper.rs
@@ -192,6 +192,7 @@
         let writer = writer(hold.epoch, hold.sequence);
         let mut pause = AGAIN.0;
         loop {
+            let began = (Instant::now(), clock::wall_ms());
             let done = self
                 .store
                 .append_surely(ALLOWANCE_TOPIC, number, records, Some(&writer))
@@ -205,6 +206,7 @@
             match done {
                 Ok(()) => {
                     self.heard(true);
+                    part.confirmed.set(Some(began));
                     if part.failing.replace(false) {
                         event!(info, "records_flow", part = number);
                     }
--- a/src/gateway/tokens/part.rs
+++ b/src/gateway/tokens/part.rs
@@ -1,5 +1,6 @@
 //! One partition of programs: its ledger, and what is known of its records.
 
+use crate::gateway::limits::count::Teams;
 use crate::policy::allowance::{Entry, Ledger};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -21,6 +22,12 @@
 pub(crate) struct Part {
     pub(crate) hold: Cell<Option<Hold>>,
     pub(crate) ledger: RefCell<Ledger>,
+    /// The teams that fall into it.
+    pub(crate) teams: RefCell<Teams>,
+    /// When the write began that the store took last, by the steady clock and the time of day.
+    pub(crate) confirmed: Cell<Option<(Instant, u64)>>,
+    /// When it was taken from a VM that did not answer, and may count still.
+    pub(crate) doubted: Cell<Option<Instant>>,
     /// Allowances that are not durable yet.
     pub(crate) pending: RefCell<HashMap<String, u64>>,
     /// Allowances that the VM that counts has told this one, in case it takes over.
--- a/src/gateway/tokens/reserve.rs
+++ b/src/gateway/tokens/reserve.rs
@@ -1,7 +1,7 @@
 //! Asks the VM that counts a program for leave to generate tokens.
 
 use crate::code::{Code, Failure};
-use crate::gateway::peers::{Note, Peer, Question, Reply};
+use crate::gateway::peers::{Note, Question, Reply};
 use crate::gateway::tokens::keeper::Allowance;
 use crate::gateway::{Gateway, peers};
 use crate::policy::allowance::Reservation;
@@ -30,26 +30,32 @@
     failure.retry_after(COME_BACK)
 }
 
+/// Whether the VM that counts a partition has answered.
+///
+/// It does where it can't record, too: it lives, and nobody else may count beside it. 300 VMs that took partitions
+/// from each other while the store refused everybody gave seven programs more than their budgets, 1,225 tokens
+/// where 825 and a turn of 275 are allowed.
+const fn is_final(reply: &Reply) -> bool {
+    !matches!(reply, Reply::NotOwner | Reply::Taken(_) | Reply::Away)
+}
+
 impl Gateway {
-    /// The VMs to ask for a partition, in this order: the one that last answered, the one that
-    /// says that it counts, and those that would take over.
-    fn candidates(&self, part: u64) -> Vec<Peer> {
-        let all = self.counters(part);
-        let cached = self.keeper.counted_at.borrow().get(&part).copied();
-        let claimed = self.claimed(part);
-        let known = all.iter().filter(|peer| {
-            Some(peer.address) == cached
-                || claimed.as_ref().map(|claimed| &claimed.vm) == Some(&peer.vm)
-        });
-        let mut order: Vec<Peer> = known.cloned().collect();
-        order.sort_by_key(|peer| Some(peer.address) != cached);
-        for peer in all {
-            if !order.contains(&peer) {
-                order.push(peer);
-            }
-        }
-        order.truncate(ASKED);
-        order
+    /// The VM that last answered for a partition, if it is a member and not silent.
+    fn counted_at(&self, part: u64) -> Option<SocketAddr> {
+        let address = self.keeper.counted_at.borrow().get(&part).copied()?;
+        let view = self.view.borrow();
+        let mut members = view.members.values();
+        let member = members.any(|member| peers::address(member.address) == address);
+        (member && !self.peers.is_silent(address)).then_some(address)
+    }
+
+    /// The VMs to ask for a partition, in this order: the one that says that it counts, and those that would take
+    /// over.
+    fn candidates(&self, part: u64) -> VecDeque<SocketAddr> {
+        let claimed = self.claimed(part).map(|claimed| claimed.address);
+        let others = self.counters(part).into_iter().map(|peer| peer.address);
+        let others = others.filter(|address| Some(*address) != claimed);
+        claimed.into_iter().chain(others).take(ASKED).collect()
     }
 
     /// Asks for leave to generate up to `most` tokens for a program.
@@ -66,67 +72,77 @@
         let seen = self.keeper.seen.borrow().get(program).copied();
         let seen = seen.unwrap_or_default();
         let reservation = self.peers.number();
+        let question = |takeover| Question::Reserve {
+            part,
+            program: program.to_owned(),
+            budget,
+            most,
+            seen,
+            reservation,
+            takeover,
+        };
+        match self.ask_counting(part, question).await {
+            Some((Reply::Granted { turns, total }, peer)) => {
+                self.note_seen(program, total);
+                Ok(Allowance {
+                    owner: (peer != self.address()).then_some(peer),
+                    part,
+                    reservation,
+                    turns,
+                })
+            }
+            Some((Reply::Spent, _)) => Err(Failure::refused(
+                Code::BudgetSpent,
+                "the token budget of the program is spent",
+            )),
+            _ => Err(uncounted()),
+        }
+    }
+
+    /// Asks the VM that counts a partition, whichever that is, and gives its answer and its address; none where
+    /// nobody counts it. `question` gets whether those that come first did not answer.
+    pub(crate) async fn ask_counting(
+        self: &Rc<Self>,
+        part: u64,
+        question: impl Fn(bool) -> Question,
+    ) -> Option<(Reply, SocketAddr)> {
+        if let Some(peer) = self.counted_at(part) {
+            // Every request asks, and ranking hundreds of members for each would cost more than the answer.
+            let reply = self.ask_counter(peer, question(false)).await;
+            if let Some(reply) = reply.filter(is_final) {
+                return Some((reply, peer));
+            }
+            self.keeper.counted_at.borrow_mut().remove(&part);
+        }
         for round in 0..ROUNDS {
             // One that says that it does not count may know better than this VM who does; only
             // silence, or a second round, is a reason to take over.
             let mut takeover = round > 0;
-            let mut candidates: VecDeque<Peer> = self.candidates(part).into();
+            let mut candidates = self.candidates(part);
             let mut asked = 0;
             while let Some(peer) = candidates.pop_front() {
                 asked += 1;
-                let question = Question::Reserve {
-                    part,
-                    program: program.to_owned(),
-                    budget,
-                    most,
-                    seen,
-                    reservation,
-                    takeover,
-                };
-                match self.ask_counter(&peer, question).await {
-                    Some(Reply::Granted { turns, total }) => {
-                        self.note_seen(program, total);
-                        self.keeper
-                            .counted_at
-                            .borrow_mut()
-                            .insert(part, peer.address);
-                        return Ok(Allowance {
-                            owner: (peer.address != self.address()).then_some(peer.address),
-                            part,
-                            reservation,
-                            turns,
-                        });
+                match self.ask_counter(peer, question(takeover)).await {
+                    Some(reply) if is_final(&reply) => {
+                        self.keeper.counted_at.borrow_mut().insert(part, peer);
+                        return Some((reply, peer));
                     }
-                    Some(Reply::Spent) => {
-                        return Err(Failure::refused(
-                            Code::BudgetSpent,
-                            "the token budget of the program is spent",
-                        ));
-                    }
-                    // The VM that counts lives, and nobody else may count beside it: 300 VMs that took
-                    // partitions from each other while the store refused everybody gave seven
-                    // programs more than their budgets, 1,225 tokens where 825 and a turn of 275
-                    // are allowed.
-                    Some(Reply::Unrecorded) => return Err(uncounted()),
                     Some(Reply::Taken(address)) if asked < ASKED => {
-                        candidates.push_front(Peer { address, ..peer });
-                    }
-                    other => {
-                        self.keeper.counted_at.borrow_mut().remove(&part);
-                        takeover |= other != Some(Reply::NotOwner);
+                        candidates.push_front(address);
                     }
+                    other => takeover |= other != Some(Reply::NotOwner),
                 }
             }
             sleep(SETTLE).await;
         }
-        Err(uncounted())
+        None
     }
 
-    async fn ask_counter(self: &Rc<Self>, peer: &Peer, question: Question) -> Option<Reply> {
-        if peer.address == self.address() {
-            return Some(self.answer((peer.address, 0), question).await);
+    async fn ask_counter(self: &Rc<Self>, peer: SocketAddr, question: Question) -> Option<Reply> {
+        if peer == self.address() {
+            return Some(self.answer((peer, 0), question).await);
         }
-        self.peers.ask(peer.address, &question).await
+        self.peers.ask(peer, &question).await
     }
 
     /// Where other VMs ask this one.
--- a/src/gateway/tokens/takeover.rs
+++ b/src/gateway/tokens/takeover.rs
@@ -74,7 +74,9 @@
         if part.hold.get().is_some_and(|hold| hold.fenced) {
             return Ok(());
         }
+        let began = (Instant::now(), clock::wall_ms());
         let hold = self.fence(number, as_of).await?;
+        part.confirmed.set(Some(began));
         let newest = self.read_records(number, part).await?;
         let kept = part.kept.take();
         let ledger = self.ledger(part, &newest.records, &kept);
--- a/src/gateway/world/mod.rs
+++ b/src/gateway/world/mod.rs
@@ -8,3 +8,4 @@
 pub(crate) mod sources;
 pub(crate) mod state;
 pub mod table;
+pub mod team;
--- a/src/gateway/world/state.rs
+++ b/src/gateway/world/state.rs
@@ -3,7 +3,8 @@
 use crate::gateway::world::directory::{Change, Directory, Entry};
 use crate::gateway::world::snapshot::Snapshot;
 use crate::gateway::world::table::Table;
-use crate::platform::records::{server, table};
+use crate::gateway::world::team::Teams;
+use crate::platform::records::{server, table, without_keys};
 use crate::platform::store::Keyed;
 use crate::telemetry::event;
 use std::collections::HashSet;
@@ -17,7 +18,7 @@
     pub(crate) table: Option<Arc<Table>>,
     /// The backend servers.
     pub(crate) directory: Arc<Directory>,
-    /// The config record as the store holds it, for VMs that can't read it.
+    /// The configuration for VMs that can't read it at the store, without the keys of teams.
     pub(crate) raw: Option<bytes::Bytes>,
     /// When the store last answered; none before it has.
     pub(crate) heard: Option<Instant>,
@@ -88,10 +89,11 @@
             version = table.version,
             before = known,
             routes = table.len(),
+            teams = table.teams.as_ref().map_or(0, Teams::len),
             from = from
         );
         self.table = Some(Arc::new(table));
-        self.raw = Some(raw.clone());
+        self.raw = Some(without_keys(raw));
         true
     }
 }
--- a/src/gateway/world/table.rs
+++ b/src/gateway/world/table.rs
@@ -1,5 +1,6 @@
 //! Routes: which service answers a request, and what may be done with it on the way.
 
+use crate::gateway::world::team::Teams;
 use std::collections::HashMap;
 use std::fmt;
 use std::str::FromStr;
@@ -84,6 +85,8 @@
     pub keeps_turns: bool,
     /// How long a program may pause between two turns and still come back.
     pub program_idle: Option<Duration>,
+    /// Whether its requests need no key.
+    pub public: bool,
 }
 
 impl Route {
@@ -163,6 +166,8 @@
     pub services: HashMap<String, Service>,
     /// Bounds on what a caller may send.
     pub limits: Limits,
+    /// The teams that may send requests; none where no keys are asked for.
+    pub teams: Option<Teams>,
 }
 
 impl Table {
@@ -187,6 +192,7 @@
             routes: hosts,
             services,
             limits,
+            teams: None,
         }
     }
 
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -32,8 +32,14 @@
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
+/// What a caller proves its team by. It goes to no server.
+const KEY: HeaderName = HeaderName::from_static("api-key");
+/// The team that holds the caller's key, for the server.
+const TEAM: HeaderName = HeaderName::from_static("x-tenant");
+
 /// Headers that only the system may set: a caller's are dropped.
-const OURS: [HeaderName; 8] = [
+const OURS: [HeaderName; 9] = [
+    TEAM,
     DEADLINE,
     EXPECT_INSTANCE,
     EXPECT_VERSION,
@@ -79,6 +85,8 @@
     pub(crate) last_event: Option<u64>,
     /// The turn that it goes on from.
     pub(crate) prev_turn: Option<String>,
+    /// The name of the turn that this request makes, where turns are kept: the identity, or what a team makes of it.
+    pub(crate) turn: String,
 }
 
 fn text(headers: &HeaderMap, name: &HeaderName) -> Option<String> {
@@ -113,8 +121,10 @@
             .split(',')
             .nth(1)
             .and_then(|part| part.trim().parse().ok());
+        let id = text(headers, &REQUEST_ID).unwrap_or_default();
         Self {
-            id: text(headers, &REQUEST_ID).unwrap_or_default(),
+            turn: id.clone(),
+            id,
             wait: number(headers, &DEADLINE).map(Duration::from_millis),
             program: text(headers, &PROGRAM),
             line: text(headers, &SESSION),
@@ -131,6 +141,12 @@
     }
 }
 
+/// Takes a caller's key out of the headers, so that no copy of it goes further; none where there is not just one.
+pub(crate) fn take_key(headers: &mut HeaderMap) -> Option<HeaderValue> {
+    let several = headers.get_all(KEY).iter().count() > 1;
+    headers.remove(KEY).filter(|_| !several)
+}
+
 /// Whether the framing could be read in two ways: then another reader might see a second request.
 pub(crate) fn ambiguous(headers: &HeaderMap) -> bool {
     let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
@@ -158,6 +174,7 @@
 pub(crate) fn request(
     headers: &HeaderMap,
     server: &str,
+    team: Option<&str>,
     left: Duration,
     last_event: Option<u64>,
 ) -> HeaderMap {
@@ -181,6 +198,9 @@
     if let Ok(value) = HeaderValue::from_str(server) {
         kept.insert(EXPECT_INSTANCE, value);
     }
+    if let Some(Ok(value)) = team.map(HeaderValue::from_str) {
+        kept.insert(TEAM, value);
+    }
     if let Some(last) = last_event {
         kept.insert(LAST_EVENT, HeaderValue::from(last));
     }
--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -3,7 +3,11 @@
 use super::store::Keyed;
 use crate::gateway::directory::{Change, Entry, identity};
 use crate::gateway::table::{Engine, Limits, Route, Service, Table, Target};
+use crate::gateway::team::{Fingerprint, Limit, Team, Teams};
+use bytes::Bytes;
+use http::HeaderValue;
 use serde::Deserialize;
+use serde_json::Value;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::num::NonZeroUsize;
@@ -40,7 +44,7 @@
 /// Tokens of one event where the engine does not say.
 const TOKENS_PER_EVENT: u64 = 1;
 
-#[derive(Debug, Deserialize)]
+#[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct ConfigBody {
     version: u64,
@@ -49,6 +53,8 @@
     services: Vec<ServiceBody>,
     #[serde(default)]
     limits: LimitsBody,
+    /// Absent where requests need no key.
+    tenants: Option<Vec<TeamBody>>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -76,6 +82,9 @@
     /// Seconds for which a stopped program may still come back, and for which a turn is kept. It is
     /// given where no turns are kept, too.
     retain_s: Option<f64>,
+    /// Whether its requests need no key.
+    #[serde(default)]
+    public: bool,
 }
 
 #[derive(Debug, Deserialize)]
@@ -103,6 +112,25 @@
     chunk_tokens: Option<u64>,
 }
 
+/// A team. It derives no `Debug`, since it holds keys.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct TeamBody {
+    name: String,
+    #[serde(default)]
+    api_keys: Vec<String>,
+    /// In place of keys, in our own copies of a configuration.
+    #[serde(default)]
+    key_fingerprints: Vec<String>,
+    priority: Option<u8>,
+    /// Requests a second; zero where there is no limit.
+    #[serde(default)]
+    rate_per_s: f64,
+    /// Requests beyond that, not a second.
+    #[serde(default)]
+    burst: f64,
+}
+
 #[derive(Debug, Default, Deserialize)]
 #[serde(rename_all = "camelCase", default)]
 struct LimitsBody {
@@ -165,6 +193,7 @@
             resumable: self.can_resume,
             keeps_turns: self.retain,
             program_idle: self.retain_s.map(|seconds| millis(seconds * 1000.0)),
+            public: self.public,
         })
     }
 }
@@ -184,6 +213,30 @@
     }
 }
 
+impl TeamBody {
+    fn decode(self) -> Result<(Team, Vec<Fingerprint>), String> {
+        // It goes to servers in a header.
+        HeaderValue::from_str(&self.name).map_err(|error| error.to_string())?;
+        let mut keys = self
+            .key_fingerprints
+            .iter()
+            .map(|text| text.parse())
+            .collect::<Result<Vec<_>, _>>()?;
+        let plain = self.api_keys.iter();
+        keys.extend(plain.map(|key| Fingerprint::of(key.as_bytes())));
+        let limit = (self.rate_per_s > 0.0).then_some(Limit {
+            per_second: self.rate_per_s,
+            burst: self.burst.max(0.0),
+        });
+        let team = Team {
+            name: self.name.into(),
+            rank: self.priority,
+            limit,
+        };
+        Ok((team, keys))
+    }
+}
+
 impl LimitsBody {
     fn decode(self) -> Limits {
         let given = Limits::default();
@@ -201,12 +254,41 @@
     let routes = body.routes.into_iter().map(RouteBody::decode);
     let routes = routes.collect::<Result<Vec<_>, _>>()?;
     let services: HashMap<_, _> = body.services.into_iter().map(ServiceBody::decode).collect();
-    Ok(Table::new(
-        body.version,
-        routes,
-        services,
-        body.limits.decode(),
-    ))
+    let mut table = Table::new(body.version, routes, services, body.limits.decode());
+    if let Some(teams) = body.tenants {
+        let teams = teams.into_iter().map(TeamBody::decode);
+        table.teams = Some(Teams::new(teams.collect::<Result<Vec<_>, _>>()?));
+    }
+    Ok(table)
+}
+
+/// The configuration with the fingerprints of keys in place of the keys.
+///
+/// VMs give each other copies over plain connections, and leave some at the store: a key that stood there could be
+/// read by whoever reaches a VM. It decodes to the same [`Table`].
+pub(crate) fn without_keys(value: &Bytes) -> Bytes {
+    let Ok(mut body) = serde_json::from_slice::<Value>(value) else {
+        return Bytes::new();
+    };
+    let Some(teams) = body.get_mut("tenants").and_then(Value::as_array_mut) else {
+        return value.clone();
+    };
+    for team in teams.iter_mut().filter_map(Value::as_object_mut) {
+        let keys = team.remove("apiKeys").unwrap_or_default();
+        let keys = keys.as_array().into_iter().flatten();
+        let prints = keys.filter_map(Value::as_str).map(|key| {
+            let print = Fingerprint::of(key.as_bytes());
+            Value::String(print.to_string())
+        });
+        let prints: Vec<Value> = prints.collect();
+        let known = team
+            .entry("keyFingerprints")
+            .or_insert_with(|| Value::Array(Vec::new()));
+        if let Some(known) = known.as_array_mut() {
+            known.extend(prints);
+        }
+    }
+    Bytes::from(body.to_string())
 }
 
 /// Decodes one record of the directory.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -12,15 +12,18 @@
 pub mod estimate;
 mod flow;
 pub mod forecast;
+pub mod limit;
 pub mod outage;
 pub mod pace;
 pub mod pool;
 pub mod prefix;
 mod programs;
 mod queue;
+pub mod quota;
 mod server;
 mod slack;
 mod standing;
+pub mod trust;
 mod window;
 
 pub use ask::{Action, Ask, Outcome};
--- a/src/policy/outage.rs
+++ b/src/policy/outage.rs
@@ -24,3 +24,27 @@
 pub fn still_heard(lost_for: Duration, heard_ago: Option<Duration>) -> bool {
     heard_ago.is_some_and(|heard_ago| heard_ago < lost_for)
 }
+
+/// VMs that are asked whether they answer. In a group of a third of all VMs 18 of 24 do in one of a million cases;
+/// where a tenth of all is down, in 99 of 100.
+pub const SAMPLE: usize = 24;
+
+/// Whether a VM that got so many answers from a sample of the others is among most of the `known` VMs, itself
+/// among them.
+///
+/// Half does not suffice where only a sample was asked, since by chance more of a smaller group are in it.
+///
+/// ```
+/// use vanillatrail::policy::outage::is_majority;
+/// assert!(is_majority(1, 2, 3));
+/// assert!(!is_majority(2, 8, 9));
+/// assert!(!is_majority(14, 24, 430));
+/// assert!(is_majority(20, 24, 430));
+/// ```
+#[must_use]
+pub const fn is_majority(answered: usize, asked: usize, known: usize) -> bool {
+    if asked + 1 >= known {
+        return (answered + 1) * 2 > asked + 1;
+    }
+    answered * 4 >= asked * 3
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -229,6 +229,28 @@
     }
 }
 
+/// How closely the limits of teams are held, over all VMs together.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Limits {
+    /// Seconds over which the requests of a team are counted.
+    pub window_s: f64,
+    /// The share by which a limit may be passed within that time.
+    pub excess: f64,
+    /// Requests by which it may be passed beside that.
+    pub slack: f64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            window_s: 5.0,
+            excess: 0.1,
+            slack: 20.0,
+        }
+    }
+}
+
 /// The settings of one VM that forwards requests of callers.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -251,6 +273,9 @@
     /// How soon a change has to act.
     #[serde(default)]
     pub bounds: Bounds,
+    /// How closely the limits of teams are held.
+    #[serde(default)]
+    pub limits: Limits,
     /// The share of a core that this VM has.
     pub cores: f64,
     /// How long a planned stop may take, in milliseconds.
@@ -317,6 +342,21 @@
                 "bounds.drain_ms",
                 "under 1000",
             ),
+            (
+                (0.5..=3600.0).contains(&settings.limits.window_s),
+                "limits.window_s",
+                "not in 0.5..=3600",
+            ),
+            (
+                (0.0..=1.0).contains(&settings.limits.excess),
+                "limits.excess",
+                "not in 0..=1",
+            ),
+            (
+                (0.0..=1e6).contains(&settings.limits.slack),
+                "limits.slack",
+                "not in 0..=1000000",
+            ),
             (
                 settings.bounds.config_ms >= 1500,
                 "bounds.config_ms",
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -152,6 +152,16 @@
 
     /// Publishes a configuration with one route for each of `routes`: prefix, kind and more fields.
     pub fn configure(&self, version: u64, routes: &[(&str, &str, Value)]) {
+        self.configure_teams(version, routes, None);
+    }
+
+    /// The same with teams, whose keys requests then need.
+    pub fn configure_teams(
+        &self,
+        version: u64,
+        routes: &[(&str, &str, Value)],
+        teams: Option<Value>,
+    ) {
         let routes = routes.iter().map(|(prefix, kind, more)| {
             let mut route = json!({
                 "name": format!("route{prefix}"), "host": "site.example", "pathPrefix": prefix,
@@ -162,7 +172,7 @@
             route.as_object_mut().expect("an object").extend(fields);
             route
         });
-        let config = json!({
+        let mut config = json!({
             "version": version,
             "routes": routes.collect::<Vec<_>>(),
             "services": [{
@@ -171,6 +181,9 @@
             }, { "name": "other", "healthPath": "/healthz" }],
             "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 100_000, "idleTimeoutMs": 15000 },
         });
+        if let Some(teams) = teams {
+            config["tenants"] = teams;
+        }
         self.put("keyed.op", "config", Some(&config));
     }
 
