Give nothing without a record where most VMs are not reached

Cause: a third of the VMs is cut off from the store and from all others. Among themselves nobody has the store, which looked like an outage for all, so the VM that counted a program gave 960 tokens of it without a record, while the other side took the partition and gave 864 of the same budget of 576. Ruled out: members that are heard (views tell of a cut only seconds later); the six that are asked whether they have the store (in the smaller group they are silent, which counted as no).

--- a/src/gateway/tokens/counter.rs
+++ b/src/gateway/tokens/counter.rs
@@ -275,7 +275,7 @@
                 recorded
             }
             Err(_) if self.keeper.detour(number, part, &copy).await => true,
-            Err(_) if !part.ledger.borrow().bears(program, turn) => {
+            Err(_) if !part.ledger.borrow().bears(program, turn) || !self.reaches_most().await => {
                 event!(
                     info,
                     "allowance_unrecorded",
--- a/src/gateway/tokens/failover.rs
+++ b/src/gateway/tokens/failover.rs
@@ -132,7 +132,7 @@
         if part.hold.get().is_some() {
             return None;
         }
-        if !self.reaching_store(number, LATELY).await.is_empty() {
+        if !self.reaches_most().await || !self.reaching_store(number, LATELY).await.is_empty() {
             return Some(Reply::Away);
         }
         self.gather(number).await;
