Let counters begin at once where what the one before promised has been sent

Change: the pause is kept only for a partition that was handed over, and for a VM that started a moment ago; a partition that nobody has ever counted begins full. Test: tests/limit.rs (a counter follows no sooner than what the one before promised is sent).

--- a/src/gateway/limits/count.rs
+++ b/src/gateway/limits/count.rs
@@ -7,7 +7,7 @@
 use crate::gateway::tokens::failover::LATELY;
 use crate::gateway::tokens::part::Part;
 use crate::gateway::world::team::Limit;
-use crate::policy::limit::{Bound, Share};
+use crate::policy::limit::{AHEAD, Bound, Share};
 use crate::policy::quota::{Quota, Request, Verdict};
 use crate::policy::trust::{CONFIRMED, Standing};
 use crate::telemetry::event;
@@ -91,15 +91,9 @@
         let bound = self.limit_bound();
         let mut teams = part.teams.borrow_mut();
         if teams.since.is_none() || teams.epoch != epoch {
-            // Where nobody has ever counted, nothing was granted within the window before.
-            let unused = if part.first.take() {
-                bound.window
-            } else {
-                Duration::ZERO
-            };
             *teams = Teams {
                 epoch,
-                since: now.checked_sub(unused),
+                since: Some(self.begins_to_grant(part, now)),
                 quotas: HashMap::new(),
             };
         }
@@ -140,6 +134,22 @@
         }
     }
 
+    /// When this VM begins to grant requests of a partition that it counts since `now`.
+    fn begins_to_grant(&self, part: &Part, now: Instant) -> Instant {
+        if part.first.take() {
+            // Nobody has ever counted, and nothing was granted within the window before.
+            return now.checked_sub(self.limit_bound().window).unwrap_or(now);
+        }
+        // A VM that is silent was silent for longer when it is taken over from; this one may have started again at
+        // once, or the one before may live and have granted until now.
+        let restarted = self.keeper.began + AHEAD;
+        if part.adopted.take() {
+            now + AHEAD
+        } else {
+            restarted.max(now)
+        }
+    }
+
     /// The limit of a team, by the newer one of two configurations.
     fn limit_of(&self, take: &Take) -> Limit {
         let (per_second, burst) = take.limit;
--- a/src/gateway/tokens/keeper.rs
+++ b/src/gateway/tokens/keeper.rs
@@ -308,6 +308,7 @@
     /// Goes on with a partition that another VM hands over.
     pub(crate) fn adopt(&self, number: u64, epoch: u64, entries: Vec<(Entry, u64)>, fenced: bool) {
         let part = self.part(number);
+        part.adopted.set(true);
         let now = Instant::now();
         for (entry, lacking) in entries {
             if lacking > 0 {
--- a/src/gateway/tokens/part.rs
+++ b/src/gateway/tokens/part.rs
@@ -28,6 +28,8 @@
     pub(crate) confirmed: Cell<Option<(Instant, u64)>>,
     /// Whether nobody had ever counted it when this VM took it.
     pub(crate) first: Cell<bool>,
+    /// Whether another VM handed it over.
+    pub(crate) adopted: Cell<bool>,
     /// When it was taken from a VM that did not answer, and may count still.
     pub(crate) doubted: Cell<Option<Instant>>,
     /// Allowances that are not durable yet.
--- a/src/gateway/world/team.rs
+++ b/src/gateway/world/team.rs
@@ -151,13 +151,9 @@
 /// A team's name without slashes, and printable.
 fn escaped(team: &str) -> String {
     let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
-    let mut text = String::with_capacity(team.len());
-    for byte in team.bytes() {
-        if plain(byte) {
-            text.push(char::from(byte));
-        } else {
-            text.push_str(&format!("%{byte:02X}"));
-        }
-    }
-    text
+    let parts = team.bytes().map(|byte| match byte {
+        byte if plain(byte) => char::from(byte).to_string(),
+        byte => format!("%{byte:02X}"),
+    });
+    parts.collect()
 }
--- a/src/policy/limit.rs
+++ b/src/policy/limit.rs
@@ -18,9 +18,9 @@
 /// Requests that a new counter may grant at once, so that a team that sends one at a time does not wait. Of five
 /// takeovers in a window each grants so many.
 const START: f64 = 1.0;
-/// How long before it is sent a request may be granted. A new counter grants nothing for that time, in which what
-/// the one before promised is sent. A program whose tool waits so long still ends in time.
-const AHEAD: Duration = Duration::from_millis(300);
+/// How long before it is sent a request may be granted. A counter begins no sooner after the last grant of the one
+/// before, so that what that one promised has been sent. A program whose tool waits so long still ends in time.
+pub const AHEAD: Duration = Duration::from_millis(300);
 
 /// How closely limits are held, as the operators of a deployment state it.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -123,7 +123,7 @@
 /// let mut meter = Meter::new(now);
 /// meter.set(now, &bound, limit, Share::Whole);
 /// let at_once = (0..100).take_while(|_| meter.take(now, Duration::ZERO).is_ok()).count();
-/// assert_eq!(at_once, 0);
+/// assert_eq!(at_once, 1);
 /// assert!(meter.take(now, Duration::from_secs(1)).is_ok());
 /// ```
 #[derive(Debug)]
@@ -139,7 +139,7 @@
 }
 
 impl Meter {
-    /// A counter of which nothing is known before `since`.
+    /// A counter that begins at `since`, and of which nothing is known before.
     #[must_use]
     pub fn new(since: Instant) -> Self {
         Self {
@@ -160,9 +160,7 @@
     pub fn set(&mut self, now: Instant, bound: &Bound, limit: Limit, share: Share) {
         let first = self.window.is_zero();
         let portion = Portion::of(bound, limit, share);
-        if first {
-            self.level = START - portion.per_second * AHEAD.as_secs_f64();
-        } else {
+        if !first {
             self.refill(now);
         }
         self.portion = portion;
@@ -210,7 +208,8 @@
         } else {
             Duration::from_secs_f64((lacking / rate.max(f64::MIN_POSITIVE)).min(3600.0))
         };
-        by_level.max(self.wait_for_window(now, count))
+        let begins = self.at.saturating_duration_since(now);
+        (by_level + begins).max(self.wait_for_window(now, count))
     }
 
     fn wait_for_window(&self, now: Instant, count: f64) -> Duration {
--- a/tests/budget.rs
+++ b/tests/budget.rs
@@ -116,14 +116,18 @@
         .take(3)
         .map(|(_, vm)| vm)
         .collect();
-    lost.iter().for_each(|vm| vm.signal("-STOP"));
+    for vm in &lost {
+        vm.signal("-STOP");
+    }
     let mut refused = false;
     for number in 0..6 {
         let (status, tokens) = turn(&vms[counter], "p", 2000, &format!("a{number}"));
         handed += tokens;
         refused |= status == 503;
     }
-    lost.iter().for_each(|vm| vm.signal("-CONT"));
+    for vm in &lost {
+        vm.signal("-CONT");
+    }
     let recorded: u64 = store.values("keyed.allowance")["p"]
         .parse()
         .expect("a number");
@@ -220,9 +224,9 @@
             .filter(|(number, _)| *number != first)
     };
     until("another one counts", || {
-        others().for_each(|(_, vm)| {
+        for (_, vm) in others() {
             turn(vm, "p", 2900, "again");
-        });
+        }
         others().any(|(_, vm)| counts(vm))
     });
     store.set_down(false);
--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 use vanillatrail::gateway::team::Limit;
-use vanillatrail::policy::limit::{Bound, Meter, Share};
+use vanillatrail::policy::limit::{AHEAD, Bound, Meter, Share};
 use vanillatrail::policy::quota::{Needs, Quota, Request, Verdict};
 
 const WINDOW: Duration = Duration::from_secs(5);
@@ -78,6 +78,8 @@
                 now += STEP;
                 step += 1;
             }
+            // The next one begins no sooner after the last grant.
+            now += AHEAD;
         }
         prop_assert!(busiest(&sent) as f64 <= most(limit));
     }
