--- a/src/policy/limit.rs
+++ b/src/policy/limit.rs
@@ -14,7 +14,7 @@
 const SLICE: Duration = Duration::from_millis(100);
 /// The part of the tolerance that the bucket may use. The rest is for takeovers, and for requests that reach a
 /// server later than others that were granted after them.
-const USED: f64 = 0.7;
+const USED: f64 = 0.8;
 /// Requests that a new counter may grant at once, so that a team that sends one at a time does not wait. Of five
 /// takeovers in a window each grants so many.
 const START: f64 = 1.0;
