Grant nothing on the share of a partition that was lost meanwhile

Found by reading: while a counter asked whom it reaches it could be shut out, and then granted as if it counted. Names and steps of the counter are plainer.

--- a/src/gateway/limits/count.rs
+++ b/src/gateway/limits/count.rs
@@ -34,7 +34,7 @@
 
 /// The teams of one partition, as long as this VM counts it.
 #[derive(Debug, Default)]
-pub(crate) struct Teams {
+pub(crate) struct Counted {
     /// The epoch under which it counts them; what was granted under another one is not known.
     epoch: u64,
     since: Option<Instant>,
@@ -64,7 +64,12 @@
                 return refusal;
             }
         }
+        let epoch = part.epoch();
         let share = self.share(&part).await;
+        if part.epoch() != epoch {
+            // It was shut out meanwhile, and the share is another one's.
+            return Reply::NotOwner;
+        }
         self.grant(number, &part, &take, share)
     }
 
@@ -85,13 +90,13 @@
     }
 
     fn grant(&self, number: u64, part: &Part, take: &Take, share: Share) -> Reply {
-        let epoch = part.hold.get().map_or(STANDING_IN, |hold| hold.epoch);
+        let epoch = part.epoch().unwrap_or(STANDING_IN);
         let now = Instant::now();
         let limit = self.limit_of(take);
         let bound = self.limit_bound();
         let mut teams = part.teams.borrow_mut();
         if teams.since.is_none() || teams.epoch != epoch {
-            *teams = Teams {
+            *teams = Counted {
                 epoch,
                 since: Some(self.begins_to_grant(part, now)),
                 quotas: HashMap::new(),
@@ -173,20 +178,18 @@
     /// How much of each limit this VM may grant of a partition that it counts.
     async fn share(&self, part: &Part) -> Share {
         self.limits.stall.look();
-        let held = part.hold.get().is_some();
-        let taken = part.confirmed.get().filter(|_| held);
-        let confirmed = taken.map_or(Duration::MAX, |taken| {
-            since(taken, (Instant::now(), clock::wall_ms()))
-        });
+        let confirmed = Self::confirmed_ago(part);
         let reach = if confirmed < CONFIRMED {
             None
         } else {
             Some(self.reach().await)
         };
-        let doubted = part.doubted.get().map(|doubted| doubted.elapsed());
-        let doubted = doubted
-            .filter(|_| held)
-            .or((!held).then_some(Duration::ZERO));
+        let doubted = if part.hold.get().is_some() {
+            part.doubted.get().map(|doubted| doubted.elapsed())
+        } else {
+            // Whoever has the partition may live unseen.
+            Some(Duration::ZERO)
+        };
         let standing = Standing {
             confirmed,
             doubted: doubted.into_iter().chain(self.limits.stall.ago()).min(),
@@ -195,6 +198,13 @@
         standing.share()
     }
 
+    /// How long ago the store last confirmed that this VM has a partition.
+    fn confirmed_ago(part: &Part) -> Duration {
+        let now = (Instant::now(), clock::wall_ms());
+        let confirmed = part.confirmed.get().filter(|_| part.hold.get().is_some());
+        confirmed.map_or(Duration::MAX, |confirmed| since(confirmed, now))
+    }
+
     /// The teams that this VM counts and that used most lately, for a person.
     pub(crate) fn counted_teams(&self) -> Vec<Value> {
         let mut counted = Vec::new();
--- a/src/gateway/tokens/part.rs
+++ b/src/gateway/tokens/part.rs
@@ -1,6 +1,6 @@
 //! One partition of programs: its ledger, and what is known of its records.
 
-use crate::gateway::limits::count::Teams;
+use crate::gateway::limits::count::Counted;
 use crate::policy::allowance::{Entry, Ledger};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -23,7 +23,7 @@
     pub(crate) hold: Cell<Option<Hold>>,
     pub(crate) ledger: RefCell<Ledger>,
     /// The teams that fall into it.
-    pub(crate) teams: RefCell<Teams>,
+    pub(crate) teams: RefCell<Counted>,
     /// When the write began that the store took last, by the steady clock and the time of day.
     pub(crate) confirmed: Cell<Option<(Instant, u64)>>,
     /// Whether nobody had ever counted it when this VM took it.
@@ -60,6 +60,11 @@
 }
 
 impl Part {
+    /// The epoch under which this VM counts it.
+    pub(crate) fn epoch(&self) -> Option<u64> {
+        self.hold.get().map(|hold| hold.epoch)
+    }
+
     /// Whether this VM counts it, or is about to: it takes it at the store, or hands it over.
     pub(crate) fn is_claimed(&self) -> bool {
         let taking = self.taking.try_lock().is_err();
