--- a/src/policy/limit.rs
+++ b/src/policy/limit.rs
@@ -45,9 +45,9 @@
 
     /// Requests a second in the long run, and how many may go at once beyond that.
     ///
-    /// Two pairs keep the bound. With the limit's own, teams of 12 requests a second whose programs need 24 within
-    /// 2 s had each second program wait for a second. The other spreads the burst over the window and takes
-    /// the tolerance for what comes at once; it is used unless the tolerance is small.
+    /// Two pairs keep the bound. With the limit's own, a team of 12 requests a second whose programs need 24 within 2 s
+    /// would have its second program wait for a second. The other spreads the burst over the window and takes the
+    /// tolerance for what comes at once; it is used unless the tolerance is small.
     fn bucket(&self, limit: Limit) -> (f64, f64) {
         let tolerated = self.tolerance(limit) * USED;
         if tolerated < limit.burst / 2.0 {
