Ask the limit before the budget, so that a refused turn holds no tokens

Cause: found by reading. A turn asked the VM that counts its team and the one that counts its tokens at the same time. Refused by the limit, it dropped the other question while the answer was on its way, and nobody gave the reserved tokens back: programs that were refused a few times ended with 402 with nothing spent. Ruled out: waiting for both answers (in an outage a refusal would wait for up to 0.5 s). Change: the limit is asked first (2 ms). A program whose first request finds no room has not begun, and is not counted among those under way.

--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -86,9 +86,11 @@
 
 /// Sends the request until a server answers it.
 async fn run(job: &Rc<Job>) -> Result<Response<Body>, Failure> {
+    // First, since a turn that the limit refuses must not hold tokens of its program's budget: asked for at the same
+    // time, the answer was on its way when the turn was refused, and nobody gave the tokens back. It takes 2 ms.
+    sleep(take(job).await?).await;
     // Both before anything is sent, and at once: a turn's target leaves 30 ms for all of its way.
-    let (pause, (), ()) = tokio::try_join!(take(job), allow(job), assemble(job))?;
-    sleep(pause).await;
+    tokio::try_join!(allow(job), assemble(job))?;
     let mut avoid = Vec::new();
     let mut ran = 0;
     for _ in 0..TRIES {
--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -156,12 +156,19 @@
         }
     }
 
-    /// A program that missed a request may end early; nothing is learned from it.
+    /// A program that missed a request may end early, and nothing is learned from it; one that missed its first has
+    /// not begun.
     fn break_off(&mut self, program: Option<u64>) {
-        let program = program.and_then(|program| self.programs.get_mut(&program));
-        let Some(program) = program else {
+        let Some(key) = program else {
+            return;
+        };
+        let Some(program) = self.programs.get_mut(&key) else {
             return;
         };
+        if program.requests == 0 {
+            self.programs.remove(&key);
+            return;
+        }
         if std::mem::replace(&mut program.whole, false) {
             self.fit = (self.fit - LOSS).max(FIT.1);
         }
--- a/tests/teams.rs
+++ b/tests/teams.rs
@@ -196,6 +196,29 @@
     assert_eq!(turn(&vms[0], "p", 580, "keyless").0, 401);
 }
 
+/// A team's limit is used up when a program begins, so that its first turn is refused several times before it runs,
+/// each time while the VM that counts its tokens has been asked.
+/// No refused turn holds tokens of the program's budget, which is for two turns: both run in the end.
+#[test]
+fn a_turn_that_the_limit_refuses_spends_no_budget() {
+    let (_store, _model, _tool, vms) = site(3, 1);
+    let mut refused = 0;
+    let mut begin = |id: &str| {
+        until("the turn runs", || {
+            let status = turn_of(&vms[refused % 3], KEY, "p", 580, &format!("{id}{refused}"));
+            assert!([200, 429].contains(&status), "{status}");
+            refused += usize::from(status == 429);
+            status == 200
+        });
+    };
+    for number in 0..8 {
+        tool_call(&vms[0], &format!("t{number}"), &[("Api-Key", KEY)]);
+    }
+    begin("one");
+    begin("two");
+    assert!(refused >= 3, "{refused} refusals");
+}
+
 /// A team sends far more than its limit through three VMs at once, for two windows of 5 s. No span of that length
 /// has more requests at the server than the limit, its burst and the tolerance allow together; most of what
 /// the limit carries is served; and who is refused is told when to come back.
