--- a/src/cli.rs
+++ b/src/cli.rs
@@ -84,6 +84,13 @@
     /// Tell from the logs of gateways where time went, or the story of one request or program.
     #[command(after_help = "Example: vanillatrail explain --id 9c41d07be2a35f68 vm-a.log vm-b.log")]
     Explain(Explain),
+    /// Make a key for a team, and the fingerprint that the configuration takes in its place.
+    #[command(after_help = "Example: vanillatrail key --json")]
+    Key {
+        /// Print JSON.
+        #[arg(long)]
+        json: bool,
+    },
     /// Drive or look at one program.
     Program(ProgramArguments),
     /// Print the table of result codes, or what one code means.
@@ -355,6 +362,7 @@
         Command::Config(Config::Apply(apply)) => command::config::apply(&apply.into()),
         Command::State { vms, json } => command::state::run(&vms, json),
         Command::Explain(of) => command::explain::run(&of.into()),
+        Command::Key { json } => command::key::run(json),
         Command::Program(of) => command::program::run(of.vm, of.action.into(), of.json),
         Command::Codes { code } => Ok(command::describe::codes(code)),
         Command::Schema { of } => command::describe::schema(of.into()),
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod describe;
 pub(crate) mod explain;
 pub(crate) mod gateway;
+pub(crate) mod key;
 mod paint;
 pub(crate) mod program;
 pub(crate) mod serve;
--- /dev/null
+++ b/tests/fleet/mod.rs
@@ -0,0 +1,44 @@
+//! Servers and requests for tests of the dispatcher.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::time::Duration;
+use vanillatrail::policy::dispatch::{Ask, Description, Outcome};
+
+/// A server that keeps prompts and takes new requests.
+pub fn server(id: &str, zone: &str, slots: usize) -> Description {
+    Description {
+        id: id.into(),
+        service: "pool".into(),
+        zone: zone.into(),
+        slots,
+        memory_tokens: 100_000,
+        leaving: false,
+    }
+}
+
+/// A request of a route of this rank that is part of no program.
+pub fn ask(rank: u8) -> Ask {
+    Ask {
+        service: "pool".into(),
+        zone: "a".into(),
+        vm: 1,
+        rank,
+        program: None,
+        turns: 0,
+        left_ms: 2000,
+        limit_ms: 4000,
+        line: None,
+        prompt: Vec::new(),
+        avoid: Vec::new(),
+    }
+}
+
+/// An answer after this time, from a server that says nothing of its load.
+pub const fn done(took: Duration) -> Outcome {
+    Outcome::Done {
+        took,
+        work: 1.0,
+        load: None,
+    }
+}
