--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -2,7 +2,7 @@
 
 use super::{Exit, internal, print_json};
 use crate::code::{Code, Failure};
-use crate::explain::{Line, Report, Summary};
+use crate::explain::{Field, Group, Groups, Line, Report, Summary};
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, BufWriter, ErrorKind, Write, stdin, stdout};
@@ -14,6 +14,9 @@
 /// Kinds of event or result that are printed of a slice, the most frequent ones.
 const KINDS: usize = 6;
 
+/// Groups that are printed, the worst ones.
+const SHOWN: usize = 30;
+
 /// What to explain.
 #[derive(Debug, Default)]
 pub(crate) struct Question {
@@ -25,6 +28,8 @@
     pub(crate) id: Option<String>,
     /// Only the lines of this program.
     pub(crate) program: Option<String>,
+    /// Requests by this field, in place of slices of time.
+    pub(crate) by: Option<Field>,
     /// Print JSON.
     pub(crate) json: bool,
 }
@@ -47,6 +52,7 @@
 struct Reader<'a> {
     question: &'a Question,
     report: Report,
+    groups: Option<Groups>,
     story: Vec<(String, String)>,
     lines: u64,
     /// Lines that are none of a VM.
@@ -58,6 +64,7 @@
         Self {
             question,
             report: Report::new(question.slice),
+            groups: question.by.map(Groups::new),
             story: Vec::new(),
             lines: 0,
             others: 0,
@@ -84,7 +91,10 @@
         self.lines += 1;
         let Question { id, program, .. } = self.question;
         if id.is_none() && program.is_none() {
-            return self.report.add(line);
+            return match &mut self.groups {
+                Some(groups) => groups.add(line),
+                None => self.report.add(line),
+            };
         }
         let is =
             |wanted: &Option<String>, key| wanted.is_some() && line.get(key) == wanted.as_deref();
@@ -94,7 +104,9 @@
     }
 
     fn print(mut self, json: bool) -> Result<Exit, Failure> {
-        let (lines, others, left_out) = (self.lines, self.others, self.report.left_out());
+        let (lines, others) = (self.lines, self.others);
+        let groups = self.groups.as_ref();
+        let left_out = groups.map_or_else(|| self.report.left_out(), Groups::left_out);
         eprintln!("{lines} lines read, {others} that are none of a VM, {left_out} left out");
         if self.question.id.is_some() || self.question.program.is_some() {
             // Logs of several VMs come one after the other.
@@ -106,6 +118,14 @@
                 written
             });
         }
+        if let Some(groups) = groups {
+            let worst = groups.worst();
+            if json {
+                print_json(&worst)?;
+                return Ok(Exit::Success);
+            }
+            return written(print_groups(&worst));
+        }
         let summaries = self.report.summaries();
         if json {
             print_json(&summaries)?;
@@ -154,6 +174,28 @@
     out.flush()
 }
 
+fn print_groups(groups: &[Group]) -> io::Result<()> {
+    let mut out = BufWriter::new(stdout().lock());
+    writeln!(
+        out,
+        "{:<40} {:>7} {:>7} {:>9} {:>9}  other results",
+        "worst first", "good", "bad", "waited ms", "total ms"
+    )?;
+    for group in groups.iter().take(SHOWN) {
+        writeln!(
+            out,
+            "{:<40} {:>7} {:>7} {:>9} {:>9}  {}",
+            group.name,
+            group.good,
+            group.bad,
+            group.waited_ms,
+            group.total_ms,
+            most(&group.results),
+        )?;
+    }
+    out.flush()
+}
+
 /// The most frequent of some counts.
 fn most(counts: &BTreeMap<String, u64>) -> String {
     let mut counts: Vec<_> = counts.iter().collect();
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -100,3 +100,34 @@
     drop(child.stdout.take());
     assert!(child.wait().expect("it ends").success());
 }
+
+/// The worst program is the one that was refused; what it waited for is told with it.
+#[test]
+fn programs_come_worst_first() {
+    let (_dir, [b, a]) = files();
+    let arguments = [&b, &a, "--by", "program", "--json"];
+    let output = explain(&arguments).output().expect("it runs");
+    let groups: Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    let names: Vec<_> = groups.as_array().expect("groups").iter().collect();
+    assert_eq!(names.len(), 2);
+    assert_eq!(
+        (&names[0]["name"], &names[0]["bad"]),
+        (&"p".into(), &1.into())
+    );
+    assert_eq!(names[0]["results"], serde_json::json!({ "VT3002": 1 }));
+    assert_eq!(names[0]["waited_ms"], 4 + 1 + 660 + 6 + 1);
+    let printed = explain(&[&b, &a, "--by", "program"])
+        .output()
+        .expect("it runs");
+    let printed = String::from_utf8_lossy(&printed.stdout).into_owned();
+    assert!(
+        printed
+            .lines()
+            .nth(1)
+            .is_some_and(|line| line.starts_with("p ")),
+        "{printed}"
+    );
+    explain(&[&a, "--by", "program", "--id", "a1"])
+        .assert()
+        .code(2);
+}
