Say when a partition counts as given up

A reader of failover.rs could not tell which cases the last arm stands for: an owner's record that can't be read, and what this VM counts from copies already.

--- a/src/gateway/tokens/failover.rs
+++ b/src/gateway/tokens/failover.rs
@@ -88,6 +88,7 @@
                         None => Origin::Silent(Instant::now()),
                     }
                 }
+                // A record that can't be read, or what this VM counts from copies already.
                 _ => Origin::GivenUp,
             };
             // It goes on where this request gives up, so that the next one finds it done.
