--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -9,6 +9,7 @@
 #[path = "soak/proxy.rs"]
 mod proxy;
 
+use platform::team::{KEY, OTHERS, WINDOW, busiest, most, teams};
 use platform::{Act, Backend, Request, Store, Vm, call, events, head, until, whole};
 use proxy::{HARMS, Harm, Proxy};
 use rand::rngs::StdRng;
@@ -19,7 +20,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Seeds of the short run; those that once failed stay here, with a line on the cause.
 const SEEDS: [u64; 3] = [
@@ -38,11 +39,24 @@
 const BUDGET: u64 = 870;
 const MOST: u64 = 290;
 
+/// Callers of the team that has a limit, beside these.
+const PRESSING: u64 = 3;
+/// Requests a second of the team that has a limit, and as many at once; its callers send several times as many.
+const LIMIT: u64 = 10;
+/// How the identities of its requests begin.
+const LIMITED: &str = "limited";
+/// The key that no team holds.
+const UNKNOWN: &str = "a key that nobody holds";
+
 /// What callers have watch.
 #[derive(Debug, Default)]
 struct Watch {
     /// Status by the identity of requests that must not be repeated.
     once: Mutex<HashMap<String, u16>>,
+    /// When callers began requests of the team with a limit.
+    asked: Mutex<HashMap<String, Instant>>,
+    /// When these came to a server.
+    came: Mutex<Vec<(String, Instant)>>,
     looped: AtomicU64,
     wrong: Mutex<Vec<String>>,
 }
@@ -72,15 +86,54 @@
         let vm = *to.choose(&mut rng).expect("there are some");
         let id = format!("c{caller}n{number}");
         match rng.random_range(0..3) {
-            0 => once(vm, watch, &id),
+            0 => once(vm, watch, &id, OTHERS),
             1 => turn(vm, watch, &id, "loop"),
             _ => turn(vm, watch, &id, &id),
         }
     }
 }
 
-fn once(vm: SocketAddr, watch: &Watch, id: &str) {
-    let headers = [("X-Request-Id", id), ("X-Deadline-Ms", "1500")];
+/// One caller of the team with a limit, which some requests without a team's key come between.
+fn press(to: &[SocketAddr], watch: &Watch, caller: u64, over: &AtomicBool, mut rng: StdRng) {
+    for number in 0.. {
+        if over.load(Ordering::Relaxed) {
+            return;
+        }
+        let vm = *to.choose(&mut rng).expect("there are some");
+        let id = format!("{LIMITED}{caller}n{number}");
+        match rng.random_range(0..4) {
+            0 => stranger(vm, watch, &id),
+            _ => limited(vm, watch, &id),
+        }
+    }
+}
+
+/// A request whose key no team holds.
+fn stranger(vm: SocketAddr, watch: &Watch, id: &str) {
+    let headers = [
+        ("X-Request-Id", id),
+        ("X-Deadline-Ms", "1500"),
+        ("Api-Key", UNKNOWN),
+    ];
+    let status = call(vm, "POST", "/u/x", &headers, b"body").status;
+    if ![0, 401, 503].contains(&status) {
+        watch.wrong(format!("{id} has no key and got {status}"));
+    }
+}
+
+fn limited(vm: SocketAddr, watch: &Watch, id: &str) {
+    let mut asked = watch.asked.lock().expect("not poisoned");
+    asked.insert(id.to_owned(), Instant::now());
+    drop(asked);
+    once(vm, watch, id, KEY);
+}
+
+fn once(vm: SocketAddr, watch: &Watch, id: &str, key: &str) {
+    let headers = [
+        ("X-Request-Id", id),
+        ("X-Deadline-Ms", "1500"),
+        ("Api-Key", key),
+    ];
     let reply = call(vm, "POST", "/u/x", &headers, b"body");
     if reply.status == 200 && reply.whole && reply.text() != id {
         watch.wrong(format!("{id} got the answer `{}`", reply.text()));
@@ -99,6 +152,7 @@
         ("X-Token-Budget", &budget),
         ("X-Token-Count", "100,290"),
         ("X-Deadline-Ms", "1500"),
+        ("Api-Key", OTHERS),
     ];
     let reply = call(vm, "POST", "/s/x", &headers, b"");
     let text = reply.text();
@@ -163,18 +217,22 @@
 fn play(seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
     let engines = [engine(), engine()];
-    let plain = Backend::start(|request, _| {
+    let watch = Arc::new(Watch::default());
+    let observer = Arc::clone(&watch);
+    let plain = Backend::start(move |request, _| {
         let id = request.header("x-request-id").to_owned();
+        if id.starts_with(LIMITED) {
+            let came = (id.clone(), Instant::now());
+            observer.came.lock().expect("not poisoned").push(came);
+        }
         Act::Keep(whole(request, &id))
     });
     let store = Store::start();
-    store.configure(
-        1,
-        &[
-            ("/s/", "stream", json!({})),
-            ("/u/", "unsafe", json!({ "service": "other" })),
-        ],
-    );
+    let routes = [
+        ("/s/", "stream", json!({})),
+        ("/u/", "unsafe", json!({ "service": "other" })),
+    ];
+    store.configure_teams(1, &routes, Some(teams(LIMIT)));
     let behind = [
         engines[0].address,
         engines[1].address,
@@ -188,13 +246,14 @@
     let reached = store.behind(proxies[3].address);
     let mut vms: Vec<Vm> = (0..3).map(|_| Vm::start(&reached)).collect();
     vms.iter().for_each(Vm::wait_ready);
-    let (watch, over) = (Arc::new(Watch::default()), Arc::new(AtomicBool::new(false)));
+    let over = Arc::new(AtomicBool::new(false));
     let to: Arc<[SocketAddr]> = vms.iter().map(|vm| vm.callers).collect();
-    let callers: Vec<_> = (0..CALLERS)
+    let callers: Vec<_> = (0..CALLERS + PRESSING)
         .map(|caller| {
             let (to, watch, over) = (Arc::clone(&to), Arc::clone(&watch), Arc::clone(&over));
             let rng = StdRng::seed_from_u64(seed * CALLERS + caller);
-            std::thread::spawn(move || ask(&to, &watch, caller, &over, rng))
+            let play = if caller < CALLERS { ask } else { press };
+            std::thread::spawn(move || play(&to, &watch, caller, &over, rng))
         })
         .collect();
     for _ in 0..FAULTS {
@@ -203,7 +262,11 @@
     }
     vms.iter().for_each(Vm::wait_ready);
     until("requests are served again", || {
-        let headers = [("X-Request-Id", "last"), ("X-Deadline-Ms", "1500")];
+        let headers = [
+            ("X-Request-Id", "last"),
+            ("X-Deadline-Ms", "1500"),
+            ("Api-Key", OTHERS),
+        ];
         vms.iter()
             .all(|vm| call(vm.callers, "POST", "/u/x", &headers, b"").status == 200)
     });
@@ -212,6 +275,52 @@
         caller.join().expect("a caller ends");
     }
     check(seed, &watch, &plain);
+    check_teams(seed, &watch, engines.iter().chain([&plain]));
+}
+
+/// The most requests that both began and came to a server within one window.
+fn within(requests: &[(Instant, Instant)]) -> usize {
+    let counts = requests.iter().map(|(begin, _)| {
+        let end = *begin + WINDOW;
+        let inside = requests
+            .iter()
+            .filter(|(asked, came)| asked >= begin && *came < end);
+        inside.count()
+    });
+    counts.max().unwrap_or(0)
+}
+
+/// No server has seen a key, each has seen the right team, and no window has more than the limit. What began before a
+/// window and was held up on its way does not count there; there is one such request for each caller at the most.
+fn check_teams<'a>(seed: u64, watch: &Watch, servers: impl Iterator<Item = &'a Backend>) {
+    for server in servers {
+        for request in server.requests.lock().expect("not poisoned").iter() {
+            let id = request.header("x-request-id");
+            let team = if id.starts_with(LIMITED) {
+                "payroll"
+            } else {
+                "audit"
+            };
+            let headers = (request.header("x-tenant"), request.header("api-key"));
+            assert_eq!(headers, (team, ""), "seed {seed}: {id}");
+        }
+    }
+    let asked = watch.asked.lock().expect("not poisoned");
+    let came = watch.came.lock().expect("not poisoned");
+    assert!(!came.is_empty(), "seed {seed}: the team was never served");
+    let arrivals = busiest(came.iter().map(|(_, at)| *at).collect(), WINDOW);
+    let begun = came.iter().map(|(id, at)| (asked[id], *at));
+    let within = within(&begun.collect::<Vec<_>>());
+    let most = most(LIMIT);
+    assert!(
+        within as f64 <= most,
+        "seed {seed}: {within} requests in a window"
+    );
+    let held_up = PRESSING as f64;
+    assert!(
+        arrivals as f64 <= most + held_up,
+        "seed {seed}: {arrivals} came in a window"
+    );
 }
 
 /// What must hold, whatever happened.
