--- a/src/cli.rs
+++ b/src/cli.rs
@@ -4,8 +4,9 @@
 use crate::command::config::Apply;
 use crate::command::program::Action;
 use crate::command::{self, Exit};
+use crate::explain::Field;
 use crate::id::{Call, Class, Offset, Program, Tokens};
-use crate::{explain, standin, trial};
+use crate::{standin, trial};
 use clap::{Args, CommandFactory, Parser, Subcommand, ValueEnum};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -134,28 +135,14 @@
     /// Only the lines of this program, over all VMs.
     #[arg(long)]
     program: Option<String>,
-    /// Requests by this field, the worst first, in place of slices of time.
-    #[arg(long, value_enum, conflicts_with_all = ["id", "program"])]
+    /// Requests by team, route, kind, service or program, the worst first, in place of slices of time.
+    #[arg(long, value_name = "FIELD", conflicts_with_all = ["id", "program"])]
     by: Option<Field>,
     /// Print JSON.
     #[arg(long)]
     json: bool,
 }
 
-#[derive(Debug, Clone, Copy, ValueEnum)]
-enum Field {
-    /// The team whose key they bore.
-    Team,
-    /// Their route.
-    Route,
-    /// The kind of their route.
-    Kind,
-    /// The service that they went to.
-    Service,
-    /// Their program.
-    Program,
-}
-
 #[derive(Debug, Args)]
 struct Trial {
     /// The seed of the mix of programs.
@@ -413,18 +400,6 @@
     }
 }
 
-impl From<Field> for explain::Field {
-    fn from(of: Field) -> Self {
-        match of {
-            Field::Team => Self::Team,
-            Field::Route => Self::Route,
-            Field::Kind => Self::Kind,
-            Field::Service => Self::Service,
-            Field::Program => Self::Program,
-        }
-    }
-}
-
 impl From<Plant> for trial::Plant {
     fn from(plant: Plant) -> Self {
         match plant {
@@ -497,7 +472,7 @@
             slice: of.slice,
             id: of.id,
             program: of.program,
-            by: of.by.map(Into::into),
+            by: of.by,
             json: of.json,
         }
     }
--- a/src/explain/group.rs
+++ b/src/explain/group.rs
@@ -4,6 +4,8 @@
 use serde::Serialize;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+use std::str::FromStr;
 
 /// Groups that are kept: the programs of a minute of 300 VMs.
 const GROUPS: usize = 100_000;
@@ -17,6 +19,12 @@
 ];
 
 /// By what requests are told apart.
+///
+/// ```
+/// use vanillatrail::explain::Field;
+/// assert_eq!("team".parse(), Ok(Field::Team));
+/// assert!("colour".parse::<Field>().is_err());
+/// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Field {
     /// The team whose key they bore.
@@ -32,6 +40,14 @@
 }
 
 impl Field {
+    const ALL: [Self; 5] = [
+        Self::Team,
+        Self::Route,
+        Self::Kind,
+        Self::Service,
+        Self::Program,
+    ];
+
     const fn key(self) -> &'static str {
         match self {
             Self::Team => "team",
@@ -43,6 +59,22 @@
     }
 }
 
+impl fmt::Display for Field {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.key())
+    }
+}
+
+impl FromStr for Field {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut all = Self::ALL.into_iter();
+        let field = all.find(|field| field.key() == text);
+        field.ok_or_else(|| format!("requests are not told apart by `{text}`"))
+    }
+}
+
 /// What became of the requests of one group.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
 pub struct Group {
