Give nothing without a record where others have the store

Cause: right after a cut a counter that the store has shut out reaches most VMs again, and gives an allowance from copies before it learns that another VM counts the partition. Its copies went to VMs of its own group, which had lost the store too. Ruled out: asking only the four that keep copies (silent ones come last, so they are of the same group). Change: the sample of VMs that tells whether most answer also tells when the store last answered one of them. Where that is after the partition's records began to fail here, the turn is refused with a time to come back.

--- a/src/gateway/census.rs
+++ b/src/gateway/census.rs
@@ -1,10 +1,11 @@
 //! Which VMs there were lately, and whether this one reaches most of them.
 
-use crate::gateway::peers::Question;
+use crate::gateway::peers::{Question, Reply};
+use crate::gateway::tokens::part::Part;
 use crate::gateway::{Gateway, peers};
 use crate::id::Vm;
 use crate::member::View;
-use crate::policy::outage::{Reach, SAMPLE};
+use crate::policy::outage::{Reach, SAMPLE, still_heard};
 use crate::telemetry::event;
 use futures::future::join_all;
 use rand::seq::IteratorRandom;
@@ -27,7 +28,16 @@
 #[derive(Debug, Default)]
 pub(crate) struct Census {
     seen: RefCell<HashMap<Vm, (SocketAddr, Instant)>>,
-    newest: Mutex<Option<(Instant, Reach)>>,
+    newest: Mutex<Option<Answers>>,
+}
+
+/// What a sample of VMs answered.
+#[derive(Debug, Clone, Copy)]
+struct Answers {
+    at: Instant,
+    reach: Reach,
+    /// When the newest call began that the store answered one of them; none where it answered nobody.
+    store_heard: Option<Instant>,
 }
 
 impl Census {
@@ -74,23 +84,48 @@
 
     /// How many of the VMs that there were lately answer this one.
     pub(crate) async fn reach(&self) -> Reach {
+        self.answers().await.reach
+    }
+
+    /// Whether the store has answered one of the others since it last failed to take records of a partition.
+    ///
+    /// After a cut a VM may reach most others before it learns that the store has shut it out: another VM counts
+    /// the partition by then, and a program would get the same tokens from both.
+    pub(crate) async fn others_have_store(&self, part: &Part) -> bool {
+        let Some(failing) = part.failing.get() else {
+            return false;
+        };
+        let heard = self.answers().await.store_heard;
+        still_heard(failing.elapsed(), heard.map(|heard| heard.elapsed()))
+    }
+
+    async fn answers(&self) -> Answers {
         // Who asks at the same time waits for one sample.
         let mut newest = self.census.newest.lock().await;
-        if let Some((_, reach)) = newest.filter(|(at, _)| at.elapsed() < FRESH) {
-            return reach;
+        if let Some(answers) = newest.filter(|answers| answers.at.elapsed() < FRESH) {
+            return answers;
         }
         let sample = self.census.sample(self.address());
         let asks = sample.iter().map(|peer| async move {
             let reply = timeout(ANSWER, self.peers.ask(*peer, &Question::Heard)).await;
-            matches!(reply, Ok(Some(_)))
+            reply.ok().flatten()
         });
-        let answers = join_all(asks).await;
+        let replies: Vec<Reply> = join_all(asks).await.into_iter().flatten().collect();
         let reach = Reach {
-            answered: answers.iter().filter(|answered| **answered).count(),
+            answered: replies.len(),
             asked: sample.len(),
             known: self.census.known(),
         };
-        let before = newest.map(|(_, reach)| reach.is_most());
+        let heard = replies.iter().filter_map(|reply| match reply {
+            Reply::Heard { ago_ms } => ago_ms.map(Duration::from_millis),
+            _ => None,
+        });
+        let answers = Answers {
+            at: Instant::now(),
+            reach,
+            store_heard: heard.min().and_then(|ago| Instant::now().checked_sub(ago)),
+        };
+        let before = newest.map(|answers| answers.reach.is_most());
         if before != Some(reach.is_most()) {
             event!(
                 info,
@@ -101,7 +136,7 @@
                 most = reach.is_most()
             );
         }
-        *newest = Some((Instant::now(), reach));
-        reach
+        *newest = Some(answers);
+        answers
     }
 }
--- a/src/gateway/tokens/counter.rs
+++ b/src/gateway/tokens/counter.rs
@@ -257,7 +257,7 @@
                 written.await;
             }
         };
-        let patience = if part.failing.get() || self.keeper.is_away() {
+        let patience = if part.failing.get().is_some() || self.keeper.is_away() {
             Duration::ZERO
         } else {
             PATIENCE
@@ -275,7 +275,11 @@
                 recorded
             }
             Err(_) if self.keeper.detour(number, part, &copy).await => true,
-            Err(_) if !part.ledger.borrow().bears(program, turn) || !self.reaches_most().await => {
+            Err(_)
+                if !part.ledger.borrow().bears(program, turn)
+                    || !self.reaches_most().await
+                    || self.others_have_store(part).await =>
+            {
                 event!(
                     info,
                     "allowance_unrecorded",
--- a/src/gateway/tokens/keeper.rs
+++ b/src/gateway/tokens/keeper.rs
@@ -208,7 +208,7 @@
                 Ok(()) => {
                     self.heard(true);
                     part.confirmed.set(Some(began));
-                    if part.failing.replace(false) {
+                    if part.failing.take().is_some() {
                         event!(info, "records_flow", part = number);
                     }
                     next(hold.sequence + 1);
@@ -232,7 +232,8 @@
                 }
                 // The same sequence number again: if it was done, the store says so.
                 Err(fault) => {
-                    if !part.failing.replace(true) {
+                    if part.failing.get().is_none() {
+                        part.failing.set(Some(Instant::now()));
                         event!(warn, "records_stuck", part = number, reason = fault);
                     }
                     sleep(pause).await;
--- a/src/gateway/tokens/part.rs
+++ b/src/gateway/tokens/part.rs
@@ -39,8 +39,8 @@
     pub(crate) shut_out: Cell<Option<Instant>>,
     /// For how long the oldest VM had run that was asked for copies, in milliseconds.
     pub(crate) oldest_ms: Cell<u64>,
-    /// Whether the store did not take the newest record.
-    pub(crate) failing: Cell<bool>,
+    /// Since when the store has not taken the newest record; none where it has.
+    pub(crate) failing: Cell<Option<Instant>>,
     /// Programs whose allowance was recorded in another partition.
     pub(crate) detours: RefCell<HashSet<(u64, String)>>,
     /// Whether it is being handed over to another VM.
--- a/tests/budget.rs
+++ b/tests/budget.rs
@@ -2,8 +2,8 @@
 
 mod platform;
 
-use platform::program::{EVENT, engine, site, turn};
-use platform::{Vm, until};
+use platform::program::{EVENT, acquainted, engine, site, turn};
+use platform::{Store, Vm, until};
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -138,6 +138,46 @@
     });
 }
 
+/// Guards against tokens given twice right after a cut, by a VM that does not know yet that others have the store.
+#[test]
+fn a_vm_gives_nothing_without_a_record_once_it_reaches_those_with_the_store() {
+    let backend = engine(2);
+    let store = Store::start();
+    let door = store.door();
+    store.configure(1, &[("/a/", "stream", serde_json::json!({}))]);
+    store.register("s", "pool", backend.address, "ready");
+    let mut vms: Vec<Vm> = (0..5).map(|_| Vm::start(&door)).collect();
+    acquainted(&vms);
+    let mut handed = turn(&vms[0], "p", 2000, "first").1;
+    vms.extend((0..6).map(|_| Vm::start(&store)));
+    acquainted(&vms);
+    let (cut_off, others) = vms.split_at(5);
+    let counts = |vm: &&Vm| vm.state()["counted"]["programs"].as_u64().unwrap_or(0) > 0;
+    let counter = cut_off.iter().find(counts).expect("a VM counts");
+    // Long enough for each VM to have noted all others.
+    std::thread::sleep(Duration::from_secs(1));
+    for vm in others {
+        vm.signal("-STOP");
+    }
+    door.set_down(true);
+    let since = Instant::now();
+    let mut made = 0;
+    let mut turns_until = |seconds: f64| {
+        while since.elapsed().as_secs_f64() < seconds {
+            made += 1;
+            handed += turn(counter, "p", 2000, &format!("a{made}")).1;
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    };
+    turns_until(4.0);
+    for vm in others {
+        vm.signal("-CONT");
+    }
+    turns_until(5.5);
+    let copied = counter.lines("event=allowance_copied");
+    assert!(copied.is_empty(), "{handed} tokens: {copied:?}");
+}
+
 /// A VM stops as planned and hands its programs over whole: nothing of the budget is lost, so that a
 /// program of exactly as many turns as its budget holds is not refused.
 #[test]
