Pass the directory and introductions on from VM to VM

Cause: each VM read all registrations of servers, all introductions and each configuration at the store. With 985 VMs before 9,998 servers these are gigabytes within a second; answers were given up after 0.9 s and asked for again, so that no VM had a directory and no request was served. Ruled out: lack of processor time or memory (0.009 of a core, 7 MB); longer timeouts alone, since the bytes grow with VMs times servers. Change: one VM reads the registrations, one VM of each zone asks that one, the others ask the VM of their zone; changes are known by their offset at the store, digests find what differs, whole copies go from VM to VM. Introductions stand in cells, one VM of a cell reads all. A configuration is read without waiting and passed on. Lines about single servers are bounded.

--- a/src/gateway/front/housekeeping.rs
+++ b/src/gateway/front/housekeeping.rs
@@ -28,6 +28,8 @@
             (Arc::clone(&world.directory), world.table.clone())
         };
         gateway.desk.configure(&directory, table.as_deref());
+        // Who changes it next need not copy it.
+        drop(directory);
         if world.changed().await.is_err() {
             return;
         }
@@ -48,7 +50,7 @@
         gateway.expire_leases();
         // Whether a VM has the store is not told to all: when it refuses everybody, each of 300 VMs would
         // have news for all others at once, and their views differ for 5 s.
-        let (ready, held) = (gateway.is_ready(), gateway.keeper.claims());
+        let (ready, held) = (gateway.takes_part(), gateway.keeper.claims());
         let applied = gateway.applied();
         beats.send_if_modified(|beat| {
             let changed = (beat.ready, beat.applied) != (ready, applied) || beat.held != held;
--- a/src/gateway/front/mod.rs
+++ b/src/gateway/front/mod.rs
@@ -20,9 +20,11 @@
 use crate::gateway::tokens::handover::Reason;
 use crate::gateway::tokens::keeper;
 use crate::gateway::tokens::keeper::Keeper;
+use crate::gateway::world::contact::Contacts;
+use crate::gateway::world::copy::Copier;
 use crate::gateway::world::sources::Sources;
 use crate::gateway::world::state::World;
-use crate::gateway::world::{contact, feed, snapshot};
+use crate::gateway::world::{feed, snapshot, sources};
 use crate::gateway::{Gateway, conversation, peers};
 use crate::id::{Boot, Offset};
 use crate::member::{self, Beat, Introduction, List, View};
@@ -65,15 +67,25 @@
     let (worlds, world) = watch::channel(World::empty());
     let mut supervisor = Supervisor::new(CancellationToken::new());
     let (views, view) = watch::channel(Arc::new(View::default()));
+    let (introducing, introduced) = watch::channel(false);
     let sources = Sources {
+        vm: settings.vm.clone(),
         store: settings.store.address,
         port: settings.listen.operators.port(),
         seeds: settings.seeds.clone(),
         zone: settings.zone.clone(),
         view: view.clone(),
         bounds: settings.bounds,
+        introduced,
     };
-    supervisor.duty("feed", move || feed::run(sources.clone(), worlds.clone()));
+    let (relay, key) = (
+        bound(sources::address(settings.listen.peers))?,
+        settings.peer_key.clone(),
+    );
+    supervisor.duty("feed", move || {
+        let socket = relay.try_clone().expect("the system gives a handle");
+        feed::run(sources.clone(), socket, key.clone(), worlds.clone())
+    });
     let beats = Arc::new(watch::channel(first_beat(&settings)).0);
     let (introduced, introduction) = watch::channel(None);
     let contacts = member(&mut supervisor, &settings, views, introduced, &beats)?;
@@ -87,6 +99,7 @@
         beats,
         contacts,
         introduction,
+        introducing,
     };
     LocalSet::new().block_on(&runtime, serve(path, settings, outside))
 }
@@ -99,6 +112,15 @@
     beats: Arc<watch::Sender<Beat>>,
     contacts: flume::Sender<List>,
     introduction: watch::Receiver<Option<Introduction>>,
+    introducing: watch::Sender<bool>,
+}
+
+/// A socket for datagrams.
+fn bound(address: SocketAddr) -> Result<std::net::UdpSocket, Failure> {
+    let unbound = |error| Failure::refused(Code::BadSettings, format!("{address}: {error}"));
+    let socket = std::net::UdpSocket::bind(address).map_err(unbound)?;
+    socket.set_nonblocking(true).map_err(unbound)?;
+    Ok(socket)
 }
 
 fn first_beat(settings: &settings::Gateway) -> Beat {
@@ -123,9 +145,7 @@
     beats: &Arc<watch::Sender<Beat>>,
 ) -> Result<flume::Sender<List>, Failure> {
     let address = settings.listen.peers;
-    let unbound = |error| Failure::refused(Code::BadSettings, format!("{address}: {error}"));
-    let socket = std::net::UdpSocket::bind(address).map_err(unbound)?;
-    socket.set_nonblocking(true).map_err(unbound)?;
+    let socket = bound(address)?;
     let (contacts, listed) = flume::bounded(CONTACTS);
     // Nobody tells of leaving servers here: the directory does. The ring stays open all the same,
     // since a closed one is ready to be read all the time.
@@ -181,6 +201,8 @@
         leases: Leases::default(),
         metrics: Metrics::new(),
         sampler: Sampler::new(),
+        contacts: Rc::new(Contacts::new(&settings)),
+        copier: Copier::default(),
         path: path.to_owned(),
         stop_ms: Cell::new(settings.stop_ms),
         stopping: Cell::new(false),
@@ -206,11 +228,13 @@
     spawn_local(peers::receive(Rc::clone(&gateway)));
     spawn_local(keeper::keep_house(Rc::clone(&gateway)));
     spawn_local(conversation::keep_house(Rc::clone(&gateway)));
-    spawn_local(contact::run(
-        gateway.settings.store.address,
-        outside.introduction,
-        outside.contacts,
-    ));
+    let contacts = Rc::clone(&gateway.contacts);
+    spawn_local(async move {
+        let (introduction, others) = (outside.introduction, outside.contacts);
+        contacts
+            .run(introduction, others, outside.introducing)
+            .await;
+    });
     let accepting = spawn_local(accept::accept(Rc::clone(&gateway), callers, stop.clone()));
     let (mut terminate, mut hangup) = (
         signal(SignalKind::terminate()).map_err(internal)?,
@@ -296,16 +320,15 @@
 
     /// Whether the store answers this VM.
     pub(crate) fn has_store(&self) -> bool {
-        let world = self.world.borrow();
-        let heard = world.heard.max(world.read);
+        let heard = self.world.borrow().heard;
         heard.is_some_and(|heard| heard.elapsed() < UNHEARD) && self.keeper.has_store()
     }
 
     /// How many milliseconds ago the newest call began that the store answered, unless it refuses the
     /// records of this VM.
     pub(crate) fn store_heard_ms(&self) -> Option<u64> {
-        let read = self.world.borrow().read?;
-        let ago_ms = u64::try_from(read.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let heard = self.world.borrow().heard?;
+        let ago_ms = u64::try_from(heard.elapsed().as_millis()).unwrap_or(u64::MAX);
         self.keeper.has_store().then_some(ago_ms)
     }
 
@@ -315,6 +338,11 @@
         Offset(world.table.as_ref().map_or(0, |table| table.version))
     }
 
+    /// Whether this VM counts and queues for others: unlike routing, that needs no directory.
+    fn takes_part(&self) -> bool {
+        !self.stopping.get() && self.world.borrow().table.is_some()
+    }
+
     /// Whether the balancer should send callers here.
     fn is_ready(&self) -> bool {
         !self.stopping.get() && self.world.borrow().is_complete()
--- a/src/gateway/front/operators.rs
+++ b/src/gateway/front/operators.rs
@@ -2,13 +2,12 @@
 
 use crate::gateway::front::listen;
 use crate::gateway::request::body::Body;
-use crate::gateway::world::snapshot;
-use crate::gateway::world::snapshot::Snapshot;
 use crate::gateway::world::team::Teams;
+use crate::gateway::world::{contact, copy};
 use crate::gateway::{Gateway, conversation};
 use crate::telemetry;
 use bytes::Bytes;
-use http::{Response, StatusCode};
+use http::{Response, StatusCode, Uri};
 use serde_json::{Value, json};
 use std::rc::Rc;
 use tokio::net::TcpListener;
@@ -19,28 +18,39 @@
         if request.uri().path() == conversation::PATH {
             return conversation::serve(Rc::clone(&gateway), request).await;
         }
-        gateway.operator(request.uri().path())
+        if request.uri().path() == contact::PATH {
+            return answer(gateway.contacts.encoded().await.unwrap_or_default());
+        }
+        gateway.operator(request.uri())
     })
     .await;
 }
 
+fn answer(bytes: Bytes) -> Response<Body> {
+    let known = !bytes.is_empty();
+    let mut response = Response::new(Body::whole(bytes));
+    if !known {
+        *response.status_mut() = StatusCode::NOT_FOUND;
+    }
+    response
+}
+
 impl Gateway {
-    fn operator(&self, path: &str) -> Response<Body> {
-        let bytes = match path {
+    fn operator(&self, uri: &Uri) -> Response<Body> {
+        let bytes = match uri.path() {
             "/metrics" => Bytes::from(self.metrics.text()),
             "/state" => Bytes::from(self.state().to_string()),
-            snapshot::PATH => {
-                let snapshot = Snapshot::of(&self.world.borrow());
-                snapshot.map_or_else(Bytes::new, |snapshot| Bytes::from(snapshot.encode()))
+            copy::DIRECTORY_PATH => {
+                let copy = self.copier.directory(&self.world.borrow(), uri.query());
+                copy.unwrap_or_default()
+            }
+            copy::CONFIG_PATH => {
+                let copy = self.copier.config(&self.world.borrow());
+                copy.unwrap_or_default()
             }
             _ => Bytes::new(),
         };
-        let known = !bytes.is_empty();
-        let mut response = Response::new(Body::whole(bytes));
-        if !known {
-            *response.status_mut() = StatusCode::NOT_FOUND;
-        }
-        response
+        answer(bytes)
     }
 
     /// The state of the process, for a person.
@@ -63,6 +73,10 @@
             "stopping": self.stopping.get(),
             "config": world.table.as_ref().map(|table| table.version),
             "routes": world.table.as_ref().map(|table| table.len()),
+            "directory": json!({
+                "as_of": world.as_of,
+                "age_ms": world.aged.map(|at| at.elapsed().as_millis()),
+            }),
             "store_heard_ms": world.heard.map(|heard| heard.elapsed().as_millis()),
             "servers": servers.collect::<Vec<_>>(),
             "services": self.desk.state(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -28,7 +28,7 @@
 mod world;
 
 pub(crate) use front::run;
-pub use world::{directory, table, team};
+pub use world::{changes, directory, table, team};
 
 use crate::member::View;
 use crate::settings;
@@ -48,6 +48,8 @@
 use std::time::Duration;
 use tokens::keeper::Keeper;
 use tokio::sync::watch;
+use world::contact::Contacts;
+use world::copy::Copier;
 use world::state::World;
 
 /// How long the store may be silent before a VM no longer trusts that its configuration is the
@@ -74,6 +76,8 @@
     leases: Leases,
     metrics: Metrics,
     sampler: Sampler,
+    contacts: Rc<Contacts>,
+    copier: Copier,
     stopping: Cell<bool>,
 }
 
--- a/src/gateway/queue/lease.rs
+++ b/src/gateway/queue/lease.rs
@@ -153,6 +153,10 @@
             // The answer before was lost.
             return Reply::Placed(server);
         }
+        if !self.world.borrow().is_complete() {
+            // It has just started: the VM that comes next knows the servers.
+            return Reply::NotOwner;
+        }
         let limit = Duration::from_millis(ask.limit_ms);
         let until = Instant::now() + limit + OVERDUE;
         let (cancel, cancelled) = oneshot::channel();
--- a/src/gateway/world/copies.rs
+++ b/src/gateway/world/copies.rs
@@ -1,49 +1,184 @@
 //! Reads copies of the configuration and the directory from other VMs.
 
+use crate::gateway::world::copy::{CONFIG_PATH, Config, DIRECTORY_PATH, Directory, LEAST};
+use crate::gateway::world::relay::Relay;
 use crate::gateway::world::snapshot;
 use crate::gateway::world::sources::Sources;
-use crate::gateway::world::state::World;
+use crate::gateway::world::state::{World, copied};
 use crate::platform::store::Store;
+use crate::telemetry::event;
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, timeout};
 
 /// Time between two looks at whether copies are needed, by a VM that can't route yet and by one that can.
-const COPIES_PERIOD: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(1));
-/// How much longer than a read waits the store may be silent before copies of the configuration are read.
-const SILENT: Duration = Duration::from_millis(500);
-
-/// Reads copies while the originals can't be read: anything where nothing is known yet, and later a
-/// configuration that others have applied and this VM has not.
-///
-/// Members tell each other the newest version that anybody has, so that nobody asks for what is not there. When
-/// 300 VMs without the store asked three others each four times a second, they sent each other 0.4 GB in 2 s.
-pub(super) async fn follow(sources: &Sources, worlds: &watch::Sender<World>) {
-    let store = Store::new(sources.store);
-    let mut period = COPIES_PERIOD.0;
+const PERIOD: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(1));
+/// The pause where nobody that was asked gave a copy, at first and after many tries.
+const AGAIN: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
+/// Tries after which the longer pause is made.
+const MANY: u32 = 15;
+/// The part of the tries in which the VM that told of something new is asked first: it has it, and so may all others
+/// of its zone soon.
+const AT_SOURCE: f64 = 0.25;
+/// VMs that are asked, one after the other, before that pause.
+const ASKED: usize = 3;
+/// How long another VM may take to give a copy: a megabyte takes 0.3 s over the smallest links.
+const ANSWER: Duration = Duration::from_secs(3);
+/// How long a connection to it may take.
+const CONNECT: Duration = Duration::from_millis(300);
+/// How long a VM that starts waits for the originals before it looks for a copy in other partitions of the store.
+const SILENT: Duration = Duration::from_millis(600);
+/// At which tries it looks there.
+const EACH: u32 = 5;
+/// How long a VM that starts, and has the store, waits for another one to have the directory.
+const STARTING: Duration = Duration::from_secs(3);
+
+/// Reads copies where they are needed: while nothing is known yet, where changes of the directory were missed, and
+/// where another VM has a newer configuration.
+pub(super) async fn follow(sources: &Sources, relay: &Relay, worlds: &watch::Sender<World>) {
+    let copies = Copies::new(sources, relay, worlds);
     loop {
-        sleep(period).await;
-        let (complete, behind) = {
-            let world = worlds.borrow();
-            let silent = sources.config_wait() + SILENT;
-            let silent = world.heard.is_none_or(|heard| heard.elapsed() > silent);
-            (world.is_complete(), silent && sources.is_behind(&world))
-        };
-        period = if complete {
-            COPIES_PERIOD.1
-        } else {
-            COPIES_PERIOD.0
+        let complete = worlds.borrow().is_complete();
+        let period = if complete { PERIOD.1 } else { PERIOD.0 };
+        // Whether it was told or not, what is needed is looked at below.
+        let _ = timeout(period, relay.wanted.notified()).await;
+        let mut tries = 0;
+        while copies.are_needed() {
+            if !copies.fetch().await {
+                tries += 1;
+                copies.look_at_store(tries).await;
+                sleep(if tries < MANY { AGAIN.0 } else { AGAIN.1 }).await;
+            }
+        }
+    }
+}
+
+struct Copies<'a> {
+    sources: &'a Sources,
+    relay: &'a Relay,
+    worlds: &'a watch::Sender<World>,
+    client: reqwest::Client,
+    store: Store,
+    began: Instant,
+}
+
+impl<'a> Copies<'a> {
+    fn new(sources: &'a Sources, relay: &'a Relay, worlds: &'a watch::Sender<World>) -> Self {
+        let client = reqwest::Client::builder()
+            .timeout(ANSWER)
+            .connect_timeout(CONNECT)
+            .pool_max_idle_per_host(0)
+            .no_proxy()
+            .build();
+        Self {
+            sources,
+            relay,
+            worlds,
+            client: client.expect("a client without TLS can be built"),
+            store: Store::new(sources.store),
+            began: Instant::now(),
+        }
+    }
+
+    fn needs_directory(&self) -> bool {
+        let listed = self.worlds.borrow().listed;
+        let alone = !self.relay.has_store.get() || self.began.elapsed() > STARTING;
+        self.relay.wants_copy.get().is_some() || !listed && alone
+    }
+
+    fn needs_config(&self) -> bool {
+        let world = self.worlds.borrow();
+        let known = world.table.as_ref().map_or(0, |table| table.version);
+        let told = self.relay.told_config.get().map_or(0, |(told, _)| told);
+        told > known || self.sources.is_behind(&world) || known == 0 && !self.relay.has_store.get()
+    }
+
+    fn are_needed(&self) -> bool {
+        self.needs_directory() || self.needs_config()
+    }
+
+    /// Asks some VMs at random, near ones first; tells whether one gave what is needed.
+    async fn fetch(&self) -> bool {
+        let source = self.relay.source().filter(|_| rand::random_bool(AT_SOURCE));
+        let source = source.map(|source| SocketAddr::new(source.ip(), self.sources.port));
+        let others = self.sources.addresses();
+        for address in source.into_iter().chain(others).take(ASKED) {
+            let mut given = false;
+            if self.needs_config()
+                && let Some(copy) = self.get::<Config>(address, CONFIG_PATH).await
+            {
+                self.worlds.send_if_modified(|world| {
+                    let changed = world.learn(&copy.raw, "peer");
+                    world.config_next = world.config_next.max(Some(copy.next));
+                    changed
+                });
+                given = !self.needs_config();
+            }
+            if self.needs_directory() {
+                let least = self.relay.wants_copy.get().unwrap_or_default();
+                let path = format!("{DIRECTORY_PATH}?{LEAST}={least}");
+                if let Some(copy) = self.get::<Directory>(address, &path).await {
+                    given |= self.take(&copy, address);
+                }
+            }
+            if given {
+                return true;
+            }
+        }
+        false
+    }
+
+    async fn get<T: DeserializeOwned>(&self, address: SocketAddr, path: &str) -> Option<T> {
+        let call = self.client.get(format!("http://{address}{path}"));
+        let reply = call.send().await.ok()?.error_for_status().ok()?;
+        let bytes = reply.bytes().await.ok()?;
+        match rmp_serde::from_slice(&bytes) {
+            Ok(copy) => Some(copy),
+            Err(error) => {
+                event!(warn, "copy_refused", from = address, reason = error);
+                None
+            }
+        }
+    }
+
+    fn take(&self, copy: &Directory, from: SocketAddr) -> bool {
+        let Some(entries) = copy.entries() else {
+            event!(warn, "copy_refused", from = from, reason = "no entries");
+            return false;
         };
-        if complete && !behind {
-            continue;
+        let servers = entries.len();
+        let taken = self
+            .relay
+            .take_copy(copy.as_of, |world| copied(world, entries));
+        if taken {
+            event!(
+                info,
+                "directory_copied",
+                servers = servers,
+                from = from,
+                as_of = copy.as_of,
+                age_ms = copy.age_ms
+            );
+            let age = Duration::from_millis(copy.age_ms);
+            if let Some(at) = Instant::now().checked_sub(age) {
+                self.relay.aged(at);
+            }
         }
-        let members = sources.addresses();
-        let (mut snapshot, mut from) = (snapshot::from_peers(&members).await, "peer");
-        if snapshot.is_none() && !complete {
-            (snapshot, from) = (snapshot::from_store(&store).await, "copy");
+        taken
+    }
+
+    /// After the loss of all VMs in an outage of some partitions, others may hold a copy.
+    async fn look_at_store(&self, tries: u32) {
+        let complete = self.worlds.borrow().is_complete();
+        if complete || self.began.elapsed() < SILENT || tries < MANY && !tries.is_multiple_of(EACH)
+        {
+            return;
         }
-        if let Some(snapshot) = snapshot {
-            worlds.send_if_modified(|world| world.learn_copy(snapshot, from));
+        if let Some(snapshot) = snapshot::from_store(&self.store).await {
+            self.worlds
+                .send_if_modified(|world| world.learn_snapshot(snapshot));
         }
     }
 }
--- a/src/gateway/world/directory.rs
+++ b/src/gateway/world/directory.rs
@@ -1,11 +1,11 @@
 //! The backend servers that have registered themselves.
 
-use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
+use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 /// The identity of one run of a backend server: its name and the time of its start.
 ///
@@ -14,7 +14,8 @@
 pub type Id = Arc<str>;
 
 /// A backend server as it describes itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(from = "Registration", into = "Registration")]
 pub struct Entry {
     /// The identity of this run.
     pub id: Id,
@@ -32,19 +33,64 @@
     pub slots: usize,
     /// Whether it is about to leave and must get nothing new.
     pub draining: bool,
-    /// How much longer it is slow after its start.
-    pub cold: Duration,
+}
+
+/// An [`Entry`] as VMs pass it on: without the identity, which follows from the rest.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Registration(Arc<str>, u64, String, SocketAddr, String, usize, bool);
+
+impl From<Registration> for Entry {
+    fn from(registration: Registration) -> Self {
+        let Registration(name, born_ms, service, address, zone, slots, draining) = registration;
+        Self {
+            id: identity(&name, born_ms),
+            name,
+            born_ms,
+            service,
+            address,
+            zone,
+            slots,
+            draining,
+        }
+    }
+}
+
+impl From<Entry> for Registration {
+    fn from(entry: Entry) -> Self {
+        Self(
+            entry.name,
+            entry.born_ms,
+            entry.service,
+            entry.address,
+            entry.zone,
+            entry.slots,
+            entry.draining,
+        )
+    }
 }
 
 /// What a record of the directory says.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
     /// The server is as described.
-    Set(Entry),
+    #[serde(rename = "s")]
+    Set(Arc<Entry>),
     /// The server of this name is gone.
+    #[serde(rename = "r")]
     Removed(Arc<str>),
 }
 
+impl Change {
+    /// The name of the server.
+    #[must_use]
+    pub fn name(&self) -> &Arc<str> {
+        match self {
+            Self::Set(entry) => &entry.name,
+            Self::Removed(name) => name,
+        }
+    }
+}
+
 /// The identity of the run of a server that began then.
 ///
 /// ```
@@ -58,14 +104,20 @@
     format!("{name}@{born_ms}").into()
 }
 
+fn digest(entry: &Entry) -> u64 {
+    let mut hasher = Xxh3::new();
+    entry.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// All registered backend servers.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Directory {
     entries: HashMap<Id, Arc<Entry>>,
     /// The newest run of each server, by name.
     runs: HashMap<Arc<str>, Id>,
-    /// Their records as they wrote them.
-    records: HashMap<Id, Bytes>,
+    /// Of all entries, in no order.
+    digest: u64,
     /// Records that could not be read, by name, as a hash: each is told once.
     refused: HashMap<String, u64>,
 }
@@ -74,54 +126,45 @@
 const REFUSED: usize = 1000;
 
 impl Directory {
-    /// Takes in a record; tells whether anything but the time of the record changed.
-    pub fn apply(&mut self, change: Change) -> bool {
+    /// Whether a change would change anything.
+    #[must_use]
+    pub fn differs(&self, change: &Change) -> bool {
         match change {
-            Change::Removed(name) => {
-                let Some(id) = self.runs.remove(&name) else {
-                    return false;
-                };
-                self.records.remove(&id);
-                self.entries.remove(&id).is_some()
-            }
-            Change::Set(entry) => {
-                if let Some(known) = self.named(&entry.name)
-                    && known.born_ms > entry.born_ms
-                {
-                    // A late record of the run before.
-                    return false;
-                }
-                let same = self
-                    .entries
-                    .get(&entry.id)
-                    .is_some_and(|known| **known == entry);
-                if same {
-                    return false;
-                }
-                let before = self
-                    .runs
-                    .insert(Arc::clone(&entry.name), Arc::clone(&entry.id));
-                if let Some(before) = before.filter(|before| *before != entry.id) {
-                    self.records.remove(&before);
-                    self.entries.remove(&before);
-                }
-                self.entries.insert(Arc::clone(&entry.id), Arc::new(entry));
-                true
-            }
+            Change::Removed(name) => self.runs.contains_key(name),
+            // A late record of the run before changes nothing.
+            Change::Set(entry) => self
+                .named(&entry.name)
+                .is_none_or(|known| known.born_ms <= entry.born_ms && known != entry),
         }
     }
 
-    /// Keeps the record of a server as it wrote it.
-    pub fn keep(&mut self, name: &str, record: Bytes) {
-        if let Some(id) = self.runs.get(name) {
-            self.records.insert(Id::clone(id), record);
+    /// Takes in a change; tells whether it changed anything.
+    pub fn apply(&mut self, change: Change) -> bool {
+        if !self.differs(&change) {
+            return false;
+        }
+        if let Some(id) = self.runs.remove(change.name()) {
+            self.remove(&id);
         }
+        if let Change::Set(entry) = change {
+            let (name, id) = (Arc::clone(&entry.name), Arc::clone(&entry.id));
+            self.runs.insert(name, Arc::clone(&id));
+            self.digest ^= digest(&entry);
+            self.entries.insert(id, entry);
+        }
+        true
     }
 
-    /// The records of all servers as they wrote them, by name.
-    pub fn records(&self) -> impl Iterator<Item = (&Arc<str>, &Bytes)> {
-        let runs = self.runs.iter();
-        runs.filter_map(|(name, id)| Some((name, self.records.get(id)?)))
+    fn remove(&mut self, id: &Id) {
+        if let Some(entry) = self.entries.remove(id) {
+            self.digest ^= digest(&entry);
+        }
+    }
+
+    /// A digest of all entries: two directories with the same one hold the same servers.
+    #[must_use]
+    pub const fn digest(&self) -> u64 {
+        self.digest
     }
 
     /// Remembers a record that can't be read; tells whether it is a new one.
--- a/src/gateway/world/mod.rs
+++ b/src/gateway/world/mod.rs
@@ -1,9 +1,14 @@
 //! What is followed from the store: the configuration, the backend servers, and the other VMs.
 
+pub mod changes;
 pub(crate) mod contact;
 mod copies;
+pub(crate) mod copy;
 pub mod directory;
 pub(crate) mod feed;
+mod health;
+mod reader;
+mod relay;
 pub(crate) mod snapshot;
 pub(crate) mod sources;
 pub(crate) mod state;
--- a/src/gateway/world/snapshot.rs
+++ b/src/gateway/world/snapshot.rs
@@ -5,6 +5,7 @@
 //! that run. After the loss of all VMs in a partial outage only the first is left.
 
 use crate::gateway::Gateway;
+use crate::gateway::world::directory::Entry;
 use crate::gateway::world::state::World;
 use crate::platform::records::SNAPSHOT_TOPIC;
 use crate::platform::store::{Keyed, Store};
@@ -13,8 +14,8 @@
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -27,36 +28,26 @@
 const LARGEST: usize = 250_000;
 /// The key of the copy.
 const KEY: &str = "newest";
-/// The path at which a VM gives its copy to others.
-pub(crate) const PATH: &str = "/snapshot";
-/// How long another VM may take to answer.
-const PEER_TIMEOUT: Duration = Duration::from_millis(400);
-/// VMs that are asked at a time.
-const PEERS: usize = 3;
+/// Backend servers in a copy at most: beyond that it would not fit.
+const SERVERS: usize = 3000;
 
-/// The configuration and the directory as their writers wrote them.
+/// The configuration and the directory.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct Snapshot {
     /// The configuration, in base64.
     config: String,
-    /// The records of backend servers, by identity.
-    servers: Vec<(String, String)>,
+    /// The backend servers.
+    pub(crate) servers: Vec<Arc<Entry>>,
 }
 
 impl Snapshot {
     /// What a VM knows, if it knows enough to route.
-    pub(crate) fn of(world: &World) -> Option<Self> {
+    fn of(world: &World) -> Option<Self> {
         let raw = world.raw.as_ref().filter(|_| world.listed)?;
-        let mut servers: Vec<_> = world
-            .directory
-            .records()
-            .map(|(id, record)| (id.to_string(), String::from_utf8_lossy(record).into_owned()))
-            .collect();
-        servers.sort_unstable();
         Some(Self {
             config: STANDARD.encode(raw),
-            servers,
+            servers: world.directory.iter().map(Arc::clone).collect(),
         })
     }
 
@@ -64,15 +55,7 @@
         STANDARD.decode(&self.config).ok().map(Bytes::from)
     }
 
-    pub(crate) fn servers(self) -> Vec<Keyed> {
-        let records = self.servers.into_iter().map(|(key, record)| Keyed {
-            key,
-            value: Some(Bytes::from(record)),
-        });
-        records.collect()
-    }
-
-    pub(crate) fn encode(&self) -> Vec<u8> {
+    fn encode(&self) -> Vec<u8> {
         serde_json::to_vec(self).unwrap_or_default()
     }
 }
@@ -92,14 +75,24 @@
             written = None;
             continue;
         }
-        let snapshot = Snapshot::of(&gateway.world.borrow());
-        if snapshot.is_none() || snapshot == written {
-            continue;
-        }
+        let (current, snapshot) = {
+            let world = gateway.world.borrow();
+            let version = world.table.as_ref().map(|table| table.version);
+            let current = Some((version, world.directory.digest()));
+            if current == written {
+                continue;
+            }
+            if world.directory.len() > SERVERS {
+                event!(warn, "snapshot_too_large", servers = world.directory.len());
+                written = current;
+                continue;
+            }
+            (current, Snapshot::of(&world))
+        };
         if let Some(snapshot) = &snapshot {
             write(&store, gateway.settings.store.partitions, snapshot).await;
+            written = current;
         }
-        written = snapshot;
     }
 }
 
@@ -135,25 +128,3 @@
     }
     None
 }
-
-/// The copy of one of the VMs that run.
-pub(crate) async fn from_peers(addresses: &[SocketAddr]) -> Option<Snapshot> {
-    let client = reqwest::Client::builder()
-        .timeout(PEER_TIMEOUT)
-        .no_proxy()
-        .build();
-    let client = client.ok()?;
-    let asks = addresses.iter().take(PEERS).map(|address| {
-        let call = client.get(format!("http://{address}{PATH}"));
-        Box::pin(async move {
-            let reply = call.send().await?.error_for_status()?;
-            reply.json::<Snapshot>().await
-        })
-    });
-    let asks: Vec<_> = asks.collect();
-    if asks.is_empty() {
-        return None;
-    }
-    let (first, _) = futures::future::select_ok(asks).await.ok()?;
-    Some(first)
-}
--- a/src/gateway/world/sources.rs
+++ b/src/gateway/world/sources.rs
@@ -4,23 +4,17 @@
 use crate::id;
 use crate::member::View;
 use crate::policy::copies::{Holder, order};
+use crate::policy::relay;
 use crate::settings;
+use rand::seq::IteratorRandom;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
 
-/// Taken off the time in which a change of the configuration must act, for how long one read waits for
-/// it: a connection that has gone silent shows only after the client's timeout.
-const CONFIG_MARGIN: Duration = Duration::from_millis(1100);
-/// The longest such wait. While the store is silent for 3 s routes that are not known are not refused
-/// for good, and a wait must not look like that.
-const LONGEST_WAIT: Duration = Duration::from_millis(1900);
-/// Reads of the directory in the time after which a server that leaves must get nothing new. Servers renew
-/// their records all the time, so that a read that waits returns at once. One read may be lost, and its
-/// timeout takes half of the shortest such time.
-const DIRECTORY_READS: u32 = 6;
+/// Reads in the time after which a change must act. Two may be lost, and a change passes up to three VMs on its way.
+const READS: u32 = 6;
 /// The longest time between two of them. A VM whose newest read is older than 1.4 s says that it has lost the
 /// store.
 const LONGEST_PERIOD: Duration = Duration::from_secs(1);
@@ -28,6 +22,8 @@
 /// Where the feed finds the originals and their copies.
 #[derive(Debug, Clone)]
 pub(crate) struct Sources {
+    /// This VM.
+    pub(crate) vm: id::Vm,
     /// The store.
     pub(crate) store: SocketAddr,
     /// The port at which VMs give copies.
@@ -40,19 +36,45 @@
     pub(crate) view: watch::Receiver<Arc<View>>,
     /// How soon a change has to act.
     pub(crate) bounds: settings::Bounds,
+    /// Whether the other VMs are known.
+    pub(crate) introduced: watch::Receiver<bool>,
+}
+
+/// The port of the datagrams about the directory: the second after that of membership.
+pub(crate) fn address(member: SocketAddr) -> SocketAddr {
+    SocketAddr::new(member.ip(), member.port() + 2)
 }
 
 impl Sources {
-    /// How long one read waits for a change of the configuration.
-    pub(super) fn config_wait(&self) -> Duration {
-        let bound = Duration::from_millis(self.bounds.config_ms);
-        bound.saturating_sub(CONFIG_MARGIN).min(LONGEST_WAIT)
+    /// Time between two reads of the configuration, and between two questions for the directory.
+    pub(super) fn period(&self) -> Duration {
+        let bound = self.bounds.drain_ms.min(self.bounds.config_ms);
+        (Duration::from_millis(bound) / READS).min(LONGEST_PERIOD)
+    }
+
+    /// Whom this VM asks for changes to the directory.
+    pub(super) fn relays(&self) -> relay::Order {
+        let view = self.view.borrow();
+        let members = view.members.values();
+        let members = members.filter(|member| !member.suspect || member.vm == self.vm);
+        let peers: Vec<relay::Peer> = members
+            .map(|member| relay::Peer {
+                vm: member.vm.clone(),
+                address: address(member.address),
+                zone: member.zone.clone(),
+                cores: member.cores,
+            })
+            .collect();
+        relay::order(&self.vm, &peers)
     }
 
-    /// Time between two reads of the directory.
-    pub(super) fn directory_period(&self) -> Duration {
-        let period = Duration::from_millis(self.bounds.drain_ms) / DIRECTORY_READS;
-        period.min(LONGEST_PERIOD)
+    /// Some other VMs at random, to be asked for changes.
+    pub(super) fn some_relays(&self, count: usize) -> Vec<SocketAddr> {
+        let view = self.view.borrow();
+        let members = view.members.values();
+        let others = members.filter(|member| !member.suspect && member.vm != self.vm);
+        let others = others.map(|member| address(member.address));
+        others.sample(&mut rand::rng(), count)
     }
 
     /// Whether some VM has applied a newer configuration.
--- a/src/gateway/world/state.rs
+++ b/src/gateway/world/state.rs
@@ -4,11 +4,13 @@
 use crate::gateway::world::snapshot::Snapshot;
 use crate::gateway::world::table::Table;
 use crate::gateway::world::team::Teams;
+use crate::id::Offset;
 use crate::platform::records::{server, table, without_keys};
 use crate::platform::store::Keyed;
 use crate::telemetry::event;
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// What the other threads see of the configuration and the directory.
@@ -20,13 +22,18 @@
     pub(crate) directory: Arc<Directory>,
     /// The configuration for VMs that can't read it at the store, without the keys of teams.
     pub(crate) raw: Option<bytes::Bytes>,
-    /// When the store last answered; none before it has.
+    /// When the newest read of the configuration began that the store answered. It does not wait for a change, so
+    /// the store was there at that time.
     pub(crate) heard: Option<Instant>,
     /// Whether the directory has been read.
     pub(crate) listed: bool,
-    /// When the newest read of the directory began that the store answered. It does not wait for a change,
-    /// so the store was there at that time; a read that waits may be answered after the store has gone.
-    pub(crate) read: Option<Instant>,
+    /// What the directory stands for, as an offset of the store.
+    pub(crate) as_of: Offset,
+    /// When the store said what stands in the directory.
+    pub(crate) aged: Option<Instant>,
+    /// Where the records after the configuration begin.
+    pub(crate) config_next: Option<Offset>,
+    lines: Lines,
 }
 
 impl World {
@@ -37,7 +44,10 @@
             raw: None,
             heard: None,
             listed: false,
-            read: None,
+            as_of: Offset(0),
+            aged: None,
+            config_next: None,
+            lines: Lines::default(),
         }
     }
 
@@ -46,22 +56,23 @@
         self.table.is_some() && self.listed
     }
 
-    /// Takes in a copy. The directory of a copy is used only where none was read, since servers
-    /// that have left meanwhile may stand in it; the configuration has a version.
-    pub(crate) fn learn_copy(&mut self, snapshot: Snapshot, from: &str) -> bool {
+    /// Takes in a copy of the store's. Its directory is used only where none was read, since servers that have left
+    /// meanwhile may stand in it; the configuration has a version.
+    pub(crate) fn learn_snapshot(&mut self, snapshot: Snapshot) -> bool {
+        let from = "copy";
         let mut changed = false;
         if let Some(config) = snapshot.config() {
             changed |= self.learn(&config, from);
         }
         if !self.listed {
-            let records = snapshot.servers();
+            let entries = snapshot.servers;
             event!(
                 info,
                 "directory_copied",
-                servers = records.len(),
+                servers = entries.len(),
                 from = from
             );
-            changed |= whole(self, &records, true);
+            changed |= !copied(self, entries).is_empty();
         }
         changed
     }
@@ -104,68 +115,117 @@
     }
 }
 
-/// Takes in the newest record of each server.
-pub(super) fn whole(world: &mut World, records: &[Keyed], lenient: bool) -> bool {
-    let mut directory = (*world.directory).clone();
+/// Takes in the newest record of each server; gives what changed.
+pub(super) fn whole(world: &mut World, records: &[Keyed], lenient: bool) -> Vec<Change> {
     let first = !world.listed;
-    let mut changed = first;
-    for record in records {
-        changed |= apply(&mut directory, record, first);
-    }
-    let present: HashSet<&str> = records
+    let mut changes: Vec<Change> = records
         .iter()
-        .filter(|record| record.value.is_some())
-        .map(|record| record.key.as_str())
+        .filter_map(|record| apply(world, record, first))
         .collect();
-    let missing: Vec<_> = directory
+    let present = records.iter().filter(|record| record.value.is_some());
+    let present: HashSet<&str> = present.map(|record| record.key.as_str()).collect();
+    if !lenient {
+        changes.extend(retain(world, |name| present.contains(name)));
+    }
+    world.listed = true;
+    changes
+}
+
+/// Takes in the directory of another VM; gives what changed.
+pub(super) fn copied(world: &mut World, entries: Vec<Arc<Entry>>) -> Vec<Change> {
+    let first = !world.listed;
+    let present: HashSet<Arc<str>> = entries
         .iter()
-        .filter(|entry| !present.contains(&*entry.name))
-        .map(|entry| Keyed {
-            key: entry.name.to_string(),
-            value: None,
-        })
+        .map(|entry| Arc::clone(&entry.name))
         .collect();
-    if !lenient {
-        for record in &missing {
-            changed |= apply(&mut directory, record, false);
+    let mut changes = Vec::new();
+    for entry in entries {
+        let change = Change::Set(entry);
+        if apply_change(world, &change, first) {
+            changes.push(change);
         }
     }
+    changes.extend(retain(world, |name| present.contains(name)));
     world.listed = true;
-    if changed {
-        world.directory = Arc::new(directory);
+    changes
+}
+
+fn retain(world: &mut World, stays: impl Fn(&str) -> bool) -> Vec<Change> {
+    let entries = world.directory.iter();
+    let missing: Vec<Change> = entries
+        .filter(|entry| !stays(&entry.name))
+        .map(|entry| Change::Removed(Arc::clone(&entry.name)))
+        .collect();
+    for change in &missing {
+        apply_change(world, change, false);
     }
-    changed
+    missing
 }
 
-/// Takes in one record; what it changes is logged unless it is one of the `first`.
-pub(super) fn apply(directory: &mut Directory, record: &Keyed, first: bool) -> bool {
-    let mut refused = false;
+/// Takes in one record; gives what it changes. It is logged unless the record is one of the `first`.
+pub(super) fn apply(world: &mut World, record: &Keyed, first: bool) -> Option<Change> {
     let change = match server(record) {
         Ok(change) => change,
         Err(reason) => {
             // Another writer's, or rubbish: it names no server to use, and the others hold.
             let raw = record.value.as_deref().unwrap_or_default();
-            refused = directory.refuse(&record.key, raw);
-            if refused {
+            if Arc::make_mut(&mut world.directory).refuse(&record.key, raw) {
                 event!(warn, "server_refused", server = record.key, reason = reason);
             }
             Change::Removed(record.key.as_str().into())
         }
     };
-    let before = directory.named(&record.key).cloned();
-    let changed = directory.apply(change);
-    if !changed {
-        return refused;
+    apply_change(world, &change, first).then_some(change)
+}
+
+/// Takes in one change; tells whether it changes anything.
+pub(super) fn apply_change(world: &mut World, change: &Change, first: bool) -> bool {
+    if !world.directory.differs(change) {
+        return false;
     }
-    if let Some(value) = &record.value {
-        directory.keep(&record.key, value.clone());
+    let before = world.directory.named(change.name()).cloned();
+    Arc::make_mut(&mut world.directory).apply(change.clone());
+    if !first && world.lines.take(Instant::now()) {
+        log_change(before, world.directory.named(change.name()));
     }
-    if !first {
-        log_change(before, directory.named(&record.key));
+    true
+}
+
+/// Lines of a second about single servers. A release of thousands of servers is told in part.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Lines {
+    since: Option<Instant>,
+    told: u32,
+    untold: u32,
+}
+
+/// Lines of one second.
+const LINES: u32 = 32;
+
+impl Lines {
+    /// Whether one more line may be written. Those that were left out are counted in one line later.
+    fn take(&mut self, now: Instant) -> bool {
+        if self
+            .since
+            .is_none_or(|since| now.saturating_duration_since(since) >= SECOND)
+        {
+            if self.untold > 0 {
+                event!(info, "server_changes_untold", count = self.untold);
+            }
+            *self = Self {
+                since: Some(now),
+                ..Self::default()
+            };
+        }
+        let fits = self.told < LINES;
+        self.told += u32::from(fits);
+        self.untold += u32::from(!fits);
+        fits
     }
-    changed
 }
 
+const SECOND: Duration = Duration::from_secs(1);
+
 fn log_change(before: Option<Arc<Entry>>, after: Option<&Arc<Entry>>) {
     match (before, after) {
         (Some(before), Some(entry)) if before.id == entry.id => {
--- a/src/member/introduction.rs
+++ b/src/member/introduction.rs
@@ -34,7 +34,7 @@
     }
 
     /// Takes in what other VMs have left. It is passed on to nobody, since everybody reads it, and says
-    /// nothing of members that are known already.
+    /// nothing of members of which the same is known already.
     pub fn introduce(&mut self, now: Instant, introductions: &[Introduction]) -> Vec<Action> {
         let mut actions = Vec::new();
         for Introduction {
@@ -42,7 +42,9 @@
             incarnation,
         } in introductions
         {
-            if self.left || self.roster.records.contains_key(&profile.vm) {
+            let known = self.roster.records.get(&profile.vm);
+            let same = known.is_some_and(|known| known.profile.version >= profile.version);
+            if self.left || same {
                 continue;
             }
             let told = Told {
--- a/src/member/list.rs
+++ b/src/member/list.rs
@@ -4,7 +4,7 @@
 use super::introduction::Introduction;
 use crate::id::Server;
 use crate::telemetry::event;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -15,13 +15,12 @@
 const TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The list as the platform gives it.
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(default)]
 pub(crate) struct List {
     /// Peer addresses of VMs.
     pub(crate) vms: Vec<SocketAddr>,
-    /// What VMs have left of themselves.
-    #[serde(skip)]
+    /// What VMs have left of themselves; none in the platform's list.
     pub(crate) introductions: Vec<Introduction>,
     /// Backend servers that are leaving.
     pub(crate) leaving: Vec<Server>,
--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -12,6 +12,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::num::NonZeroUsize;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// The topic whose record [`CONFIG_KEY`] is the configuration.
@@ -148,11 +149,12 @@
     zone: String,
     slots: NonZeroUsize,
     state: StateBody,
-    cold_left_ms: f64,
     /// The milliseconds since the Unix epoch of the server's start; some versions do not say.
     #[serde(default)]
     born: u64,
     // The rest is not used. An entry without it is not a server's.
+    #[serde(rename = "coldLeftMs")]
+    _cold_left_ms: f64,
     #[serde(rename = "version")]
     _version: String,
     #[serde(rename = "seq")]
@@ -297,7 +299,7 @@
         return Ok(Change::Removed(name));
     };
     let body: ServerBody = serde_json::from_slice(value).map_err(|error| error.to_string())?;
-    Ok(Change::Set(Entry {
+    Ok(Change::Set(Arc::new(Entry {
         id: identity(&record.key, body.born),
         name,
         born_ms: body.born,
@@ -306,6 +308,5 @@
         zone: body.zone,
         slots: body.slots.get(),
         draining: body.state == StateBody::Draining,
-        cold: millis(body.cold_left_ms),
-    }))
+    })))
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -101,7 +101,10 @@
 pub(crate) struct Page {
     /// The offset after the last record of this page.
     pub(crate) next: Offset,
-    pub(crate) records: Vec<Keyed>,
+    /// The offset after the last record of the partition.
+    pub(crate) end: Offset,
+    /// Records, and the offset after each.
+    pub(crate) records: Vec<(Offset, Keyed)>,
 }
 
 /// Who writes to a partition; a higher epoch shuts out the lower ones.
@@ -332,6 +335,7 @@
 /// Decodes a read: the end and the first kept offset, then records behind their lengths.
 fn page(from: Offset, body: &Bytes) -> Option<Page> {
     let mut rest = body.slice(body.len().min(16)..);
+    let end = u64::from_be_bytes(body.get(..8)?.try_into().ok()?);
     body.get(..16)?;
     let mut records = Vec::new();
     let mut next = from.0;
@@ -342,10 +346,11 @@
         rest = rest.slice(4 + size..);
         next += 1;
         // A record that has no key is nobody's; its offset still counts.
-        records.extend(Keyed::decode(&record));
+        records.extend(Keyed::decode(&record).map(|record| (Offset(next), record)));
     }
     Some(Page {
         next: Offset(next),
+        end: Offset(end),
         records,
     })
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -191,7 +191,8 @@
     /// For the collector of metrics, where it does not come to the address for operators.
     #[serde(default)]
     pub metrics: Option<SocketAddr>,
-    /// For the other VMs: UDP for membership at this port, and for requests at the next one.
+    /// For the other VMs: UDP for membership at this port, for requests at the next one, and for changes to the
+    /// directory at the one after that.
     pub peers: SocketAddr,
 }
 
@@ -312,9 +313,9 @@
                 "shorter than 16 characters",
             ),
             (
-                settings.listen.peers.port() < u16::MAX,
+                settings.listen.peers.port() < u16::MAX - 1,
                 "listen.peers",
-                "has no port after it",
+                "has no two ports after it",
             ),
             (
                 settings.store.writes_per_second >= 1,
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -31,6 +31,8 @@
     read_ms: Arc<AtomicU64>,
     /// Milliseconds that it takes to add records.
     append_ms: Arc<AtomicU64>,
+    /// Bytes that it has given, by topic.
+    given: Arc<Mutex<HashMap<String, u64>>>,
 }
 
 impl Store {
@@ -56,6 +58,8 @@
         let pause = Arc::clone(&read_ms);
         let append_ms = Arc::new(AtomicU64::new(0));
         let hold_back = Arc::clone(&append_ms);
+        let given: Arc<Mutex<HashMap<String, u64>>> = Arc::default();
+        let counted = Arc::clone(&given);
         let bound = listen(SocketAddr::new(address(), 0), move |mut stream| {
             let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
             while let Some(request) = Request::read(&mut reader) {
@@ -85,6 +89,9 @@
                 } else {
                     serve(&served, &request)
                 };
+                let mut counted = counted.lock().expect("not poisoned");
+                *counted.entry(named.to_owned()).or_default() += reply.len() as u64;
+                drop(counted);
                 if stream.write_all(&reply).is_err() {
                     return;
                 }
@@ -99,9 +106,16 @@
             silent,
             read_ms,
             append_ms,
+            given,
         }
     }
 
+    /// Bytes that it has given of a topic, by this address.
+    pub fn given(&self, topic: &str) -> u64 {
+        let given = self.given.lock().expect("not poisoned");
+        given.get(topic).copied().unwrap_or(0)
+    }
+
     /// Whether it takes calls and answers none.
     pub fn set_silent(&self, silent: bool) {
         self.silent.store(silent, Ordering::Relaxed);
--- a/tests/teams.rs
+++ b/tests/teams.rs
@@ -85,7 +85,7 @@
     });
     thread::sleep(Duration::from_secs(1));
     let mut told: Vec<String> = vms.iter().flat_map(|vm| vm.lines("")).collect();
-    for path in ["/state", "/metrics", "/snapshot"] {
+    for path in ["/state", "/metrics", "/config", "/directory"] {
         told.push(call(vms[0].operators, "GET", path, &[], b"").text());
     }
     told.extend(store.values("keyed.snapshot").into_values());
