Take copies of configurations from VMs of the zone

Ruled out: the directory's own copies (0.6 MB a VM once, from the zone). Change: three VMs of the zone at random are asked at the first five tries, then any; a VM gives a copy only where it is newer than what the asker has.

--- a/src/gateway/front/operators.rs
+++ b/src/gateway/front/operators.rs
@@ -45,7 +45,7 @@
                 copy.unwrap_or_default()
             }
             copy::CONFIG_PATH => {
-                let copy = self.copier.config(&self.world.borrow());
+                let copy = self.copier.config(&self.world.borrow(), uri.query());
                 copy.unwrap_or_default()
             }
             _ => Bytes::new(),
--- a/src/gateway/world/copies.rs
+++ b/src/gateway/world/copies.rs
@@ -19,8 +19,10 @@
 const AGAIN: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
 /// Tries after which the longer pause is made.
 const MANY: u32 = 15;
-/// The part of the tries in which the VM that told of something new is asked first: it has it, and so may all others
-/// of its zone soon.
+/// Tries at which VMs of the own zone are asked: what crosses zones is paid for.
+const NEAR: u32 = 5;
+/// The part of the tries after the first one in which the VM that told of something new is asked: it has it, but so
+/// may all others of its zone soon.
 const AT_SOURCE: f64 = 0.25;
 /// VMs that are asked, one after the other, before that pause.
 const ASKED: usize = 3;
@@ -46,7 +48,7 @@
         let _ = timeout(period, relay.wanted.notified()).await;
         let mut tries = 0;
         while copies.are_needed() {
-            if !copies.fetch().await {
+            if !copies.fetch(tries).await {
                 tries += 1;
                 copies.look_at_store(tries).await;
                 sleep(if tries < MANY { AGAIN.0 } else { AGAIN.1 }).await;
@@ -99,37 +101,60 @@
         self.needs_directory() || self.needs_config()
     }
 
-    /// Asks some VMs at random, near ones first; tells whether one gave what is needed.
-    async fn fetch(&self) -> bool {
-        let source = self.relay.source().filter(|_| rand::random_bool(AT_SOURCE));
+    /// The VMs to ask: the one that told of something new, then others of the zone at random. After some tries any.
+    fn holders(&self, tries: u32) -> Vec<SocketAddr> {
+        let told = tries == 0 || rand::random_bool(AT_SOURCE);
+        let source = self.relay.source().filter(|_| told);
         let source = source.map(|source| SocketAddr::new(source.ip(), self.sources.port));
-        let others = self.sources.addresses();
-        for address in source.into_iter().chain(others).take(ASKED) {
-            let mut given = false;
-            if self.needs_config()
-                && let Some(copy) = self.get::<Config>(address, CONFIG_PATH).await
-            {
-                self.worlds.send_if_modified(|world| {
-                    let changed = world.learn(&copy.raw, "peer");
-                    world.config_next = world.config_next.max(Some(copy.next));
-                    changed
-                });
-                given = !self.needs_config();
-            }
-            if self.needs_directory() {
-                let least = self.relay.wants_copy.get().unwrap_or_default();
-                let path = format!("{DIRECTORY_PATH}?{LEAST}={least}");
-                if let Some(copy) = self.get::<Directory>(address, &path).await {
-                    given |= self.take(&copy, address);
-                }
-            }
-            if given {
+        let mut others = if tries < NEAR {
+            self.sources.near()
+        } else {
+            Vec::new()
+        };
+        if others.is_empty() {
+            others = self.sources.addresses();
+        }
+        source.into_iter().chain(others).take(ASKED).collect()
+    }
+
+    /// Asks some VMs; tells whether one gave what is needed.
+    async fn fetch(&self, tries: u32) -> bool {
+        for address in self.holders(tries) {
+            let config = self.needs_config() && self.fetch_config(address).await;
+            let directory = self.needs_directory() && self.fetch_directory(address).await;
+            if config || directory {
                 return true;
             }
         }
         false
     }
 
+    async fn fetch_config(&self, address: SocketAddr) -> bool {
+        let known = self
+            .worlds
+            .borrow()
+            .table
+            .as_ref()
+            .map_or(0, |table| table.version);
+        let path = format!("{CONFIG_PATH}?{LEAST}={}", known + 1);
+        let Some(copy) = self.get::<Config>(address, &path).await else {
+            return false;
+        };
+        self.worlds.send_if_modified(|world| {
+            let changed = world.learn(&copy.raw, "peer");
+            world.config_next = world.config_next.max(Some(copy.next));
+            changed
+        });
+        !self.needs_config()
+    }
+
+    async fn fetch_directory(&self, address: SocketAddr) -> bool {
+        let least = self.relay.wants_copy.get().unwrap_or_default();
+        let path = format!("{DIRECTORY_PATH}?{LEAST}={least}");
+        let copy = self.get::<Directory>(address, &path).await;
+        copy.is_some_and(|copy| self.take(&copy, address))
+    }
+
     async fn get<T: DeserializeOwned>(&self, address: SocketAddr, path: &str) -> Option<T> {
         let call = self.client.get(format!("http://{address}{path}"));
         let reply = call.send().await.ok()?.error_for_status().ok()?;
--- a/src/gateway/world/copy.rs
+++ b/src/gateway/world/copy.rs
@@ -71,13 +71,16 @@
     }
 }
 
+/// What a copy has to stand for at least.
+fn least(query: Option<&str>) -> u64 {
+    let least = query.and_then(|query| query.strip_prefix(LEAST)?.strip_prefix('='));
+    least.and_then(|least| least.parse().ok()).unwrap_or(0)
+}
+
 impl Copier {
     /// A copy of the directory; none where this VM has none, only an older one, or gives enough already.
     pub(crate) fn directory(&self, world: &World, query: Option<&str>) -> Option<Bytes> {
-        let least = query.and_then(|query| query.strip_prefix(LEAST)?.strip_prefix('='));
-        let least: Offset = least
-            .and_then(|least| least.parse().ok())
-            .unwrap_or_default();
+        let least = Offset(least(query));
         let busy = self.given.load(Ordering::Relaxed) >= AT_A_TIME;
         if !world.listed || world.as_of < least || busy {
             return None;
@@ -91,9 +94,10 @@
         Some(self.give(rmp_serde::to_vec(&copy).ok()?))
     }
 
-    /// A copy of the configuration; none where this VM has none, or gives enough already.
-    pub(crate) fn config(&self, world: &World) -> Option<Bytes> {
-        if self.given.load(Ordering::Relaxed) >= AT_A_TIME {
+    /// A copy of the configuration; none where this VM has none, only an older one, or gives enough already.
+    pub(crate) fn config(&self, world: &World, query: Option<&str>) -> Option<Bytes> {
+        let older = world.table.as_ref()?.version < least(query);
+        if older || self.given.load(Ordering::Relaxed) >= AT_A_TIME {
             return None;
         }
         let copy = Config {
--- a/src/gateway/world/sources.rs
+++ b/src/gateway/world/sources.rs
@@ -19,6 +19,9 @@
 /// store.
 const LONGEST_PERIOD: Duration = Duration::from_secs(1);
 
+/// VMs of the own zone that may be asked for a copy.
+const NEAR: usize = 3;
+
 /// Where the feed finds the originals and their copies.
 #[derive(Debug, Clone)]
 pub(crate) struct Sources {
@@ -83,6 +86,15 @@
         self.view.borrow().newest.0 > known
     }
 
+    /// Where other VMs of the zone give copies, at random.
+    pub(super) fn near(&self) -> Vec<SocketAddr> {
+        let view = self.view.borrow();
+        let members = view.members.values();
+        let near = members.filter(|member| member.zone == self.zone && member.vm != self.vm);
+        let near = near.map(|member| SocketAddr::new(member.address.ip(), self.port));
+        near.sample(&mut rand::rng(), NEAR)
+    }
+
     /// Where other VMs give copies, in the order in which they are asked.
     pub(super) fn addresses(&self) -> Vec<SocketAddr> {
         let view = self.view.borrow();
