Drop the copy of the directory at the store where it no longer fits

Cause: the copy that VMs leave at the store was written while servers registered, 2,049 of 9,998, and stayed once the directory no longer fitted a record. After the loss of all VMs one of 33 logged VMs began with it. Ruled out: a wrong copy of another VM (its log line names the store). Change: what does not fit is dropped at the store, and a VM that was told of a directory waits for that one. Introductions of all cells are encoded once for all that ask, not for each.

--- a/src/gateway/world/contact.rs
+++ b/src/gateway/world/contact.rs
@@ -64,6 +64,14 @@
     }
 }
 
+/// The introductions of all cells as they were read, and as others fetch them.
+#[derive(Debug, Clone)]
+struct Listed {
+    at: Instant,
+    list: List,
+    encoded: Bytes,
+}
+
 /// The introductions of all VMs, and where they are read.
 #[derive(Debug)]
 pub(crate) struct Contacts {
@@ -74,7 +82,7 @@
     cells: u64,
     /// The port at which VMs give introductions.
     port: u16,
-    listed: RefCell<Option<(Instant, List)>>,
+    listed: RefCell<Option<Listed>>,
     reading: Mutex<()>,
 }
 
@@ -200,17 +208,20 @@
 
     /// The introductions of all, as others fetch them.
     pub(crate) async fn encoded(&self) -> Option<Bytes> {
-        let list = self.all().await?;
-        rmp_serde::to_vec(&list).ok().map(Bytes::from)
+        self.read_all().await.map(|listed| listed.encoded)
     }
 
-    /// Reads all cells, unless that was done a moment ago.
     async fn all(&self) -> Option<List> {
+        self.read_all().await.map(|listed| listed.list)
+    }
+
+    /// Reads all cells, unless that was done a moment ago.
+    async fn read_all(&self) -> Option<Listed> {
         // Who asks at the same time waits for one read.
         let _reading = self.reading.lock().await;
         let lately = self.listed.borrow().clone();
-        if let Some((_, list)) = lately.filter(|(at, _)| at.elapsed() < LISTED) {
-            return Some(list);
+        if let Some(listed) = lately.filter(|listed| listed.at.elapsed() < LISTED) {
+            return Some(listed);
         }
         let reads = (0..self.cells).map(|cell| self.store.newest(CONTACT_TOPIC, cell));
         let read: Vec<Result<Newest, Fault>> =
@@ -219,8 +230,13 @@
             return None;
         }
         let list = listed(read.into_iter().flatten());
-        *self.listed.borrow_mut() = Some((Instant::now(), list.clone()));
-        Some(list)
+        let listed = Listed {
+            at: Instant::now(),
+            encoded: rmp_serde::to_vec(&list).ok()?.into(),
+            list,
+        };
+        *self.listed.borrow_mut() = Some(listed.clone());
+        Some(listed)
     }
 }
 
--- a/src/gateway/world/copies.rs
+++ b/src/gateway/world/copies.rs
@@ -197,7 +197,12 @@
     /// After the loss of all VMs in an outage of some partitions, others may hold a copy.
     async fn look_at_store(&self, tries: u32) {
         let complete = self.worlds.borrow().is_complete();
-        if complete || self.began.elapsed() < SILENT || tries < MANY && !tries.is_multiple_of(EACH)
+        // A VM that told of its directory has a better one.
+        let told = self.relay.has_store.get() && self.relay.wants_copy.get().is_some();
+        if complete
+            || told
+            || self.began.elapsed() < SILENT
+            || tries < MANY && !tries.is_multiple_of(EACH)
         {
             return;
         }
--- a/src/gateway/world/snapshot.rs
+++ b/src/gateway/world/snapshot.rs
@@ -82,29 +82,24 @@
             if current == written {
                 continue;
             }
-            if world.directory.len() > SERVERS {
-                event!(warn, "snapshot_too_large", servers = world.directory.len());
-                written = current;
-                continue;
-            }
-            (current, Snapshot::of(&world))
+            let few = world.directory.len() <= SERVERS;
+            (current, few.then(|| Snapshot::of(&world)).flatten())
         };
-        if let Some(snapshot) = &snapshot {
-            write(&store, gateway.settings.store.partitions, snapshot).await;
-            written = current;
-        }
+        write(&store, gateway.settings.store.partitions, snapshot.as_ref()).await;
+        written = current;
     }
 }
 
-async fn write(store: &Store, partitions: u64, snapshot: &Snapshot) {
-    let value = snapshot.encode();
-    if value.len() > LARGEST {
-        event!(warn, "snapshot_too_large", bytes = value.len());
-        return;
+/// Writes the copy, or drops it where it does not fit: one of another time would name few servers, and old ones.
+async fn write(store: &Store, partitions: u64, snapshot: Option<&Snapshot>) {
+    let value = snapshot.map(Snapshot::encode);
+    let value = value.filter(|value| value.len() <= LARGEST);
+    if value.is_none() {
+        event!(warn, "snapshot_too_large");
     }
     let record = Keyed {
         key: KEY.to_owned(),
-        value: Some(Bytes::from(value)),
+        value: value.map(Bytes::from),
     };
     for part in PARTS.filter(|part| *part < partitions) {
         let written = store.append(SNAPSHOT_TOPIC, part, std::slice::from_ref(&record), None);
