Ask for the directory while the other VMs are being introduced

Cause: a VM that starts asked nobody before it knew all others; after the loss of all VMs logged ones knew their zone 0.7 s after their start and asked 0.8 s later, when the wait for introductions had run out. Ruled out: the store (configurations were applied after 0.1 to 0.25 s). Change: it asks whom it knows at once, and only reading the store itself waits until it is introduced.

--- a/src/gateway/world/feed.rs
+++ b/src/gateway/world/feed.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 /// The pause before a VM that is about to have a directory is asked again.
 const SOON: Duration = Duration::from_millis(100);
@@ -109,26 +109,26 @@
 async fn follow_directory(sources: &Sources, relay: &Relay) {
     let period = sources.period();
     let mut reader = Reader::new(sources.store);
-    let mut introduced = sources.introduced.clone();
-    // Without the store nobody is introduced, and others may be known by the settings.
-    let known = introduced.wait_for(|introduced| *introduced);
-    let _ = timeout(INTRODUCED, known).await;
+    let started = Instant::now();
     loop {
         let began = Instant::now();
         let (asked, reads) = relay.sources(sources);
+        // Who knows few others would take itself for the first one. Without the store nobody is introduced, and
+        // others may be known by the settings.
+        let introduced = *sources.introduced.borrow() || started.elapsed() > INTRODUCED;
         match relay.hear(&asked).await {
             Heard::News => reader.rest(),
             Heard::More => continue,
-            Heard::Soon => {
-                sleep(SOON).await;
-                continue;
-            }
-            Heard::Nobody if reads => {
+            Heard::Nobody if reads && introduced => {
                 if !reader.read(relay).await {
                     continue;
                 }
             }
-            Heard::Nobody => {}
+            Heard::Nobody if introduced => {}
+            Heard::Soon | Heard::Nobody => {
+                sleep(SOON).await;
+                continue;
+            }
         }
         sleep(period.saturating_sub(began.elapsed())).await;
     }
