Read the directory while only the configuration is away

Cause: found by reading. The first VM read the directory only where its reads of the configuration were answered, unless it had nobody to ask; VMs at random were added to those it asks before that was looked at. Where the store lost the partition of the configuration alone, nobody read the directory. Ruled out: nothing else stops the reader; its own failures are told and tried again. Change: the first VM reads in any case, the next ones where the store answers them.

--- a/src/gateway/world/relay/mod.rs
+++ b/src/gateway/world/relay/mod.rs
@@ -296,13 +296,18 @@
                 self.note_source(Some(*source));
                 return heard;
             }
-            let until = Instant::now() + PASSED_OVER;
-            self.passed_over.borrow_mut().insert(*source, until);
+            self.pass_over(*source, Instant::now());
         }
         self.note_source(None);
         Heard::Nobody
     }
 
+    fn pass_over(&self, source: SocketAddr, now: Instant) {
+        let mut passed_over = self.passed_over.borrow_mut();
+        passed_over.retain(|_, until| now < *until);
+        passed_over.insert(source, now + PASSED_OVER);
+    }
+
     fn is_passed_over(&self, source: SocketAddr) -> bool {
         let passed_over = self.passed_over.borrow();
         passed_over
@@ -414,13 +419,14 @@
     /// The VMs to ask now, and whether this one reads the store where none of them helps.
     pub(super) fn sources(&self, sources: &Sources) -> (Vec<SocketAddr>, bool) {
         let order = sources.relays();
+        let has_store = self.has_store.get();
+        // The first one goes on trying: the partition of the directory may be there where others are not.
+        let reads = order.before.is_empty() || order.reads && has_store;
         let mut asked = order.before;
-        if !order.reads || !self.has_store.get() {
+        if !order.reads || !has_store {
             asked.extend(sources.some_relays(AT_RANDOM));
         }
-        // The first one goes on trying: the directory may be there where the rest is not.
-        let first = order.reads && asked.is_empty();
-        (asked, order.reads && (first || self.has_store.get()))
+        (asked, reads)
     }
 }
 
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -31,6 +31,8 @@
     read_ms: Arc<AtomicU64>,
     /// Milliseconds that it takes to add records.
     append_ms: Arc<AtomicU64>,
+    /// A topic that can't be read.
+    unread: Arc<Mutex<Option<String>>>,
     /// Bytes that it has given, by topic.
     given: Arc<Mutex<HashMap<String, u64>>>,
 }
@@ -60,6 +62,8 @@
         let hold_back = Arc::clone(&append_ms);
         let given: Arc<Mutex<HashMap<String, u64>>> = Arc::default();
         let counted = Arc::clone(&given);
+        let unread: Arc<Mutex<Option<String>>> = Arc::default();
+        let hidden = Arc::clone(&unread);
         let bound = listen(SocketAddr::new(address(), 0), move |mut stream| {
             let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
             while let Some(request) = Request::read(&mut reader) {
@@ -78,7 +82,8 @@
                     && left
                         .fetch_update(Ordering::Relaxed, Ordering::Relaxed, one_less)
                         .is_ok();
-                let is_stuck = is_stuck && !passes;
+                let is_hidden = hidden.lock().expect("not poisoned").as_deref() == Some(named);
+                let is_stuck = is_stuck && !passes || is_hidden;
                 if mute.load(Ordering::Relaxed) {
                     // Nothing is done, and the connection says nothing any more.
                     std::thread::sleep(Duration::from_secs(5));
@@ -106,10 +111,16 @@
             silent,
             read_ms,
             append_ms,
+            unread,
             given,
         }
     }
 
+    /// The topic that can't be read or written, if there is one.
+    pub fn set_unread(&self, topic: Option<&str>) {
+        *self.unread.lock().expect("not poisoned") = topic.map(ToOwned::to_owned);
+    }
+
     /// Bytes that it has given of a topic, by this address.
     pub fn given(&self, topic: &str) -> u64 {
         let given = self.given.lock().expect("not poisoned");
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -240,3 +240,13 @@
     store.register("late", "pool", backend.address, "ready");
     until("all know it", || vms.iter().all(|vm| known(vm) == 1));
 }
+
+/// Guards against an old directory on all VMs where the store has lost only the partition of the configuration.
+#[test]
+fn the_directory_is_followed_while_the_configuration_is_away() {
+    let (store, vms) = site(3);
+    store.set_unread(Some("keyed.op"));
+    std::thread::sleep(Duration::from_secs(3));
+    store.put("keyed.servers", "s0", None);
+    until("all know it", || vms.iter().all(|vm| known(vm) == 39));
+}
