--- a/src/explain/group.rs
+++ b/src/explain/group.rs
@@ -7,7 +7,7 @@
 use std::fmt;
 use std::str::FromStr;
 
-/// Groups that are kept: the programs of a minute of 300 VMs.
+/// Groups that are kept at the most.
 const GROUPS: usize = 100_000;
 /// What a request waited for, by the keys of its line.
 const WAITS: [&str; 5] = [
--- a/src/gateway/conversation/mod.rs
+++ b/src/gateway/conversation/mod.rs
@@ -36,8 +36,7 @@
 /// How long a turn that is of no use stays in memory. Most programs go on within 0.3 s; one that
 /// comes back later is read from the store, in about 10 ms.
 const CACHED: Duration = Duration::from_secs(20);
-/// Bytes of turns in memory: 20 s of 60 turns a second of 5 KB each, and as much again. The smallest
-/// VMs have 88 MB for all.
+/// Bytes of turns in memory, at the most.
 const CACHE_BYTES: usize = 12 << 20;
 /// Bytes of one conversation; the largest prompts are of some hundred KB.
 const HISTORY_BYTES: usize = 4 << 20;
--- a/src/gateway/conversation/record.rs
+++ b/src/gateway/conversation/record.rs
@@ -55,10 +55,8 @@
 impl Gateway {
     /// Keeps the turn of a request whose last event came; gives whether its answer may end as whole.
     ///
-    /// An answer that ended before the store has its turn would promise what a crash can break: the
-    /// store was away for 4 s, 59 VMs lost power before it was back, and what programs wanted to go
-    /// on from was gone. While the store is away the end waits, for as long as the caller does; the
-    /// events have long gone out.
+    /// An answer that ended before the store has its turn would promise what the loss of all VMs can break.
+    /// While the store is away the end waits, for as long as the caller does; the events have long gone out.
     pub(crate) async fn keep_turn(self: &Rc<Self>, job: &Job, said: Transcript) -> bool {
         let Ok(id) = job.meta.turn.parse::<Id>() else {
             // Nobody can name it.
--- a/src/gateway/front/housekeeping.rs
+++ b/src/gateway/front/housekeeping.rs
@@ -64,8 +64,8 @@
         gateway.desk.tick();
         gateway.look_at_clocks();
         gateway.expire_leases();
-        // Whether a VM has the store is not told to all: when it refuses everybody, each of 300 VMs would
-        // have news for all others at once, and their views differ for 5 s.
+        // Whether a VM has the store is not told to all: when it refuses everybody, each VM would have news for all
+        // others at once, and their views would differ for seconds.
         let (ready, held) = (gateway.takes_part(), gateway.keeper.claims());
         let applied = gateway.applied();
         beats.send_if_modified(|beat| {
--- a/src/gateway/front/metrics.rs
+++ b/src/gateway/front/metrics.rs
@@ -14,7 +14,7 @@
     1.0, 3.0, 10.0, 30.0, 60.0, 100.0, 180.0, 250.0, 400.0, 800.0, 2000.0, 5000.0,
 ];
 
-/// Teams with a label of their own; with each of 2,700 a collector would keep a million series of 430 VMs.
+/// Teams with a label of their own; with one for each team a collector would keep a series for each team and VM.
 const TEAMS: usize = 16;
 /// The label of all others.
 const REST: &str = "(rest)";
--- a/src/gateway/queue/lease.rs
+++ b/src/gateway/queue/lease.rs
@@ -1,8 +1,7 @@
 //! One queue for the servers of a service: the VM that holds it leases places to the others.
 //!
-//! Each VM alone sees a small part of what a server runs. With 84 VMs before 44 servers of six
-//! places, requests waited at the servers, where no order can be kept, and after a burst every
-//! program was late for as long as the day lasted.
+//! Each VM alone sees a small part of what a server runs. With windows of their own, requests wait at the servers,
+//! where no order can be kept, and programs are late long after a burst.
 
 use crate::code::{Code, Failure};
 use crate::gateway::peers::{Asked, Peer, Question, Reply};
--- a/src/gateway/tokens/failover.rs
+++ b/src/gateway/tokens/failover.rs
@@ -135,9 +135,7 @@
     /// Counts a partition from what other VMs keep, where this one comes next for it; gives what is
     /// answered where it does not.
     ///
-    /// Not where another VM has the store: that one takes the partition there, and both would count the
-    /// same programs. With a third of 295 VMs cut off from the store a program got 1,325 tokens where 825 are
-    /// allowed.
+    /// Not where another VM has the store: that one takes the partition there, and both would count the same programs.
     async fn count_from_copies(&self, number: u64, part: &Part) -> Option<Reply> {
         if part.hold.get().is_some() {
             return None;
--- a/src/gateway/tokens/reserve.rs
+++ b/src/gateway/tokens/reserve.rs
@@ -32,9 +32,8 @@
 
 /// Whether the VM that counts a partition has answered.
 ///
-/// It does where it can't record, too: it lives, and nobody else may count beside it. 300 VMs that took partitions
-/// from each other while the store refused everybody gave seven programs more than their budgets, 1,225 tokens
-/// where 825 and a turn of 275 are allowed.
+/// It does where it can't record, too: it lives, and nobody else may count beside it. VMs that take partitions from
+/// each other while the store refuses everybody would give programs more than their budgets.
 const fn is_final(reply: &Reply) -> bool {
     !matches!(reply, Reply::NotOwner | Reply::Taken(_) | Reply::Away)
 }
--- a/src/gateway/world/changes.rs
+++ b/src/gateway/world/changes.rs
@@ -4,7 +4,7 @@
 use crate::id::Offset;
 use std::collections::VecDeque;
 
-/// Changes that are kept. A release of a tenth of ten thousand servers makes about three thousand.
+/// Changes that are kept.
 const KEPT: usize = 8192;
 
 /// Changes in the order of the store, from one offset on.
--- a/src/gateway/world/copies.rs
+++ b/src/gateway/world/copies.rs
@@ -26,7 +26,7 @@
 const AT_SOURCE: f64 = 0.25;
 /// VMs that are asked, one after the other, before that pause.
 const ASKED: usize = 3;
-/// How long another VM may take to give a copy: a megabyte takes 0.3 s over the smallest links.
+/// How long another VM may take to give a copy.
 const ANSWER: Duration = Duration::from_secs(3);
 /// How long a connection to it may take.
 const CONNECT: Duration = Duration::from_millis(300);
--- a/src/gateway/world/state.rs
+++ b/src/gateway/world/state.rs
@@ -209,6 +209,7 @@
 
 /// Lines of one second.
 const LINES: u32 = 32;
+const SECOND: Duration = Duration::from_secs(1);
 
 impl Lines {
     /// Whether one more line may be written. Those that were left out are counted in one line later.
@@ -232,8 +233,6 @@
     }
 }
 
-const SECOND: Duration = Duration::from_secs(1);
-
 fn log_change(before: Option<Arc<Entry>>, after: Option<&Arc<Entry>>) {
     match (before, after) {
         (Some(before), Some(entry)) if before.id == entry.id => {
--- a/src/member/changes.rs
+++ b/src/member/changes.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 /// Changes of members that are logged one by one in a second; of the rest a line a second gives the
-/// number. When 300 VMs start, each sees 300 changes: 90,000 lines say no more than their sum.
+/// number.
 const LINES: usize = 8;
 /// Time between two lines of numbers.
 const COUNTED: Duration = Duration::from_secs(1);
--- a/src/member/introduction.rs
+++ b/src/member/introduction.rs
@@ -1,9 +1,9 @@
 //! How a VM that starts learns of all others at once.
 //!
 //! Load it answers: hundreds of VMs that start in the same second, or lose power together. When news go from
-//! one to the next, each within its budget of bytes, 200 VMs take 30 s to know each other, and until then
-//! they disagree on who counts and who queues. A VM that reads the introductions of all others in one
-//! place knows them after that one read; probes sort out those that have gone since.
+//! one to the next, each within its budget of bytes, large groups take long to know each other, and until then
+//! they disagree on who counts and who queues. A VM that gets the introductions of all others from one
+//! place knows them at once; probes sort out those that have gone since.
 
 use super::gossip::{Action, Gossip};
 use super::roster::Told;
--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -26,8 +26,7 @@
 /// Our own topic of allowances whose partition does not take them.
 pub(crate) const DETOUR_TOPIC: &str = "keyed.detour";
 /// How many topics hold turns of conversations. A bucket is read as a whole when no VM has a turn in
-/// memory. With 12 partitions there are 192, of about 60 turns each under 60 VMs; at four times that
-/// size a VM of an eighth of a core took 0.15 to 0.5 s for one, and callers left after the loss of all.
+/// memory; callers wait for that, so that it has to be small.
 pub(crate) const TURN_TOPICS: u64 = 16;
 /// Our own topic of turns whose partition does not take them.
 pub(crate) const DETOURED_TURN_TOPIC: &str = "keyed.turndetour";
--- a/src/policy/copies.rs
+++ b/src/policy/copies.rs
@@ -1,8 +1,7 @@
 //! Which VMs are asked for a copy of the configuration and the directory.
 //!
 //! Load it answers: hundreds of VMs that start at once, each before it has read thousands of registrations.
-//! A copy holds all of them, 60 KB for 177 servers and 1 MB for 3,000; from anywhere, four of five copies
-//! cross zones, and their bytes are paid for.
+//! A copy holds all of them. What crosses zones is paid for.
 
 use rand::Rng;
 use rand::seq::SliceRandom;
--- a/src/policy/programs.rs
+++ b/src/policy/programs.rs
@@ -20,9 +20,8 @@
 /// How many times as long as on idle servers a program may take to its target, as the users' targets
 /// are set: 1.3 to 1.6 times.
 const STRETCH: f64 = 1.5;
-/// The part of the places that programs may need. Their turns come when they come and engines slow
-/// down when they are full: at 0.95 programs that were admitted waited for 90 ms at each turn, at 0.55
-/// places stayed free.
+/// The part of the places that programs may need. Their turns come when they come, and engines slow
+/// down when they are full.
 const FIT: f64 = 0.65;
 /// Weight of the newest program in what is learned.
 const NEWEST: f64 = 0.05;
--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -15,9 +15,7 @@
 /// How long one lasts before one of its class has ended.
 const PRIOR_TIME: Duration = Duration::from_secs(1);
 /// How many times the limit the forecasts of programs under way may be: at first, at least and at most. Most wait
-/// between their requests, and which share fits differs. Of 1,036 programs of teams at their usual, replayed, 952 ended
-/// at 0.8, 995 at 1.4 and 1,006 at 2.0; of the 18 that the limit of a team at 7.5 times its usual carries, 13 at 0.9, 9 at
-/// 1.4 and 6 at 2.0. Learned for each team: 990 and 13.
+/// between their requests, and which share fits differs by team.
 const FIT: (f64, f64, f64) = (1.2, 0.8, 2.0);
 /// What a program that ended with no request refused adds to that.
 const GAIN: f64 = 0.02;
--- a/src/policy/relay.rs
+++ b/src/policy/relay.rs
@@ -22,6 +22,8 @@
 const ALL: usize = 4;
 /// How old an answer may be, in periods between two reads: two steps of the chain, and half a period for delays.
 const FRESH: f64 = 2.5;
+/// How long a VM that has no directory waits for one that is about to read it.
+const PATIENCE: Duration = Duration::from_secs(6);
 
 /// A VM that may be asked.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -139,7 +141,3 @@
         _ => Step::Next,
     }
 }
-
-/// How long a VM that has no directory waits for one that is about to read it. A small VM reads ten thousand
-/// registrations in about two seconds.
-const PATIENCE: Duration = Duration::from_secs(6);
--- a/src/policy/window.rs
+++ b/src/policy/window.rs
@@ -19,33 +19,26 @@
 const NEWEST: f64 = 0.15;
 /// Bounds of that ratio, so that one odd answer does not decide.
 const RATIO: (f64, f64) = (0.25, 8.0);
-/// What it costs to leave the zone, in parts of a server's window: one request more slows a server of six
-/// places by a fortieth, and bytes between zones are paid for. Requests of 300 VMs to 80 servers that leave
-/// their zone, replayed without prompts: 0.14 of all at 0.12, 0.001 at 0.24.
+/// What it costs to leave the zone, in parts of a server's window: bytes between zones are paid for, and one request
+/// more hardly slows a server.
 const FAR: f64 = 0.24;
 /// What it saves to go where the line of turns was before, in parts of a window, where nobody says of
 /// what the prompt consists.
 const NEAR_LINE: f64 = 1.0;
-/// Tokens to be read that cost as much as a whole window. A prompt of 1,500 tokens takes a tenth of
-/// the time of a turn, in which all that run there stand still. Mean worth of four days under bursts
-/// over 12 VMs: 0.545 with lines alone, 0.584 with prompts; beginnings read again on days of 11 VMs:
-/// 2.1 to 2.4 million tokens, and 0.2 to 0.9.
+/// Tokens to be read that cost as much as a whole window. While a server reads, all that run there stand still.
 const WINDOW_TOKENS: f64 = 1500.0;
 /// What it saves to go where the VM that asks has sent a request a moment ago, in parts of a window:
 /// its connection is likely to be open still, and a new one takes 2 ms more. It has to outweigh two
-/// requests, or a VM that sends few goes to whichever server has one less at the moment: 300 VMs opened
-/// connections for 0.34 of the same requests at 0.15, for 0.12 at 0.4, and the busiest server had 1.12
-/// and 1.22 times its part of the load.
+/// requests, or a VM that sends few goes to whichever server has one less at the moment.
 const WARM: f64 = 0.4;
 /// How long a connection is likely to stay open after its last request; servers keep theirs for
 /// some seconds.
 const KEPT: Duration = Duration::from_secs(3);
-/// Requests that are sent to a server beyond its places. A place that is given back is known here,
-/// and taken again there, 5 to 30 ms later, of 250 ms that a turn takes. Mean worth of four days
-/// under bursts over 82 and 84 VMs: 0.64 with none sent ahead, 0.70 and 0.76 with three, 0.66 with five.
+/// Requests that are sent to a server beyond its places. A place that is given back is known here, and taken again
+/// there, some milliseconds later.
 const AHEAD: usize = 3;
-/// What a server that answers with errors alone costs, in parts of a window. One that errs at once is always idle:
-/// two of 45 engines that did so took 3,057 turns in 5 s, and of the programs of that time one in 40 ended.
+/// What a server that answers with errors alone costs, in parts of a window. One that errs at once is always idle, and
+/// would draw most requests.
 const ERRORS: f64 = 2.0;
 /// Weight of the newest answer in the share of errors. Two in a row are needed before a server rests.
 const NEWEST_ERROR: f64 = 0.15;
@@ -112,9 +105,8 @@
 
     /// Requests that it gets at a time, up to one of this band.
     ///
-    /// Only those of admitted programs are sent ahead. Servers know no order: admitted programs that waited there behind
-    /// others were late as well, and a burst of 1.2 times the capacity of 44 engines was felt for 16 s after its end.
-    /// Of the worth of that day's programs 0.74 was reached, and 0.91 where the others wait here.
+    /// Only those of admitted programs are sent ahead. Servers know no order: admitted programs that wait there behind
+    /// others are late as well, long after a burst.
     fn size(&self, band: Band) -> usize {
         let slots = self.about.slots;
         match band {
