Keep reading the directory beside a VM that has lost the store

Cause: a VM that the store refuses hears of changes from VMs at random, so that its directory was fresh. The VMs that read in its place took that for a reader and rested, until all directories were 1.25 s old: half of the time nobody read. Ruled out: the VM that sent the request (all were late), the store (others read it all the while). Change: a VM that may read the store relies only on one that has it; absence is doubted only where the directory was not kept fresh by others.

--- a/src/gateway/front/housekeeping.rs
+++ b/src/gateway/front/housekeeping.rs
@@ -39,7 +39,7 @@
     fn configure(&self, world: &mut watch::Receiver<World>, known: &mut Option<(u64, u64)>) {
         let world = world.borrow_and_update();
         let table = world.table.as_deref();
-        let version = table.map_or(0, |table| table.version);
+        let version = world.version();
         let same = known.filter(|(before, _)| *before == version);
         let changes = same.and_then(|(_, noted)| world.changes.since(noted));
         if let Some(changes) = changes {
--- a/src/gateway/front/mod.rs
+++ b/src/gateway/front/mod.rs
@@ -335,7 +335,7 @@
     /// The version of the configuration that is in force here.
     pub(super) fn applied(&self) -> Offset {
         let world = self.world.borrow();
-        Offset(world.table.as_ref().map_or(0, |table| table.version))
+        Offset(world.version())
     }
 
     /// Whether this VM counts and queues for others: unlike routing, that needs no directory.
--- a/src/gateway/world/copies.rs
+++ b/src/gateway/world/copies.rs
@@ -92,7 +92,7 @@
 
     fn needs_config(&self) -> bool {
         let world = self.worlds.borrow();
-        let known = world.table.as_ref().map_or(0, |table| table.version);
+        let known = world.version();
         let told = self.relay.told_config.get().map_or(0, |(told, _)| told);
         told > known || self.sources.is_behind(&world) || known == 0 && !self.relay.has_store.get()
     }
@@ -130,12 +130,7 @@
     }
 
     async fn fetch_config(&self, address: SocketAddr) -> bool {
-        let known = self
-            .worlds
-            .borrow()
-            .table
-            .as_ref()
-            .map_or(0, |table| table.version);
+        let known = self.worlds.borrow().version();
         let path = format!("{CONFIG_PATH}?{LEAST}={}", known + 1);
         let Some(copy) = self.get::<Config>(address, &path).await else {
             return false;
--- a/src/gateway/world/feed.rs
+++ b/src/gateway/world/feed.rs
@@ -46,11 +46,7 @@
         let began = Instant::now();
         // A copy of a newer one is on its way: reading it here as well would cost the store its bytes again.
         let told = relay.told_config.get();
-        let known = worlds
-            .borrow()
-            .table
-            .as_ref()
-            .map_or(0, |table| table.version);
+        let known = worlds.borrow().version();
         let on_its_way =
             told.is_some_and(|(version, at)| version > known && known > 0 && at.elapsed() < period);
         let heard = worlds.borrow().heard;
@@ -116,7 +112,7 @@
         // Who knows few others would take itself for the first one. Without the store nobody is introduced, and
         // others may be known by the settings.
         let introduced = *sources.introduced.borrow() || started.elapsed() > INTRODUCED;
-        match relay.hear(&asked).await {
+        match relay.hear(&asked, reads).await {
             Heard::News => reader.rest(),
             Heard::More => continue,
             Heard::Nobody if reads && introduced => {
--- a/src/gateway/world/reader.rs
+++ b/src/gateway/world/reader.rs
@@ -54,16 +54,20 @@
             event!(info, "directory_reader", reads = true);
             self.begin(relay);
         }
+        // Others may have read on while the store did not answer this VM.
+        let missed = !relay.is_fresh();
         let back = relay.store_back.get();
         if back > self.back {
             self.back = back;
-            self.read_all_twice(back);
+            if missed {
+                self.read_all_twice(back);
+            }
         }
         let began = Instant::now();
         match self.read_new(relay).await {
             Ok(()) => {
                 relay.aged(began);
-                if self.health.good().is_some() {
+                if self.health.good().is_some() && missed {
                     self.read_all_twice(Some(Instant::now()));
                 }
                 true
--- a/src/gateway/world/sources.rs
+++ b/src/gateway/world/sources.rs
@@ -82,7 +82,7 @@
 
     /// Whether some VM has applied a newer configuration.
     pub(super) fn is_behind(&self, world: &World) -> bool {
-        let known = world.table.as_ref().map_or(0, |table| table.version);
+        let known = world.version();
         self.view.borrow().newest.0 > known
     }
 
--- a/src/gateway/world/state.rs
+++ b/src/gateway/world/state.rs
@@ -59,6 +59,11 @@
         }
     }
 
+    /// The version of the configuration; zero where none is known.
+    pub(crate) fn version(&self) -> u64 {
+        self.table.as_ref().map_or(0, |table| table.version)
+    }
+
     /// Whether requests can be routed.
     pub(crate) fn is_complete(&self) -> bool {
         self.table.is_some() && self.listed
@@ -97,7 +102,7 @@
                 return false;
             }
         };
-        let known = self.table.as_ref().map_or(0, |table| table.version);
+        let known = self.version();
         // Never back: a read that was under way, or a peer that lags, may bring an older version.
         if self.table.is_some() && table.version <= known {
             return false;
--- a/src/policy/relay.rs
+++ b/src/policy/relay.rs
@@ -120,24 +120,61 @@
     Next,
 }
 
-/// What to do after an answer; `period` is the time between two reads, `waited` how long this VM has had nothing.
+/// Whether a directory of this age is what the store says now; `period` is the time between two reads.
+///
+/// After an outage records of servers that live may be missing for a while, and a reader waits before it takes them for
+/// gone. Where others went on reading, and this VM followed them, there was no outage, and nothing may wait.
+///
+/// ```
+/// use std::time::Duration;
+/// use vanillatrail::policy::relay::is_fresh;
+/// let second = Duration::from_secs(1);
+/// assert!(is_fresh(second * 2, second));
+/// assert!(!is_fresh(second * 3, second));
+/// ```
+#[must_use]
+pub fn is_fresh(age: Duration, period: Duration) -> bool {
+    age <= period.mul_f64(FRESH)
+}
+
+/// What a VM that asks can do without an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Asker {
+    /// The time between two of its reads.
+    pub period: Duration,
+    /// For how long it has had no directory; none where it has one.
+    pub waits: Option<Duration>,
+    /// Whether it could read the store itself.
+    pub reads: bool,
+}
+
+/// What to do after an answer.
+///
+/// A VM that could read the store itself does not rely on one that can't: that one hears of changes from others, among
+/// them perhaps from this VM, and each would take the other for the one that reads.
 ///
 /// ```
 /// use std::time::Duration;
-/// use vanillatrail::policy::relay::{Standing, Step, step};
+/// use vanillatrail::policy::relay::{Asker, Standing, Step, step};
 /// let second = Duration::from_secs(1);
+/// let asker = Asker { period: second, waits: None, reads: true };
 /// let fresh = Standing { age: Some(second), has_store: true };
-/// assert_eq!(step(fresh, second, Duration::ZERO), Step::Use);
+/// assert_eq!(step(fresh, asker), Step::Use);
+/// let cut_off = Standing { has_store: false, ..fresh };
+/// assert_eq!(step(cut_off, asker), Step::Next);
+/// assert_eq!(step(cut_off, Asker { reads: false, ..asker }), Step::Use);
 /// let starting = Standing { age: None, has_store: true };
-/// assert_eq!(step(starting, second, Duration::ZERO), Step::Wait);
-/// let old = Standing { age: Some(second * 9), has_store: true };
-/// assert_eq!(step(old, second, Duration::ZERO), Step::Next);
+/// assert_eq!(step(starting, Asker { waits: Some(second), ..asker }), Step::Wait);
+/// assert_eq!(step(starting, asker), Step::Next);
 /// ```
 #[must_use]
-pub fn step(standing: Standing, period: Duration, waited: Duration) -> Step {
+pub fn step(standing: Standing, asker: Asker) -> Step {
+    let relies = standing.has_store || !asker.reads;
     match standing.age {
-        Some(age) if age <= period.mul_f64(FRESH) => Step::Use,
-        None if standing.has_store && waited < PATIENCE => Step::Wait,
+        Some(age) if relies && is_fresh(age, asker.period) => Step::Use,
+        None if standing.has_store && asker.waits.is_some_and(|waits| waits < PATIENCE) => {
+            Step::Wait
+        }
         _ => Step::Next,
     }
 }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -250,3 +250,27 @@
     store.put("keyed.servers", "s0", None);
     until("all know it", || vms.iter().all(|vm| known(vm) == 39));
 }
+
+/// Guards against readers that stop for one which the store refuses, so that for seconds nobody reads.
+#[test]
+fn a_reader_without_the_store_does_not_stop_the_one_after_it() {
+    let store = Store::start();
+    store.configure(1, &[("/a/", "stream", serde_json::json!({}))]);
+    let doors = [store.door(), store.door(), store.door(), store.door()];
+    let vms = doors.each_ref().map(Vm::start);
+    acquainted(&vms);
+    until("one VM reads", || reading(&vms).len() == 1);
+    let first = reading(&vms)[0];
+    doors[first].set_down(true);
+    until("another one reads", || {
+        reading(&vms).iter().any(|at| *at != first)
+    });
+    let rests = || {
+        let others = vms.iter().enumerate().filter(|(at, _)| *at != first);
+        let lines = others.map(|(_, vm)| vm.lines("event=directory_reader reads=false").len());
+        lines.sum::<usize>()
+    };
+    let before = rests();
+    std::thread::sleep(Duration::from_secs(5));
+    assert_eq!(rests(), before);
+}
