Let the VM notice the outage before the store is back in its test

Cause: a_vm_starts_without_the_store brought the store back once the VM listened, and expected it to have told of the outage; beside load it had not asked the store yet, and told nothing. Ruled out: a lost line (the VM of the failed runs writes no store_lost at all, since it met no outage). Change: the test waits until the VM has told of the outage, and counts what it told as before.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -309,6 +309,9 @@
         reply.status == 503 && reply.headers.contains_key("retry-after")
     });
     assert_eq!(call(vm.ready, "GET", "/readyz", &[], b"").status, 503);
+    until("it has noticed", || {
+        !vm.lines("event=store_lost for_what=config").is_empty()
+    });
     store.configure(1, &[("/a/", "safe", json!({}))]);
     store.register("s", "pool", backend.address, "ready");
     store.set_down(false);
