--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -226,9 +226,27 @@
         session: job.meta.session.as_ref().map(|line| hash(line)),
         prompt: job.meta.prompt_parts.clone(),
         avoid: avoid.to_vec(),
+        demand: demand(job),
     }
 }
 
+/// What the request is expected to use; `None` if nothing of that matters for its service.
+fn demand(job: &Job) -> Option<dispatch::Demand> {
+    let object = job.meta.affinity.filter(|_| job.route.sticky);
+    if job.tokens_per_event == 0 && object.is_none() {
+        return None;
+    }
+    let tokens = |count: u64| u32::try_from(count).unwrap_or(u32::MAX);
+    Some(dispatch::Demand {
+        class: hash(&job.route.name),
+        team: job.team_name().map(hash),
+        prompt_tokens: tokens(job.meta.prompt_tokens),
+        output_tokens: tokens(job.meta.output_hint.unwrap_or_default()),
+        max_output_tokens: tokens(job.meta.max_tokens),
+        object,
+    })
+}
+
 fn hash(name: &str) -> u64 {
     xxh3_64(name.as_bytes())
 }
--- a/src/gateway/world/table.rs
+++ b/src/gateway/world/table.rs
@@ -60,6 +60,10 @@
 
 /// How requests for one host and path prefix are handled.
 #[derive(Debug, Clone, PartialEq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a flag of the configuration"
+)]
 pub struct Route {
     /// Name of the route in logs and metrics.
     pub name: String,
@@ -87,6 +91,10 @@
     pub program_idle_timeout: Option<Duration>,
     /// Whether requests need no API key.
     pub public: bool,
+    /// Whether a server that recently handled an object handles it faster.
+    pub sticky: bool,
+    /// Longest pause between two events of a stream that is still on time; `None` if not configured.
+    pub gap_target: Option<Duration>,
 }
 
 impl Route {
@@ -133,6 +141,22 @@
     pub cache_tokens: u64,
     /// Tokens per event of a response stream.
     pub tokens_per_event: u64,
+    /// Whether a run may be moved to another engine.
+    pub moves: bool,
+    /// Whether a run's memory may be copied to another engine while it runs.
+    pub backups: bool,
+    /// Longest time for which an ended run may stay in an engine's memory; zero if it may not.
+    pub pin_limit: Duration,
+    /// Longest time for which a slot may be reserved; zero if it may not.
+    pub hold_limit: Duration,
+    /// How long a copy of a run is kept.
+    pub handle_lifetime: Duration,
+    /// Bytes of one token in memory; zero if unknown.
+    pub bytes_per_token: f64,
+    /// Bandwidth between engines, in megabits a second; zero if unknown.
+    pub link_mbps: f64,
+    /// Calls for cache events that an engine keeps waiting at a time.
+    pub max_event_polls: usize,
 }
 
 /// Limits on callers' requests and connections.
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -1,8 +1,8 @@
 //! Decodes and rewrites the headers of requests from callers and responses of backend servers.
 
-use crate::policy::dispatch::Load;
+use crate::policy::dispatch::{HostPace, Load};
 use crate::policy::prefix::Part;
-use http::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HOST, HeaderMap};
+use http::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, COOKIE, HOST, HeaderMap};
 use http::header::{HeaderName, HeaderValue, RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
@@ -27,7 +27,12 @@
 /// Request ID of the turn that this request continues.
 const PREV_TURN: HeaderName = HeaderName::from_static("x-prev-turn");
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
-/// Three numbers: running requests, waiting requests, and slots.
+/// The caller's estimate of the number of output tokens.
+const LENGTH_HINT: HeaderName = HeaderName::from_static("x-length-hint");
+/// Name of the cookie that identifies the object that a request concerns.
+const AFFINITY_COOKIE: &str = "X-Affinity-Key";
+/// Running requests, waiting requests, slots, and the pace of the host in percent. Servers may
+/// leave out the last ones.
 const SERVER_LOAD: HeaderName = HeaderName::from_static("x-server-load");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
@@ -77,8 +82,14 @@
     pub(crate) finish_ms: Option<i64>,
     /// Token budget for all turns of the program.
     pub(crate) token_budget: Option<u64>,
+    /// Tokens of the prompt; 0 if unknown.
+    pub(crate) prompt_tokens: u64,
     /// Maximum number of tokens that this turn generates.
     pub(crate) max_tokens: u64,
+    /// The caller's estimate of the tokens that this turn generates.
+    pub(crate) output_hint: Option<u64>,
+    /// Hash of the object that the request concerns.
+    pub(crate) affinity: Option<u64>,
     /// The leading parts of the prompt.
     pub(crate) prompt_parts: Vec<Part>,
     /// The last event that the caller has received, when it resumes a stream.
@@ -98,6 +109,17 @@
     header_text(headers, name)?.parse().ok()
 }
 
+/// Hash of the affinity cookie; `None` if there is none or it is empty.
+fn affinity_key(headers: &HeaderMap) -> Option<u64> {
+    let cookies = headers.get_all(COOKIE).iter();
+    let mut pairs = cookies
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|line| line.split(';'))
+        .filter_map(|pair| pair.trim().split_once('='));
+    let (_, key) = pairs.find(|(name, key)| *name == AFFINITY_COOKIE && !key.is_empty())?;
+    Some(xxh3_64(key.as_bytes()))
+}
+
 const MAX_PROMPT_PARTS: usize = 16;
 
 /// The leading parts of the prompt; empty if the header is absent or malformed.
@@ -116,10 +138,9 @@
 impl Meta {
     pub(crate) fn of(headers: &HeaderMap) -> Self {
         let counts = header_text(headers, &TOKEN_COUNT).unwrap_or_default();
-        let max_tokens = counts
-            .split(',')
-            .nth(1)
-            .and_then(|part| part.trim().parse().ok());
+        let mut counts = counts.split(',').map(|part| part.trim().parse().ok());
+        let prompt_tokens = counts.next().flatten();
+        let max_tokens = counts.next().flatten();
         let id = header_text(headers, &REQUEST_ID).unwrap_or_default();
         Self {
             turn_name: id.clone(),
@@ -129,7 +150,10 @@
             session: header_text(headers, &SESSION),
             finish_ms: header_text(headers, &FINISH).and_then(|text| text.parse().ok()),
             token_budget: header_number(headers, &TOKEN_BUDGET),
+            prompt_tokens: prompt_tokens.unwrap_or_default(),
             max_tokens: max_tokens.unwrap_or_default(),
+            output_hint: header_number(headers, &LENGTH_HINT),
+            affinity: affinity_key(headers),
             prompt_parts: prompt_parts(headers),
             last_event: header_number(headers, &LAST_EVENT_ID),
             prev_turn: headers.get(&PREV_TURN).map(|value| {
@@ -258,9 +282,12 @@
 
 fn parse_load(text: &str) -> Option<Load> {
     let mut numbers = text.split(',').map(|number| number.trim().parse());
+    let (running, waiting) = (numbers.next()?.ok()?, numbers.next()?.ok()?);
+    let host_pace = numbers.nth(1).and_then(Result::ok);
     Some(Load {
-        running: numbers.next()?.ok()?,
-        waiting: numbers.next()?.ok()?,
+        running,
+        waiting,
+        host_pace: host_pace.and_then(|percent| u32::try_from(percent).ok().map(HostPace)),
     })
 }
 
--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -57,6 +57,10 @@
 
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a flag of the configuration"
+)]
 struct RouteBody {
     name: String,
     host: String,
@@ -82,6 +86,9 @@
     /// Whether requests need no API key.
     #[serde(default)]
     public: bool,
+    #[serde(default)]
+    sticky: bool,
+    gap_target_ms: Option<f64>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -107,6 +114,23 @@
     kv_cap_tokens: u64,
     /// Tokens per event of a response stream; unrelated to the chunks of a prompt.
     chunk_tokens: Option<u64>,
+    #[serde(default)]
+    moves: bool,
+    #[serde(default)]
+    backups: bool,
+    #[serde(default)]
+    pin_ms: f64,
+    #[serde(default)]
+    hold_ms: f64,
+    #[serde(default, rename = "handle_s")]
+    handle_s: f64,
+    #[serde(default)]
+    kv_token_bytes: f64,
+    #[serde(default)]
+    link_mbps: f64,
+    /// Calls for cache events that an engine keeps waiting.
+    #[serde(default)]
+    most: usize,
 }
 
 /// A team. Does not derive `Debug`, since it contains API keys.
@@ -194,6 +218,8 @@
                 .retain_s
                 .map(|seconds| duration_from_millis(seconds * 1000.0)),
             public: self.public,
+            sticky: self.sticky,
+            gap_target: self.gap_target_ms.map(duration_from_millis),
         })
     }
 }
@@ -207,6 +233,14 @@
                 .chunk_tokens
                 .unwrap_or(DEFAULT_TOKENS_PER_EVENT)
                 .max(1),
+            moves: engine.moves,
+            backups: engine.backups,
+            pin_limit: duration_from_millis(engine.pin_ms),
+            hold_limit: duration_from_millis(engine.hold_ms),
+            handle_lifetime: duration_from_millis(engine.handle_s * 1000.0),
+            bytes_per_token: engine.kv_token_bytes.max(0.0),
+            link_mbps: engine.link_mbps.max(0.0),
+            max_event_polls: engine.most,
         });
         let service = Service {
             max_connections: self.max_conns,
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -71,6 +71,29 @@
     pub prompt: Vec<Part>,
     /// Servers on which it has already failed.
     pub avoid: Vec<Arc<str>>,
+    /// What it is expected to use, and whom it belongs to; `None` if nothing of that is known.
+    ///
+    /// Last and omitted if absent, so that requests without it are encoded as before.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub demand: Option<Demand>,
+}
+
+/// What a request is expected to use, and whom it belongs to.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Demand {
+    /// Hash of its route, which stands for the class of programs.
+    pub class: u64,
+    /// Hash of the team that sent it; `None` without configured teams.
+    pub team: Option<u64>,
+    /// Tokens of its prompt; 0 if unknown.
+    pub prompt_tokens: u32,
+    /// Tokens that its caller expects it to generate; 0 if unknown.
+    pub output_tokens: u32,
+    /// Most tokens that it generates; 0 if unknown.
+    pub max_output_tokens: u32,
+    /// Hash of the object that it concerns, on routes whose servers keep objects.
+    pub object: Option<u64>,
 }
 
 impl Request {
@@ -92,6 +115,26 @@
     pub running: usize,
     /// Requests that it queues.
     pub waiting: usize,
+    /// Momentary pace of its host, which it shares with others; `None` if it reports none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub host_pace: Option<HostPace>,
+}
+
+/// How long work takes on a host at the moment, in percent of the usual time; above 100 it is slower.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct HostPace(pub u32);
+
+impl HostPace {
+    /// Factor on the usual time.
+    ///
+    /// ```
+    /// use vanillatrail::policy::dispatch::HostPace;
+    /// assert_eq!(HostPace(250).factor(), 2.5);
+    /// ```
+    #[must_use]
+    pub fn factor(self) -> f64 {
+        f64::from(self.0) / 100.0
+    }
 }
 
 /// Result of a request at its server.
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -213,6 +213,7 @@
     let load = Some(Load {
         running: 4,
         waiting: 0,
+        host_pace: None,
     });
     let outcome = Outcome::Done {
         took: Duration::from_millis(50),
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -31,6 +31,7 @@
         session: None,
         prompt: Vec::new(),
         avoid: Vec::new(),
+        demand: None,
     }
 }
 
