Drop the accounts of a partition whose ownership is lost

Cause: a VM that lost a partition kept its accounts. When a stopping owner handed the partition back to it while it could not reach the store, the handover was added to these accounts instead of replacing them, so tokens that the owners in between had granted could be granted again.

Change: Ledger::forget_accounts when ownership is lost; the note that grants may be missing stays.

Result: a_former_owner_counts_from_the_handover red before (650 tokens counted where 780 were used), green after; random schedules now fence owners off and hand over to a former owner.

--- a/src/gateway/tokens/partitions.rs
+++ b/src/gateway/tokens/partitions.rs
@@ -273,6 +273,7 @@
         event!(warn, "allowances_lost", part = partition_id, epoch = epoch);
         partition.ownership.set(None);
         partition.ownership_ended.set(Some(Instant::now()));
+        partition.ledger.borrow_mut().forget_accounts();
         let unrecorded = partition.pending.take().into_iter();
         let unrecorded = unrecorded.filter(|(key, _)| !key.starts_with(INTERNAL_KEY_PREFIX));
         let replicas = unrecorded.map(|(program, allowed)| Replica {
--- a/src/policy/allowance.rs
+++ b/src/policy/allowance.rs
@@ -131,6 +131,16 @@
         self.is_incomplete = true;
     }
 
+    /// Drops all accounts, since another VM owns the partition.
+    ///
+    /// Accounts that stayed would count turns of an earlier ownership as turns of the next one, and a handover
+    /// without the store would then add to them rather than replace them: what the owners in between granted would
+    /// be granted again.
+    pub fn forget_accounts(&mut self) {
+        self.accounts.clear();
+        self.open.clear();
+    }
+
     /// Whether unrecorded grants may have been lost.
     #[must_use]
     pub const fn is_incomplete(&self) -> bool {
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -124,6 +124,36 @@
     assert_eq!(new_owner.usage("p").1, 70 + 580);
 }
 
+/// A former owner that adopts the partition again without reading the store must not count from its
+/// own accounts, which lack what the owners in between have granted.
+#[test]
+fn a_former_owner_counts_from_the_handover() {
+    let now = Instant::now();
+    let mut former = Ledger::default();
+    former.reserve(now, "p", reservation(1), turn(0));
+    former.mark_recorded("p", 580);
+    former.settle(now, reservation(1), 70);
+    former.forget_accounts();
+    let mut owner = Ledger::default();
+    owner.restore(now, "p", 580);
+    owner.reserve(now, "p", reservation(2), turn(0));
+    owner.mark_recorded("p", 1160);
+    owner.settle(now, reservation(2), 200);
+    for entry in owner.export() {
+        former.import(now, entry);
+    }
+    assert_eq!(former.usage("p"), owner.usage("p"));
+}
+
+/// Losing a partition must not lose the note that unrecorded grants may be missing.
+#[test]
+fn a_former_owner_still_knows_that_grants_may_be_lost() {
+    let mut former = Ledger::default();
+    former.mark_incomplete();
+    former.forget_accounts();
+    assert!(former.is_incomplete());
+}
+
 /// Programs idle for longer than the timeout are removed.
 #[test]
 fn idle_programs_expire() {
@@ -162,6 +192,11 @@
     OwnerCrash,
     /// The owner shuts down gracefully and hands over.
     Handover,
+    /// The owner is fenced off: another VM reads the records, and the owner keeps running.
+    Fenced,
+    /// The owner shuts down gracefully and hands over to the VM that was fenced off last, which can't
+    /// reach the store.
+    HandoverToFormerOwner,
     /// The response to an append is lost: the record is durable, but the turn does not run.
     LostResponse,
     /// The store becomes unavailable; grants are only replicated to other VMs.
@@ -177,6 +212,8 @@
         6 => (0..=MAX_TURN_TOKENS, any::<bool>()).prop_map(|(used, ends)| Step::Turn { used, ends }),
         1 => Just(Step::OwnerCrash),
         1 => Just(Step::Handover),
+        1 => Just(Step::Fenced),
+        1 => Just(Step::HandoverToFormerOwner),
         1 => Just(Step::LostResponse),
         1 => Just(Step::StoreLost),
         1 => Just(Step::StoreBack),
@@ -191,6 +228,7 @@
         let now = Instant::now();
         let mut durable: HashMap<&str, u64> = HashMap::new();
         let mut ledger = Ledger::default();
+        let mut former: Option<Ledger> = None;
         let mut used_tokens = 0;
         let mut outage = false;
         for (number, step) in steps.into_iter().enumerate() {
@@ -228,13 +266,34 @@
                 }
                 Step::AllVmsLost => {
                     let lost = std::mem::take(&mut ledger);
+                    former = None;
                     ledger.restore(now, "p", durable.get("p").copied().unwrap_or(0));
                     if outage || lost.is_incomplete() {
                         ledger.mark_incomplete();
                     }
                     outage = false;
                 }
-                Step::OwnerCrash | Step::LostResponse if outage => {}
+                Step::OwnerCrash | Step::LostResponse | Step::Fenced if outage => {}
+                Step::Fenced => {
+                    let mut new_owner = Ledger::default();
+                    new_owner.restore(now, "p", durable.get("p").copied().unwrap_or(0));
+                    if ledger.is_incomplete() {
+                        new_owner.mark_incomplete();
+                    }
+                    let mut fenced = std::mem::replace(&mut ledger, new_owner);
+                    fenced.forget_accounts();
+                    former = Some(fenced);
+                }
+                Step::HandoverToFormerOwner => {
+                    let Some(mut adopter) = former.take() else { continue };
+                    for entry in ledger.export() {
+                        adopter.import(now, entry);
+                    }
+                    if ledger.is_incomplete() {
+                        adopter.mark_incomplete();
+                    }
+                    ledger = adopter;
+                }
                 Step::LostResponse => {
                     if let Verdict::Record(allowed) = ledger.reserve(now, "p", reservation, turn(0)) {
                         durable.insert("p", allowed);
