Choose the server for an object by rendezvous hashing with bounded load

Cause: requests about one object went to any server of a plain service, though a server that handled the object recently takes half the time.

Change: at services without an engine, requests of sticky routes that name an object go to the first server in the object's order over the directory whose load is at most 1.25 times the mean. Every VM computes the same order without messages. The object is no longer part of the demand of requests to engines, which keep prompts instead. Counted in /state, the metric object_requests and the event objects_displaced.

--- a/src/gateway/front/metrics.rs
+++ b/src/gateway/front/metrics.rs
@@ -24,6 +24,8 @@
     pub(crate) connections: Counter<u64>,
     /// Attempts at backend servers without a response, by reason.
     attempts_failed: Counter<u64>,
+    /// Requests placed by their object, by the position of the server in the object's order.
+    object_requests: Counter<u64>,
     /// Responses to callers, by kind of route and result.
     responses: Counter<u64>,
     /// Requests refused by team limits, by team.
@@ -70,6 +72,10 @@
         Self {
             connections: counter("backend_connections", "New connections to backend servers"),
             attempts_failed: counter("attempts_failed", "Attempts without an answer, by reason"),
+            object_requests: counter(
+                "object_requests",
+                "Requests placed by their object, by position of the server in its order",
+            ),
             responses: counter("gateway_answers", "Answers to callers, by kind and result"),
             limit_refusals: counter(
                 "limit_refusals",
@@ -104,6 +110,12 @@
             .add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts requests placed by their object; `position` is `first` or `later`.
+    pub(crate) fn count_object_requests(&self, position: &'static str, requests: u64) {
+        self.object_requests
+            .add(requests, &[KeyValue::new("position", position)]);
+    }
+
     /// Counts a finished request and records its duration.
     pub(crate) fn record_response(&self, kind: &'static str, result: String, total: Duration) {
         let labels = [KeyValue::new("kind", kind), KeyValue::new("result", result)];
--- a/src/gateway/queue/permit.rs
+++ b/src/gateway/queue/permit.rs
@@ -2,11 +2,13 @@
 
 use crate::code::{Code, Failure};
 use crate::gateway::Gateway;
+use crate::gateway::front::metrics::Metrics;
 use crate::gateway::peers::Note;
 use crate::gateway::world::directory::{Change, Directory, Entry, Instance};
 use crate::gateway::world::state::Routing;
 use crate::gateway::world::table::Table;
 use crate::id;
+use crate::policy::affinity;
 use crate::policy::dispatch::{
     Description, Dispatcher, LATE_REQUEST_RETRY_AFTER, Outcome, Placement, Request, Tick,
 };
@@ -32,6 +34,8 @@
     next_permit: Cell<u64>,
     /// Directory entries of the servers that the dispatcher has, by server name.
     entries: RefCell<HashMap<Arc<str>, Arc<Entry>>>,
+    /// Requests placed by their object that are already counted in the metrics, by service.
+    reported_objects: RefCell<HashMap<String, affinity::Counts>>,
 }
 
 fn describe(entry: &Entry, table: Option<&Table>) -> Description {
@@ -51,7 +55,15 @@
     /// Replaces the servers by those of a directory, with the service settings of `table`.
     pub(crate) fn configure(&self, directory: &Directory, table: Option<&Table>) {
         let descriptions = directory.iter().map(|entry| describe(entry, table));
-        self.dispatcher.borrow_mut().set_servers(descriptions);
+        let plain = table.into_iter().flat_map(|table| {
+            let services = table.services.iter();
+            services.filter(|(_, service)| service.engine.is_none())
+        });
+        let plain = plain.map(|(name, _)| Arc::from(name.as_str()));
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.set_servers(descriptions);
+        dispatcher.set_plain_services(plain);
+        drop(dispatcher);
         let entries = directory
             .iter()
             .map(|entry| (Arc::clone(&entry.name), Arc::clone(entry)));
@@ -133,6 +145,31 @@
         }
     }
 
+    /// Counts and logs how requests were placed by their object since the previous call.
+    pub(crate) fn report_object_placement(&self, metrics: &Metrics) {
+        let mut reported = self.reported_objects.borrow_mut();
+        for (service, counts) in self.dispatcher.borrow().object_counts() {
+            let previous = reported.get(service).copied().unwrap_or_default();
+            if counts == previous {
+                continue;
+            }
+            let first = counts.first.saturating_sub(previous.first);
+            let later = counts.later.saturating_sub(previous.later);
+            metrics.count_object_requests("first", first);
+            metrics.count_object_requests("later", later);
+            if later > 0 {
+                event!(
+                    info,
+                    "objects_displaced",
+                    service = service,
+                    first = first,
+                    later = later
+                );
+            }
+            reported.insert(service.to_owned(), counts);
+        }
+    }
+
     /// Grants slots at servers that recovered, and refuses requests that waited too long.
     pub(crate) fn tick(&self) {
         let Tick { granted, timed_out } = self.dispatcher.borrow_mut().tick(Instant::now());
--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -232,7 +232,9 @@
 
 /// What the request is expected to use; `None` if nothing of that matters for its service.
 fn demand(job: &Job) -> Option<dispatch::Demand> {
-    let object = job.meta.affinity.filter(|_| job.route.sticky);
+    // Engines keep prompts, not objects.
+    let keeps_objects = job.route.sticky && job.tokens_per_event == 0;
+    let object = job.meta.affinity.filter(|_| keeps_objects);
     if job.tokens_per_event == 0 && object.is_none() {
         return None;
     }
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -4,6 +4,7 @@
 //! server only as many requests as fit its concurrency window, keeps the others in a priority
 //! queue, and grants the first of them when a slot frees up.
 
+use super::affinity;
 use super::prefix::Part;
 use super::queue::{Band, Prioritized};
 use super::service_pool::{MAX_SCANNED, QueuedRequest, ServicePool};
@@ -228,6 +229,8 @@
     queued: HashMap<Permit, Arc<str>>,
     /// Server that ran the latest turn of each session.
     session_servers: HashMap<u64, Arc<str>>,
+    /// Services without an engine.
+    plain: HashMap<Arc<str>, affinity::Counts>,
     epoch: Option<Instant>,
     last_sweep: Option<Instant>,
 }
@@ -251,6 +254,17 @@
         }
     }
 
+    /// Replaces the set of services that have no engine. Without it, requests are placed regardless
+    /// of their object.
+    pub fn set_plain_services(&mut self, services: impl IntoIterator<Item = Arc<str>>) {
+        let mut previous = std::mem::take(&mut self.plain);
+        let with_state = services.into_iter().map(|service| {
+            let state = previous.remove(&service).unwrap_or_default();
+            (service, state)
+        });
+        self.plain = with_state.collect();
+    }
+
     /// Adds or updates a server.
     pub fn update_server(&mut self, info: Description) {
         if !self.pools.contains_key(&info.service) {
@@ -287,8 +301,18 @@
         let session_server = request
             .session
             .and_then(|session| self.session_servers.get(&session));
+        let plain = self.plain.get_mut(&request.service);
+        let for_object = plain.and_then(|counts| {
+            let object = request.demand.as_ref()?.object?;
+            let choice = (queued_ahead == 0)
+                .then(|| pool.choose_for_object(now, &request, band, object))
+                .flatten()?;
+            counts.record(choice);
+            Some(choice.index)
+        });
         if queued_ahead == 0
-            && let Some(index) = pool.choose(now, permit, &request, band, session_server)
+            && let Some(index) =
+                for_object.or_else(|| pool.choose(now, permit, &request, band, session_server))
         {
             return Placement::Granted(self.start(now, permit, &request, index));
         }
@@ -470,6 +494,13 @@
         with_queue.map(move |(service, pool)| pool.queue_stats(now, service))
     }
 
+    /// Requests placed by their object, by service without an engine.
+    pub fn object_counts(&self) -> impl Iterator<Item = (&str, affinity::Counts)> {
+        self.plain
+            .iter()
+            .map(|(service, counts)| (&**service, *counts))
+    }
+
     /// Whether any request is queued.
     #[must_use]
     pub fn has_queued(&self) -> bool {
@@ -504,6 +535,7 @@
                 "programs": known_programs,
                 "programs_admitted": admitted,
                 "servers": servers,
+                "by_object": self.plain.get(service),
             });
             (service.to_string(), state)
         });
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -4,6 +4,7 @@
 //! actions.
 
 pub mod admit;
+pub mod affinity;
 pub mod allowance;
 pub mod cache;
 pub mod candidates;
