Read a small directory of servers at the start, before discovery

Cause: after the loss of all VMs each VM waited for discovery (200 ms for its own profile, 100 ms for the membership) and then for the VM that reads the directory for the others, which may start last.

Ruled out: late configuration, partitions, history (each there within 0.1 s).

Result: a_starting_vm_reads_a_small_directory_before_it_knows_the_others, red before (the chosen reader came first), green after; tests directory, relay, outage and member_start green.

--- a/src/gateway/world/feed.rs
+++ b/src/gateway/world/feed.rs
@@ -2,11 +2,11 @@
 
 use crate::gateway::world::copies;
 use crate::gateway::world::health::Health;
-use crate::gateway::world::reader::Reader;
+use crate::gateway::world::reader::{self, Reader};
 use crate::gateway::world::relay::{Heard, Relay};
 use crate::gateway::world::sources::Sources;
 use crate::gateway::world::state::Routing;
-use crate::platform::records::{CONFIG_KEY, CONFIG_TOPIC};
+use crate::platform::records::{CONFIG_KEY, CONFIG_TOPIC, DIRECTORY_TOPIC};
 use crate::platform::store::{Error, Store};
 use std::time::Duration;
 use tokio::net::UdpSocket;
@@ -30,6 +30,7 @@
     let relay = Relay::new(socket, &key, sources.period(), routing_tx.clone());
     tokio::join!(
         follow_config(&sources, &relay, &routing_tx),
+        read_small_directory(&sources, &relay),
         follow_directory(&sources, &relay),
         copies::follow(&sources, &relay, &routing_tx),
         relay.receive(),
@@ -101,6 +102,23 @@
     Ok(())
 }
 
+/// Loads the directory at the start if it fits into one answer of the store.
+///
+/// Discovery and the choice of the VM that reads for the others take about half a second, in which a VM could serve no
+/// request. After the loss of all VMs that adds to the time without service. A directory that is larger than one answer
+/// is left to the chosen reader, since the load on the store would grow with VMs times servers.
+async fn read_small_directory(sources: &Sources, relay: &Relay) {
+    let started = Instant::now();
+    let store = Store::new(sources.store);
+    let latest = store.read_latest_if_small(DIRECTORY_TOPIC, 0).await;
+    if let Ok(Some(latest)) = latest
+        && relay.as_of().is_none()
+    {
+        reader::replace_all(relay, &latest, false);
+        relay.aged(started);
+    }
+}
+
 async fn follow_directory(sources: &Sources, relay: &Relay) {
     let period = sources.period();
     let mut reader = Reader::new(sources.store);
--- a/src/gateway/world/reader.rs
+++ b/src/gateway/world/reader.rs
@@ -5,7 +5,7 @@
 use crate::gateway::world::state::{apply_all, apply_record};
 use crate::id::Offset;
 use crate::platform::records::DIRECTORY_TOPIC;
-use crate::platform::store::{Error, Store};
+use crate::platform::store::{Error, Latest, Store};
 use crate::telemetry::event;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -108,15 +108,7 @@
         let Some(mut from) = self.next else {
             let latest = self.store.read_latest(DIRECTORY_TOPIC, 0).await?;
             self.next = Some(latest.end);
-            relay.replace(latest.end, |routing| {
-                let initial = !routing.directory_loaded;
-                let changes = apply_all(routing, &latest.records, keep_missing);
-                if initial {
-                    // Replaces one log line per server.
-                    event!(info, "directory_read", servers = routing.directory.len());
-                }
-                changes
-            });
+            replace_all(relay, &latest, keep_missing);
             return Ok(());
         };
         loop {
@@ -138,3 +130,16 @@
         }
     }
 }
+
+/// Replaces the directory by the latest records of all servers. Servers without a record stay if `keep_missing` is set.
+pub(super) fn replace_all(relay: &Relay, latest: &Latest, keep_missing: bool) {
+    relay.replace(latest.end, |routing| {
+        let initial = !routing.directory_loaded;
+        let changes = apply_all(routing, &latest.records, keep_missing);
+        if initial {
+            // Replaces one log line per server.
+            event!(info, "directory_read", servers = routing.directory.len());
+        }
+        changes
+    });
+}
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -164,44 +164,59 @@
 
     /// Reads the latest record of each key of a partition.
     pub(crate) async fn read_latest(&self, topic: &str, partition: u64) -> Result<Latest, Error> {
-        let mut result: Option<Latest> = None;
-        let mut after = String::new();
-        loop {
-            let mut url = format!(
-                "{}/log-newest?topic={topic}&part={partition}",
-                self.base_url
-            );
-            if !after.is_empty() {
-                // Keys of other writers may contain any character.
-                url = Url::parse_with_params(&url, [("after", &after)])
-                    .map_err(|error| Error::Malformed(error.to_string()))?
-                    .into();
-            }
-            let response = check(self.client.get(url).timeout(CALL_TIMEOUT).send().await).await?;
-            let bytes = response.bytes().await.map_err(|error| unknown(&error))?;
-            let body: LatestBody = serde_json::from_slice(&bytes)
+        let (mut latest, mut after) = self.read_latest_page(topic, partition, None).await?;
+        while let Some(key) = after {
+            let (page, next) = self.read_latest_page(topic, partition, Some(key)).await?;
+            latest.records.extend(page.records);
+            after = next;
+        }
+        Ok(latest)
+    }
+
+    /// As [`Store::read_latest`], with a single call; `None` if there are more records than one call returns.
+    pub(crate) async fn read_latest_if_small(
+        &self,
+        topic: &str,
+        partition: u64,
+    ) -> Result<Option<Latest>, Error> {
+        let (latest, after) = self.read_latest_page(topic, partition, None).await?;
+        Ok(after.is_none().then_some(latest))
+    }
+
+    /// Reads the latest records of the keys after `after`. Also returns the last key if there are more.
+    async fn read_latest_page(
+        &self,
+        topic: &str,
+        partition: u64,
+        after: Option<String>,
+    ) -> Result<(Latest, Option<String>), Error> {
+        let mut url = format!(
+            "{}/log-newest?topic={topic}&part={partition}",
+            self.base_url
+        );
+        if let Some(after) = after {
+            // Keys of other writers may contain any character.
+            url = Url::parse_with_params(&url, [("after", &after)])
+                .map_err(|error| Error::Malformed(error.to_string()))?
+                .into();
+        }
+        let response = check(self.client.get(url).timeout(CALL_TIMEOUT).send().await).await?;
+        let bytes = response.bytes().await.map_err(|error| unknown(&error))?;
+        let body: LatestBody =
+            serde_json::from_slice(&bytes).map_err(|error| Error::Malformed(error.to_string()))?;
+        let last_key = body.items.last().map(|item| item.key.clone());
+        let mut records = Vec::with_capacity(body.items.len());
+        for item in body.items {
+            let value = STANDARD
+                .decode(item.value)
                 .map_err(|error| Error::Malformed(error.to_string()))?;
-            let latest = result.get_or_insert_with(|| Latest {
-                records: Vec::new(),
-                end: Offset(body.end),
+            records.push(Record {
+                key: item.key,
+                value: (!value.is_empty()).then(|| value.into()),
             });
-            after = body
-                .items
-                .last()
-                .map_or_else(String::new, |item| item.key.clone());
-            for item in body.items {
-                let value = STANDARD
-                    .decode(item.value)
-                    .map_err(|error| Error::Malformed(error.to_string()))?;
-                latest.records.push(Record {
-                    key: item.key,
-                    value: (!value.is_empty()).then(|| value.into()),
-                });
-            }
-            if !body.truncated || after.is_empty() {
-                return Ok(result.unwrap_or_default());
-            }
         }
+        let end = Offset(body.end);
+        Ok((Latest { records, end }, last_key.filter(|_| body.truncated)))
     }
 
     /// Reads records from offset `from` on, waiting up to `wait` for the first one.
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -167,3 +167,22 @@
     let of_server = refused.iter().filter(|line| line.contains("server=s "));
     assert_eq!(of_server.count(), 2, "{refused:?}");
 }
+
+/// After the loss of all VMs each of them waited for discovery and for the one that reads for the
+/// others, and refused requests for want of servers meanwhile.
+#[test]
+fn a_starting_vm_reads_a_small_directory_before_it_knows_the_others() {
+    let (store, server) = (start_store(), start_server("s"));
+    store.put(
+        "keyed.servers",
+        "s",
+        Some(&entry(server.address, 1000, "ready")),
+    );
+    let vm = Vm::start(&store);
+    vm.wait_ready();
+    until("the VM reads the store for the others", || {
+        !vm.lines("event=directory_reader").is_empty()
+    });
+    let events = vm.lines("event=directory_rea");
+    assert!(events[0].contains("event=directory_read "), "{events:?}");
+}
