Place requests by the expected time on each server

Cause: a server whose host becomes slow for 0.6 s was noticed only by averages over its answers, and what a request would take on each server was not estimated.

Change: `policy::pace` keeps the reported pace of each host, weighted by its age, and the speed of the server by kind of work. Where servers report a pace, `choose_by_time` compares servers by the expected time of the request and leaves a request that is on time in the queue if a server of usual pace ends it sooner. The VM that gets the head of a stream passes its load to the VM that holds the queue at once (note `Load`). Without reports the previous code places requests.

--- a/src/gateway/front/metrics.rs
+++ b/src/gateway/front/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of the gateway.
 
+use crate::policy::dispatch::PaceStats;
 use crate::telemetry::{Exporter, dropped_log_lines};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, ObservableCounter};
@@ -44,6 +45,12 @@
     history_wait_ms: Histogram<f64>,
     /// Time since the store last confirmed the server directory.
     directory_age_ms: Gauge<f64>,
+    /// Servers whose hosts are slow at the moment, by service.
+    slow_hosts: Gauge<u64>,
+    /// Servers whose reports of pace are ignored, by service.
+    distrusted_reports: Gauge<u64>,
+    /// Requests queued for a server of usual pace although another had room, by service.
+    pace_waits: Gauge<u64>,
     _dropped_log_lines: ObservableCounter<u64>,
 }
 
@@ -67,6 +74,9 @@
             let histogram = meter.f64_histogram(name).with_description(description);
             histogram.with_boundaries(BUCKET_BOUNDS_MS.to_vec()).build()
         };
+        let gauge = |name: &'static str, description: &'static str| {
+            meter.u64_gauge(name).with_description(description).build()
+        };
         Self {
             connections: counter("backend_connections", "New connections to backend servers"),
             attempts_failed: counter("attempts_failed", "Attempts without an answer, by reason"),
@@ -89,6 +99,18 @@
                 .f64_gauge("directory_age_ms")
                 .with_description("Milliseconds since the store said what stands in the directory")
                 .build(),
+            slow_hosts: gauge(
+                "slow_hosts",
+                "Servers on hosts that are slow now, by service",
+            ),
+            distrusted_reports: gauge(
+                "distrusted_reports",
+                "Servers whose reported pace contradicts their answers, by service",
+            ),
+            pace_waits: gauge(
+                "pace_waits",
+                "Requests queued for a server of usual pace while a slower one had room, by service",
+            ),
             _dropped_log_lines: meter
                 .u64_observable_counter("log_lines_dropped")
                 .with_description("Log lines dropped, since nobody read them fast enough")
@@ -147,6 +169,14 @@
         self.history_wait_ms.record(millis(time), &[]);
     }
 
+    pub(crate) fn record_pace(&self, pace: &PaceStats<'_>) {
+        let labels = [KeyValue::new("service", pace.service.to_owned())];
+        self.slow_hosts.record(pace.slow as u64, &labels);
+        self.distrusted_reports
+            .record(pace.distrusted as u64, &labels);
+        self.pace_waits.record(pace.waits, &labels);
+    }
+
     pub(crate) fn directory_age(&self, age: Duration) {
         self.directory_age_ms.record(millis(age), &[]);
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -8,7 +8,7 @@
 use crate::id::Vm;
 use crate::member::{MAX_DATAGRAM_BYTES, Sealer};
 use crate::policy::allowance::{Reservation, Snapshot};
-use crate::policy::dispatch::{Outcome, Request};
+use crate::policy::dispatch::{Load, Outcome, Request};
 use crate::telemetry::event;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
@@ -193,6 +193,9 @@
     /// The request that asked for a slot under this question number is over, or no longer waits.
     #[serde(rename = "l")]
     Left { number: u64, outcome: Outcome },
+    /// Load in the head of the response to the request that asked for a slot under this question number.
+    #[serde(rename = "w")]
+    Load { number: u64, load: Load },
 }
 
 /// Content of a datagram; questions and replies carry the number of the question.
--- a/src/gateway/queue/lease.rs
+++ b/src/gateway/queue/lease.rs
@@ -8,7 +8,7 @@
 use crate::gateway::queue::permit::{Permit, SlotGuard, SlotOwner, no_server, overloaded};
 use crate::gateway::{Gateway, peers};
 use crate::id::{self, rendezvous_score};
-use crate::policy::dispatch::{Outcome, Request};
+use crate::policy::dispatch::{Load, Outcome, Request};
 use crate::telemetry::event;
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
@@ -61,6 +61,13 @@
         }
     }
 
+    /// Records the load that the server of a leased slot reported.
+    pub(crate) fn report_load(&self, asked: &ReplyAddress, load: Load) {
+        if let Some(lease) = self.granted.borrow().get(asked) {
+            lease.permit.report_load(load);
+        }
+    }
+
     fn leased_server(&self, asked: &ReplyAddress) -> Option<Arc<str>> {
         let granted = self.granted.borrow();
         let lease = granted.get(asked)?;
--- a/src/gateway/queue/permit.rs
+++ b/src/gateway/queue/permit.rs
@@ -2,13 +2,14 @@
 
 use crate::code::{Code, Failure};
 use crate::gateway::Gateway;
+use crate::gateway::front::metrics::Metrics;
 use crate::gateway::peers::Note;
 use crate::gateway::world::directory::{Change, Directory, Entry, Instance};
 use crate::gateway::world::state::Routing;
 use crate::gateway::world::table::Table;
 use crate::id;
 use crate::policy::dispatch::{
-    Description, Dispatcher, LATE_REQUEST_RETRY_AFTER, Outcome, Placement, Request, Tick,
+    Description, Dispatcher, LATE_REQUEST_RETRY_AFTER, Load, Outcome, Placement, Request, Tick,
 };
 use crate::telemetry::event;
 use std::cell::{Cell, RefCell};
@@ -23,6 +24,9 @@
 /// `Retry-After` for a service without servers; about the time in which a replacement registers.
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// Hosts change several times a second, so that a line for each change would tell nothing.
+const PACE_LOG_INTERVAL: Duration = Duration::from_secs(5);
+
 /// The dispatcher of this VM, and the requests that wait for it.
 #[derive(Debug, Default)]
 pub(crate) struct Queue {
@@ -30,6 +34,7 @@
     /// Notifies a waiting request of its server, or with `None` that it was refused.
     waiters: RefCell<HashMap<id::Permit, oneshot::Sender<Option<Instance>>>>,
     next_permit: Cell<u64>,
+    pace_logged_at: Cell<Option<Instant>>,
     /// Directory entries of the servers that the dispatcher has, by server name.
     entries: RefCell<HashMap<Arc<str>, Arc<Entry>>>,
 }
@@ -51,7 +56,15 @@
     /// Replaces the servers by those of a directory, with the service settings of `table`.
     pub(crate) fn configure(&self, directory: &Directory, table: Option<&Table>) {
         let descriptions = directory.iter().map(|entry| describe(entry, table));
-        self.dispatcher.borrow_mut().set_servers(descriptions);
+        let engines = table.into_iter().flat_map(|table| &table.services);
+        let tokens_per_event = engines.filter_map(|(service, settings)| {
+            let engine = settings.engine.as_ref()?;
+            Some((service.as_str().into(), engine.tokens_per_event))
+        });
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.set_servers(descriptions);
+        dispatcher.set_tokens_per_event(tokens_per_event);
+        drop(dispatcher);
         let entries = directory
             .iter()
             .map(|entry| (Arc::clone(&entry.name), Arc::clone(entry)));
@@ -133,6 +146,29 @@
         }
     }
 
+    /// Records the pace of hosts in the metrics, and logs it every [`PACE_LOG_INTERVAL`].
+    pub(crate) fn record_pace(&self, metrics: &Metrics) {
+        let now = Instant::now();
+        let is_due = |at: Instant| at + PACE_LOG_INTERVAL <= now;
+        let logs = self.pace_logged_at.get().is_none_or(is_due);
+        for pace in self.dispatcher.borrow().pace_stats(now) {
+            metrics.record_pace(&pace);
+            if logs {
+                self.pace_logged_at.set(Some(now));
+                event!(
+                    info,
+                    "hosts_pace",
+                    service = pace.service,
+                    servers = pace.servers,
+                    slow = pace.slow,
+                    distrusted = pace.distrusted,
+                    mean_pace = format!("{:.2}", pace.mean_pace),
+                    waits = pace.waits
+                );
+            }
+        }
+    }
+
     /// Grants slots at servers that recovered, and refuses requests that waited too long.
     pub(crate) fn tick(&self) {
         let Tick { granted, timed_out } = self.dispatcher.borrow_mut().tick(Instant::now());
@@ -197,6 +233,21 @@
         Self { slot, server }
     }
 
+    /// Passes the load in the head of a response on to the dispatcher, before the response ends.
+    pub(crate) fn report_load(&self, load: Load) {
+        let gateway = &self.slot.gateway;
+        match self.slot.owner {
+            SlotOwner::Local(permit) => {
+                let mut dispatcher = gateway.queue.dispatcher.borrow_mut();
+                dispatcher.report(Instant::now(), permit, load);
+            }
+            SlotOwner::Remote(peer, number) => {
+                let (gateway, note) = (Rc::clone(gateway), Note::Load { number, load });
+                tokio::task::spawn_local(async move { gateway.peers.notify(peer, note).await });
+            }
+        }
+    }
+
     /// Releases the slot and reports the outcome, from which the dispatcher learns.
     pub(crate) fn release(self, outcome: Outcome) {
         self.slot.outcome.set(outcome);
--- a/src/gateway/server/attempt.rs
+++ b/src/gateway/server/attempt.rs
@@ -192,17 +192,26 @@
         return Ok(AttemptResult::OutcomeUnknown("unproved_answer"));
     }
     let (parts, body) = response.into_parts();
+    let is_stream = job.route.kind == Kind::Stream && status.is_success();
+    let mut load = response_headers.load;
+    if let Some(head_load) = load.as_mut().filter(|_| is_stream)
+        && head_load.host_pace.is_some()
+    {
+        permit.report_load(*head_load);
+        // It no longer describes the host when the stream ends.
+        head_load.host_pace = None;
+    }
     let mut source = EventSource {
         connection,
         body,
         splitter: EventSplitter::default(),
         keep_alive: response_headers.keep_alive,
         closes: response_headers.closes,
-        load: response_headers.load,
+        load,
         started,
     };
     let headers = headers::caller_response_headers(&parts.headers);
-    if job.route.kind == Kind::Stream && status.is_success() {
+    if is_stream {
         let first_batch = match source.next().await {
             StreamItem::Events(batch) => Some(batch),
             StreamItem::End => None,
@@ -223,7 +232,7 @@
         status,
         headers,
         body,
-        load: response_headers.load,
+        load,
     }))
 }
 
--- a/src/gateway/tokens/owner.rs
+++ b/src/gateway/tokens/owner.rs
@@ -170,6 +170,7 @@
     pub(crate) async fn handle_note(&self, from: SocketAddr, note: Note) {
         match note {
             Note::Left { number, outcome } => self.leases.release(&(from, number), outcome),
+            Note::Load { number, load } => self.leases.report_load(&(from, number), load),
             Note::Settled {
                 part,
                 reservation,
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -4,10 +4,11 @@
 //! server only as many requests as fit its concurrency window, keeps the others in a priority
 //! queue, and grants the first of them when a slot frees up.
 
+use super::pace::{Profile, Run};
 use super::prefix::Part;
 use super::queue::{Band, Prioritized};
 use super::service_pool::{MAX_SCANNED, QueuedRequest, ServicePool};
-use super::window::{mean_error_rate, record_latency};
+use super::window::{Choice, Server, mean_error_rate, record_latency};
 use crate::id::Permit;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
@@ -171,6 +172,7 @@
     started_at: Instant,
     /// Requests of this dispatcher on the server when this one started, including itself.
     running_at_start: usize,
+    run: Run,
 }
 
 /// Result of [`Dispatcher::request`].
@@ -219,6 +221,23 @@
     pub slots_per_program: &'a BTreeMap<u8, f64>,
 }
 
+/// Pace of the hosts of the servers of a service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PaceStats<'a> {
+    /// Name of the service.
+    pub service: &'a str,
+    /// Servers.
+    pub servers: usize,
+    /// Servers whose hosts are believed to be slow.
+    pub slow: usize,
+    /// Servers whose reports are ignored, since their answers contradict them.
+    pub distrusted: usize,
+    /// Average of the reported paces, as a factor on the usual time.
+    pub mean_pace: f64,
+    /// Requests so far that were queued for a server of usual pace although another had room.
+    pub waits: u64,
+}
+
 /// Queues and server windows of all services.
 #[derive(Debug, Default)]
 pub struct Dispatcher {
@@ -230,6 +249,8 @@
     session_servers: HashMap<u64, Arc<str>>,
     epoch: Option<Instant>,
     last_sweep: Option<Instant>,
+    /// Tokens per unit of work of the services whose servers generate tokens.
+    tokens_per_event: HashMap<Arc<str>, u64>,
 }
 
 impl Dispatcher {
@@ -287,10 +308,14 @@
         let session_server = request
             .session
             .and_then(|session| self.session_servers.get(&session));
-        if queued_ahead == 0
-            && let Some(index) = pool.choose(now, permit, &request, band, session_server)
-        {
-            return Placement::Granted(self.start(now, permit, &request, index));
+        if queued_ahead == 0 {
+            match pool.choose(now, permit, &request, band, session_server, 0) {
+                Choice::Server(index) => {
+                    return Placement::Granted(self.start(now, permit, &request, index));
+                }
+                Choice::Wait => pool.waits_for_pace += 1,
+                Choice::Full => {}
+            }
         }
         if let Some(retry_after) = pool.overload_retry_after(now, band, &request) {
             pool.request_ended(now, request.program, Duration::ZERO);
@@ -354,7 +379,16 @@
             return;
         };
         let mut full_band = None;
-        for permit in pool.queue.most_urgent(now_ms, MAX_SCANNED) {
+        let mut left_waiting = 0;
+        let urgent = pool.queue.most_urgent(now_ms, MAX_SCANNED);
+        // Of a longer queue, the last request considered stands for those behind it: servers of
+        // any pace are used if those would wait long.
+        let not_considered = pool
+            .queue
+            .queued_ahead(Band::OnTime)
+            .saturating_sub(MAX_SCANNED);
+        let last = urgent.get(MAX_SCANNED - 1).copied();
+        for permit in urgent {
             let Some(pool) = self.pools.get_mut(service) else {
                 return;
             };
@@ -368,14 +402,25 @@
                 .request
                 .session
                 .and_then(|session| self.session_servers.get(&session));
-            let Some(index) = pool.choose(now, permit, &queued.request, band, session_server)
-            else {
-                if band == Band::OnTime {
-                    return;
+            let behind = if last == Some(permit) {
+                not_considered
+            } else {
+                0
+            };
+            let ahead = left_waiting + behind;
+            let index = match pool.choose(now, permit, &queued.request, band, session_server, ahead)
+            {
+                Choice::Server(index) => index,
+                Choice::Wait => {
+                    left_waiting += 1;
+                    continue;
+                }
+                Choice::Full if band == Band::OnTime => return,
+                Choice::Full => {
+                    // Requests of other bands may have more room.
+                    full_band = Some(band);
+                    continue;
                 }
-                // Requests of other bands may have more room.
-                full_band = Some(band);
-                continue;
             };
             let Some(queued) = pool.queue.remove(permit) else {
                 continue;
@@ -399,6 +444,7 @@
             pool.programs.request_granted(program);
         }
         let server = &mut pool.servers[index];
+        let run = Run::new(now, server.work(request, &pool.profile), &server.pace);
         server.in_flight += 1;
         server
             .prefix_cache
@@ -413,11 +459,45 @@
             program: request.program,
             started_at: now,
             running_at_start: server.in_flight,
+            run,
         };
         self.in_flight.insert(permit, request);
         id
     }
 
+    /// Sets how many tokens an event of a response has, for each service that generates tokens.
+    pub fn set_tokens_per_event(&mut self, services: impl IntoIterator<Item = (Arc<str>, u64)>) {
+        self.tokens_per_event = services.into_iter().collect();
+    }
+
+    /// Records the load that the server of a running request reported when its response began.
+    ///
+    /// ```
+    /// use tokio::time::Instant;
+    /// use vanillatrail::id::Permit;
+    /// use vanillatrail::policy::dispatch::{Dispatcher, HostPace, Load};
+    /// let load = Load { running: 3, waiting: 0, host_pace: Some(HostPace(250)) };
+    /// // A report of a request that has ended is ignored.
+    /// Dispatcher::default().report(Instant::now(), Permit(1), load);
+    /// ```
+    pub fn report(&mut self, now: Instant, permit: Permit, load: Load) {
+        let Some(request) = self.in_flight.get_mut(&permit) else {
+            return;
+        };
+        let Some(pool) = self.pools.get_mut(&request.service) else {
+            return;
+        };
+        if let (Some(index), Some(host_pace)) =
+            (pool.candidates.index_of(&request.server), load.host_pace)
+        {
+            let pace = &mut pool.servers[index].pace;
+            pool.profile
+                .record_report(now, pace, host_pace, Duration::ZERO);
+            request.run.observe(now, pace);
+            request.run.reported = true;
+        }
+    }
+
     /// Ends a request, whether it was queued or running, and records its outcome.
     pub fn finish(&mut self, now: Instant, permit: Permit, outcome: Outcome) {
         if let Some(service) = self.queued.remove(&permit)
@@ -450,6 +530,15 @@
                     server.record_load(load, request.running_at_start);
                 }
                 record_latency(server, &mut pool.mean_ms_per_work, took, work);
+                let tokens_per_event = self.tokens_per_event.get(&request.service);
+                let work = (work, tokens_per_event.copied());
+                record_pace(
+                    now,
+                    server,
+                    &mut pool.profile,
+                    request.run,
+                    (took, work, load),
+                );
                 if let Some(session) = request.session {
                     if self.session_servers.len() >= MAX_SESSIONS {
                         self.session_servers.clear();
@@ -470,6 +559,13 @@
         with_queue.map(move |(service, pool)| pool.queue_stats(now, service))
     }
 
+    /// Pace of the hosts of the services whose servers report it.
+    pub fn pace_stats(&self, now: Instant) -> impl Iterator<Item = PaceStats<'_>> {
+        let pools = self.pools.iter();
+        let reporting = pools.filter(move |(_, pool)| pool.profile.is_on(now));
+        reporting.map(move |(service, pool)| pool.pace_stats(now, service))
+    }
+
     /// Whether any request is queued.
     #[must_use]
     pub fn has_queued(&self) -> bool {
@@ -486,6 +582,7 @@
     /// Queue length and in-flight requests per server, by service, as JSON.
     #[must_use]
     pub fn state(&self) -> serde_json::Value {
+        let now = self.last_sweep;
         let pools = self.pools.iter().map(|(service, pool)| {
             let servers = pool.servers.iter().map(|server| {
                 let state = serde_json::json!({
@@ -493,6 +590,9 @@
                     "others": server.external_load,
                     "slots": server.info.slots,
                     "slowness": server.slowdown,
+                    "pace": now.map(|now| server.pace.factor(now, &pool.profile)),
+                    "own_speed": server.pace.speeds(),
+                    "pace_believed": !server.pace.is_distrusted(),
                     "failures": server.consecutive_failures,
                 });
                 (server.info.id.to_string(), state)
@@ -500,6 +600,8 @@
             let servers: serde_json::Map<_, _> = servers.collect();
             let (known_programs, admitted) = pool.programs.counts();
             let state = serde_json::json!({
+                "uses_pace": now.is_some_and(|now| pool.profile.is_on(now)),
+                "waits_for_pace": pool.waits_for_pace,
                 "waiting": pool.queue.len(),
                 "programs": known_programs,
                 "programs_admitted": admitted,
@@ -510,3 +612,25 @@
         serde_json::Value::Object(pools.collect())
     }
 }
+
+/// Learns the pace of a server from a successful answer. `work` is the size of the request, and the
+/// tokens per unit of it on services that generate tokens.
+fn record_pace(
+    now: Instant,
+    server: &mut Server,
+    profile: &mut Profile,
+    mut run: Run,
+    (took, (work, tokens_per_event), load): (Duration, (f64, Option<u64>), Option<Load>),
+) {
+    if let Some(host_pace) = load.and_then(|load| load.host_pace)
+        && !run.reported
+    {
+        // The head of a stream, which has the report, may be as old as the request.
+        let age = tokens_per_event.map_or(Duration::ZERO, |_| took);
+        profile.record_report(now, &mut server.pace, host_pace, age);
+    }
+    run.observe(now, &server.pace);
+    run.work.others = f64::midpoint(run.work.others, server.batch_mates());
+    run.work.output_tokens = tokens_per_event.map_or(0.0, |tokens| (work - 1.0) * tokens as f64);
+    profile.record_answer(&mut server.pace, &run, took);
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -16,6 +16,7 @@
 pub mod latency;
 pub mod limit;
 pub mod outage;
+mod pace;
 pub mod pool;
 pub mod prefix;
 mod priority;
--- a/src/policy/service_pool.rs
+++ b/src/policy/service_pool.rs
@@ -1,12 +1,13 @@
 //! The servers and the queue of one service.
 
 use super::candidates::Candidates;
-use super::dispatch::{Description, Request, Stats};
+use super::dispatch::{Description, PaceStats, Request, Stats};
 use super::grant_rate::GrantRate;
+use super::pace::Profile;
 use super::priority::Priority;
 use super::programs::Programs;
 use super::queue::{Band, Prioritized, Queue};
-use super::window::{Server, choose};
+use super::window::{Choice, Server, choose, choose_by_time};
 use crate::id::Permit;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -58,6 +59,10 @@
     /// Moving average of the latency per unit of work, in milliseconds; none before the first
     /// response.
     pub(super) mean_ms_per_work: Option<f64>,
+    /// Expected time of requests; used only if servers report the pace of their hosts.
+    pub(super) profile: Profile,
+    /// Requests that were left waiting for another server although one had room.
+    pub(super) waits_for_pace: u64,
 }
 
 impl ServicePool {
@@ -101,8 +106,9 @@
         self.servers.swap_remove(index);
     }
 
-    /// Index of the best server with room for a request. Falls back to all servers if no candidate
-    /// has room.
+    /// The best server with room for a request. Falls back to all servers if no candidate has room.
+    ///
+    /// `ahead` requests wait for a server without room although others have some.
     pub(super) fn choose(
         &self,
         now: Instant,
@@ -110,28 +116,31 @@
         request: &Request,
         band: Band,
         session_server: Option<&Arc<str>>,
-    ) -> Option<usize> {
+        ahead: usize,
+    ) -> Choice {
         let candidates = self.candidates.select(permit, request, session_server);
         let is_subset = candidates.len() < self.servers.len();
-        let chosen = choose(
-            &self.servers,
-            candidates,
-            request,
-            band,
-            session_server,
-            now,
-        );
-        if chosen.is_some() || !is_subset {
-            return chosen;
+        let servers = &self.servers;
+        let choose = |candidates: Vec<usize>| {
+            if self.profile.is_on(now) {
+                let profile = (&self.profile, ahead);
+                return choose_by_time(
+                    servers,
+                    &candidates,
+                    request,
+                    band,
+                    session_server,
+                    now,
+                    profile,
+                );
+            }
+            choose(servers, candidates, request, band, session_server, now)
+                .map_or(Choice::Full, Choice::Server)
+        };
+        match choose(candidates) {
+            Choice::Full if is_subset => choose((0..servers.len()).collect()),
+            chosen => chosen,
         }
-        choose(
-            &self.servers,
-            0..self.servers.len(),
-            request,
-            band,
-            session_server,
-            now,
-        )
     }
 
     /// Slots of usable servers, without those taken by other senders.
@@ -156,6 +165,22 @@
         }
     }
 
+    pub(super) fn pace_stats<'a>(&self, now: Instant, service: &'a str) -> PaceStats<'a> {
+        let servers = self.servers.iter();
+        let slow = servers
+            .clone()
+            .filter(|server| self.profile.is_slow(now, &server.pace));
+        let distrusted = servers.filter(|server| server.pace.is_distrusted());
+        PaceStats {
+            service,
+            servers: self.servers.len(),
+            slow: slow.count(),
+            distrusted: distrusted.count(),
+            mean_pace: self.profile.mean_pace(),
+            waits: self.waits_for_pace,
+        }
+    }
+
     /// Retry-After of a request whose expected queue time exceeds its maximum wait; none if it may
     /// wait.
     pub(super) fn overload_retry_after(
--- a/src/policy/window.rs
+++ b/src/policy/window.rs
@@ -5,6 +5,7 @@
 //! doubles with each failure in a row (outlier ejection).
 
 use super::dispatch::{Description, Load, Request};
+use super::pace::{Pace, Profile, Work};
 use super::prefix::Cache;
 use super::queue::Band;
 use std::collections::HashMap;
@@ -48,6 +49,15 @@
 const EJECTION_MEAN_RATIO: f64 = 3.0;
 /// Weight of the newest load report in a server's external load.
 const LOAD_EWMA_WEIGHT: f64 = 0.1;
+/// Cost of a full window in mean times of a request. Below 1, expected times outweigh cached prompts
+/// and even load, and the service loses capacity.
+const WINDOW_COST: f64 = 2.0;
+/// A request waits for another server only if it is expected to end sooner by this factor: the time
+/// until a slot frees up is an estimate.
+const MIN_WAIT_GAIN: f64 = 1.2;
+/// Least load believed of a server, as a share of this dispatcher's requests on it, so that one that
+/// reports too little does not attract all requests.
+const MIN_BELIEVED_LOAD: f64 = 0.5;
 
 #[derive(Debug)]
 pub(super) struct Server {
@@ -66,6 +76,18 @@
     /// Moving average of the share of responses that are server errors.
     error_rate: f64,
     pub(super) ejected_until: Option<Instant>,
+    pub(super) pace: Pace,
+}
+
+/// Result of [`choose_by_time`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Choice {
+    /// Index of a server with room.
+    Server(usize),
+    /// Servers have room, but one without is expected to end the request sooner.
+    Wait,
+    /// No server has room.
+    Full,
 }
 
 impl Server {
@@ -80,6 +102,7 @@
             consecutive_failures: 0,
             error_rate: 0.0,
             ejected_until: None,
+            pace: Pace::default(),
         }
     }
 
@@ -127,6 +150,53 @@
         (self.in_flight as f64 + self.external_load).max(0.0)
     }
 
+    /// Load that is believed where the time of a request is estimated.
+    fn believed_load(&self) -> f64 {
+        self.load().max(self.in_flight as f64 * MIN_BELIEVED_LOAD)
+    }
+
+    /// What the request would cost this server.
+    pub(super) fn work(&self, request: &Request, profile: &Profile) -> Work {
+        let Some(demand) = &request.demand else {
+            return Work {
+                prompt_tokens: self.prefix_cache.uncached_tokens(&request.prompt) as f64,
+                output_tokens: profile.mean_output_tokens(),
+                others: self.batch_mates(),
+            };
+        };
+        let in_parts: u64 = (request.prompt.iter())
+            .map(|part| u64::from(part.tokens))
+            .sum();
+        let rest = u64::from(demand.prompt_tokens).saturating_sub(in_parts);
+        let uncached = self.prefix_cache.uncached_tokens(&request.prompt) + rest;
+        let mut output_tokens = match demand.output_tokens {
+            0 => profile.mean_output_tokens(),
+            hint => f64::from(hint),
+        };
+        if demand.max_output_tokens > 0 {
+            output_tokens = output_tokens.min(f64::from(demand.max_output_tokens));
+        }
+        Work {
+            prompt_tokens: uncached as f64,
+            output_tokens,
+            others: self.batch_mates(),
+        }
+    }
+
+    /// Requests that would run beside a new one.
+    pub(super) fn batch_mates(&self) -> f64 {
+        let slots = self.info.slots as f64;
+        self.believed_load().min((slots - 1.0).max(0.0))
+    }
+
+    /// Expected time of a request from its arrival at the server to its end, in milliseconds.
+    fn expected_ms(&self, now: Instant, request: &Request, profile: &Profile) -> f64 {
+        let run_ms = (self.pace).expected_ms(now, profile, self.work(request, profile));
+        let slots = self.info.slots.max(1) as f64;
+        let ahead = (self.believed_load() + 1.0 - slots).max(0.0);
+        run_ms * (1.0 + ahead / slots)
+    }
+
     /// Records a load report of the server. `in_flight` is the number of this dispatcher's requests
     /// that ran there at that time.
     pub(super) fn record_load(&mut self, load: Load, in_flight: usize) {
@@ -178,6 +248,42 @@
         LATENCY_EWMA_WEIGHT / 8.0 * (ms_per_work / server.slowdown.max(SLOWDOWN_BOUNDS.0) - *mean);
 }
 
+/// Cost of a server with this cost of its load, as a fraction of its window.
+fn total_cost(
+    load_cost: f64,
+    server: &Server,
+    request: &Request,
+    session_server: Option<&Arc<str>>,
+    now: Instant,
+) -> f64 {
+    let cross_zone_cost = if server.info.zone == request.zone {
+        0.0
+    } else {
+        CROSS_ZONE_COST
+    };
+    let session_bonus = if request.prompt.is_empty() && session_server == Some(&server.info.id) {
+        SESSION_AFFINITY_BONUS
+    } else {
+        0.0
+    };
+    let avoid_cost = if request.avoid.contains(&server.info.id) {
+        100.0
+    } else {
+        0.0
+    };
+    let connection_bonus = if server.has_open_connection(now, request.vm) {
+        OPEN_CONNECTION_BONUS
+    } else {
+        0.0
+    };
+    let uncached_cost =
+        server.prefix_cache.uncached_tokens(&request.prompt) as f64 / UNCACHED_TOKENS_PER_WINDOW;
+    let error_cost = server.error_rate * ERROR_RATE_COST;
+    load_cost + cross_zone_cost + avoid_cost + uncached_cost + error_cost
+        - session_bonus
+        - connection_bonus
+}
+
 /// Index of the candidate with room that has the lowest cost.
 pub(super) fn choose(
     servers: &[Server],
@@ -187,35 +293,7 @@
     session_server: Option<&Arc<str>>,
     now: Instant,
 ) -> Option<usize> {
-    let cost = |server: &Server| {
-        let cross_zone_cost = if server.info.zone == request.zone {
-            0.0
-        } else {
-            CROSS_ZONE_COST
-        };
-        let session_bonus = if request.prompt.is_empty() && session_server == Some(&server.info.id)
-        {
-            SESSION_AFFINITY_BONUS
-        } else {
-            0.0
-        };
-        let avoid_cost = if request.avoid.contains(&server.info.id) {
-            100.0
-        } else {
-            0.0
-        };
-        let connection_bonus = if server.has_open_connection(now, request.vm) {
-            OPEN_CONNECTION_BONUS
-        } else {
-            0.0
-        };
-        let uncached_cost = server.prefix_cache.uncached_tokens(&request.prompt) as f64
-            / UNCACHED_TOKENS_PER_WINDOW;
-        let error_cost = server.error_rate * ERROR_RATE_COST;
-        server.cost() + cross_zone_cost + avoid_cost + uncached_cost + error_cost
-            - session_bonus
-            - connection_bonus
-    };
+    let cost = |server: &Server| total_cost(server.cost(), server, request, session_server, now);
     let with_room = candidates
         .into_iter()
         .map(|index| (index, &servers[index]))
@@ -225,3 +303,64 @@
         .min_by(|(_, a), (_, b)| a.total_cmp(b))
         .map(|(index, _)| index)
 }
+
+/// The candidate with room that has the lowest cost in expected time. `ahead` requests already wait
+/// for a server that has no room now.
+pub(super) fn choose_by_time(
+    servers: &[Server],
+    candidates: &[usize],
+    request: &Request,
+    band: Band,
+    session_server: Option<&Arc<str>>,
+    now: Instant,
+    (profile, ahead): (&Profile, usize),
+) -> Choice {
+    let mean_ms = profile.mean_ms();
+    let cost = |server: &Server, expected_ms: f64| {
+        let slots = server.info.slots.max(1) as f64;
+        let load = server.believed_load();
+        let mean_speed_ms = server.pace.expected_ms(now, profile, profile.mean_work());
+        // As in `choose`, with the momentary pace in place of the slowdown.
+        let load_cost = (load + 0.5) / slots * mean_speed_ms / mean_ms.max(0.001);
+        let shares = total_cost(load_cost, server, request, session_server, now);
+        expected_ms + WINDOW_COST * shares * mean_ms
+    };
+    let with_room = candidates.iter().map(|index| (*index, &servers[*index]));
+    let chosen = with_room
+        .filter(|(_, server)| server.has_room(now, band))
+        .map(|(index, server)| {
+            let expected_ms = server.expected_ms(now, request, profile);
+            (index, expected_ms, cost(server, expected_ms))
+        })
+        .min_by(|(.., a), (.., b)| a.total_cmp(b));
+    let Some((chosen, chosen_ms, _)) = chosen else {
+        return Choice::Full;
+    };
+    if band != Band::OnTime {
+        return Choice::Server(chosen);
+    }
+    // Of the servers without room that would take less time: the rate at which their slots free up,
+    // and the least time that the request takes there.
+    let (mut freed_per_ms, mut least_ms) = (0.0, f64::INFINITY);
+    for index in candidates {
+        let server = &servers[*index];
+        if !server.is_usable(now)
+            || server.has_room(now, band)
+            || request.avoid.contains(&server.info.id)
+        {
+            continue;
+        }
+        let run_ms = (server.pace).expected_ms(now, profile, server.work(request, profile));
+        if run_ms * MIN_WAIT_GAIN < chosen_ms {
+            let residence_ms = server.pace.expected_ms(now, profile, profile.mean_work());
+            freed_per_ms += server.in_flight as f64 / residence_ms.max(0.01);
+            least_ms = least_ms.min(run_ms);
+        }
+    }
+    let wait_ms = (ahead + 1) as f64 / freed_per_ms;
+    if (wait_ms + least_ms) * MIN_WAIT_GAIN < chosen_ms {
+        Choice::Wait
+    } else {
+        Choice::Server(chosen)
+    }
+}
