--- a/src/gateway/front/housekeeping.rs
+++ b/src/gateway/front/housekeeping.rs
@@ -100,6 +100,7 @@
             last_sweep = Instant::now();
             gateway.queue.log_waiting();
             gateway.queue.report_object_placement(&gateway.metrics);
+            gateway.queue.record_pace(&gateway.metrics);
             gateway.record_members();
             let (directory, confirmed_at) = {
                 let routing = gateway.routing.borrow();
