Reuse connections for requests that run once as long as the dispatcher counts on them

Cause: the dispatcher prefers servers to which the VM used a connection in the last 3 s, but a request that may run only once reused one for 1.5 s, so it was sent to such servers over new connections.

--- a/src/gateway/server/attempt.rs
+++ b/src/gateway/server/attempt.rs
@@ -14,9 +14,11 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Maximum idle time of a connection that is reused for a non-idempotent request. Short, since the
-/// server may have dropped an idle connection, and a reset leaves open whether the request ran.
-const MAX_IDLE_NON_IDEMPOTENT: Duration = Duration::from_millis(1500);
+/// Maximum idle time of a connection that is reused for a non-idempotent request. Limited, since the
+/// server may have dropped an idle connection, and a reset leaves open whether the request ran. Not
+/// below the time for which the dispatcher assumes a connection to be open, or it would choose
+/// servers for connections that are not reused.
+const MAX_IDLE_NON_IDEMPOTENT: Duration = Duration::from_secs(3);
 /// Maximum idle time of a connection that is reused for an idempotent request.
 const MAX_IDLE_IDEMPOTENT: Duration = Duration::from_secs(30);
 /// Maximum size of a buffered response body.
