Place calls of plain services by the load reports of all VMs

Cause: each VM judged the servers of a plain service by its own few requests, so calls went to servers whose hosts were slow for the moment, and an object's server was kept however slow its host.

Change: at services without an engine whose servers report the pace of their hosts, VMs send what they saw to one collector, which sends back a digest, at most every 100 ms and at most 600 messages a second received and 600 sent. Reports are not used from 0.6 s on. Servers known to be slow are left out; of two servers drawn at random and those with an open connection, the cheapest by pace, utilization, zone and connection is chosen. An object's server is passed over while it is slow. Without reports of the pace the placement is as before.

--- a/src/gateway/front/metrics.rs
+++ b/src/gateway/front/metrics.rs
@@ -24,8 +24,10 @@
     pub(crate) connections: Counter<u64>,
     /// Attempts at backend servers without a response, by reason.
     attempts_failed: Counter<u64>,
-    /// Requests placed by their object, by the position of the server in the object's order.
-    object_requests: Counter<u64>,
+    /// Requests placed at services without an engine, by how the server was chosen.
+    plain_choices: Counter<u64>,
+    /// Messages with load reports between VMs, by what became of them.
+    load_notes: Counter<u64>,
     /// Responses to callers, by kind of route and result.
     responses: Counter<u64>,
     /// Requests refused by team limits, by team.
@@ -72,9 +74,13 @@
         Self {
             connections: counter("backend_connections", "New connections to backend servers"),
             attempts_failed: counter("attempts_failed", "Attempts without an answer, by reason"),
-            object_requests: counter(
-                "object_requests",
-                "Requests placed by their object, by position of the server in its order",
+            plain_choices: counter(
+                "plain_choices",
+                "Requests placed at services without an engine, by how the server was chosen",
+            ),
+            load_notes: counter(
+                "load_notes",
+                "Messages with load reports between VMs: sent, received, or received too late",
             ),
             responses: counter("gateway_answers", "Answers to callers, by kind and result"),
             limit_refusals: counter(
@@ -110,10 +116,15 @@
             .add(1, &[KeyValue::new("reason", reason)]);
     }
 
-    /// Counts requests placed by their object; `position` is `first` or `later`.
-    pub(crate) fn count_object_requests(&self, position: &'static str, requests: u64) {
-        self.object_requests
-            .add(requests, &[KeyValue::new("position", position)]);
+    /// Counts requests placed at services without an engine.
+    pub(crate) fn count_plain_choices(&self, choice: &'static str, requests: u64) {
+        self.plain_choices
+            .add(requests, &[KeyValue::new("choice", choice)]);
+    }
+
+    /// Counts a message with load reports; `what` is `sent`, `received` or `late`.
+    pub(crate) fn count_load_note(&self, what: &'static str) {
+        self.load_notes.add(1, &[KeyValue::new("what", what)]);
     }
 
     /// Counts a finished request and records its duration.
--- a/src/gateway/front/mod.rs
+++ b/src/gateway/front/mod.rs
@@ -14,6 +14,7 @@
 use crate::gateway::peers::Peers;
 use crate::gateway::queue::lease::Leases;
 use crate::gateway::queue::permit::Queue;
+use crate::gateway::queue::reports;
 use crate::gateway::reachability::Members;
 use crate::gateway::request::body::Body;
 use crate::gateway::server::connection::Pool;
@@ -243,6 +244,7 @@
     spawn_local(operators::run(Rc::clone(&gateway), operators));
     spawn_local(snapshot::publish(Rc::clone(&gateway)));
     spawn_local(peers::receive(Rc::clone(&gateway)));
+    spawn_local(reports::run(Rc::clone(&gateway)));
     spawn_local(partitions::run_maintenance(Rc::clone(&gateway)));
     spawn_local(conversation::run_maintenance(Rc::clone(&gateway)));
     let discovery = Rc::clone(&gateway.discovery);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -5,6 +5,7 @@
 use crate::conversation::Id;
 use crate::gateway::Gateway;
 use crate::gateway::limits::count::Acquisition;
+use crate::gateway::queue::reports::LoadNote;
 use crate::id::Vm;
 use crate::member::{MAX_DATAGRAM_BYTES, Sealer};
 use crate::policy::allowance::{Reservation, Snapshot};
@@ -193,6 +194,9 @@
     /// The request that asked for a slot under this question number is over, or no longer waits.
     #[serde(rename = "l")]
     Left { number: u64, outcome: Outcome },
+    /// Loads that servers of a service reported.
+    #[serde(rename = "o")]
+    Loads(LoadNote),
 }
 
 /// Content of a datagram; questions and replies carry the number of the question.
--- a/src/gateway/queue/lease.rs
+++ b/src/gateway/queue/lease.rs
@@ -28,7 +28,7 @@
 const MAX_REJECTED_SLOTS: usize = 3;
 /// A VM may own a queue if it has at least the processor time of the largest VM divided by this, since
 /// the owner handles the datagrams of all VMs.
-const MIN_CORES_DIVISOR: u64 = 2;
+pub(super) const MIN_CORES_DIVISOR: u64 = 2;
 /// How long a lease outlives the request's time limit, if no release message arrives.
 const LEASE_GRACE: Duration = Duration::from_millis(300);
 
--- a/src/gateway/queue/mod.rs
+++ b/src/gateway/queue/mod.rs
@@ -2,3 +2,4 @@
 
 pub(crate) mod lease;
 pub(crate) mod permit;
+pub(crate) mod reports;
--- a/src/gateway/queue/permit.rs
+++ b/src/gateway/queue/permit.rs
@@ -4,14 +4,15 @@
 use crate::gateway::Gateway;
 use crate::gateway::front::metrics::Metrics;
 use crate::gateway::peers::Note;
+use crate::gateway::queue::reports::Exchange;
 use crate::gateway::world::directory::{Change, Directory, Entry, Instance};
 use crate::gateway::world::state::Routing;
 use crate::gateway::world::table::Table;
 use crate::id;
-use crate::policy::affinity;
 use crate::policy::dispatch::{
     Description, Dispatcher, LATE_REQUEST_RETRY_AFTER, Outcome, Placement, Request, Tick,
 };
+use crate::policy::{affinity, load_share};
 use crate::telemetry::event;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -28,14 +29,16 @@
 /// The dispatcher of this VM, and the requests that wait for it.
 #[derive(Debug, Default)]
 pub(crate) struct Queue {
-    dispatcher: RefCell<Dispatcher>,
+    pub(super) dispatcher: RefCell<Dispatcher>,
     /// Notifies a waiting request of its server, or with `None` that it was refused.
     waiters: RefCell<HashMap<id::Permit, oneshot::Sender<Option<Instance>>>>,
     next_permit: Cell<u64>,
+    /// Exchange of load reports with other VMs.
+    pub(crate) exchange: Exchange,
     /// Directory entries of the servers that the dispatcher has, by server name.
     entries: RefCell<HashMap<Arc<str>, Arc<Entry>>>,
-    /// Requests placed by their object that are already counted in the metrics, by service.
-    reported_objects: RefCell<HashMap<String, affinity::Counts>>,
+    /// Requests of services without an engine that are already counted in the metrics.
+    reported_plain: RefCell<HashMap<String, (affinity::Counts, load_share::Counts)>>,
 }
 
 fn describe(entry: &Entry, table: Option<&Table>) -> Description {
@@ -145,28 +148,39 @@
         }
     }
 
-    /// Counts and logs how requests were placed by their object since the previous call.
-    pub(crate) fn report_object_placement(&self, metrics: &Metrics) {
-        let mut reported = self.reported_objects.borrow_mut();
-        for (service, counts) in self.dispatcher.borrow().object_counts() {
-            let previous = reported.get(service).copied().unwrap_or_default();
-            if counts == previous {
+    /// Counts and logs how requests of services without an engine were placed since the previous
+    /// call.
+    pub(crate) fn report_plain_placement(&self, metrics: &Metrics) {
+        let mut reported = self.reported_plain.borrow_mut();
+        for (service, by_object, by_load) in self.dispatcher.borrow().plain_counts() {
+            let (object, load) = reported.get(service).copied().unwrap_or_default();
+            if (by_object, by_load) == (object, load) {
                 continue;
             }
-            let first = counts.first.saturating_sub(previous.first);
-            let later = counts.later.saturating_sub(previous.later);
-            metrics.count_object_requests("first", first);
-            metrics.count_object_requests("later", later);
-            if later > 0 {
+            let first = by_object.first.saturating_sub(object.first);
+            let later = by_object.later.saturating_sub(object.later);
+            let open = by_load.open.saturating_sub(load.open);
+            let new = by_load.new.saturating_sub(load.new);
+            for (choice, requests) in [
+                ("object_first", first),
+                ("object_later", later),
+                ("load_open", open),
+                ("load_new", new),
+            ] {
+                metrics.count_plain_choices(choice, requests);
+            }
+            if later + new > 0 {
                 event!(
                     info,
-                    "objects_displaced",
+                    "plain_placed",
                     service = service,
-                    first = first,
-                    later = later
+                    object_first = first,
+                    object_later = later,
+                    load_open = open,
+                    load_new = new
                 );
             }
-            reported.insert(service.to_owned(), counts);
+            reported.insert(service.to_owned(), (by_object, by_load));
         }
     }
 
--- a/src/gateway/tokens/owner.rs
+++ b/src/gateway/tokens/owner.rs
@@ -183,6 +183,7 @@
                 }
             }
             Note::Copied(replica) => self.partitions.merge_replica(replica),
+            Note::Loads(note) => self.handle_loads(from, note),
             Note::Holds { turn } => self.conversations.set_holder(turn, from),
         }
     }
--- a/src/policy/affinity.rs
+++ b/src/policy/affinity.rs
@@ -106,13 +106,16 @@
 }
 
 impl ServicePool {
-    /// Index of the server for the object of a request; `None` if no server accepts it.
+    /// Index of the server for the object of a request; `None` if no server accepts it. Servers for
+    /// which `is_slow` holds are passed over: at 2.5 times the usual time, knowing the object does
+    /// not make up for it.
     pub(super) fn choose_for_object(
         &self,
         now: Instant,
         request: &Request,
         band: Band,
         object: u64,
+        is_slow: impl Fn(&Server) -> bool,
     ) -> Option<Choice> {
         let usable = self.servers.iter().enumerate();
         let usable = usable.filter(|(_, server)| accepts_objects(server, now));
@@ -122,7 +125,8 @@
                     id: &server.info.id,
                     load: server.load(),
                     has_room: server.has_room(now, band)
-                        && !request.avoid.contains(&server.info.id),
+                        && !request.avoid.contains(&server.info.id)
+                        && !is_slow(server),
                 };
                 (index, candidate)
             })
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -5,6 +5,7 @@
 //! queue, and grants the first of them when a slot frees up.
 
 use super::affinity;
+use super::load_share::{self, LoadShare, Report};
 use super::prefix::Part;
 use super::queue::{Band, Prioritized};
 use super::service_pool::{MAX_SCANNED, QueuedRequest, ServicePool};
@@ -230,7 +231,7 @@
     /// Server that ran the latest turn of each session.
     session_servers: HashMap<u64, Arc<str>>,
     /// Services without an engine.
-    plain: HashMap<Arc<str>, affinity::Counts>,
+    plain: HashMap<Arc<str>, LoadShare>,
     epoch: Option<Instant>,
     last_sweep: Option<Instant>,
 }
@@ -251,11 +252,14 @@
         }
         for (service, pool) in &mut self.pools {
             pool.set_servers(by_service.remove(service).unwrap_or_default());
+            if let Some(share) = self.plain.get_mut(service) {
+                share.retain_servers(pool);
+            }
         }
     }
 
     /// Replaces the set of services that have no engine. Without it, requests are placed regardless
-    /// of their object.
+    /// of their object and of the reported pace of hosts.
     pub fn set_plain_services(&mut self, services: impl IntoIterator<Item = Arc<str>>) {
         let mut previous = std::mem::take(&mut self.plain);
         let with_state = services.into_iter().map(|service| {
@@ -280,6 +284,9 @@
     pub fn remove_server(&mut self, service: &str, id: &str) {
         if let Some(pool) = self.pools.get_mut(service) {
             pool.remove_server(id);
+            if let Some(share) = self.plain.get_mut(service) {
+                share.retain_servers(pool);
+            }
         }
     }
 
@@ -301,18 +308,12 @@
         let session_server = request
             .session
             .and_then(|session| self.session_servers.get(&session));
-        let plain = self.plain.get_mut(&request.service);
-        let for_object = plain.and_then(|counts| {
-            let object = request.demand.as_ref()?.object?;
-            let choice = (queued_ahead == 0)
-                .then(|| pool.choose_for_object(now, &request, band, object))
-                .flatten()?;
-            counts.record(choice);
-            Some(choice.index)
-        });
         if queued_ahead == 0
-            && let Some(index) =
-                for_object.or_else(|| pool.choose(now, permit, &request, band, session_server))
+            && let Some(index) = self
+                .plain
+                .get_mut(&request.service)
+                .and_then(|share| share.choose(now, permit, &request, band, pool))
+                .or_else(|| pool.choose(now, permit, &request, band, session_server))
         {
             return Placement::Granted(self.start(now, permit, &request, index));
         }
@@ -428,6 +429,9 @@
             .prefix_cache
             .insert(&request.prompt, server.info.cache_tokens);
         let id = Arc::clone(&server.info.id);
+        if let Some(share) = self.plain.get_mut(&request.service) {
+            share.record_send(now, &id);
+        }
         pool.candidates.record_prompt(&request.prompt, &id);
         let request = InFlight {
             service: Arc::clone(&request.service),
@@ -472,6 +476,9 @@
                 pool.candidates.record_use(request.vm, &request.server);
                 if let Some(load) = load {
                     server.record_load(load, request.running_at_start);
+                    if let Some(share) = self.plain.get_mut(&request.service) {
+                        share.record_answer(now, &request.server, load);
+                    }
                 }
                 record_latency(server, &mut pool.mean_ms_per_work, took, work);
                 if let Some(session) = request.session {
@@ -494,11 +501,46 @@
         with_queue.map(move |(service, pool)| pool.queue_stats(now, service))
     }
 
-    /// Requests placed by their object, by service without an engine.
-    pub fn object_counts(&self) -> impl Iterator<Item = (&str, affinity::Counts)> {
+    /// Requests placed by their object and by load reports, by service without an engine.
+    pub fn plain_counts(
+        &self,
+    ) -> impl Iterator<Item = (&str, affinity::Counts, load_share::Counts)> {
         self.plain
             .iter()
-            .map(|(service, counts)| (&**service, *counts))
+            .map(|(service, share)| (&**service, share.by_object, share.by_load))
+    }
+
+    /// Services without an engine that have servers, with the number of servers.
+    pub fn plain_services(&self) -> impl Iterator<Item = (&Arc<str>, usize)> {
+        self.plain
+            .keys()
+            .filter_map(|service| Some((service, self.pools.get(service)?.servers.len())))
+    }
+
+    /// Whether a service is known to have no engine.
+    #[must_use]
+    pub fn is_plain(&self, service: &str) -> bool {
+        self.plain.contains_key(service)
+    }
+
+    /// Load reports that came with answers since the previous call; `None` if the service was not
+    /// used since, or its servers do not report the pace of their hosts.
+    pub fn take_load_reports(&mut self, now: Instant, service: &str) -> Option<Vec<Report>> {
+        self.plain.get_mut(service)?.take_reports(now)
+    }
+
+    /// The newest load report of each server, without those that are too old.
+    #[must_use]
+    pub fn load_digest(&self, now: Instant, service: &str) -> Vec<Report> {
+        let share = self.plain.get(service);
+        share.map_or_else(Vec::new, |share| share.digest(now))
+    }
+
+    /// Merges load reports that other VMs received, by which requests are then placed.
+    pub fn merge_load_reports(&mut self, now: Instant, service: &str, reports: &[Report]) {
+        if let (Some(share), Some(pool)) = (self.plain.get_mut(service), self.pools.get(service)) {
+            share.merge(now, reports, pool);
+        }
     }
 
     /// Whether any request is queued.
@@ -535,7 +577,7 @@
                 "programs": known_programs,
                 "programs_admitted": admitted,
                 "servers": servers,
-                "by_object": self.plain.get(service),
+                "plain": self.plain.get(service).map(LoadShare::state),
             });
             (service.to_string(), state)
         });
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -16,6 +16,7 @@
 mod grant_rate;
 pub mod latency;
 pub mod limit;
+pub mod load_share;
 pub mod outage;
 pub mod pool;
 pub mod prefix;
