--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -5,6 +5,7 @@
 use crate::conversation::Id;
 use crate::gateway::Gateway;
 use crate::gateway::limits::count::Acquisition;
+use crate::gateway::queue::reports::LoadNote;
 use crate::id::Vm;
 use crate::member::{MAX_DATAGRAM_BYTES, Sealer};
 use crate::policy::allowance::{Reservation, Snapshot};
@@ -196,6 +197,9 @@
     /// Load in the head of the response to the request that asked for a slot under this question number.
     #[serde(rename = "w")]
     Load { number: u64, load: Load },
+    /// Loads that servers of a service reported.
+    #[serde(rename = "o")]
+    Loads(LoadNote),
 }
 
 /// Content of a datagram; questions and replies carry the number of the question.
