Place runs where their memory fits until they end

Cause: only the slots of an engine were counted, so that runs were preempted for lack of memory.

Change: `policy::memory` keeps what the runs on each engine hold at their end, with the output learned by class. A run that fits nowhere waits; one larger than any engine is refused at once with 413 VT1015. On only where servers report the pace of their hosts.

--- a/src/code.rs
+++ b/src/code.rs
@@ -91,6 +91,7 @@
     UnknownRoute = 1012, 404, "No route matches the host and path.";
     UnknownTurn = 1013, 404, "The previous turn does not exist or has expired.";
     UnknownKey = 1014, 401, "The API key is missing or unknown.";
+    RequestTooLarge = 1015, 413, "The request needs more memory than any engine has.";
     BudgetExceeded = 2001, 409, "The call could exceed the budget of the program.";
     TurnLimit = 2002, 409, "The program has reached the call limit of its class.";
     DepthLimit = 2003, 409, "The program has reached the nesting limit of its class.";
--- a/src/gateway/front/metrics.rs
+++ b/src/gateway/front/metrics.rs
@@ -51,6 +51,8 @@
     distrusted_reports: Gauge<u64>,
     /// Requests queued for a server of usual pace although another had room, by service.
     pace_waits: Gauge<u64>,
+    /// Requests queued for lack of memory, by service.
+    memory_waits: Gauge<u64>,
     _dropped_log_lines: ObservableCounter<u64>,
 }
 
@@ -111,6 +113,10 @@
                 "pace_waits",
                 "Requests queued for a server of usual pace while a slower one had room, by service",
             ),
+            memory_waits: gauge(
+                "memory_waits",
+                "Requests queued since no engine with room had enough memory, by service",
+            ),
             _dropped_log_lines: meter
                 .u64_observable_counter("log_lines_dropped")
                 .with_description("Log lines dropped, since nobody read them fast enough")
@@ -175,6 +181,7 @@
         self.distrusted_reports
             .record(pace.distrusted as u64, &labels);
         self.pace_waits.record(pace.waits, &labels);
+        self.memory_waits.record(pace.memory_waits, &labels);
     }
 
     pub(crate) fn directory_age(&self, age: Duration) {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -172,6 +172,9 @@
     /// The request can't be served in time; the caller may retry after `retry_ms`.
     #[serde(rename = "f")]
     Full { retry_ms: u64 },
+    /// The request needs more memory than any engine of the service has.
+    #[serde(rename = "b")]
+    TooLarge,
 }
 
 /// A one-way message.
--- a/src/gateway/queue/lease.rs
+++ b/src/gateway/queue/lease.rs
@@ -5,7 +5,9 @@
 
 use crate::code::{Code, Failure};
 use crate::gateway::peers::{Peer, Question, Reply, ReplyAddress};
-use crate::gateway::queue::permit::{Permit, SlotGuard, SlotOwner, no_server, overloaded};
+use crate::gateway::queue::permit::{
+    Permit, SlotGuard, SlotOwner, no_server, overloaded, too_large,
+};
 use crate::gateway::{Gateway, peers};
 use crate::id::{self, rendezvous_score};
 use crate::policy::dispatch::{Load, Outcome, Request};
@@ -145,6 +147,7 @@
             .await?;
         let server = match reply {
             Reply::Placed(server) => server,
+            Reply::TooLarge => return Some(Err(AcquireError::Failure(too_large()))),
             Reply::NoServer => return Some(Err(AcquireError::Failure(no_server()))),
             Reply::Full { retry_ms } => {
                 let failure = overloaded(Duration::from_millis(retry_ms));
@@ -206,6 +209,7 @@
                 Reply::Placed(server)
             }
             Err(failure) if failure.code == Code::NoServer => Reply::NoServer,
+            Err(failure) if failure.code == Code::RequestTooLarge => Reply::TooLarge,
             Err(failure) => Reply::Full {
                 retry_ms: failure.retry_after_ms.unwrap_or_default(),
             },
--- a/src/gateway/queue/permit.rs
+++ b/src/gateway/queue/permit.rs
@@ -163,7 +163,9 @@
                     slow = pace.slow,
                     distrusted = pace.distrusted,
                     mean_pace = format!("{:.2}", pace.mean_pace),
-                    waits = pace.waits
+                    waits = pace.waits,
+                    fullest_memory = format!("{:.2}", pace.fullest_memory),
+                    memory_waits = pace.memory_waits
                 );
             }
         }
@@ -268,6 +270,9 @@
             let permit = id::Permit(self.queue.next_permit.get());
             self.queue.next_permit.set(permit.0 + 1);
             let now = Instant::now();
+            if self.queue.dispatcher.borrow().is_too_large(now, &request) {
+                return Err(too_large());
+            }
             let placement =
                 self.queue
                     .dispatcher
@@ -308,6 +313,14 @@
     failure.retry_after(retry_after)
 }
 
+/// The failure of a request that no engine can run.
+pub(crate) fn too_large() -> Failure {
+    Failure::refused(
+        Code::RequestTooLarge,
+        "the prompt and the expected output exceed the memory of every engine",
+    )
+}
+
 pub(crate) fn no_server() -> Failure {
     Failure::refused(Code::NoServer, "the service has no registered server")
         .retry_after(NO_SERVER_RETRY_AFTER)
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -4,6 +4,7 @@
 //! server only as many requests as fit its concurrency window, keeps the others in a priority
 //! queue, and grants the first of them when a slot frees up.
 
+use super::memory::beyond_parts;
 use super::pace::{Profile, Run};
 use super::prefix::Part;
 use super::queue::{Band, Prioritized};
@@ -27,6 +28,10 @@
 /// The same limit as a fraction of the request's own maximum wait.
 const MAX_LATE_WAIT_SHARE: f64 = 0.35;
 
+/// How long after its arrival a request that fits into the memory of no engine may be overtaken by
+/// requests behind it. About as long as a turn runs, after which memory should be free.
+const MAX_OVERTAKING_MS: i64 = 300;
+
 /// A backend server, as registered.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Description {
@@ -173,6 +178,7 @@
     /// Requests of this dispatcher on the server when this one started, including itself.
     running_at_start: usize,
     run: Run,
+    demand: Option<Demand>,
 }
 
 /// Result of [`Dispatcher::request`].
@@ -236,6 +242,11 @@
     pub mean_pace: f64,
     /// Requests so far that were queued for a server of usual pace although another had room.
     pub waits: u64,
+    /// Expected memory of the runs of the fullest engine, as a share of its memory; 0 without
+    /// engines.
+    pub fullest_memory: f64,
+    /// Requests so far that were queued since no engine with room had enough memory.
+    pub memory_waits: u64,
 }
 
 /// Queues and server windows of all services.
@@ -290,6 +301,24 @@
         }
     }
 
+    /// Whether a request needs more memory than any engine of its service has. It would wait in vain.
+    ///
+    /// ```
+    /// use tokio::time::Instant;
+    /// use vanillatrail::policy::dispatch::{Dispatcher, Request};
+    /// # let request = Request {
+    /// #     service: "pool".into(), zone: "a".into(), vm: 1, rank: 0, program: None, turns: 0,
+    /// #     left_ms: 0, max_wait_ms: 0, session: None, prompt: vec![], avoid: vec![], demand: None,
+    /// # };
+    /// // Nothing is known of its service.
+    /// assert!(!Dispatcher::default().is_too_large(Instant::now(), &request));
+    /// ```
+    #[must_use]
+    pub fn is_too_large(&self, now: Instant, request: &Request) -> bool {
+        let pool = self.pools.get(&request.service);
+        pool.is_some_and(|pool| pool.is_too_large(now, request))
+    }
+
     /// Grants, queues or refuses a request.
     pub fn request(&mut self, now: Instant, permit: Permit, request: Request) -> Placement {
         let now_ms = self.now_ms(now);
@@ -314,6 +343,7 @@
                     return Placement::Granted(self.start(now, permit, &request, index));
                 }
                 Choice::Wait => pool.waits_for_pace += 1,
+                Choice::NoMemory => pool.waits_for_memory += 1,
                 Choice::Full => {}
             }
         }
@@ -415,8 +445,12 @@
                     left_waiting += 1;
                     continue;
                 }
-                Choice::Full if band == Band::OnTime => return,
-                Choice::Full => {
+                // Smaller requests may fit, but must not keep this one waiting for long.
+                Choice::NoMemory if queued.priority.arrival_ms + MAX_OVERTAKING_MS > now_ms => {
+                    continue;
+                }
+                Choice::Full | Choice::NoMemory if band == Band::OnTime => return,
+                Choice::Full | Choice::NoMemory => {
                     // Requests of other bands may have more room.
                     full_band = Some(band);
                     continue;
@@ -446,6 +480,11 @@
         let server = &mut pool.servers[index];
         let run = Run::new(now, server.work(request, &pool.profile), &server.pace);
         server.in_flight += 1;
+        if let Some(demand) = request.demand.as_ref().filter(|_| server.has_memory()) {
+            let own = beyond_parts(demand, &request.prompt) as f64
+                + pool.profile.outputs.likely_most(demand);
+            server.memory.begin(permit, &request.prompt, own);
+        }
         server
             .prefix_cache
             .insert(&request.prompt, server.info.cache_tokens);
@@ -460,6 +499,7 @@
             started_at: now,
             running_at_start: server.in_flight,
             run,
+            demand: request.demand.clone(),
         };
         self.in_flight.insert(permit, request);
         id
@@ -521,6 +561,7 @@
         let mean_error_rate = (outcome == Outcome::Error).then(|| mean_error_rate(&pool.servers));
         let server = &mut pool.servers[index];
         server.in_flight = server.in_flight.saturating_sub(1);
+        server.memory.end(permit);
         match outcome {
             Outcome::Done { took, work, load } => {
                 server.record_success();
@@ -532,6 +573,10 @@
                 record_latency(server, &mut pool.mean_ms_per_work, took, work);
                 let tokens_per_event = self.tokens_per_event.get(&request.service);
                 let work = (work, tokens_per_event.copied());
+                if let (Some(demand), (events, Some(tokens))) = (&request.demand, work) {
+                    let tokens = (events - 1.0) * tokens as f64;
+                    pool.profile.outputs.record(demand, tokens);
+                }
                 record_pace(
                     now,
                     server,
@@ -592,6 +637,7 @@
                     "slowness": server.slowdown,
                     "pace": now.map(|now| server.pace.factor(now, &pool.profile)),
                     "own_speed": server.pace.speeds(),
+                    "memory": server.expected_memory(),
                     "pace_believed": !server.pace.is_distrusted(),
                     "failures": server.consecutive_failures,
                 });
@@ -602,6 +648,7 @@
             let state = serde_json::json!({
                 "uses_pace": now.is_some_and(|now| pool.profile.is_on(now)),
                 "waits_for_pace": pool.waits_for_pace,
+                "waits_for_memory": pool.waits_for_memory,
                 "waiting": pool.queue.len(),
                 "programs": known_programs,
                 "programs_admitted": admitted,
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -15,6 +15,7 @@
 mod grant_rate;
 pub mod latency;
 pub mod limit;
+mod memory;
 pub mod outage;
 mod pace;
 pub mod pool;
--- a/src/policy/pace.rs
+++ b/src/policy/pace.rs
@@ -6,6 +6,7 @@
 //! show whether its reports can be believed.
 
 use super::dispatch::HostPace;
+use super::memory::Outputs;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -178,6 +179,7 @@
     mean_pace: f64,
     mean_work: Work,
     last_report: Option<Instant>,
+    pub(super) outputs: Outputs,
 }
 
 impl Default for Profile {
@@ -192,17 +194,21 @@
             mean_pace: 1.0,
             mean_work: Work::default(),
             last_report: None,
+            outputs: Outputs::default(),
         }
     }
 }
 
 impl Profile {
-    /// Whether servers of the service report their pace and enough answers were seen to use it.
+    /// Whether servers of the service report the pace of their hosts.
+    pub(super) fn has_reports(&self, now: Instant) -> bool {
+        self.last_report
+            .is_some_and(|at| at + REPORTING_PERIOD > now)
+    }
+
+    /// Whether, besides, enough answers were seen to expect times.
     pub(super) fn is_on(&self, now: Instant) -> bool {
-        self.samples >= MIN_SAMPLES
-            && self
-                .last_report
-                .is_some_and(|at| at + REPORTING_PERIOD > now)
+        self.samples >= MIN_SAMPLES && self.has_reports(now)
     }
 
     /// Mean time of a request on a server of mean speed at the usual pace, in milliseconds.
--- a/src/policy/service_pool.rs
+++ b/src/policy/service_pool.rs
@@ -63,6 +63,8 @@
     pub(super) profile: Profile,
     /// Requests that were left waiting for another server although one had room.
     pub(super) waits_for_pace: u64,
+    /// Requests that were queued since they fit into the memory of no engine with room.
+    pub(super) waits_for_memory: u64,
 }
 
 impl ServicePool {
@@ -134,15 +136,36 @@
                     profile,
                 );
             }
-            choose(servers, candidates, request, band, session_server, now)
-                .map_or(Choice::Full, Choice::Server)
+            let is_checked = self.profile.has_reports(now);
+            let fits = |index: &usize| !is_checked || servers[*index].fits(request, &self.profile);
+            let fitting = candidates.iter().copied().filter(fits);
+            let chosen = choose(servers, fitting, request, band, session_server, now);
+            let has_room = |index: &usize| servers[*index].has_room(now, band);
+            match chosen {
+                Some(index) => Choice::Server(index),
+                None if is_checked && candidates.iter().any(has_room) => Choice::NoMemory,
+                None => Choice::Full,
+            }
         };
         match choose(candidates) {
-            Choice::Full if is_subset => choose((0..servers.len()).collect()),
+            Choice::Full | Choice::NoMemory if is_subset => choose((0..servers.len()).collect()),
             chosen => chosen,
         }
     }
 
+    /// Whether a request needs more memory than any server of the service has.
+    pub(super) fn is_too_large(&self, now: Instant, request: &Request) -> bool {
+        let Some(demand) = &request.demand else {
+            return false;
+        };
+        let output_tokens = self.profile.outputs.expected(demand).unwrap_or_default();
+        let needed = f64::from(demand.prompt_tokens) + output_tokens;
+        let largest = self.servers.iter().map(|server| server.info.cache_tokens);
+        self.profile.has_reports(now)
+            && self.servers.iter().all(Server::has_memory)
+            && needed > largest.max().unwrap_or_default() as f64
+    }
+
     /// Slots of usable servers, without those taken by other senders.
     pub(super) fn capacity(&self, now: Instant) -> f64 {
         let usable = self.servers.iter().filter(|server| server.is_usable(now));
@@ -170,6 +193,9 @@
         let slow = servers
             .clone()
             .filter(|server| self.profile.is_slow(now, &server.pace));
+        let engines = servers.clone().filter(|server| server.has_memory());
+        let fullest =
+            engines.map(|server| server.expected_memory() / server.info.cache_tokens as f64);
         let distrusted = servers.filter(|server| server.pace.is_distrusted());
         PaceStats {
             service,
@@ -178,6 +204,8 @@
             distrusted: distrusted.count(),
             mean_pace: self.profile.mean_pace(),
             waits: self.waits_for_pace,
+            fullest_memory: fullest.fold(0.0, f64::max),
+            memory_waits: self.waits_for_memory,
         }
     }
 
--- a/src/policy/window.rs
+++ b/src/policy/window.rs
@@ -5,6 +5,7 @@
 //! doubles with each failure in a row (outlier ejection).
 
 use super::dispatch::{Description, Load, Request};
+use super::memory::{self, Memory};
 use super::pace::{Pace, Profile, Work};
 use super::prefix::Cache;
 use super::queue::Band;
@@ -77,6 +78,7 @@
     error_rate: f64,
     pub(super) ejected_until: Option<Instant>,
     pub(super) pace: Pace,
+    pub(super) memory: Memory,
 }
 
 /// Result of [`choose_by_time`].
@@ -88,6 +90,8 @@
     Wait,
     /// No server has room.
     Full,
+    /// The request does not fit into the memory of any server with room.
+    NoMemory,
 }
 
 impl Server {
@@ -103,6 +107,7 @@
             error_rate: 0.0,
             ejected_until: None,
             pace: Pace::default(),
+            memory: Memory::default(),
         }
     }
 
@@ -157,32 +162,40 @@
 
     /// What the request would cost this server.
     pub(super) fn work(&self, request: &Request, profile: &Profile) -> Work {
-        let Some(demand) = &request.demand else {
-            return Work {
-                prompt_tokens: self.prefix_cache.uncached_tokens(&request.prompt) as f64,
-                output_tokens: profile.mean_output_tokens(),
-                others: self.batch_mates(),
-            };
-        };
-        let in_parts: u64 = (request.prompt.iter())
-            .map(|part| u64::from(part.tokens))
-            .sum();
-        let rest = u64::from(demand.prompt_tokens).saturating_sub(in_parts);
+        let demand = request.demand.as_ref();
+        let rest = demand.map_or(0, |demand| memory::beyond_parts(demand, &request.prompt));
         let uncached = self.prefix_cache.uncached_tokens(&request.prompt) + rest;
-        let mut output_tokens = match demand.output_tokens {
-            0 => profile.mean_output_tokens(),
-            hint => f64::from(hint),
-        };
-        if demand.max_output_tokens > 0 {
-            output_tokens = output_tokens.min(f64::from(demand.max_output_tokens));
-        }
+        let output_tokens = demand.and_then(|demand| profile.outputs.expected(demand));
         Work {
             prompt_tokens: uncached as f64,
-            output_tokens,
+            output_tokens: output_tokens.unwrap_or(profile.mean_output_tokens()),
             others: self.batch_mates(),
         }
     }
 
+    /// Whether the request fits into the memory of the engine until it ends; true if its demand or
+    /// the memory is unknown.
+    pub(super) fn fits(&self, request: &Request, profile: &Profile) -> bool {
+        let Some(demand) = request.demand.as_ref().filter(|_| self.has_memory()) else {
+            return true;
+        };
+        let own = memory::beyond_parts(demand, &request.prompt) as f64
+            + profile.outputs.likely_most(demand);
+        let needed = self.memory.needed(&request.prompt, own);
+        // A run that does not fit with its margin is not kept from an engine that has no other.
+        self.in_flight == 0 || self.expected_memory() + needed <= self.info.cache_tokens as f64
+    }
+
+    pub(super) const fn has_memory(&self) -> bool {
+        self.info.cache_tokens > 0
+    }
+
+    /// Tokens that the runs on the engine hold at their end, including those of other senders.
+    pub(super) fn expected_memory(&self) -> f64 {
+        let others = self.external_load.max(0.0) * self.memory.mean().unwrap_or_default();
+        self.memory.tokens() + others
+    }
+
     /// Requests that would run beside a new one.
     pub(super) fn batch_mates(&self) -> f64 {
         let slots = self.info.slots as f64;
@@ -327,14 +340,19 @@
     };
     let with_room = candidates.iter().map(|index| (*index, &servers[*index]));
     let chosen = with_room
-        .filter(|(_, server)| server.has_room(now, band))
+        .filter(|(_, server)| server.has_room(now, band) && server.fits(request, profile))
         .map(|(index, server)| {
             let expected_ms = server.expected_ms(now, request, profile);
             (index, expected_ms, cost(server, expected_ms))
         })
         .min_by(|(.., a), (.., b)| a.total_cmp(b));
     let Some((chosen, chosen_ms, _)) = chosen else {
-        return Choice::Full;
+        let has_room = |index: &usize| servers[*index].has_room(now, band);
+        return if candidates.iter().any(has_room) {
+            Choice::NoMemory
+        } else {
+            Choice::Full
+        };
     };
     if band != Band::OnTime {
         return Choice::Server(chosen);
