Compute what a request needs once for all servers

Change: tokens that a request needs are computed once per decision, prompt parts shared with other runs are looked up only if memory is short, and servers without room are considered only if the host of the chosen one is slow.

--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -4,7 +4,7 @@
 //! server only as many requests as fit its concurrency window, keeps the others in a priority
 //! queue, and grants the first of them when a slot frees up.
 
-use super::memory::beyond_parts;
+use super::memory::Need;
 use super::pace::{Profile, Run};
 use super::prefix::Part;
 use super::queue::{Band, Prioritized};
@@ -478,12 +478,13 @@
             pool.programs.request_granted(program);
         }
         let server = &mut pool.servers[index];
-        let run = Run::new(now, server.work(request, &pool.profile), &server.pace);
+        let need = Need::of(request, &pool.profile.outputs);
+        let uncached = server.prefix_cache.uncached_tokens(&request.prompt);
+        let work = server.work(uncached, &need, &pool.profile);
+        let run = Run::new(now, work, &server.pace);
         server.in_flight += 1;
-        if let Some(demand) = request.demand.as_ref().filter(|_| server.has_memory()) {
-            let own = beyond_parts(demand, &request.prompt) as f64
-                + pool.profile.outputs.likely_most(demand);
-            server.memory.begin(permit, &request.prompt, own);
+        if need.is_known && server.has_memory() {
+            server.memory.begin(permit, &request.prompt, need.own());
         }
         server
             .prefix_cache
--- a/src/policy/memory.rs
+++ b/src/policy/memory.rs
@@ -3,7 +3,7 @@
 //! An engine whose memory is full preempts runs, which then start anew. A run is therefore placed
 //! where its prompt and its expected output fit beside those of the other runs.
 
-use super::dispatch::Demand;
+use super::dispatch::{Demand, Request};
 use super::prefix::Part;
 use crate::id::Permit;
 use std::collections::HashMap;
@@ -173,8 +173,39 @@
     }
 }
 
-/// Tokens of a prompt beyond its known parts.
-pub(super) fn beyond_parts(demand: &Demand, prompt: &[Part]) -> u64 {
-    let in_parts: u64 = prompt.iter().map(|part| u64::from(part.tokens)).sum();
-    u64::from(demand.prompt_tokens).saturating_sub(in_parts)
+/// Tokens that a request needs, the same on each server.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Need {
+    /// Whether the request tells what it is expected to use.
+    pub(super) is_known: bool,
+    /// Tokens of the prompt.
+    pub(super) prompt: f64,
+    /// Tokens of the prompt beyond its known parts.
+    pub(super) beyond_parts: f64,
+    /// Tokens that it is expected to generate; none if unknown.
+    pub(super) output: Option<f64>,
+    /// Tokens that it rarely exceeds.
+    pub(super) likely_most: f64,
+}
+
+impl Need {
+    pub(super) fn of(request: &Request, outputs: &Outputs) -> Self {
+        let in_parts: u64 = (request.prompt.iter())
+            .map(|part| u64::from(part.tokens))
+            .sum();
+        let demand = request.demand.as_ref();
+        let prompt = demand.map_or(0, |demand| u64::from(demand.prompt_tokens));
+        Self {
+            is_known: demand.is_some(),
+            prompt: prompt.max(in_parts) as f64,
+            beyond_parts: prompt.saturating_sub(in_parts) as f64,
+            output: demand.and_then(|demand| outputs.expected(demand)),
+            likely_most: demand.map_or(0.0, |demand| outputs.likely_most(demand)),
+        }
+    }
+
+    /// Tokens that only the run itself holds until its end.
+    pub(super) const fn own(&self) -> f64 {
+        self.beyond_parts + self.likely_most
+    }
 }
--- a/src/policy/service_pool.rs
+++ b/src/policy/service_pool.rs
@@ -3,6 +3,7 @@
 use super::candidates::Candidates;
 use super::dispatch::{Description, PaceStats, Request, Stats};
 use super::grant_rate::GrantRate;
+use super::memory::Need;
 use super::pace::Profile;
 use super::priority::Priority;
 use super::programs::Programs;
@@ -123,9 +124,10 @@
         let candidates = self.candidates.select(permit, request, session_server);
         let is_subset = candidates.len() < self.servers.len();
         let servers = &self.servers;
+        let need = Need::of(request, &self.profile.outputs);
         let choose = |candidates: Vec<usize>| {
             if self.profile.is_on(now) {
-                let profile = (&self.profile, ahead);
+                let profile = (&self.profile, &need, ahead);
                 return choose_by_time(
                     servers,
                     &candidates,
@@ -137,7 +139,7 @@
                 );
             }
             let is_checked = self.profile.has_reports(now);
-            let fits = |index: &usize| !is_checked || servers[*index].fits(request, &self.profile);
+            let fits = |index: &usize| !is_checked || servers[*index].fits(request, &need);
             let fitting = candidates.iter().copied().filter(fits);
             let chosen = choose(servers, fitting, request, band, session_server, now);
             let has_room = |index: &usize| servers[*index].has_room(now, band);
@@ -155,11 +157,11 @@
 
     /// Whether a request needs more memory than any server of the service has.
     pub(super) fn is_too_large(&self, now: Instant, request: &Request) -> bool {
-        let Some(demand) = &request.demand else {
+        if request.demand.is_none() {
             return false;
-        };
-        let output_tokens = self.profile.outputs.expected(demand).unwrap_or_default();
-        let needed = f64::from(demand.prompt_tokens) + output_tokens;
+        }
+        let need = Need::of(request, &self.profile.outputs);
+        let needed = need.prompt + need.output.unwrap_or_default();
         let largest = self.servers.iter().map(|server| server.info.cache_tokens);
         self.profile.has_reports(now)
             && self.servers.iter().all(Server::has_memory)
--- a/src/policy/window.rs
+++ b/src/policy/window.rs
@@ -5,7 +5,7 @@
 //! doubles with each failure in a row (outlier ejection).
 
 use super::dispatch::{Description, Load, Request};
-use super::memory::{self, Memory};
+use super::memory::{Memory, Need};
 use super::pace::{Pace, Profile, Work};
 use super::prefix::Cache;
 use super::queue::Band;
@@ -160,30 +160,26 @@
         self.load().max(self.in_flight as f64 * MIN_BELIEVED_LOAD)
     }
 
-    /// What the request would cost this server.
-    pub(super) fn work(&self, request: &Request, profile: &Profile) -> Work {
-        let demand = request.demand.as_ref();
-        let rest = demand.map_or(0, |demand| memory::beyond_parts(demand, &request.prompt));
-        let uncached = self.prefix_cache.uncached_tokens(&request.prompt) + rest;
-        let output_tokens = demand.and_then(|demand| profile.outputs.expected(demand));
+    /// What a request with this many uncached prompt tokens would cost this server.
+    pub(super) fn work(&self, uncached: u64, need: &Need, profile: &Profile) -> Work {
         Work {
-            prompt_tokens: uncached as f64,
-            output_tokens: output_tokens.unwrap_or(profile.mean_output_tokens()),
+            prompt_tokens: uncached as f64 + need.beyond_parts,
+            output_tokens: need.output.unwrap_or(profile.mean_output_tokens()),
             others: self.batch_mates(),
         }
     }
 
     /// Whether the request fits into the memory of the engine until it ends; true if its demand or
     /// the memory is unknown.
-    pub(super) fn fits(&self, request: &Request, profile: &Profile) -> bool {
-        let Some(demand) = request.demand.as_ref().filter(|_| self.has_memory()) else {
-            return true;
-        };
-        let own = memory::beyond_parts(demand, &request.prompt) as f64
-            + profile.outputs.likely_most(demand);
-        let needed = self.memory.needed(&request.prompt, own);
+    pub(super) fn fits(&self, request: &Request, need: &Need) -> bool {
         // A run that does not fit with its margin is not kept from an engine that has no other.
-        self.in_flight == 0 || self.expected_memory() + needed <= self.info.cache_tokens as f64
+        if !need.is_known || !self.has_memory() || self.in_flight == 0 {
+            return true;
+        }
+        let free = self.info.cache_tokens as f64 - self.expected_memory();
+        // The parts that it shares with other runs are looked up only if they matter.
+        need.prompt + need.likely_most <= free
+            || self.memory.needed(&request.prompt, need.own()) <= free
     }
 
     pub(super) const fn has_memory(&self) -> bool {
@@ -203,8 +199,8 @@
     }
 
     /// Expected time of a request from its arrival at the server to its end, in milliseconds.
-    fn expected_ms(&self, now: Instant, request: &Request, profile: &Profile) -> f64 {
-        let run_ms = (self.pace).expected_ms(now, profile, self.work(request, profile));
+    fn expected_ms(&self, now: Instant, work: Work, profile: &Profile) -> f64 {
+        let run_ms = self.pace.expected_ms(now, profile, work);
         let slots = self.info.slots.max(1) as f64;
         let ahead = (self.believed_load() + 1.0 - slots).max(0.0);
         run_ms * (1.0 + ahead / slots)
@@ -263,7 +259,7 @@
 
 /// Cost of a server with this cost of its load, as a fraction of its window.
 fn total_cost(
-    load_cost: f64,
+    (load_cost, uncached): (f64, u64),
     server: &Server,
     request: &Request,
     session_server: Option<&Arc<str>>,
@@ -289,8 +285,7 @@
     } else {
         0.0
     };
-    let uncached_cost =
-        server.prefix_cache.uncached_tokens(&request.prompt) as f64 / UNCACHED_TOKENS_PER_WINDOW;
+    let uncached_cost = uncached as f64 / UNCACHED_TOKENS_PER_WINDOW;
     let error_cost = server.error_rate * ERROR_RATE_COST;
     load_cost + cross_zone_cost + avoid_cost + uncached_cost + error_cost
         - session_bonus
@@ -306,7 +301,11 @@
     session_server: Option<&Arc<str>>,
     now: Instant,
 ) -> Option<usize> {
-    let cost = |server: &Server| total_cost(server.cost(), server, request, session_server, now);
+    let cost = |server: &Server| {
+        let uncached = server.prefix_cache.uncached_tokens(&request.prompt);
+        let costs = (server.cost(), uncached);
+        total_cost(costs, server, request, session_server, now)
+    };
     let with_room = candidates
         .into_iter()
         .map(|index| (index, &servers[index]))
@@ -326,24 +325,26 @@
     band: Band,
     session_server: Option<&Arc<str>>,
     now: Instant,
-    (profile, ahead): (&Profile, usize),
+    (profile, need, ahead): (&Profile, &Need, usize),
 ) -> Choice {
     let mean_ms = profile.mean_ms();
-    let cost = |server: &Server, expected_ms: f64| {
+    let cost = |server: &Server, uncached: u64, expected_ms: f64| {
         let slots = server.info.slots.max(1) as f64;
         let load = server.believed_load();
         let mean_speed_ms = server.pace.expected_ms(now, profile, profile.mean_work());
         // As in `choose`, with the momentary pace in place of the slowdown.
         let load_cost = (load + 0.5) / slots * mean_speed_ms / mean_ms.max(0.001);
-        let shares = total_cost(load_cost, server, request, session_server, now);
+        let shares = total_cost((load_cost, uncached), server, request, session_server, now);
         expected_ms + WINDOW_COST * shares * mean_ms
     };
     let with_room = candidates.iter().map(|index| (*index, &servers[*index]));
     let chosen = with_room
-        .filter(|(_, server)| server.has_room(now, band) && server.fits(request, profile))
+        .filter(|(_, server)| server.has_room(now, band) && server.fits(request, need))
         .map(|(index, server)| {
-            let expected_ms = server.expected_ms(now, request, profile);
-            (index, expected_ms, cost(server, expected_ms))
+            let uncached = server.prefix_cache.uncached_tokens(&request.prompt);
+            let work = server.work(uncached, need, profile);
+            let expected_ms = server.expected_ms(now, work, profile);
+            (index, expected_ms, cost(server, uncached, expected_ms))
         })
         .min_by(|(.., a), (.., b)| a.total_cmp(b));
     let Some((chosen, chosen_ms, _)) = chosen else {
@@ -354,7 +355,7 @@
             Choice::Full
         };
     };
-    if band != Band::OnTime {
+    if band != Band::OnTime || !profile.is_slow(now, &servers[chosen].pace) {
         return Choice::Server(chosen);
     }
     // Of the servers without room that would take less time: the rate at which their slots free up,
@@ -368,7 +369,9 @@
         {
             continue;
         }
-        let run_ms = (server.pace).expected_ms(now, profile, server.work(request, profile));
+        let uncached = server.prefix_cache.uncached_tokens(&request.prompt);
+        let work = server.work(uncached, need, profile);
+        let run_ms = server.pace.expected_ms(now, profile, work);
         if run_ms * MIN_WAIT_GAIN < chosen_ms {
             let residence_ms = server.pace.expected_ms(now, profile, profile.mean_work());
             freed_per_ms += server.in_flight as f64 / residence_ms.max(0.01);
