--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -648,6 +648,7 @@
             let (known_programs, admitted) = pool.programs.counts();
             let state = serde_json::json!({
                 "uses_pace": now.is_some_and(|now| pool.profile.is_on(now)),
+                "pace_reports": pool.profile.reports,
                 "waits_for_pace": pool.waits_for_pace,
                 "waits_for_memory": pool.waits_for_memory,
                 "waiting": pool.queue.len(),
--- a/src/policy/pace.rs
+++ b/src/policy/pace.rs
@@ -179,6 +179,8 @@
     mean_pace: f64,
     mean_work: Work,
     last_report: Option<Instant>,
+    /// Reports of the pace of hosts so far.
+    pub(super) reports: u64,
     pub(super) outputs: Outputs,
 }
 
@@ -194,6 +196,7 @@
             mean_pace: 1.0,
             mean_work: Work::default(),
             last_report: None,
+            reports: 0,
             outputs: Outputs::default(),
         }
     }
@@ -255,6 +258,7 @@
         let at = now.checked_sub(age).unwrap_or(now);
         let factor = host_pace.factor().clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
         self.last_report = Some(now);
+        self.reports += 1;
         self.mean_pace += SERVICE_WEIGHT * (factor - self.mean_pace);
         if pace.report.is_none_or(|report| report.at <= at) {
             pace.report = Some(Report { at, factor });
