--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -17,6 +17,7 @@
 pub mod latency;
 pub mod limit;
 pub mod load_share;
+mod memory;
 pub mod outage;
 mod pace;
 pub mod pool;
