Continue runs from copies at a second engine

Cause: a stream that may not be resumed is lost when its engine dies, flaps or stops to send, though engines offer copies of the memory of a run.

Change: where the engine has `backups`, the route is a stream with `canResume: false` and `attempts` is at least 2, policy::backup chooses which runs name a second engine in X-Kv-Backup. When the stream breaks off, or brings no event for 1 s, the connection is closed, and the request goes to that engine with Kv-From and Last-Event-Id. Events that come again are dropped; a gap cuts the stream. A continuation counts toward `attempts`. Metrics run_copies and runs_continued, log events run_copied and run_continued, run_copies in the state dump.

--- a/src/gateway/front/metrics.rs
+++ b/src/gateway/front/metrics.rs
@@ -24,6 +24,10 @@
     pub(crate) connections: Counter<u64>,
     /// Attempts at backend servers without a response, by reason.
     attempts_failed: Counter<u64>,
+    /// Decisions about copies of runs, by verdict.
+    run_copies: Counter<u64>,
+    /// Runs whose engine was lost and that had a copy, by outcome.
+    runs_continued: Counter<u64>,
     /// Responses to callers, by kind of route and result.
     responses: Counter<u64>,
     /// Requests refused by team limits, by team.
@@ -70,6 +74,11 @@
         Self {
             connections: counter("backend_connections", "New connections to backend servers"),
             attempts_failed: counter("attempts_failed", "Attempts without an answer, by reason"),
+            run_copies: counter("run_copies", "Decisions about copies of runs, by verdict"),
+            runs_continued: counter(
+                "runs_continued",
+                "Runs that had a copy when their engine was lost, by outcome",
+            ),
             responses: counter("gateway_answers", "Answers to callers, by kind and result"),
             limit_refusals: counter(
                 "limit_refusals",
@@ -104,6 +113,17 @@
             .add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a decision about the copy of a run.
+    pub(crate) fn count_copy(&self, verdict: &'static str) {
+        self.run_copies.add(1, &[KeyValue::new("verdict", verdict)]);
+    }
+
+    /// Counts a run that was to continue from its copy.
+    pub(crate) fn count_continued_run(&self, outcome: &'static str) {
+        self.runs_continued
+            .add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a finished request and records its duration.
     pub(crate) fn record_response(&self, kind: &'static str, result: String, total: Duration) {
         let labels = [KeyValue::new("kind", kind), KeyValue::new("result", result)];
--- a/src/gateway/front/mod.rs
+++ b/src/gateway/front/mod.rs
@@ -17,6 +17,7 @@
 use crate::gateway::reachability::Members;
 use crate::gateway::request::body::Body;
 use crate::gateway::server::connection::Pool;
+use crate::gateway::server::continuation::Copies;
 use crate::gateway::tokens::handover::Reason;
 use crate::gateway::tokens::partitions;
 use crate::gateway::tokens::partitions::Partitions;
@@ -208,6 +209,7 @@
         recent_members: Members::default(),
         zone: settings.zone.as_str().into(),
         connections: Pool::default(),
+        copies: Copies::default(),
         queue: Queue::default(),
         leases: Leases::default(),
         metrics: Metrics::new(),
--- a/src/gateway/front/operators.rs
+++ b/src/gateway/front/operators.rs
@@ -88,6 +88,7 @@
             "store_heard_ms": routing.last_store_read.map(|at| at.elapsed().as_millis()),
             "servers": servers.collect::<Vec<_>>(),
             "services": self.queue.state(),
+            "run_copies": self.copies.state(),
             "leases": json!({ "waiting": waiting, "places": leased }),
             "counted": json!({ "partitions": partitions, "programs": programs }),
             "teams": routing.table.as_ref().and_then(|table| table.teams.as_ref()).map(Teams::len),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -41,6 +41,7 @@
 use queue::permit::Queue;
 use reachability::Members;
 use server::connection::Pool;
+use server::continuation::Copies;
 use std::cell::Cell;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -72,6 +73,7 @@
     recent_members: Members,
     conversations: Rc<Conversations>,
     connections: Pool,
+    copies: Copies,
     queue: Queue,
     leases: Leases,
     metrics: Metrics,
--- a/src/gateway/request/admit.rs
+++ b/src/gateway/request/admit.rs
@@ -6,6 +6,7 @@
 use crate::conversation;
 use crate::gateway::Gateway;
 use crate::gateway::conversation::MAX_INPUT_BYTES;
+use crate::gateway::server::continuation::RunState;
 use crate::gateway::world::table::Route;
 use crate::platform::headers::{self, Meta};
 use bytes::Bytes;
@@ -120,6 +121,7 @@
         may_have_run: Cell::new(false),
         end_recorded: Cell::new(false),
         events_relayed: Cell::new(0),
+        run: RunState::default(),
     })
 }
 
--- a/src/gateway/request/job.rs
+++ b/src/gateway/request/job.rs
@@ -2,6 +2,7 @@
 
 use crate::conversation;
 use crate::gateway::Gateway;
+use crate::gateway::server::continuation::RunState;
 use crate::gateway::tokens::partitions::Grant;
 use crate::gateway::world::directory::Instance;
 use crate::gateway::world::table::Route;
@@ -60,6 +61,8 @@
     pub(crate) end_recorded: Cell<bool>,
     /// Events of the response passed to the caller.
     pub(crate) events_relayed: Cell<u64>,
+    /// Copies of its run at other engines.
+    pub(crate) run: RunState,
 }
 
 impl Job {
--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -12,6 +12,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::queue::permit::Permit;
 use crate::gateway::server::attempt::{AttemptResult, BufferedResponse, attempt};
+use crate::gateway::server::continuation::continue_run;
 use crate::platform::headers::Meta;
 use crate::policy::dispatch::{self, Outcome};
 use crate::policy::quota;
@@ -112,9 +113,12 @@
         log_failed_attempt(job, &server, &outcome);
         match outcome {
             AttemptResult::Response(response) => return Ok(complete(job, permit, response)),
-            AttemptResult::Stream(stream) => return Ok(relay(job, permit, *stream)),
+            AttemptResult::Stream(stream) => return Ok(relay(job, Some(permit), *stream)),
             AttemptResult::OutcomeUnknown(reason) if !job.route.idempotent() => {
                 permit.release(Outcome::Failed);
+                if let Some(stream) = continue_run(job, reason, job.meta.last_event).await {
+                    return Ok(relay(job, None, stream));
+                }
                 return Err(reply::outcome_unknown(Code::OutcomeUnknown, reason));
             }
             AttemptResult::OutcomeUnknown(reason) if possible_runs >= job.route.attempts => {
--- a/src/gateway/request/stream.rs
+++ b/src/gateway/request/stream.rs
@@ -1,4 +1,4 @@
-//! Relays an event stream to its caller, and resumes it if a server breaks it off.
+//! Relays an event stream to its caller. If a server breaks it off, it is resumed, or its run continues from a copy.
 
 use super::acquire_permit;
 use super::body::{Aborted, Body};
@@ -6,6 +6,7 @@
 use crate::conversation::Transcript;
 use crate::gateway::queue::permit::Permit;
 use crate::gateway::server::attempt::{AttemptResult, EventSource, Stream, StreamItem, attempt};
+use crate::gateway::server::continuation::{self, Gap, Sequence, continue_run};
 use crate::gateway::server::event::EventBatch;
 use crate::policy::dispatch::Outcome;
 use crate::telemetry::event;
@@ -18,8 +19,8 @@
 /// Maximum resumptions of one stream.
 const MAX_RESUMES: usize = 4;
 
-/// Returns the head of a streamed response and spawns a task that relays the events.
-pub(super) fn relay(job: &Rc<Job>, permit: Permit, stream: Stream) -> Response<Body> {
+/// Returns the head of a streamed response, without a permit if its run was continued, and spawns a task that relays the events.
+pub(super) fn relay(job: &Rc<Job>, permit: Option<Permit>, stream: Stream) -> Response<Body> {
     let (chunks, body) = Body::streamed();
     let mut response = Response::new(body);
     *response.status_mut() = stream.status;
@@ -29,6 +30,7 @@
         permit,
         source: stream.source,
         last_event: job.meta.last_event,
+        sequence: Sequence::default(),
         transcript: job.route.stores_history.then(Transcript::default),
         chunks,
     };
@@ -39,10 +41,12 @@
 #[derive(Debug)]
 struct StreamRelay {
     job: Rc<Job>,
-    permit: Permit,
+    /// `None` once the run has left the server of its permit.
+    permit: Option<Permit>,
     source: EventSource,
     /// ID of the last event received, for resuming after it.
     last_event: Option<u64>,
+    sequence: Sequence,
     /// Response so far, where the route stores turns.
     transcript: Option<Transcript>,
     chunks: mpsc::Sender<Result<Bytes, Aborted>>,
@@ -66,8 +70,11 @@
         let mut resumes = 0;
         let chunks = self.chunks.clone();
         while end.is_none() {
+            let stall_limit = self.job.run.stall_limit();
+            let stalled = tokio::time::sleep(stall_limit.unwrap_or_default());
             let next = tokio::select! {
                 next = self.source.next() => next,
+                () = stalled, if stall_limit.is_some() => StreamItem::Broken("stalled"),
                 () = chunks.closed() => { end = Some(StreamEnd::CallerLeft); break },
                 () = tokio::time::sleep_until(self.job.deadline) => {
                     end = Some(StreamEnd::DeadlinePassed);
@@ -77,9 +84,10 @@
             end = match next {
                 StreamItem::Events(batch) => self.forward(batch).await,
                 StreamItem::End => Some(StreamEnd::Complete),
-                StreamItem::Broken(reason)
-                    if resumes >= MAX_RESUMES || !self.job.route.resumable =>
-                {
+                StreamItem::Broken(reason) if !self.job.route.resumable => {
+                    self.continue_elsewhere(reason).await
+                }
+                StreamItem::Broken(reason) if resumes >= MAX_RESUMES => {
                     Some(StreamEnd::Broken(reason))
                 }
                 StreamItem::Broken(reason) => {
@@ -93,6 +101,11 @@
 
     /// Sends a batch of events to the caller; returns `Some` if that ended the stream.
     async fn forward(&mut self, batch: EventBatch) -> Option<StreamEnd> {
+        let batch = match self.sequence.accept(batch) {
+            Ok(Some(batch)) => batch,
+            Ok(None) => return None,
+            Err(Gap) => return Some(StreamEnd::Broken("gap")),
+        };
         self.last_event = batch.last_id.or(self.last_event);
         let job = &self.job;
         job.events_relayed
@@ -120,28 +133,57 @@
         }
     }
 
+    /// Continues the run from its copy at another server, if it has one.
+    async fn continue_elsewhere(&mut self, reason: &'static str) -> Option<StreamEnd> {
+        // The run must not be at work twice: the server stops it when its connection is closed.
+        self.source.close().await;
+        continuation::note_broken(&self.job);
+        if let Some(permit) = self.permit.take() {
+            permit.release(Outcome::Failed);
+        }
+        let chunks = self.chunks.clone();
+        let job = Rc::clone(&self.job);
+        let stream = tokio::select! {
+            stream = continue_run(&job, reason, self.last_event) => stream,
+            () = chunks.closed() => return Some(StreamEnd::CallerLeft),
+            () = tokio::time::sleep_until(job.deadline) => return Some(StreamEnd::DeadlinePassed),
+        };
+        let Some(stream) = stream else {
+            return Some(StreamEnd::Broken(reason));
+        };
+        self.source = stream.source;
+        self.sequence.continue_run();
+        match stream.first_batch {
+            Some(batch) => self.forward(batch).await,
+            None => Some(StreamEnd::Complete),
+        }
+    }
+
     async fn resume_at_server(&mut self, reason: &'static str) -> Option<StreamEnd> {
-        let mut resume_result = attempt(&self.job, &self.permit, self.last_event).await;
+        let Some(permit) = &mut self.permit else {
+            return Some(StreamEnd::Broken(reason));
+        };
+        let mut resume_result = attempt(&self.job, permit, self.last_event).await;
         log_resume(
             &self.job,
-            &self.permit.server.id,
+            &permit.server.id,
             reason,
             &resume_result,
             self.last_event,
         );
         if matches!(resume_result, AttemptResult::Unreachable) {
-            let avoid = [Arc::clone(&self.permit.server.id)];
+            let avoid = [Arc::clone(&permit.server.id)];
             match acquire_permit(&self.job, &avoid).await {
-                Ok(permit) => {
-                    let failed = std::mem::replace(&mut self.permit, permit);
+                Ok(other) => {
+                    let failed = std::mem::replace(permit, other);
                     failed.release(Outcome::Failed);
                 }
                 Err(_) => return Some(StreamEnd::Broken(reason)),
             }
-            resume_result = attempt(&self.job, &self.permit, self.last_event).await;
+            resume_result = attempt(&self.job, permit, self.last_event).await;
             log_resume(
                 &self.job,
-                &self.permit.server.id,
+                &permit.server.id,
                 reason,
                 &resume_result,
                 self.last_event,
@@ -169,11 +211,13 @@
         if end == StreamEnd::Complete {
             let (took, load) = (source.started.elapsed(), source.load);
             source.finish(&job);
-            permit.release(Outcome::Done {
-                took,
-                work: (job.events_relayed.get() + 1) as f64,
-                load,
-            });
+            if let Some(permit) = permit {
+                permit.release(Outcome::Done {
+                    took,
+                    work: (job.events_relayed.get() + 1) as f64,
+                    load,
+                });
+            }
             let saved = save_turn(&job, transcript).await;
             job.record_end(if saved { "200" } else { "cut:not_kept" }, saved);
             if !saved {
@@ -188,7 +232,7 @@
             StreamEnd::Broken(reason) => reason,
         };
         job.record_end(result, false);
-        if matches!(end, StreamEnd::Broken(_)) {
+        if let (StreamEnd::Broken(_), Some(permit)) = (end, permit) {
             permit.release(Outcome::Failed);
         }
         if end != StreamEnd::CallerLeft {
--- a/src/gateway/server/attempt.rs
+++ b/src/gateway/server/attempt.rs
@@ -3,14 +3,17 @@
 use crate::gateway::queue::permit::Permit;
 use crate::gateway::request::job::Job;
 use crate::gateway::server::connection::{Connection, SendError};
+use crate::gateway::server::continuation;
 use crate::gateway::server::event::{EventBatch, EventSplitter};
+use crate::gateway::world::directory::Entry;
 use crate::gateway::world::table::Kind;
-use crate::platform::headers::{self, Response};
+use crate::platform::headers::{self, Response, RunHeaders};
 use crate::policy::dispatch::{Load, Outcome};
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -101,6 +104,11 @@
         }
     }
 
+    /// Closes the connection, on which the server may still send, and waits until it is closed.
+    pub(crate) async fn close(&mut self) {
+        self.connection.close().await;
+    }
+
     /// Returns the connection to the pool after a complete response.
     pub(crate) fn finish(self, job: &Job) {
         if !self.closes {
@@ -113,17 +121,37 @@
 
 /// Sends the request to the server of the permit; `last_event` is the ID of the last event that the caller has.
 pub(crate) async fn attempt(job: &Job, permit: &Permit, last_event: Option<u64>) -> AttemptResult {
+    let run = RunHeaders {
+        last_event,
+        backup: continuation::plan(job, &permit.server),
+        ..RunHeaders::default()
+    };
+    attempt_at(job, &permit.server, &run).await
+}
+
+/// Sends the request to a server that need not be the one of a permit.
+pub(crate) async fn attempt_at(
+    job: &Job,
+    server: &Arc<Entry>,
+    run: &RunHeaders<'_>,
+) -> AttemptResult {
+    let result = send(job, server, run).await;
+    continuation::note_attempt(job, server, &result);
+    result
+}
+
+async fn send(job: &Job, server: &Arc<Entry>, run: &RunHeaders<'_>) -> AttemptResult {
     let max_idle = if job.route.idempotent() {
         MAX_IDLE_IDEMPOTENT
     } else {
         MAX_IDLE_NON_IDEMPOTENT
     };
-    let mut pooled = job.gateway.connections.get(&permit.server.id, max_idle);
+    let mut pooled = job.gateway.connections.get(&server.id, max_idle);
     loop {
         let reused = pooled.is_some();
         let connection = match pooled.take() {
             Some(connection) => connection,
-            None => match Connection::open(&permit.server).await {
+            None => match Connection::open(server).await {
                 Ok(connection) => {
                     job.gateway.metrics.connections.add(1, &[]);
                     connection
@@ -131,7 +159,18 @@
                 Err(_) => return AttemptResult::Unreachable,
             },
         };
-        match exchange(job, permit, connection, last_event).await {
+        let closing = connection.closing();
+        let result = exchange(job, server, connection, run).await;
+        if run.backup.is_some()
+            && matches!(
+                result,
+                Err(SendError::OutcomeUnknown) | Ok(AttemptResult::OutcomeUnknown(_))
+            )
+        {
+            // The run may continue elsewhere, where it must not be at work twice.
+            closing.wait().await;
+        }
+        match result {
             // The server closed a pooled connection before the request was sent: try a new one.
             Err(SendError::NotSent) if reused => {}
             Err(SendError::NotSent) => return AttemptResult::Unreachable,
@@ -144,19 +183,19 @@
 /// Sends the request on one connection and reads the response, or the start of a stream.
 async fn exchange(
     job: &Job,
-    permit: &Permit,
+    server: &Entry,
     mut connection: Connection,
-    last_event: Option<u64>,
+    run: &RunHeaders<'_>,
 ) -> Result<AttemptResult, SendError> {
     let mut request = Request::new(Full::new(job.body.borrow().clone()));
     *request.method_mut() = job.method.clone();
     *request.uri_mut() = job.uri.clone();
     *request.headers_mut() = headers::backend_request_headers(
         &job.headers,
-        &permit.server.name,
+        &server.name,
         job.team_name(),
         job.remaining(),
-        last_event,
+        run,
     );
     let started = Instant::now();
     let earlier_attempt_may_have_run = job.may_have_run.replace(true);
--- a/src/gateway/server/connection.rs
+++ b/src/gateway/server/connection.rs
@@ -94,11 +94,35 @@
         response
     }
 
+    /// Closes the connection and waits until it is closed.
+    pub(crate) async fn close(&mut self) {
+        self.driver.abort();
+        self.closing().wait().await;
+    }
+
+    /// Waits for the close of this connection after it was dropped.
+    pub(crate) fn closing(&self) -> Closing {
+        Closing(self.driver.clone())
+    }
+
     fn is_usable(&self, now: Instant) -> bool {
         !self.sender.is_closed() && now < self.idle_since + self.keep_alive
     }
 }
 
+/// A connection that is being closed.
+#[derive(Debug)]
+pub(crate) struct Closing(AbortHandle);
+
+impl Closing {
+    /// Waits until the socket is closed: the task that holds it ends when the runtime next polls it.
+    pub(crate) async fn wait(&self) {
+        while !self.0.is_finished() {
+            tokio::task::yield_now().await;
+        }
+    }
+}
+
 /// Idle connections to all backend servers.
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
--- a/src/gateway/server/event.rs
+++ b/src/gateway/server/event.rs
@@ -1,6 +1,6 @@
 //! Splits a server-sent event stream into complete events.
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 
 /// Maximum size of one event; bounds the memory that a server which never ends an event can use.
 const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -26,6 +26,41 @@
     pub(crate) last_id: Option<u64>,
 }
 
+impl EventBatch {
+    /// IDs of the events, in order; `None` for an event without one.
+    pub(crate) fn ids(&self) -> impl Iterator<Item = Option<u64>> {
+        let mut rest = &*self.bytes;
+        std::iter::from_fn(move || {
+            let (event, tail) = rest.split_at(first_event_len(rest)?);
+            rest = tail;
+            Some(last_id(event))
+        })
+    }
+
+    /// Removes the first events.
+    pub(crate) fn drop_first(&mut self, events: u64) {
+        for _ in 0..events {
+            let Some(len) = first_event_len(&self.bytes) else {
+                return;
+            };
+            self.bytes.advance(len);
+            self.events -= 1;
+        }
+    }
+}
+
+/// Length of the first complete event with its delimiter.
+fn first_event_len(bytes: &[u8]) -> Option<usize> {
+    (0..bytes.len()).find_map(|offset| {
+        let tail = &bytes[offset..];
+        if tail.starts_with(b"\n\n") {
+            Some(offset + 2)
+        } else {
+            tail.starts_with(b"\r\n\r\n").then_some(offset + 4)
+        }
+    })
+}
+
 impl EventSplitter {
     /// Appends bytes and returns the events that they complete.
     ///
--- a/src/gateway/server/mod.rs
+++ b/src/gateway/server/mod.rs
@@ -2,4 +2,5 @@
 
 pub(crate) mod attempt;
 pub(crate) mod connection;
+pub(crate) mod continuation;
 pub(crate) mod event;
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -4,6 +4,7 @@
 use crate::policy::prefix::Part;
 use http::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, COOKIE, HOST, HeaderMap};
 use http::header::{HeaderName, HeaderValue, RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+use std::net::SocketAddr;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -42,6 +43,11 @@
 /// Tells a server the team of the caller.
 const TEAM: HeaderName = HeaderName::from_static("x-tenant");
 
+/// Address of the engine that gets a copy of the run.
+const COPY_TO: HeaderName = HeaderName::from_static("x-kv-backup");
+/// The copy that the run continues from: `IP:PORT/ID`.
+const COPY_FROM: HeaderName = HeaderName::from_static("kv-from");
+
 /// Headers that only the gateway may set; dropped from callers' requests.
 const RESERVED: [HeaderName; 9] = [
     TEAM,
@@ -50,8 +56,8 @@
     EXPECT_VERSION,
     HeaderName::from_static("x-hold"),
     HeaderName::from_static("x-pin-ms"),
-    HeaderName::from_static("x-kv-backup"),
-    HeaderName::from_static("kv-from"),
+    COPY_TO,
+    COPY_FROM,
     HeaderName::from_static("kv-fetch"),
 ];
 
@@ -195,13 +201,33 @@
     forwarded
 }
 
+/// A copy of a run's memory.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CopyOf<'a> {
+    /// The engine that holds it.
+    pub(crate) holder: SocketAddr,
+    /// Request ID of the run.
+    pub(crate) id: &'a str,
+}
+
+/// What an attempt tells its server about the run.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct RunHeaders<'a> {
+    /// The last event that the caller has.
+    pub(crate) last_event: Option<u64>,
+    /// The engine that the run's memory is copied to as it grows.
+    pub(crate) backup: Option<SocketAddr>,
+    /// The copy that the run continues from.
+    pub(crate) copy_of: Option<CopyOf<'a>>,
+}
+
 /// The headers of a request as sent to a backend server; `left` is the time until its deadline.
 pub(crate) fn backend_request_headers(
     headers: &HeaderMap,
     server: &str,
     team: Option<&str>,
     left: Duration,
-    last_event: Option<u64>,
+    run: &RunHeaders<'_>,
 ) -> HeaderMap {
     let mut forwarded = end_to_end(headers);
     if let Some(host) = headers.get(HOST) {
@@ -226,9 +252,18 @@
     if let Some(Ok(value)) = team.map(HeaderValue::from_str) {
         forwarded.insert(TEAM, value);
     }
-    if let Some(last) = last_event {
+    if let Some(last) = run.last_event {
         forwarded.insert(LAST_EVENT_ID, HeaderValue::from(last));
     }
+    let backup = run.backup.map(|address| address.to_string());
+    let copy = run
+        .copy_of
+        .map(|copy| format!("{}/{}", copy.holder, copy.id));
+    for (name, value) in [(COPY_TO, backup), (COPY_FROM, copy)] {
+        if let Some(Ok(value)) = value.as_deref().map(HeaderValue::from_str) {
+            forwarded.insert(name, value);
+        }
+    }
     forwarded
 }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod admit;
 pub mod allowance;
+pub mod backup;
 pub mod cache;
 pub mod candidates;
 pub mod cells;
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod engine;
 pub mod program;
 pub mod store;
 pub mod team;
