Keep prompts at engines between turns that follow each other closely

Cause: the prompt of a pausing program is evicted and read again a moment later, though engines keep a prompt on request (X-Pin-Ms).

Change: where the engine has pinMs and streams may not be resumed, policy::pins learns by class and step how long sessions pause and whether they go on, and pins a prompt where that pays, for at most a second. The VM that set a pin releases it (DELETE /kv-pin/ID) when the next turn begins elsewhere or with another last part, when the program is refused for good or given up, and when the run did not end. Metric prompt_pins, log events prompt_pinned and pin_released, pins in the state dump.

Not measured: prompt tokens that engines read less.

--- a/src/gateway/front/housekeeping.rs
+++ b/src/gateway/front/housekeeping.rs
@@ -99,6 +99,7 @@
         if last_sweep.elapsed() >= SWEEP_INTERVAL {
             last_sweep = Instant::now();
             gateway.queue.log_waiting();
+            gateway.sweep_pins();
             gateway.record_members();
             let (directory, confirmed_at) = {
                 let routing = gateway.routing.borrow();
--- a/src/gateway/front/metrics.rs
+++ b/src/gateway/front/metrics.rs
@@ -28,6 +28,8 @@
     run_copies: Counter<u64>,
     /// Runs whose engine was lost and that had a copy, by outcome.
     runs_continued: Counter<u64>,
+    /// Prompts pinned at engines, and their releases.
+    prompt_pins: Counter<u64>,
     /// Responses to callers, by kind of route and result.
     responses: Counter<u64>,
     /// Requests refused by team limits, by team.
@@ -79,6 +81,10 @@
                 "runs_continued",
                 "Runs that had a copy when their engine was lost, by outcome",
             ),
+            prompt_pins: counter(
+                "prompt_pins",
+                "Prompts pinned at engines, and their releases",
+            ),
             responses: counter("gateway_answers", "Answers to callers, by kind and result"),
             limit_refusals: counter(
                 "limit_refusals",
@@ -124,6 +130,11 @@
             .add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a pin that was set or released.
+    pub(crate) fn count_pin(&self, step: &'static str) {
+        self.prompt_pins.add(1, &[KeyValue::new("step", step)]);
+    }
+
     /// Counts a finished request and records its duration.
     pub(crate) fn record_response(&self, kind: &'static str, result: String, total: Duration) {
         let labels = [KeyValue::new("kind", kind), KeyValue::new("result", result)];
--- a/src/gateway/front/operators.rs
+++ b/src/gateway/front/operators.rs
@@ -89,6 +89,7 @@
             "servers": servers.collect::<Vec<_>>(),
             "services": self.queue.state(),
             "run_copies": self.copies.state(),
+            "pins": self.pins.state(),
             "leases": json!({ "waiting": waiting, "places": leased }),
             "counted": json!({ "partitions": partitions, "programs": programs }),
             "teams": routing.table.as_ref().and_then(|table| table.teams.as_ref()).map(Teams::len),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -42,6 +42,7 @@
 use reachability::Members;
 use server::connection::Pool;
 use server::continuation::Copies;
+use server::pinning::Pins;
 use std::cell::Cell;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -74,6 +75,7 @@
     conversations: Rc<Conversations>,
     connections: Pool,
     copies: Copies,
+    pins: Pins,
     queue: Queue,
     leases: Leases,
     metrics: Metrics,
--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -13,6 +13,7 @@
 use crate::gateway::queue::permit::Permit;
 use crate::gateway::server::attempt::{AttemptResult, BufferedResponse, attempt};
 use crate::gateway::server::continuation::continue_run;
+use crate::gateway::server::pinning;
 use crate::platform::headers::Meta;
 use crate::policy::dispatch::{self, Outcome};
 use crate::policy::quota;
@@ -50,6 +51,9 @@
             };
             reply.unwrap_or_else(|failure| {
                 job.record_end(&failure.code.to_string(), false);
+                if !matches!(failure.code.status(), 408 | 421 | 429 | 502..=504) {
+                    pinning::session_ended(&job, "refused");
+                }
                 reply::error_response(&job.meta.id, &failure)
             })
         }
--- a/src/gateway/request/stream.rs
+++ b/src/gateway/request/stream.rs
@@ -8,6 +8,7 @@
 use crate::gateway::server::attempt::{AttemptResult, EventSource, Stream, StreamItem, attempt};
 use crate::gateway::server::continuation::{self, Gap, Sequence, continue_run};
 use crate::gateway::server::event::EventBatch;
+use crate::gateway::server::pinning;
 use crate::policy::dispatch::Outcome;
 use crate::telemetry::event;
 use bytes::Bytes;
@@ -21,6 +22,7 @@
 
 /// Returns the head of a streamed response, without a permit if its run was continued, and spawns a task that relays the events.
 pub(super) fn relay(job: &Rc<Job>, permit: Option<Permit>, stream: Stream) -> Response<Body> {
+    pinning::turn_began(job);
     let (chunks, body) = Body::streamed();
     let mut response = Response::new(body);
     *response.status_mut() = stream.status;
@@ -218,6 +220,7 @@
                     load,
                 });
             }
+            pinning::turn_ended(&job);
             let saved = save_turn(&job, transcript).await;
             job.record_end(if saved { "200" } else { "cut:not_kept" }, saved);
             if !saved {
@@ -232,6 +235,9 @@
             StreamEnd::Broken(reason) => reason,
         };
         job.record_end(result, false);
+        if !matches!(end, StreamEnd::Broken(_)) {
+            pinning::session_ended(&job, result);
+        }
         if let (StreamEnd::Broken(_), Some(permit)) = (end, permit) {
             permit.release(Outcome::Failed);
         }
--- a/src/gateway/server/attempt.rs
+++ b/src/gateway/server/attempt.rs
@@ -5,6 +5,7 @@
 use crate::gateway::server::connection::{Connection, SendError};
 use crate::gateway::server::continuation;
 use crate::gateway::server::event::{EventBatch, EventSplitter};
+use crate::gateway::server::pinning;
 use crate::gateway::world::directory::Entry;
 use crate::gateway::world::table::Kind;
 use crate::platform::headers::{self, Response, RunHeaders};
@@ -124,6 +125,7 @@
     let run = RunHeaders {
         last_event,
         backup: continuation::plan(job, &permit.server),
+        pin: pinning::plan(job, &permit.server),
         ..RunHeaders::default()
     };
     attempt_at(job, &permit.server, &run).await
--- a/src/gateway/server/continuation.rs
+++ b/src/gateway/server/continuation.rs
@@ -4,6 +4,7 @@
 use crate::gateway::request::job::Job;
 use crate::gateway::server::attempt::{AttemptResult, Stream, attempt_at};
 use crate::gateway::server::event::EventBatch;
+use crate::gateway::server::pinning::{self, TurnState};
 use crate::gateway::world::directory::Entry;
 use crate::gateway::world::table::Kind;
 use crate::platform::headers::{CopyOf, RunHeaders};
@@ -39,6 +40,7 @@
     /// Set from the first attempt on, where runs may be copied.
     counted: RefCell<Option<Counted>>,
     continuations: Cell<u32>,
+    pub(crate) pins: TurnState,
 }
 
 /// A run counted by the planner. Dropping it ends the count.
@@ -222,12 +224,14 @@
     while let Some((copy, entry)) = job.run.take_copy() {
         let continuations = job.run.continuations.get() + 1;
         job.run.continuations.set(continuations);
+        pinning::forget(job);
         job.servers.borrow_mut().push(Arc::clone(&entry.id));
         let from = job.run.counted.borrow().as_ref()?.server.id.clone();
         let backup = plan_next(job, &entry, continuations);
         let headers = RunHeaders {
             last_event,
             backup,
+            pin: None,
             copy_of: Some(CopyOf {
                 holder: entry.address,
                 id: &job.meta.id,
--- a/src/gateway/server/mod.rs
+++ b/src/gateway/server/mod.rs
@@ -4,3 +4,4 @@
 pub(crate) mod connection;
 pub(crate) mod continuation;
 pub(crate) mod event;
+pub(crate) mod pinning;
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -2,8 +2,11 @@
 
 use crate::policy::dispatch::{HostPace, Load};
 use crate::policy::prefix::Part;
+use bytes::Bytes;
+use http::Request;
 use http::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, COOKIE, HOST, HeaderMap};
 use http::header::{HeaderName, HeaderValue, RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+use http_body_util::Full;
 use std::net::SocketAddr;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
@@ -45,6 +48,8 @@
 
 /// Address of the engine that gets a copy of the run.
 const COPY_TO: HeaderName = HeaderName::from_static("x-kv-backup");
+/// Milliseconds for which the engine keeps the prompt after the end of the run.
+const PIN: HeaderName = HeaderName::from_static("x-pin-ms");
 /// The copy that the run continues from: `IP:PORT/ID`.
 const COPY_FROM: HeaderName = HeaderName::from_static("kv-from");
 
@@ -55,7 +60,7 @@
     EXPECT_INSTANCE,
     EXPECT_VERSION,
     HeaderName::from_static("x-hold"),
-    HeaderName::from_static("x-pin-ms"),
+    PIN,
     COPY_TO,
     COPY_FROM,
     HeaderName::from_static("kv-fetch"),
@@ -219,6 +224,34 @@
     pub(crate) backup: Option<SocketAddr>,
     /// The copy that the run continues from.
     pub(crate) copy_of: Option<CopyOf<'a>>,
+    /// How long the engine keeps the prompt after the end of the run.
+    pub(crate) pin: Option<Duration>,
+}
+
+/// A prompt that an engine keeps.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Pinned<'a> {
+    /// The last part of the prompt.
+    pub(crate) name: &'a str,
+    /// Name of the engine.
+    pub(crate) server: &'a str,
+    /// Address of the engine.
+    pub(crate) address: SocketAddr,
+}
+
+/// The request that ends a pin; `None` if its name can't be part of a path.
+pub(crate) fn release_request(pin: &Pinned<'_>) -> Option<Request<Full<Bytes>>> {
+    let request = Request::delete(format!("/kv-pin/{}", pin.name))
+        .header(HOST, pin.address.to_string())
+        .header(EXPECT_INSTANCE, pin.server);
+    request.body(Full::default()).ok()
+}
+
+/// The identifier of the last part of the prompt; `None` without one.
+pub(crate) fn last_prompt_part(headers: &HeaderMap) -> Option<String> {
+    let text = header_text(headers, &PROMPT_PARTS)?;
+    let (id, _) = text.rsplit(',').next()?.trim().rsplit_once(':')?;
+    (!id.is_empty()).then(|| id.to_owned())
 }
 
 /// The headers of a request as sent to a backend server; `left` is the time until its deadline.
@@ -259,7 +292,8 @@
     let copy = run
         .copy_of
         .map(|copy| format!("{}/{}", copy.holder, copy.id));
-    for (name, value) in [(COPY_TO, backup), (COPY_FROM, copy)] {
+    let pin = run.pin.map(|time| time.as_millis().to_string());
+    for (name, value) in [(COPY_TO, backup), (COPY_FROM, copy), (PIN, pin)] {
         if let Some(Ok(value)) = value.as_deref().map(HeaderValue::from_str) {
             forwarded.insert(name, value);
         }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -17,6 +17,7 @@
 pub mod latency;
 pub mod limit;
 pub mod outage;
+pub mod pins;
 pub mod pool;
 pub mod prefix;
 mod priority;
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -1,6 +1,6 @@
 //! Fake engines that copy the memory of runs to each other.
 
-use super::{Act, Request, Store, chunk, listen, stream_head, unused_address};
+use super::{Act, Request, Store, chunk, listen, response, stream_head, unused_address};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::io::{BufReader, ErrorKind, Write};
@@ -43,6 +43,8 @@
     pub freezes_at: Arc<AtomicU64>,
     /// Events by which copies lag, and from which a continued run sends again.
     pub lag: Arc<AtomicU64>,
+    /// Prompts that it keeps, with the end of their time.
+    pub pins: Arc<Mutex<BTreeMap<String, Instant>>>,
     /// Whether it takes no copies.
     pub full: Arc<AtomicBool>,
 }
@@ -58,6 +60,7 @@
             dies_at: Arc::default(),
             freezes_at: Arc::default(),
             lag: Arc::default(),
+            pins: Arc::default(),
             full: Arc::default(),
         };
         let serving = Arc::new(Mutex::new(engine.clone()));
@@ -91,6 +94,15 @@
     }
 
     fn answer(&self, request: &Request, stream: &mut TcpStream) -> Act {
+        if let Some(prompt) = request.target.strip_prefix("/kv-pin/") {
+            let pin = self.pins.lock().expect("not poisoned").remove(prompt);
+            let status = if pin.is_some() {
+                "200 OK"
+            } else {
+                "404 Not Found"
+            };
+            return Act::Keep(response(status, b""));
+        }
         let id = request.header("x-request-id").to_owned();
         let mut first = 1;
         if let Some((holder, run)) = request.header("kv-from").split_once('/') {
@@ -124,6 +136,7 @@
             engines.retain(|engine| *engine != self.address);
         }
         if whole {
+            self.pin(request);
             cluster.copies.retain(|(_, run), _| *run != id);
             return Act::Keep(b"0\r\n\r\n".to_vec());
         }
@@ -181,6 +194,27 @@
         }
     }
 
+    fn pin(&self, request: &Request) {
+        let last = request.header("x-prompt-prefix").rsplit(',').next();
+        let name = last
+            .and_then(|part| part.split(':').next())
+            .unwrap_or_default();
+        if let Ok(ms) = request.header("x-pin-ms").parse() {
+            let until = Instant::now() + Duration::from_millis(ms);
+            self.pins
+                .lock()
+                .expect("not poisoned")
+                .insert(name.to_owned(), until);
+        }
+    }
+
+    /// Prompts that it keeps at present.
+    pub fn pinned(&self) -> Vec<String> {
+        let mut pins = self.pins.lock().expect("not poisoned");
+        pins.retain(|_, until| *until > Instant::now());
+        pins.keys().cloned().collect()
+    }
+
     /// Whether the run ends before this event.
     fn stops(&self, event: u64, stream: &TcpStream) -> bool {
         let reached = |at: &AtomicU64| {
