Move runs off a draining engine that they would outlast

Cause: a run on an engine that drains is lost when the engine leaves, though engines offer to move it.

Change: where the engine has `moves` and streams may not be resumed, policy::moves decides after each event of a run at a draining engine whether its expected rest is longer than what is left of bounds.drain_ms. The VM that serves the stream calls POST /kv-move twice, relays until the source closes the stream, and continues at the target with the handle, or back at the source where the target has no room or refuses. A handle that is not used is freed.

--- a/src/gateway/front/metrics.rs
+++ b/src/gateway/front/metrics.rs
@@ -30,6 +30,8 @@
     runs_continued: Counter<u64>,
     /// Prompts pinned at engines, and their releases.
     prompt_pins: Counter<u64>,
+    /// Moves of runs off draining engines, by outcome.
+    run_moves: Counter<u64>,
     /// Responses to callers, by kind of route and result.
     responses: Counter<u64>,
     /// Requests refused by team limits, by team.
@@ -85,6 +87,10 @@
                 "prompt_pins",
                 "Prompts pinned at engines, and their releases",
             ),
+            run_moves: counter(
+                "run_moves",
+                "Moves of runs off draining engines, by outcome",
+            ),
             responses: counter("gateway_answers", "Answers to callers, by kind and result"),
             limit_refusals: counter(
                 "limit_refusals",
@@ -135,6 +141,11 @@
         self.prompt_pins.add(1, &[KeyValue::new("step", step)]);
     }
 
+    /// Counts a move of a run.
+    pub(crate) fn count_move(&self, outcome: &'static str) {
+        self.run_moves.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a finished request and records its duration.
     pub(crate) fn record_response(&self, kind: &'static str, result: String, total: Duration) {
         let labels = [KeyValue::new("kind", kind), KeyValue::new("result", result)];
--- a/src/gateway/front/mod.rs
+++ b/src/gateway/front/mod.rs
@@ -18,6 +18,7 @@
 use crate::gateway::request::body::Body;
 use crate::gateway::server::connection::Pool;
 use crate::gateway::server::continuation::Copies;
+use crate::gateway::server::moving::Moves;
 use crate::gateway::server::pinning::Pins;
 use crate::gateway::tokens::handover::Reason;
 use crate::gateway::tokens::partitions;
@@ -212,6 +213,7 @@
         connections: Pool::default(),
         copies: Copies::default(),
         pins: Pins::default(),
+        moves: Moves::default(),
         queue: Queue::default(),
         leases: Leases::default(),
         metrics: Metrics::new(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -42,6 +42,7 @@
 use reachability::Members;
 use server::connection::Pool;
 use server::continuation::Copies;
+use server::moving::Moves;
 use server::pinning::Pins;
 use std::cell::Cell;
 use std::path::PathBuf;
@@ -76,6 +77,7 @@
     connections: Pool,
     copies: Copies,
     pins: Pins,
+    moves: Moves,
     queue: Queue,
     leases: Leases,
     metrics: Metrics,
--- a/src/gateway/request/stream.rs
+++ b/src/gateway/request/stream.rs
@@ -8,6 +8,7 @@
 use crate::gateway::server::attempt::{AttemptResult, EventSource, Stream, StreamItem, attempt};
 use crate::gateway::server::continuation::{self, Gap, Sequence, continue_run};
 use crate::gateway::server::event::EventBatch;
+use crate::gateway::server::moving::{self, Moving, continue_moved};
 use crate::gateway::server::pinning;
 use crate::policy::dispatch::Outcome;
 use crate::telemetry::event;
@@ -33,6 +34,7 @@
         source: stream.source,
         last_event: job.meta.last_event,
         sequence: Sequence::default(),
+        moving: None,
         transcript: job.route.stores_history.then(Transcript::default),
         chunks,
     };
@@ -49,6 +51,8 @@
     /// ID of the last event received, for resuming after it.
     last_event: Option<u64>,
     sequence: Sequence,
+    /// A move of the run off its engine.
+    moving: Option<Moving>,
     /// Response so far, where the route stores turns.
     transcript: Option<Transcript>,
     chunks: mpsc::Sender<Result<Bytes, Aborted>>,
@@ -115,6 +119,11 @@
         if let Some(transcript) = &mut self.transcript {
             transcript.push(&batch.bytes);
         }
+        if let Some(permit) = &self.permit
+            && self.moving.is_none()
+        {
+            self.moving = moving::start(job, &permit.server, self.source.started);
+        }
         let sent = tokio::time::timeout_at(job.deadline, self.chunks.send(Ok(batch.bytes))).await;
         match sent {
             Ok(Ok(())) => None,
@@ -137,16 +146,36 @@
 
     /// Continues the run from its copy at another server, if it has one.
     async fn continue_elsewhere(&mut self, reason: &'static str) -> Option<StreamEnd> {
+        let handle = match self.moving.take() {
+            Some(moving) => {
+                let finished = tokio::time::timeout_at(self.job.deadline, moving.finish());
+                finished.await.unwrap_or_default()
+            }
+            None => None,
+        };
         // The run must not be at work twice: the server stops it when its connection is closed.
         self.source.close().await;
-        continuation::note_broken(&self.job);
+        let outcome = if handle.is_some() {
+            Outcome::Void
+        } else {
+            continuation::note_broken(&self.job);
+            Outcome::Failed
+        };
         if let Some(permit) = self.permit.take() {
-            permit.release(Outcome::Failed);
+            permit.release(outcome);
         }
         let chunks = self.chunks.clone();
         let job = Rc::clone(&self.job);
+        let continued = async {
+            if let Some(handle) = handle
+                && let Some(stream) = continue_moved(&job, handle, self.last_event).await
+            {
+                return Some(stream);
+            }
+            continue_run(&job, reason, self.last_event).await
+        };
         let stream = tokio::select! {
-            stream = continue_run(&job, reason, self.last_event) => stream,
+            stream = continued => stream,
             () = chunks.closed() => return Some(StreamEnd::CallerLeft),
             () = tokio::time::sleep_until(job.deadline) => return Some(StreamEnd::DeadlinePassed),
         };
--- a/src/gateway/server/continuation.rs
+++ b/src/gateway/server/continuation.rs
@@ -5,7 +5,7 @@
 use crate::gateway::server::attempt::{AttemptResult, Stream, attempt_at};
 use crate::gateway::server::event::EventBatch;
 use crate::gateway::server::pinning::{self, TurnState};
-use crate::gateway::world::directory::Entry;
+use crate::gateway::world::directory::{Directory, Entry};
 use crate::gateway::world::table::Kind;
 use crate::platform::headers::{CopyOf, RunHeaders};
 use crate::policy::backup::{Candidate, Copy, Planner, Run, Skip};
@@ -41,6 +41,8 @@
     counted: RefCell<Option<Counted>>,
     continuations: Cell<u32>,
     pub(crate) pins: TurnState,
+    /// Whether a move was begun; each run is moved once at most.
+    pub(crate) moved: Cell<bool>,
 }
 
 /// A run counted by the planner. Dropping it ends the count.
@@ -131,25 +133,8 @@
     stage: Stage,
 ) -> Result<(Copy, Arc<Entry>), Skip> {
     let directory = Arc::clone(&job.gateway.routing.borrow().directory);
-    let candidates = directory.of_service(&job.service).map(|entry| Candidate {
-        id: &entry.id,
-        address: entry.address,
-        zone: &entry.zone,
-        draining: entry.draining,
-    });
-    let meta = &job.meta;
-    let age_ms = i64::try_from(job.age_ms()).unwrap_or(i64::MAX);
-    let target_ms = i64::try_from(job.route.latency_target.as_millis()).unwrap_or(i64::MAX);
-    let run = Run {
-        id: &meta.id,
-        prompt_tokens: meta.prompt_tokens,
-        output_tokens: meta.output_hint.unwrap_or(meta.max_tokens),
-        left_ms: meta.finish_ms.unwrap_or(target_ms).saturating_sub(age_ms),
-        waited: job.queue_time.get(),
-        engine_tokens,
-        address: server.address,
-        zone: &server.zone,
-    };
+    let candidates = candidates(&directory, &job.service);
+    let run = describe(job, server, engine_tokens);
     let now = Instant::now();
     let mut planner = job.gateway.copies.planner.borrow_mut();
     let decision = match stage {
@@ -167,11 +152,11 @@
     let Some(entry) = directory.get(&copy.target) else {
         return Err(Skip::NoTarget);
     };
-    if job.gateway.sampler.should_log(&meta.id) {
+    if job.gateway.sampler.should_log(&job.meta.id) {
         event!(
             info,
             "run_copied",
-            id = meta.id,
+            id = job.meta.id,
             server = server.id,
             target = copy.target,
             tokens = copy.tokens
@@ -180,6 +165,57 @@
     Ok((copy, Arc::clone(entry)))
 }
 
+fn candidates<'a>(
+    directory: &'a Directory,
+    service: &'a str,
+) -> impl Iterator<Item = Candidate<'a>> {
+    directory.of_service(service).map(|entry| Candidate {
+        id: &entry.id,
+        address: entry.address,
+        zone: &entry.zone,
+        draining: entry.draining,
+    })
+}
+
+fn describe<'a>(job: &'a Job, server: &'a Entry, engine_tokens: u64) -> Run<'a> {
+    let meta = &job.meta;
+    let age_ms = i64::try_from(job.age_ms()).unwrap_or(i64::MAX);
+    let target_ms = i64::try_from(job.route.latency_target.as_millis()).unwrap_or(i64::MAX);
+    Run {
+        id: &meta.id,
+        prompt_tokens: meta.prompt_tokens,
+        output_tokens: meta.output_hint.unwrap_or(meta.max_tokens),
+        left_ms: meta.finish_ms.unwrap_or(target_ms).saturating_sub(age_ms),
+        waited: job.queue_time.get(),
+        engine_tokens,
+        address: server.address,
+        zone: &server.zone,
+    }
+}
+
+/// Whether the run may continue at one more engine.
+pub(crate) fn allows_another(job: &Job) -> bool {
+    job.run.continuations.get() + 1 < job.route.attempts
+}
+
+/// Records that a run continues at an engine with its moved memory, which may be another one.
+pub(crate) fn count(job: &Job, entry: &Arc<Entry>, is_other: bool) {
+    pinning::forget(job);
+    let continuations = job.run.continuations.get() + u32::from(is_other);
+    job.run.continuations.set(continuations);
+    if let Some(run) = &mut *job.run.counted.borrow_mut() {
+        run.server = Arc::clone(entry);
+    }
+}
+
+/// The engine that a run may move to.
+pub(crate) fn other_engine(job: &Job, server: &Entry, directory: &Directory) -> Option<Arc<Entry>> {
+    let run = describe(job, server, 0);
+    let planner = job.gateway.copies.planner.borrow();
+    let target = planner.target(Instant::now(), &run, candidates(directory, &job.service))?;
+    directory.get(&target).cloned()
+}
+
 /// Records what an attempt showed about its engine.
 pub(crate) fn note_attempt(job: &Job, server: &Arc<Entry>, result: &AttemptResult) {
     if job.run.counted.borrow().is_none() {
@@ -222,6 +258,9 @@
         return None;
     }
     while let Some((copy, entry)) = job.run.take_copy() {
+        if !allows_another(job) {
+            return None;
+        }
         let continuations = job.run.continuations.get() + 1;
         job.run.continuations.set(continuations);
         pinning::forget(job);
--- a/src/gateway/server/mod.rs
+++ b/src/gateway/server/mod.rs
@@ -4,4 +4,5 @@
 pub(crate) mod connection;
 pub(crate) mod continuation;
 pub(crate) mod event;
+pub(crate) mod moving;
 pub(crate) mod pinning;
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -4,9 +4,13 @@
 use crate::policy::prefix::Part;
 use bytes::Bytes;
 use http::Request;
-use http::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, COOKIE, HOST, HeaderMap};
+use http::header::{
+    CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, COOKIE, HOST, HeaderMap,
+};
 use http::header::{HeaderName, HeaderValue, RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
 use http_body_util::Full;
+use serde::Deserialize;
+use serde_json::json;
 use std::net::SocketAddr;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
@@ -239,6 +243,59 @@
     pub(crate) address: SocketAddr,
 }
 
+/// A call that moves a run to another engine.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Move<'a> {
+    /// Request ID of the run.
+    pub(crate) id: &'a str,
+    /// The engine that it moves to.
+    pub(crate) target: SocketAddr,
+    /// Whether the run stops. Otherwise it goes on while its memory is copied.
+    pub(crate) last: bool,
+    /// Name of the engine that it runs on.
+    pub(crate) server: &'a str,
+    /// Address of the engine that it runs on.
+    pub(crate) address: SocketAddr,
+}
+
+/// The call for a move; `None` if a name can't be part of a header.
+pub(crate) fn move_request(run: &Move<'_>) -> Option<Request<Full<Bytes>>> {
+    let mut body = json!({ "id": run.id, "target": run.target.to_string() });
+    if run.last {
+        body["last"] = json!(true);
+    }
+    let request = Request::post("/kv-move")
+        .header(HOST, run.address.to_string())
+        .header(EXPECT_INSTANCE, run.server)
+        .header(CONTENT_TYPE, "application/json");
+    request.body(Full::from(body.to_string())).ok()
+}
+
+/// The answer of an engine that has stopped a run.
+#[derive(Debug, Clone, Deserialize)]
+pub(crate) struct Moved {
+    /// Name of the memory of the run at the engine.
+    pub(crate) handle: String,
+}
+
+impl Moved {
+    pub(crate) fn parse(body: &[u8]) -> Option<Self> {
+        serde_json::from_slice(body).ok()
+    }
+}
+
+/// The call that frees the memory of a stopped run.
+pub(crate) fn free_handle_request(
+    handle: &str,
+    server: &str,
+    address: SocketAddr,
+) -> Option<Request<Full<Bytes>>> {
+    let request = Request::delete(format!("/kv-handle/{handle}"))
+        .header(HOST, address.to_string())
+        .header(EXPECT_INSTANCE, server);
+    request.body(Full::default()).ok()
+}
+
 /// The request that ends a pin; `None` if its name can't be part of a path.
 pub(crate) fn release_request(pin: &Pinned<'_>) -> Option<Request<Full<Bytes>>> {
     let request = Request::delete(format!("/kv-pin/{}", pin.name))
--- a/src/policy/backup.rs
+++ b/src/policy/backup.rs
@@ -275,7 +275,26 @@
         exceeds
     }
 
-    /// Chooses the engine by rendezvous hashing over the request ID, in another zone if possible.
+    /// Chooses the engine that a run may move to, as for a copy.
+    pub fn target<'a>(
+        &self,
+        now: Instant,
+        run: &Run<'_>,
+        candidates: impl Iterator<Item = Candidate<'a>>,
+    ) -> Option<Arc<str>> {
+        let usable = candidates.filter(|engine| self.is_usable(now, run, engine));
+        best(run, usable)
+    }
+
+    /// Whether an engine may take the memory of a run.
+    fn is_usable(&self, now: Instant, run: &Run<'_>, engine: &Candidate<'_>) -> bool {
+        let avoided = self.avoided.get(engine.id);
+        !engine.draining
+            && engine.address != run.address
+            && avoided.is_none_or(|until| *until <= now)
+    }
+
+    /// Chooses the engine of a copy and counts the copy.
     fn place<'a>(
         &mut self,
         now: Instant,
@@ -292,18 +311,9 @@
             let held = self.held.get(engine).copied().unwrap_or(0);
             (held + tokens) as f64 <= room
         };
-        let usable = candidates.filter(|engine| {
-            !engine.draining
-                && engine.address != run.address
-                && self
-                    .avoided
-                    .get(engine.id)
-                    .is_none_or(|until| *until <= now)
-                && fits(engine.id)
-        });
-        let best = usable
-            .max_by_key(|engine| (engine.zone != run.zone, rendezvous_score(run.id, engine.id)));
-        let target = Arc::clone(best.ok_or(Skip::NoTarget)?.id);
+        let usable =
+            candidates.filter(|engine| self.is_usable(now, run, engine) && fits(engine.id));
+        let target = best(run, usable).ok_or(Skip::NoTarget)?;
         *self.held.entry(Arc::clone(&target)).or_default() += tokens;
         self.copied += 1;
         Ok(Copy { target, tokens })
@@ -324,6 +334,13 @@
     }
 }
 
+/// The engine first in rendezvous order over the request ID, of another zone if there is one.
+fn best<'a>(run: &Run<'_>, candidates: impl Iterator<Item = Candidate<'a>>) -> Option<Arc<str>> {
+    let best = candidates
+        .max_by_key(|engine| (engine.zone != run.zone, rendezvous_score(run.id, engine.id)))?;
+    Some(Arc::clone(best.id))
+}
+
 /// What it costs to run it again, in output tokens, weighted by how little time is left for that.
 fn loss(run: &Run<'_>) -> f64 {
     let redo = run.output_tokens as f64 + run.prompt_tokens as f64 / PROMPT_TOKENS_PER_OUTPUT;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -16,6 +16,7 @@
 mod grant_rate;
 pub mod latency;
 pub mod limit;
+pub mod moves;
 pub mod outage;
 pub mod pins;
 pub mod pool;
--- a/tests/platform/engine.rs
+++ b/tests/platform/engine.rs
@@ -2,7 +2,7 @@
 
 use super::{Act, Request, Store, chunk, listen, response, stream_head, unused_address};
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufReader, ErrorKind, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -11,8 +11,8 @@
 
 /// Events of a whole run.
 pub const EVENTS: u64 = 12;
-/// Time of one event.
-const STEP: Duration = Duration::from_millis(20);
+/// Time of one copy of a run's memory.
+const COPY_TIME: Duration = Duration::from_millis(20);
 /// Longest time in which an engine notices that its client has closed the channel.
 const STOP_LIMIT: Duration = Duration::from_millis(400);
 
@@ -21,6 +21,12 @@
 pub struct Cluster {
     /// Events in each copy, by the engine that holds it and the ID of the run.
     copies: BTreeMap<(SocketAddr, String), u64>,
+    /// Events in the memory of each stopped run, by the engine that keeps it and its handle.
+    handles: BTreeMap<(SocketAddr, String), u64>,
+    /// Runs that are to stop for a move, by engine.
+    stopping: BTreeSet<(SocketAddr, String)>,
+    /// Events that each run has sent.
+    sent: BTreeMap<String, u64>,
     /// Engines at which each run is at work.
     at_work: BTreeMap<String, Vec<SocketAddr>>,
     /// Runs that were at work at two engines for longer than [`STOP_LIMIT`].
@@ -41,11 +47,17 @@
     /// Dies or freezes before this event of the next run; 0 for never.
     pub dies_at: Arc<AtomicU64>,
     pub freezes_at: Arc<AtomicU64>,
+    /// Time of one event.
+    pub step_ms: Arc<AtomicU64>,
     /// Events by which copies lag, and from which a continued run sends again.
     pub lag: Arc<AtomicU64>,
     /// Prompts that it keeps, with the end of their time.
     pub pins: Arc<Mutex<BTreeMap<String, Instant>>>,
-    /// Whether it takes no copies.
+    /// Whether a call for a move kills it.
+    pub dies_on_move: Arc<AtomicBool>,
+    /// Whether the targets of its moves have no room for the last part.
+    pub no_room: Arc<AtomicBool>,
+    /// Whether it takes no runs with a handle of another engine, and gives no copies.
     pub full: Arc<AtomicBool>,
 }
 
@@ -59,8 +71,11 @@
             frozen: Arc::default(),
             dies_at: Arc::default(),
             freezes_at: Arc::default(),
+            step_ms: Arc::new(AtomicU64::new(20)),
             lag: Arc::default(),
             pins: Arc::default(),
+            no_room: Arc::default(),
+            dies_on_move: Arc::default(),
             full: Arc::default(),
         };
         let serving = Arc::new(Mutex::new(engine.clone()));
@@ -103,17 +118,38 @@
             };
             return Act::Keep(response(status, b""));
         }
+        if request.target == "/kv-move" {
+            if self.dies_on_move.load(Ordering::Relaxed) {
+                self.dead.store(true, Ordering::Relaxed);
+                return Act::Close(Vec::new());
+            }
+            return Act::Keep(self.move_run(request));
+        }
+        if let Some(handle) = request.target.strip_prefix("/kv-handle/") {
+            let key = (self.address, handle.to_owned());
+            self.cluster
+                .lock()
+                .expect("not poisoned")
+                .handles
+                .remove(&key);
+            return Act::Keep(response("200 OK", b""));
+        }
         let id = request.header("x-request-id").to_owned();
         let mut first = 1;
         if let Some((holder, run)) = request.header("kv-from").split_once('/') {
             let key = (holder.parse().expect("an address"), run.to_owned());
-            let copied = self
-                .cluster
-                .lock()
-                .expect("not poisoned")
-                .copies
-                .remove(&key);
-            let Some(copied) = copied.filter(|_| key.0 == self.address && run == id) else {
+            let mut cluster = self.cluster.lock().expect("not poisoned");
+            let is_full = self.full.load(Ordering::Relaxed);
+            let own_copy = key.0 == self.address && run == id;
+            let copied = if own_copy {
+                cluster.copies.remove(&key)
+            } else if is_full {
+                None
+            } else {
+                cluster.handles.remove(&key)
+            };
+            drop(cluster);
+            let Some(copied) = copied else {
                 return Act::Keep(
                     format!(
                         "HTTP/1.1 503 Busy\r\nX-Request-Id: {id}\r\nX-Not-Run: 1\r\n\
@@ -143,6 +179,47 @@
         Act::Close(Vec::new())
     }
 
+    /// Answers a call for a move. A run that goes on at the target must find a handle, which stays while it is full.
+    fn move_run(&self, request: &Request) -> Vec<u8> {
+        let body: Value = serde_json::from_slice(&request.body).expect("JSON");
+        let id = body["id"].as_str().expect("an ID").to_owned();
+        let works = || {
+            let cluster = self.cluster.lock().expect("not poisoned");
+            let engines = cluster.at_work.get(&id);
+            engines.is_some_and(|engines| engines.contains(&self.address))
+        };
+        if !works() {
+            return response("404 Not Found", b"");
+        }
+        if body["last"] != true {
+            std::thread::sleep(COPY_TIME);
+            return response("200 OK", b"{}");
+        }
+        let stop = (self.address, id.clone());
+        self.cluster
+            .lock()
+            .expect("not poisoned")
+            .stopping
+            .insert(stop.clone());
+        while works() {
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        let mut cluster = self.cluster.lock().expect("not poisoned");
+        cluster.stopping.remove(&stop);
+        let sent = cluster.sent.get(&id).copied().unwrap_or(0);
+        let handle = format!("h-{id}");
+        cluster.handles.insert((self.address, handle.clone()), sent);
+        let no_room = self.no_room.load(Ordering::Relaxed);
+        let status = if no_room { "503 No Room" } else { "200 OK" };
+        let body = json!({ "handle": handle, "created": sent });
+        response(status, body.to_string().as_bytes())
+    }
+
+    /// Handles of stopped runs that nobody has used.
+    pub fn handles(&self) -> usize {
+        self.cluster.lock().expect("not poisoned").handles.len()
+    }
+
     /// Waits until no other engine works at the run.
     fn begin(&self, id: &str) {
         let limit = Instant::now() + STOP_LIMIT;
@@ -171,14 +248,20 @@
             self.copy(target, id, first - 1);
         }
         for event in first..=EVENTS {
-            std::thread::sleep(STEP);
-            if self.stops(event, stream) {
+            let step = Duration::from_millis(self.step_ms.load(Ordering::Relaxed));
+            std::thread::sleep(step);
+            if self.stops(event, stream) || self.is_moving(id) {
                 return false;
             }
             let text = chunk(&format!("id: {event}\ndata: e{event}\n\n"));
             if stream.write_all(text.as_bytes()).is_err() {
                 return false;
             }
+            self.cluster
+                .lock()
+                .expect("not poisoned")
+                .sent
+                .insert(id.to_owned(), event);
             if let Ok(target) = request.header("x-kv-backup").parse() {
                 self.copy(target, id, event);
             }
@@ -194,6 +277,11 @@
         }
     }
 
+    fn is_moving(&self, id: &str) -> bool {
+        let cluster = self.cluster.lock().expect("not poisoned");
+        cluster.stopping.contains(&(self.address, id.to_owned()))
+    }
+
     fn pin(&self, request: &Request) {
         let last = request.header("x-prompt-prefix").rsplit(',').next();
         let name = last
--- a/tests/runs.rs
+++ b/tests/runs.rs
@@ -282,6 +282,94 @@
     assert!(!targets.contains(&address.to_string()));
 }
 
+/// Lets a run begin, marks its engine as draining, and returns the reply and the engine. That engine takes runs back.
+fn drain_under_run(site: &Site<2>) -> (Reply, Engine) {
+    // 10,000 expected tokens outlast the time that a draining engine has.
+    let headers = [("X-Token-Count", "100,20000"), ("X-Length-Hint", "10000")];
+    std::thread::scope(|scope| {
+        let turn = scope.spawn(|| site.turn("r", &headers, ""));
+        let began = |engine: &&Engine| !engine.header_values("x-request-id").is_empty();
+        let numbered = || site.engines.iter().enumerate();
+        until("the run began", || {
+            numbered().any(|(_, engine)| began(&engine))
+        });
+        let (number, engine) = numbered()
+            .find(|(_, engine)| began(engine))
+            .expect("the run began");
+        engine.full.store(false, Ordering::Relaxed);
+        let name = format!("s{number}");
+        site.store
+            .register(&name, "pool", engine.address, "draining");
+        (turn.join().expect("the call returns"), engine.clone())
+    })
+}
+
+/// A run that outlasts its draining engine must move to another one, or go back where that has no room. In both cases
+/// the caller sees one stream, the run is never at work twice, and no memory is left behind.
+#[test]
+fn a_run_moves_off_a_draining_engine() {
+    for (no_room, refused) in [(false, false), (true, false), (false, true)] {
+        let site = start::<2>(&json!({}), &json!({ "moves": true }));
+        for engine in &site.engines {
+            engine.step_ms.store(100, Ordering::Relaxed);
+            engine.no_room.store(no_room, Ordering::Relaxed);
+            engine.full.store(refused, Ordering::Relaxed);
+        }
+        let (reply, source) = drain_under_run(&site);
+        assert_whole(&reply);
+        let runs = |engine: &Engine| {
+            let ids = engine.header_values("x-request-id");
+            ids.iter().filter(|id| *id == "r").count()
+        };
+        let others = site.engines.iter().map(runs).sum::<usize>() - runs(&source);
+        let expected = match (no_room, refused) {
+            (true, _) => (2, 0),
+            (_, true) => (2, 1),
+            _ => (1, 1),
+        };
+        assert_eq!((runs(&source), others), expected);
+        site.assert_never_doubled();
+        assert_eq!(source.handles(), 0);
+    }
+}
+
+/// The source of a move dies, and no handle is known. The run continues from its copy, where it has one, and is cut
+/// else; it does not start anew.
+#[test]
+fn the_source_of_a_move_dies() {
+    for backups in [true, false] {
+        // Room for copies of the long run that is expected.
+        let fields = json!({ "moves": true, "backups": backups, "kvCapTokens": 1_000_000 });
+        let site = start::<2>(&json!({}), &fields);
+        for engine in &site.engines {
+            engine.step_ms.store(100, Ordering::Relaxed);
+            engine.dies_on_move.store(true, Ordering::Relaxed);
+        }
+        let (reply, source) = drain_under_run(&site);
+        assert!(source.is_dead());
+        assert_eq!(reply.whole, backups, "{}", reply.text());
+        assert!(all_events().starts_with(&reply.text()));
+        site.assert_never_doubled();
+        site.wait_for_line("event=run_moved");
+    }
+}
+
+/// Engines that offer no moves keep their runs while they drain.
+#[test]
+fn a_run_stays_where_engines_offer_no_moves() {
+    let site = start::<2>(&json!({}), &json!({ "backups": true }));
+    let (reply, source) = drain_under_run(&site);
+    assert_whole(&reply);
+    assert!(
+        source
+            .requests
+            .lock()
+            .expect("not poisoned")
+            .iter()
+            .all(|request| request.target == "/a/x")
+    );
+}
+
 /// Copies take memory and bandwidth of engines. Over many runs at most one in four may have one, the dear ones
 /// first, and the copies must be spread over the engines of other zones.
 #[test]
