Let pins pay in the tests of their release

Cause: a_refused_program_gives_its_prompt_back failed once in the whole test run. Each of its tries is a session whose second turn is refused before it is counted, so the chance that sessions go on falls with each, and with the 10,000 tokens of the fake engine a pin then pays no more; after a first try that came too late, no later one could pass.

Change: the engine of these tests has 1,000,000 tokens. The rule itself is checked in pins_are_set_where_they_pay, which is unchanged.

--- a/tests/pins.rs
+++ b/tests/pins.rs
@@ -11,6 +11,9 @@
 use tokio::time::Instant;
 use vanillatrail::policy::pins::{Planner, Room, Turn};
 
+/// Memory of an engine in tokens, large enough that a pin pays also where few sessions go on.
+const MEMORY: u64 = 1_000_000;
+
 fn start(engine: &Value) -> (Engine, Vm) {
     let cluster: Arc<Mutex<Cluster>> = Arc::default();
     let store = Store::start();
@@ -62,7 +65,7 @@
 /// be kept for longer than the engine accepts. Where engines keep none, no header may be sent.
 #[test]
 fn a_prompt_is_kept_between_turns() {
-    let (engine, vm) = start(&json!({ "pinMs": 800 }));
+    let (engine, vm) = start(&json!({ "pinMs": 800, "kvCapTokens": MEMORY }));
     teach(&vm);
     // A pin may expire before it is looked at, so further sessions are tried.
     let mut sessions = (0..).map(|number| format!("p{number}"));
@@ -90,7 +93,7 @@
 /// A program that is refused for good leaves no pin behind.
 #[test]
 fn a_refused_program_gives_its_prompt_back() {
-    let (engine, vm) = start(&json!({ "pinMs": 1000 }));
+    let (engine, vm) = start(&json!({ "pinMs": 1000, "kvCapTokens": MEMORY }));
     teach(&vm);
     let mut sessions = (0..).map(|number| format!("p{number}"));
     until("the pin is released", || {
@@ -109,7 +112,7 @@
 #[test]
 fn a_program_given_up_gives_its_prompt_back() {
     use std::io::Write;
-    let (engine, vm) = start(&json!({ "pinMs": 1000 }));
+    let (engine, vm) = start(&json!({ "pinMs": 1000, "kvCapTokens": MEMORY }));
     teach(&vm);
     let mut text = "POST /a/x HTTP/1.1\r\nHost: site.example\r\nContent-Length: 0\r\n".to_owned();
     for (name, value) in headers("p", 1) {
