--- a/src/gateway/front/housekeeping.rs
+++ b/src/gateway/front/housekeeping.rs
@@ -101,6 +101,7 @@
             gateway.queue.log_waiting();
             gateway.queue.report_plain_placement(&gateway.metrics);
             gateway.queue.record_pace(&gateway.metrics);
+            gateway.sweep_pins();
             gateway.record_members();
             let (directory, confirmed_at) = {
                 let routing = gateway.routing.borrow();
--- a/src/gateway/front/metrics.rs
+++ b/src/gateway/front/metrics.rs
@@ -29,6 +29,14 @@
     plain_choices: Counter<u64>,
     /// Messages with load reports between VMs, by what became of them.
     load_notes: Counter<u64>,
+    /// Decisions about copies of runs, by verdict.
+    run_copies: Counter<u64>,
+    /// Runs whose engine was lost and that had a copy, by outcome.
+    runs_continued: Counter<u64>,
+    /// Prompts pinned at engines, and their releases.
+    prompt_pins: Counter<u64>,
+    /// Moves of runs off draining engines, by outcome.
+    run_moves: Counter<u64>,
     /// Responses to callers, by kind of route and result.
     responses: Counter<u64>,
     /// Requests refused by team limits, by team.
@@ -94,6 +102,19 @@
                 "load_notes",
                 "Messages with load reports between VMs: sent, received, or received too late",
             ),
+            run_copies: counter("run_copies", "Decisions about copies of runs, by verdict"),
+            runs_continued: counter(
+                "runs_continued",
+                "Runs that had a copy when their engine was lost, by outcome",
+            ),
+            prompt_pins: counter(
+                "prompt_pins",
+                "Prompts pinned at engines, and their releases",
+            ),
+            run_moves: counter(
+                "run_moves",
+                "Moves of runs off draining engines, by outcome",
+            ),
             responses: counter("gateway_answers", "Answers to callers, by kind and result"),
             limit_refusals: counter(
                 "limit_refusals",
@@ -155,6 +176,27 @@
         self.load_notes.add(1, &[KeyValue::new("what", what)]);
     }
 
+    /// Counts a decision about the copy of a run.
+    pub(crate) fn count_copy(&self, verdict: &'static str) {
+        self.run_copies.add(1, &[KeyValue::new("verdict", verdict)]);
+    }
+
+    /// Counts a run that was to continue from its copy.
+    pub(crate) fn count_continued_run(&self, outcome: &'static str) {
+        self.runs_continued
+            .add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts a pin that was set or released.
+    pub(crate) fn count_pin(&self, step: &'static str) {
+        self.prompt_pins.add(1, &[KeyValue::new("step", step)]);
+    }
+
+    /// Counts a move of a run.
+    pub(crate) fn count_move(&self, outcome: &'static str) {
+        self.run_moves.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a finished request and records its duration.
     pub(crate) fn record_response(&self, kind: &'static str, result: String, total: Duration) {
         let labels = [KeyValue::new("kind", kind), KeyValue::new("result", result)];
--- a/src/gateway/front/mod.rs
+++ b/src/gateway/front/mod.rs
@@ -18,6 +18,9 @@
 use crate::gateway::reachability::Members;
 use crate::gateway::request::body::Body;
 use crate::gateway::server::connection::Pool;
+use crate::gateway::server::continuation::Copies;
+use crate::gateway::server::moving::Moves;
+use crate::gateway::server::pinning::Pins;
 use crate::gateway::tokens::handover::Reason;
 use crate::gateway::tokens::partitions;
 use crate::gateway::tokens::partitions::Partitions;
@@ -209,6 +212,9 @@
         recent_members: Members::default(),
         zone: settings.zone.as_str().into(),
         connections: Pool::default(),
+        copies: Copies::default(),
+        pins: Pins::default(),
+        moves: Moves::default(),
         queue: Queue::default(),
         leases: Leases::default(),
         metrics: Metrics::new(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -41,6 +41,9 @@
 use queue::permit::Queue;
 use reachability::Members;
 use server::connection::Pool;
+use server::continuation::Copies;
+use server::moving::Moves;
+use server::pinning::Pins;
 use std::cell::Cell;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -72,6 +75,9 @@
     recent_members: Members,
     conversations: Rc<Conversations>,
     connections: Pool,
+    copies: Copies,
+    pins: Pins,
+    moves: Moves,
     queue: Queue,
     leases: Leases,
     metrics: Metrics,
--- a/src/gateway/server/mod.rs
+++ b/src/gateway/server/mod.rs
@@ -2,4 +2,7 @@
 
 pub(crate) mod attempt;
 pub(crate) mod connection;
+pub(crate) mod continuation;
 pub(crate) mod event;
+pub(crate) mod moving;
+pub(crate) mod pinning;
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -2,8 +2,16 @@
 
 use crate::policy::dispatch::{HostPace, Load};
 use crate::policy::prefix::Part;
-use http::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, COOKIE, HOST, HeaderMap};
+use bytes::Bytes;
+use http::Request;
+use http::header::{
+    CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, COOKIE, HOST, HeaderMap,
+};
 use http::header::{HeaderName, HeaderValue, RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+use http_body_util::Full;
+use serde::Deserialize;
+use serde_json::json;
+use std::net::SocketAddr;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -42,6 +50,13 @@
 /// Tells a server the team of the caller.
 const TEAM: HeaderName = HeaderName::from_static("x-tenant");
 
+/// Address of the engine that gets a copy of the run.
+const COPY_TO: HeaderName = HeaderName::from_static("x-kv-backup");
+/// Milliseconds for which the engine keeps the prompt after the end of the run.
+const PIN: HeaderName = HeaderName::from_static("x-pin-ms");
+/// The copy that the run continues from: `IP:PORT/ID`.
+const COPY_FROM: HeaderName = HeaderName::from_static("kv-from");
+
 /// Headers that only the gateway may set; dropped from callers' requests.
 const RESERVED: [HeaderName; 9] = [
     TEAM,
@@ -49,9 +64,9 @@
     EXPECT_INSTANCE,
     EXPECT_VERSION,
     HeaderName::from_static("x-hold"),
-    HeaderName::from_static("x-pin-ms"),
-    HeaderName::from_static("x-kv-backup"),
-    HeaderName::from_static("kv-from"),
+    PIN,
+    COPY_TO,
+    COPY_FROM,
     HeaderName::from_static("kv-fetch"),
 ];
 
@@ -195,13 +210,114 @@
     forwarded
 }
 
+/// A copy of a run's memory.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CopyOf<'a> {
+    /// The engine that holds it.
+    pub(crate) holder: SocketAddr,
+    /// Request ID of the run.
+    pub(crate) id: &'a str,
+}
+
+/// What an attempt tells its server about the run.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct RunHeaders<'a> {
+    /// The last event that the caller has.
+    pub(crate) last_event: Option<u64>,
+    /// The engine that the run's memory is copied to as it grows.
+    pub(crate) backup: Option<SocketAddr>,
+    /// The copy that the run continues from.
+    pub(crate) copy_of: Option<CopyOf<'a>>,
+    /// How long the engine keeps the prompt after the end of the run.
+    pub(crate) pin: Option<Duration>,
+}
+
+/// A prompt that an engine keeps.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Pinned<'a> {
+    /// The last part of the prompt.
+    pub(crate) name: &'a str,
+    /// Name of the engine.
+    pub(crate) server: &'a str,
+    /// Address of the engine.
+    pub(crate) address: SocketAddr,
+}
+
+/// A call that moves a run to another engine.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Move<'a> {
+    /// Request ID of the run.
+    pub(crate) id: &'a str,
+    /// The engine that it moves to.
+    pub(crate) target: SocketAddr,
+    /// Whether the run stops. Otherwise it goes on while its memory is copied.
+    pub(crate) last: bool,
+    /// Name of the engine that it runs on.
+    pub(crate) server: &'a str,
+    /// Address of the engine that it runs on.
+    pub(crate) address: SocketAddr,
+}
+
+/// The call for a move; `None` if a name can't be part of a header.
+pub(crate) fn move_request(run: &Move<'_>) -> Option<Request<Full<Bytes>>> {
+    let mut body = json!({ "id": run.id, "target": run.target.to_string() });
+    if run.last {
+        body["last"] = json!(true);
+    }
+    let request = Request::post("/kv-move")
+        .header(HOST, run.address.to_string())
+        .header(EXPECT_INSTANCE, run.server)
+        .header(CONTENT_TYPE, "application/json");
+    request.body(Full::from(body.to_string())).ok()
+}
+
+/// The answer of an engine that has stopped a run.
+#[derive(Debug, Clone, Deserialize)]
+pub(crate) struct Moved {
+    /// Name of the memory of the run at the engine.
+    pub(crate) handle: String,
+}
+
+impl Moved {
+    pub(crate) fn parse(body: &[u8]) -> Option<Self> {
+        serde_json::from_slice(body).ok()
+    }
+}
+
+/// The call that frees the memory of a stopped run.
+pub(crate) fn free_handle_request(
+    handle: &str,
+    server: &str,
+    address: SocketAddr,
+) -> Option<Request<Full<Bytes>>> {
+    let request = Request::delete(format!("/kv-handle/{handle}"))
+        .header(HOST, address.to_string())
+        .header(EXPECT_INSTANCE, server);
+    request.body(Full::default()).ok()
+}
+
+/// The request that ends a pin; `None` if its name can't be part of a path.
+pub(crate) fn release_request(pin: &Pinned<'_>) -> Option<Request<Full<Bytes>>> {
+    let request = Request::delete(format!("/kv-pin/{}", pin.name))
+        .header(HOST, pin.address.to_string())
+        .header(EXPECT_INSTANCE, pin.server);
+    request.body(Full::default()).ok()
+}
+
+/// The identifier of the last part of the prompt; `None` without one.
+pub(crate) fn last_prompt_part(headers: &HeaderMap) -> Option<String> {
+    let text = header_text(headers, &PROMPT_PARTS)?;
+    let (id, _) = text.rsplit(',').next()?.trim().rsplit_once(':')?;
+    (!id.is_empty()).then(|| id.to_owned())
+}
+
 /// The headers of a request as sent to a backend server; `left` is the time until its deadline.
 pub(crate) fn backend_request_headers(
     headers: &HeaderMap,
     server: &str,
     team: Option<&str>,
     left: Duration,
-    last_event: Option<u64>,
+    run: &RunHeaders<'_>,
 ) -> HeaderMap {
     let mut forwarded = end_to_end(headers);
     if let Some(host) = headers.get(HOST) {
@@ -226,9 +342,19 @@
     if let Some(Ok(value)) = team.map(HeaderValue::from_str) {
         forwarded.insert(TEAM, value);
     }
-    if let Some(last) = last_event {
+    if let Some(last) = run.last_event {
         forwarded.insert(LAST_EVENT_ID, HeaderValue::from(last));
     }
+    let backup = run.backup.map(|address| address.to_string());
+    let copy = run
+        .copy_of
+        .map(|copy| format!("{}/{}", copy.holder, copy.id));
+    let pin = run.pin.map(|time| time.as_millis().to_string());
+    for (name, value) in [(COPY_TO, backup), (COPY_FROM, copy), (PIN, pin)] {
+        if let Some(Ok(value)) = value.as_deref().map(HeaderValue::from_str) {
+            forwarded.insert(name, value);
+        }
+    }
     forwarded
 }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -6,6 +6,7 @@
 pub mod admit;
 pub mod affinity;
 pub mod allowance;
+pub mod backup;
 pub mod cache;
 pub mod candidates;
 pub mod cells;
@@ -18,8 +19,10 @@
 pub mod limit;
 pub mod load_share;
 mod memory;
+pub mod moves;
 pub mod outage;
 mod pace;
+pub mod pins;
 pub mod pool;
 pub mod prefix;
 mod priority;
