Admit programs that can still end in time, in the order of shares

Cause: admission was first come, first served with one mean number of slots for each rank. A program kept its reservation for 2.5 s after its last request, one that could no longer end in time was still admitted, and a team at many times its usual rate took the slots of the others.

Change: for requests that carry a demand, slots, pauses and the shortest time of a program are learned by class (policy::needs); a reservation ends with the longest usual pause; a program is admitted if it can still end in time and goes before no class or team that has used less (policy::fairness, start-time fair queueing by class, then team). A program that has not begun waits while all slots are in use. Others are scheduled as before.

--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -17,7 +17,7 @@
 
 /// Cleared when full.
 const MAX_SESSIONS: usize = 50_000;
-const SWEEP_INTERVAL: Duration = Duration::from_millis(200);
+const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
 /// Retry-After of a request that was dropped from the queue by [`Dispatcher::tick`].
 pub const LATE_REQUEST_RETRY_AFTER: Duration = Duration::from_millis(900);
 /// Longest queue time of a request whose program is late or was not admitted. Short, so that its
@@ -288,6 +288,7 @@
             .session
             .and_then(|session| self.session_servers.get(&session));
         if queued_ahead == 0
+            && !pool.must_hold(now, &request, priority)
             && let Some(index) = pool.choose(now, permit, &request, band, session_server)
         {
             return Placement::Granted(self.start(now, permit, &request, index));
@@ -297,8 +298,12 @@
             return Placement::Refused(retry_after);
         }
         self.queued.insert(permit, Arc::clone(&request.service));
-        pool.queue
-            .push(now_ms, permit, QueuedRequest { request, priority });
+        let queued = QueuedRequest {
+            request,
+            priority,
+            place: None,
+        };
+        pool.enqueue(now_ms, permit, queued);
         Placement::Waiting
     }
 
@@ -318,7 +323,7 @@
                 .queue
                 .late_matching(|queued| queued.late_wait_expired(now_ms))
             {
-                if let Some(queued) = pool.queue.remove(permit) {
+                if let Some(queued) = pool.dequeue(permit) {
                     pool.request_ended(now, queued.request.program, Duration::ZERO);
                     self.queued.remove(&permit);
                     timed_out.push(permit);
@@ -353,6 +358,7 @@
         let Some(pool) = self.pools.get_mut(service) else {
             return;
         };
+        pool.admit_waiting(now, now_ms);
         let mut full_band = None;
         for permit in pool.queue.most_urgent(now_ms, MAX_SCANNED) {
             let Some(pool) = self.pools.get_mut(service) else {
@@ -364,6 +370,9 @@
             if full_band == Some(band) {
                 continue;
             }
+            if pool.must_hold(now, &queued.request, queued.priority) {
+                continue;
+            }
             let session_server = queued
                 .request
                 .session
@@ -377,7 +386,7 @@
                 full_band = Some(band);
                 continue;
             };
-            let Some(queued) = pool.queue.remove(permit) else {
+            let Some(queued) = pool.dequeue(permit) else {
                 continue;
             };
             pool.queue.record_grant();
@@ -423,7 +432,7 @@
         if let Some(service) = self.queued.remove(&permit)
             && let Some(pool) = self.pools.get_mut(&service)
         {
-            let removed = pool.queue.remove(permit);
+            let removed = pool.dequeue(permit);
             let program = removed.and_then(|queued| queued.request.program);
             pool.request_ended(now, program, Duration::ZERO);
         }
--- a/src/policy/priority.rs
+++ b/src/policy/priority.rs
@@ -23,6 +23,8 @@
     pub(super) admitted: bool,
     /// Priority of its route; 0 is the most urgent.
     pub(super) rank: u8,
+    /// When it has to start at the latest so that its program ends by its deadline; none if unknown.
+    pub(super) latest_start_ms: Option<i64>,
 }
 
 impl Prioritized for Priority {
@@ -44,7 +46,11 @@
     fn sort_key(&self, band: Band) -> i64 {
         let start_ms = self.start_ms + RANK_OFFSET_MS * i64::from(self.rank);
         match band {
-            Band::OnTime => start_ms,
+            Band::OnTime => {
+                let rank_offset_ms = RANK_OFFSET_MS * i64::from(self.rank);
+                self.latest_start_ms
+                    .map_or(start_ms, |at| at + rank_offset_ms)
+            }
             // Programs that have started go first, as their work is lost otherwise; the newest of
             // them are the likeliest to finish in time.
             Band::Late if self.has_started => -start_ms,
--- a/src/policy/programs.rs
+++ b/src/policy/programs.rs
@@ -6,7 +6,11 @@
 //! servers.
 
 use super::dispatch::Request;
+use super::fairness::{Fairness, Flow, Position};
+use super::needs::{Need, Needs, Sample};
 use super::priority::Priority;
+use crate::id::Permit;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -22,6 +26,8 @@
 const MAX_RESERVED_SHARE: f64 = 0.65;
 /// Weight of the newest program in the average slot use.
 const EWMA_WEIGHT: f64 = 0.05;
+/// Flows of waiting programs whose first program is tried when slots are released.
+const MAX_FLOWS_TRIED: usize = 6;
 /// A program without requests for this long counts as ended. Longer than a tool call with a pause
 /// of the caller.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(2500);
@@ -50,6 +56,13 @@
     /// Queued and running requests.
     open_requests: u32,
     last_activity: Instant,
+    /// Team and class; none if its requests carry no demand.
+    flow: Option<Flow>,
+    requests: u32,
+    /// Time at servers that its flow was charged.
+    charged_ms: Option<f64>,
+    first_seen: Instant,
+    last_ended: Option<Instant>,
 }
 
 /// The programs of one service.
@@ -60,6 +73,8 @@
     reserved_slots: f64,
     /// Average slots in use by one program, by rank.
     slots_per_program: BTreeMap<u8, f64>,
+    needs: Needs,
+    pub(super) fairness: Fairness,
 }
 
 impl Programs {
@@ -81,6 +96,7 @@
                 has_started: true,
                 admitted: true,
                 rank: request.rank,
+                latest_start_ms: None,
             };
         };
         if self.by_key.len() >= MAX_PROGRAMS {
@@ -106,11 +122,30 @@
             server_ms: 0.0,
             open_requests: 0,
             last_activity: now,
+            flow: request.demand.as_ref().map(|demand| Flow {
+                team: demand.team,
+                class: demand.class,
+            }),
+            requests: 0,
+            charged_ms: None,
+            first_seen: now,
+            last_ended: None,
         });
+        program.requests += 1;
+        if let (0, Some(flow), Some(at)) = (program.open_requests, program.flow, program.last_ended)
+        {
+            let pause = now.saturating_duration_since(at);
+            self.needs.of(flow.class).record_pause(pause);
+        }
         program.open_requests += 1;
         program.last_activity = now;
         program.ended = false;
-        self.try_admit(now_ms, key, capacity);
+        if program
+            .flow
+            .is_none_or(|flow| self.fairness.goes_first(flow))
+        {
+            self.try_admit(now_ms, key, capacity);
+        }
         self.priority(now_ms, key, request)
     }
 
@@ -124,6 +159,10 @@
             has_started: program.is_none_or(|program| program.has_started),
             admitted: program.is_none_or(|program| program.reserved_slots.is_some()),
             rank: request.rank,
+            latest_start_ms: program.and_then(|program| {
+                let need = self.needs.get(program.flow?.class)?;
+                program.latest_start_ms(need)
+            }),
         }
     }
 
@@ -135,18 +174,25 @@
         if program.reserved_slots.is_some() {
             return true;
         }
-        let slots = self
-            .slots_per_program
-            .get(&program.rank)
-            .copied()
+        let need = program.flow.and_then(|flow| self.needs.get(flow.class));
+        let learned = need.and_then(Need::slots);
+        let of_rank = || self.slots_per_program.get(&program.rank).copied();
+        let slots = learned
+            .or_else(of_rank)
             .unwrap_or(INITIAL_SLOTS_PER_PROGRAM);
-        if program.deadline_ms <= now_ms
+        let latest_start_ms = need.and_then(|need| program.latest_start_ms(need));
+        if latest_start_ms.unwrap_or(program.deadline_ms) <= now_ms
             || self.reserved_slots + slots > capacity * MAX_RESERVED_SHARE
         {
             return false;
         }
         program.reserved_slots = Some(slots);
         self.reserved_slots += slots;
+        if let (Some(flow), None) = (program.flow, program.charged_ms) {
+            let ms = slots * program.idle_ms();
+            program.charged_ms = Some(ms);
+            self.fairness.charge(flow, ms);
+        }
         true
     }
 
@@ -157,6 +203,39 @@
         }
     }
 
+    /// Admits waiting programs that fit and can end in time, in the order of their shares. Returns their requests.
+    pub(super) fn admit_waiting(
+        &mut self,
+        now_ms: i64,
+        capacity: f64,
+        program_of: impl Fn(Permit) -> Option<u64>,
+    ) -> Vec<Permit> {
+        // Sorting the flows is only worth its time if a program may fit.
+        let fewest_slots = self.needs.fewest_slots().unwrap_or_default();
+        if self.reserved_slots + fewest_slots > capacity * MAX_RESERVED_SHARE {
+            return Vec::new();
+        }
+        let heads = self.fairness.heads().into_iter().take(MAX_FLOWS_TRIED);
+        let programs = heads.filter_map(|(_, permit)| Some((permit, program_of(permit)?)));
+        let programs: Vec<_> = programs.collect();
+        programs
+            .into_iter()
+            .filter(|(_, program)| self.try_admit(now_ms, *program, capacity))
+            .map(|(permit, _)| permit)
+            .collect()
+    }
+
+    /// Flow and position of a request whose program has to wait until it is admitted.
+    pub(super) fn place(&self, arrival_ms: i64, key: u64) -> Option<(Flow, Position)> {
+        let program = self.by_key.get(&key)?;
+        let waits = program.reserved_slots.is_none() && program.deadline_ms > arrival_ms;
+        let position = Position {
+            is_unstarted: !program.has_started,
+            arrival_ms: Reverse(arrival_ms),
+        };
+        Some((program.flow.filter(|_| waits)?, position))
+    }
+
     /// Ends a request that spent `took` at a server.
     pub(super) fn request_ended(&mut self, now: Instant, key: u64, took: Duration) {
         let Some(program) = self.by_key.get_mut(&key) else {
@@ -164,16 +243,32 @@
         };
         program.open_requests = program.open_requests.saturating_sub(1);
         program.last_activity = now;
+        program.last_ended = Some(now);
         program.server_ms += took.as_secs_f64() * 1000.0;
     }
 
     /// Releases the slots reserved by ended or late programs.
     pub(super) fn sweep(&mut self, now: Instant, now_ms: i64) {
         for program in self.by_key.values_mut() {
-            let idle = program.open_requests == 0 && program.last_activity + IDLE_TIMEOUT <= now;
+            let need = program.flow.map(|flow| self.needs.of(flow.class));
+            let timeout = need.as_ref().and_then(|need| need.longest_pause());
+            let timeout = timeout.map_or(IDLE_TIMEOUT, |pause| pause.min(IDLE_TIMEOUT));
+            let idle = program.open_requests == 0 && program.last_activity + timeout <= now;
             if idle && !program.ended {
                 program.ended = true;
-                if let Some(sample) = program.slots_used() {
+                if let (Some(flow), Some(charged)) = (program.flow, program.charged_ms) {
+                    self.fairness.correct(flow, program.server_ms - charged);
+                    program.charged_ms = Some(program.server_ms);
+                }
+                if let (Some(need), Some(slots)) = (need, program.slots_used()) {
+                    let took = program.last_activity.duration_since(program.first_seen);
+                    need.record(Sample {
+                        slots,
+                        duration_ms: took.as_secs_f64() * 1000.0,
+                        target_ms: (program.deadline_ms - program.start_ms) as f64,
+                        requests: program.requests,
+                    });
+                } else if let Some(sample) = program.slots_used() {
                     let slots = self
                         .slots_per_program
                         .entry(program.rank)
@@ -185,6 +280,7 @@
                 self.reserved_slots -= program.reserved_slots.take().unwrap_or_default();
             }
         }
+        self.fairness.sweep();
         self.by_key.retain(|_, program| {
             program.open_requests > 0 || program.last_activity + RETENTION > now
         });
@@ -206,10 +302,21 @@
 }
 
 impl Program {
+    /// Assumed time on idle servers.
+    fn idle_ms(&self) -> f64 {
+        (self.deadline_ms - self.start_ms).max(1) as f64 / TARGET_TO_IDLE_TIME_RATIO
+    }
+
+    /// When the request at hand has to start so that the program can end by its deadline.
+    fn latest_start_ms(&self, need: &Need) -> Option<i64> {
+        let target_ms = (self.deadline_ms - self.start_ms).max(1) as f64;
+        let remaining = need.remaining(target_ms, self.requests)?;
+        Some(self.deadline_ms - i64::try_from(remaining.as_millis()).ok()?)
+    }
+
     /// Average slots that it used; none if only a part of it was seen.
     fn slots_used(&self) -> Option<f64> {
-        let idle_time_ms =
-            (self.deadline_ms - self.start_ms).max(1) as f64 / TARGET_TO_IDLE_TIME_RATIO;
+        let idle_time_ms = self.idle_ms();
         let is_complete = self.seen_from_start && self.server_ms > 0.0;
         is_complete.then(|| (self.server_ms / idle_time_ms).min(MAX_SLOTS_PER_PROGRAM))
     }
--- a/src/policy/service_pool.rs
+++ b/src/policy/service_pool.rs
@@ -2,6 +2,7 @@
 
 use super::candidates::Candidates;
 use super::dispatch::{Description, Request, Stats};
+use super::fairness::{Flow, Position};
 use super::grant_rate::GrantRate;
 use super::priority::Priority;
 use super::programs::Programs;
@@ -23,6 +24,8 @@
 pub(super) struct QueuedRequest {
     pub(super) request: Request,
     pub(super) priority: Priority,
+    /// Its place among the waiting programs; none if its program does not wait to be admitted.
+    pub(super) place: Option<(Flow, Position)>,
 }
 
 impl QueuedRequest {
@@ -193,22 +196,93 @@
         self.programs.sweep(now, now_ms);
         let capacity = self.capacity(now);
         for permit in self.queue.most_urgent(now_ms, MAX_SCANNED) {
-            let Some((QueuedRequest { request, priority }, Band::Late)) = self.queue.get(permit)
+            let Some((
+                QueuedRequest {
+                    request, priority, ..
+                },
+                Band::Late,
+            )) = self.queue.get(permit)
             else {
                 continue;
             };
             let Some(program) = request.program else {
                 continue;
             };
+            if request.demand.is_some() {
+                // Admitted in the order of the shares, see `admit_waiting`.
+                continue;
+            }
             if priority.admitted || !self.programs.try_admit(now_ms, program, capacity) {
                 continue;
             }
-            if let Some(QueuedRequest { request, priority }) = self.queue.remove(permit) {
+            if let Some(QueuedRequest {
+                request, priority, ..
+            }) = self.queue.remove(permit)
+            {
                 let priority = self
                     .programs
                     .priority(priority.arrival_ms, program, &request);
-                self.queue
-                    .push(now_ms, permit, QueuedRequest { request, priority });
+                self.queue.push(
+                    now_ms,
+                    permit,
+                    QueuedRequest {
+                        request,
+                        priority,
+                        place: None,
+                    },
+                );
+            }
+        }
+    }
+
+    /// Whether a request has to wait until its program is admitted: the program has not begun, and starting it would
+    /// take slots that admitted programs use up.
+    pub(super) fn must_hold(&self, now: Instant, request: &Request, priority: Priority) -> bool {
+        if request.demand.is_none() || priority.admitted || priority.has_started {
+            return false;
+        }
+        let in_flight: usize = self.servers.iter().map(|server| server.in_flight).sum();
+        in_flight as f64 >= self.capacity(now)
+    }
+
+    /// Queues a request.
+    pub(super) fn enqueue(&mut self, now_ms: i64, permit: Permit, mut queued: QueuedRequest) {
+        let program = queued.request.program;
+        queued.place = program.and_then(|key| self.programs.place(queued.priority.arrival_ms, key));
+        if let Some((flow, position)) = queued.place {
+            self.programs.fairness.push(flow, position, permit);
+        }
+        self.queue.push(now_ms, permit, queued);
+    }
+
+    /// Takes a request out of the queue.
+    pub(super) fn dequeue(&mut self, permit: Permit) -> Option<QueuedRequest> {
+        let queued = self.queue.remove(permit)?;
+        if let Some((flow, position)) = queued.place {
+            self.programs.fairness.remove(flow, position, permit);
+        }
+        Some(queued)
+    }
+
+    /// Admits waiting programs that fit, in the order of their shares.
+    pub(super) fn admit_waiting(&mut self, now: Instant, now_ms: i64) {
+        if self.programs.fairness.waiting() == 0 {
+            return;
+        }
+        let capacity = self.capacity(now);
+        let queue = &self.queue;
+        let admitted = self.programs.admit_waiting(now_ms, capacity, |permit| {
+            queue
+                .get(permit)
+                .and_then(|(queued, _)| queued.request.program)
+        });
+        for permit in admitted {
+            if let Some(mut queued) = self.dequeue(permit)
+                && let Some(program) = queued.request.program
+            {
+                let arrival_ms = queued.priority.arrival_ms;
+                queued.priority = self.programs.priority(arrival_ms, program, &queued.request);
+                self.enqueue(now_ms, permit, queued);
             }
         }
     }
