--- a/src/gateway/front/housekeeping.rs
+++ b/src/gateway/front/housekeeping.rs
@@ -99,6 +99,8 @@
         if last_sweep.elapsed() >= SWEEP_INTERVAL {
             last_sweep = Instant::now();
             gateway.queue.log_waiting();
+            let programs = gateway.queue.waiting_programs();
+            gateway.metrics.programs_waiting(programs);
             gateway.record_members();
             let (directory, confirmed_at) = {
                 let routing = gateway.routing.borrow();
--- a/src/gateway/front/metrics.rs
+++ b/src/gateway/front/metrics.rs
@@ -44,6 +44,7 @@
     history_wait_ms: Histogram<f64>,
     /// Time since the store last confirmed the server directory.
     directory_age_ms: Gauge<f64>,
+    programs_waiting: Gauge<u64>,
     _dropped_log_lines: ObservableCounter<u64>,
 }
 
@@ -89,6 +90,10 @@
                 .f64_gauge("directory_age_ms")
                 .with_description("Milliseconds since the store said what stands in the directory")
                 .build(),
+            programs_waiting: meter
+                .u64_gauge("programs_waiting")
+                .with_description("Programs that wait here to be admitted in the order of shares")
+                .build(),
             _dropped_log_lines: meter
                 .u64_observable_counter("log_lines_dropped")
                 .with_description("Log lines dropped, since nobody read them fast enough")
@@ -151,6 +156,10 @@
         self.directory_age_ms.record(millis(age), &[]);
     }
 
+    pub(crate) fn programs_waiting(&self, programs: usize) {
+        self.programs_waiting.record(programs as u64, &[]);
+    }
+
     /// All metrics in the text format served at `/metrics`.
     pub(crate) fn text(&self) -> String {
         self.exporter.text()
--- a/src/gateway/queue/permit.rs
+++ b/src/gateway/queue/permit.rs
@@ -128,11 +128,21 @@
                 places = load.usable_slots,
                 per_second = load.grants_per_second,
                 programs = load.admitted_programs,
-                needs = format!("{:.2?}", load.slots_per_program)
+                needs = format!("{:.2?}", load.slots_per_program),
+                reserved = load.reserved_slots,
+                programs_wait = load.waiting_programs,
+                shares = load.waiting_flows
             );
         }
     }
 
+    /// Programs that wait to be admitted in the order of shares, at all services.
+    pub(crate) fn waiting_programs(&self) -> usize {
+        let dispatcher = self.dispatcher.borrow();
+        let loads = dispatcher.queue_stats(Instant::now());
+        loads.map(|load| load.waiting_programs).sum()
+    }
+
     /// Grants slots at servers that recovered, and refuses requests that waited too long.
     pub(crate) fn tick(&self) {
         let Tick { granted, timed_out } = self.dispatcher.borrow_mut().tick(Instant::now());
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -17,7 +17,10 @@
 
 /// Cleared when full.
 const MAX_SESSIONS: usize = 50_000;
-const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
+const SWEEP_INTERVAL: Duration = Duration::from_millis(200);
+/// How often the slots of ended programs with a demand are released. Their usual pause is known, and a short program
+/// can wait for hardly longer than 200 ms.
+const RELEASE_INTERVAL: Duration = Duration::from_millis(100);
 /// Retry-After of a request that was dropped from the queue by [`Dispatcher::tick`].
 pub const LATE_REQUEST_RETRY_AFTER: Duration = Duration::from_millis(900);
 /// Longest queue time of a request whose program is late or was not admitted. Short, so that its
@@ -215,6 +218,12 @@
     pub grants_per_second: f64,
     /// Admitted programs.
     pub admitted_programs: usize,
+    /// Slots reserved for them.
+    pub reserved_slots: f64,
+    /// Programs that wait to be admitted in the order of shares.
+    pub waiting_programs: usize,
+    /// Classes and teams of those programs.
+    pub waiting_flows: usize,
     /// Average slots in use by one program, by rank.
     pub slots_per_program: &'a BTreeMap<u8, f64>,
 }
@@ -230,6 +239,7 @@
     session_servers: HashMap<u64, Arc<str>>,
     epoch: Option<Instant>,
     last_sweep: Option<Instant>,
+    last_release: Option<Instant>,
 }
 
 impl Dispatcher {
@@ -316,6 +326,15 @@
                 pool.sweep(now, now_ms);
             }
         }
+        if self
+            .last_release
+            .is_none_or(|at| at + RELEASE_INTERVAL <= now)
+        {
+            self.last_release = Some(now);
+            for pool in self.pools.values_mut() {
+                pool.programs.release(now, now_ms, true);
+            }
+        }
         let granted = self.grant(now);
         let mut timed_out = Vec::new();
         for pool in self.pools.values_mut() {
@@ -512,6 +531,13 @@
                 "waiting": pool.queue.len(),
                 "programs": known_programs,
                 "programs_admitted": admitted,
+                "programs_waiting": pool.programs.waiting().0,
+                "slots_reserved": pool.programs.reserved_slots(),
+                "slots_by_class": pool
+                    .programs
+                    .slots_by_class()
+                    .map(|(class, slots)| (format!("{class:x}"), slots.into()))
+                    .collect::<serde_json::Map<_, _>>(),
                 "servers": servers,
             });
             (service.to_string(), state)
--- a/src/policy/fairness.rs
+++ b/src/policy/fairness.rs
@@ -155,8 +155,13 @@
         });
     }
 
-    /// Number of waiting programs.
-    pub(super) fn waiting(&self) -> usize {
-        self.waiting.values().map(BTreeSet::len).sum()
+    /// Number of waiting programs, and of their flows.
+    pub(super) fn waiting(&self) -> (usize, usize) {
+        let programs = self.waiting.values().map(BTreeSet::len).sum();
+        (programs, self.waiting.len())
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
     }
 }
--- a/src/policy/needs.rs
+++ b/src/policy/needs.rs
@@ -104,9 +104,15 @@
         self.0.get(&class)
     }
 
+    /// Slots of one program, by class, of the classes that are known.
+    pub(super) fn slots(&self) -> impl Iterator<Item = (u64, f64)> {
+        let classes = self.0.iter();
+        classes.filter_map(|(class, need)| Some((*class, need.slots()?)))
+    }
+
     /// The fewest slots that a program of any known class needs.
     pub(super) fn fewest_slots(&self) -> Option<f64> {
-        self.0.values().filter_map(Need::slots).reduce(f64::min)
+        self.slots().map(|(_, slots)| slots).reduce(f64::min)
     }
 
     pub(super) fn of(&mut self, class: u64) -> &mut Need {
--- a/src/policy/programs.rs
+++ b/src/policy/programs.rs
@@ -247,9 +247,19 @@
         program.server_ms += took.as_secs_f64() * 1000.0;
     }
 
-    /// Releases the slots reserved by ended or late programs.
+    /// Releases the slots reserved by ended or late programs without a demand, and forgets old programs.
     pub(super) fn sweep(&mut self, now: Instant, now_ms: i64) {
-        for program in self.by_key.values_mut() {
+        self.release(now, now_ms, false);
+        self.fairness.sweep();
+        self.by_key.retain(|_, program| {
+            program.open_requests > 0 || program.last_activity + RETENTION > now
+        });
+    }
+
+    /// Releases the slots reserved by ended or late programs with a demand, or by those without one.
+    pub(super) fn release(&mut self, now: Instant, now_ms: i64, with_demand: bool) {
+        let programs = self.by_key.values_mut();
+        for program in programs.filter(|program| program.flow.is_some() == with_demand) {
             let need = program.flow.map(|flow| self.needs.of(flow.class));
             let timeout = need.as_ref().and_then(|need| need.longest_pause());
             let timeout = timeout.map_or(IDLE_TIMEOUT, |pause| pause.min(IDLE_TIMEOUT));
@@ -280,10 +290,6 @@
                 self.reserved_slots -= program.reserved_slots.take().unwrap_or_default();
             }
         }
-        self.fairness.sweep();
-        self.by_key.retain(|_, program| {
-            program.open_requests > 0 || program.last_activity + RETENTION > now
-        });
     }
 
     /// Average slots in use by one program, by rank.
@@ -291,6 +297,21 @@
         &self.slots_per_program
     }
 
+    /// Slots reserved for admitted programs.
+    pub(super) const fn reserved_slots(&self) -> f64 {
+        self.reserved_slots
+    }
+
+    /// Number of programs that wait to be admitted in the order of shares, and of their classes and teams.
+    pub(super) fn waiting(&self) -> (usize, usize) {
+        self.fairness.waiting()
+    }
+
+    /// Slots of one program by class, of the classes that are known.
+    pub(super) fn slots_by_class(&self) -> impl Iterator<Item = (u64, f64)> {
+        self.needs.slots()
+    }
+
     /// Number of known programs, and of admitted ones.
     pub(super) fn counts(&self) -> (usize, usize) {
         let admitted = self
--- a/src/policy/service_pool.rs
+++ b/src/policy/service_pool.rs
@@ -155,6 +155,9 @@
             usable_slots: self.capacity(now),
             grants_per_second: self.grant_rate.per_second(now).unwrap_or_default(),
             admitted_programs: self.programs.counts().1,
+            reserved_slots: self.programs.reserved_slots(),
+            waiting_programs: self.programs.waiting().0,
+            waiting_flows: self.programs.waiting().1,
             slots_per_program: self.programs.slots_per_program(),
         }
     }
@@ -266,7 +269,7 @@
 
     /// Admits waiting programs that fit, in the order of their shares.
     pub(super) fn admit_waiting(&mut self, now: Instant, now_ms: i64) {
-        if self.programs.fairness.waiting() == 0 {
+        if self.programs.fairness.is_empty() {
             return;
         }
         let capacity = self.capacity(now);
