--- a/src/gateway/front/housekeeping.rs
+++ b/src/gateway/front/housekeeping.rs
@@ -102,6 +102,8 @@
             gateway.queue.report_plain_placement(&gateway.metrics);
             gateway.queue.record_pace(&gateway.metrics);
             gateway.sweep_pins();
+            let programs = gateway.queue.waiting_programs();
+            gateway.metrics.programs_waiting(programs);
             gateway.record_members();
             let (directory, confirmed_at) = {
                 let routing = gateway.routing.borrow();
--- a/src/gateway/front/metrics.rs
+++ b/src/gateway/front/metrics.rs
@@ -65,6 +65,7 @@
     pace_waits: Gauge<u64>,
     /// Requests queued for lack of memory, by service.
     memory_waits: Gauge<u64>,
+    programs_waiting: Gauge<u64>,
     _dropped_log_lines: ObservableCounter<u64>,
 }
 
@@ -150,6 +151,10 @@
                 "memory_waits",
                 "Requests queued since no engine with room had enough memory, by service",
             ),
+            programs_waiting: meter
+                .u64_gauge("programs_waiting")
+                .with_description("Programs that wait here to be admitted in the order of shares")
+                .build(),
             _dropped_log_lines: meter
                 .u64_observable_counter("log_lines_dropped")
                 .with_description("Log lines dropped, since nobody read them fast enough")
@@ -253,6 +258,10 @@
         self.directory_age_ms.record(millis(age), &[]);
     }
 
+    pub(crate) fn programs_waiting(&self, programs: usize) {
+        self.programs_waiting.record(programs as u64, &[]);
+    }
+
     /// All metrics in the text format served at `/metrics`.
     pub(crate) fn text(&self) -> String {
         self.exporter.text()
--- a/src/gateway/server/attempt.rs
+++ b/src/gateway/server/attempt.rs
@@ -276,7 +276,7 @@
         status,
         headers,
         body,
-        load,
+        load: response_headers.load,
     }))
 }
 
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -22,6 +22,9 @@
 /// Cleared when full.
 const MAX_SESSIONS: usize = 50_000;
 const SWEEP_INTERVAL: Duration = Duration::from_millis(200);
+/// How often the slots of ended programs with a demand are released. Their usual pause is known, and a short program
+/// can wait for hardly longer than 200 ms.
+const RELEASE_INTERVAL: Duration = Duration::from_millis(100);
 /// Retry-After of a request that was dropped from the queue by [`Dispatcher::tick`].
 pub const LATE_REQUEST_RETRY_AFTER: Duration = Duration::from_millis(900);
 /// Longest queue time of a request whose program is late or was not admitted. Short, so that its
@@ -225,6 +228,12 @@
     pub grants_per_second: f64,
     /// Admitted programs.
     pub admitted_programs: usize,
+    /// Slots reserved for them.
+    pub reserved_slots: f64,
+    /// Programs that wait to be admitted in the order of shares.
+    pub waiting_programs: usize,
+    /// Classes and teams of those programs.
+    pub waiting_flows: usize,
     /// Average slots in use by one program, by rank.
     pub slots_per_program: &'a BTreeMap<u8, f64>,
 }
@@ -266,6 +275,7 @@
     last_sweep: Option<Instant>,
     /// Tokens per unit of work of the services whose servers generate tokens.
     tokens_per_event: HashMap<Arc<str>, u64>,
+    last_release: Option<Instant>,
 }
 
 impl Dispatcher {
@@ -358,7 +368,7 @@
         let session_server = request
             .session
             .and_then(|session| self.session_servers.get(&session));
-        if queued_ahead == 0 {
+        if queued_ahead == 0 && !pool.must_hold(now, &request, priority) {
             let plain = self.plain.get_mut(&request.service);
             let chosen = plain.and_then(|share| share.choose(now, permit, &request, band, pool));
             let choice = chosen.map_or_else(
@@ -379,8 +389,12 @@
             return Placement::Refused(retry_after);
         }
         self.queued.insert(permit, Arc::clone(&request.service));
-        pool.queue
-            .push(now_ms, permit, QueuedRequest { request, priority });
+        let queued = QueuedRequest {
+            request,
+            priority,
+            place: None,
+        };
+        pool.enqueue(now_ms, permit, queued);
         Placement::Waiting
     }
 
@@ -393,6 +407,15 @@
                 pool.sweep(now, now_ms);
             }
         }
+        if self
+            .last_release
+            .is_none_or(|at| at + RELEASE_INTERVAL <= now)
+        {
+            self.last_release = Some(now);
+            for pool in self.pools.values_mut() {
+                pool.programs.release(now, now_ms, true);
+            }
+        }
         let granted = self.grant(now);
         let mut timed_out = Vec::new();
         for pool in self.pools.values_mut() {
@@ -400,7 +423,7 @@
                 .queue
                 .late_matching(|queued| queued.late_wait_expired(now_ms))
             {
-                if let Some(queued) = pool.queue.remove(permit) {
+                if let Some(queued) = pool.dequeue(permit) {
                     pool.request_ended(now, queued.request.program, Duration::ZERO);
                     self.queued.remove(&permit);
                     timed_out.push(permit);
@@ -435,6 +458,7 @@
         let Some(pool) = self.pools.get_mut(service) else {
             return;
         };
+        pool.admit_waiting(now, now_ms);
         let mut full_band = None;
         let mut left_waiting = 0;
         let urgent = pool.queue.most_urgent(now_ms, MAX_SCANNED);
@@ -455,6 +479,9 @@
             if full_band == Some(band) {
                 continue;
             }
+            if pool.must_hold(now, &queued.request, queued.priority) {
+                continue;
+            }
             let session_server = queued
                 .request
                 .session
@@ -483,7 +510,7 @@
                     continue;
                 }
             };
-            let Some(queued) = pool.queue.remove(permit) else {
+            let Some(queued) = pool.dequeue(permit) else {
                 continue;
             };
             pool.queue.record_grant();
@@ -574,7 +601,7 @@
         if let Some(service) = self.queued.remove(&permit)
             && let Some(pool) = self.pools.get_mut(&service)
         {
-            let removed = pool.queue.remove(permit);
+            let removed = pool.dequeue(permit);
             let program = removed.and_then(|queued| queued.request.program);
             pool.request_ended(now, program, Duration::ZERO);
         }
@@ -729,6 +756,13 @@
                 "waiting": pool.queue.len(),
                 "programs": known_programs,
                 "programs_admitted": admitted,
+                "programs_waiting": pool.programs.waiting().0,
+                "slots_reserved": pool.programs.reserved_slots(),
+                "slots_by_class": pool
+                    .programs
+                    .slots_by_class()
+                    .map(|(class, slots)| (format!("{class:x}"), slots.into()))
+                    .collect::<serde_json::Map<_, _>>(),
                 "servers": servers,
                 "plain": self.plain.get(service).map(LoadShare::state),
             });
