--- a/src/gateway/conversation/assemble.rs
+++ b/src/gateway/conversation/assemble.rs
@@ -86,7 +86,8 @@
             } else {
                 let turn = id.clone();
                 let question = Question::Locate { turn, lost };
-                let reply = timeout(LOCATE_TIMEOUT, self.peers.ask(home.address, &question));
+                let patience = self.partitions.store.observer().patience(LOCATE_TIMEOUT);
+                let reply = timeout(patience, self.peers.ask(home.address, &question));
                 reply.await.ok().flatten()
             };
             let holder = match reply {
--- a/src/gateway/conversation/load.rs
+++ b/src/gateway/conversation/load.rs
@@ -87,12 +87,22 @@
     /// Looks a turn up at the store, reading all of its bucket into memory.
     pub(super) async fn find_in_store(&self, id: &Id) -> Result<bool, Error> {
         let bucket = self.layout.bucket(id);
-        let own_result = self.load_bucket(bucket).await;
+        let is_slow = self.store.borrow().observer().is_slow();
+        let (own_result, fallback_result) = if is_slow {
+            // One read after the other takes longer than others wait for this VM.
+            let reads = tokio::join!(self.load_bucket(bucket), self.load_fallback_records(bucket));
+            (reads.0, Some(reads.1))
+        } else {
+            (self.load_bucket(bucket).await, None)
+        };
         if self.find_cached(id).is_some() {
             return Ok(true);
         }
-        // Checked last, since few turns are recorded there.
-        self.load_fallback_records(bucket).await?;
+        match fallback_result {
+            Some(result) => result?,
+            // Checked last, since few turns are recorded there.
+            None => self.load_fallback_records(bucket).await?,
+        }
         if self.find_cached(id).is_some() {
             return Ok(true);
         }
@@ -130,7 +140,8 @@
         let max_reads = if self.is_store_down() { 1 } else { MAX_READS };
         for _ in 0..max_reads {
             let store = self.store.borrow().clone();
-            match timeout(READ_TIMEOUT, store.read_latest(topic, partition)).await {
+            let read_timeout = store.observer().patience(READ_TIMEOUT);
+            match timeout(read_timeout, store.read_latest(topic, partition)).await {
                 Ok(Ok(newest)) => return Ok(newest),
                 // The topic or partition does not exist until its first write.
                 Ok(Err(Error::Refused(404))) => return Ok(Latest::default()),
--- a/src/gateway/conversation/mod.rs
+++ b/src/gateway/conversation/mod.rs
@@ -26,7 +26,6 @@
 use load::BucketReads;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -74,9 +73,9 @@
 }
 
 impl Conversations {
-    pub(super) fn new(store: SocketAddr, partitions: u64, key: &str) -> Self {
+    pub(super) fn new(store: Store, partitions: u64, key: &str) -> Self {
         Self {
-            store: RefCell::new(Store::new(store)),
+            store: RefCell::new(store),
             layout: Layout {
                 topics: TURN_TOPICS,
                 partitions,
--- a/src/gateway/conversation/record.rs
+++ b/src/gateway/conversation/record.rs
@@ -122,7 +122,11 @@
         let store_timeout = if writer.failing.get() || conversations.is_store_down() {
             STORE_DOWN_TIMEOUT
         } else {
-            STORE_TIMEOUT
+            conversations
+                .store
+                .borrow()
+                .observer()
+                .patience(STORE_TIMEOUT)
         };
         if timeout(store_timeout, writer.wait_until_recorded(&turn.id))
             .await
@@ -130,7 +134,9 @@
         {
             return RecordedVia::Store;
         }
-        conversations.record_store_failure();
+        if !conversations.store.borrow().observer().is_slow() {
+            conversations.record_store_failure();
+        }
         let fallback = async {
             let mut round = 0;
             loop {
--- a/src/gateway/front/housekeeping.rs
+++ b/src/gateway/front/housekeeping.rs
@@ -5,6 +5,8 @@
 use crate::gateway::world::directory::Change;
 use crate::gateway::world::state::Routing;
 use crate::member::Announcement;
+use crate::policy::store_health::State;
+use crate::telemetry::event;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -34,6 +36,17 @@
 }
 
 impl Gateway {
+    /// Records the usual time of the store's answers, and logs each change between well, slow and silent.
+    fn report_store_state(&self, logged: &mut State) {
+        let health = self.partitions.store.observer().health();
+        self.metrics.store_answer(health.usual_answer());
+        let state = health.state(Instant::now());
+        if std::mem::replace(logged, state) != state {
+            let usual_ms = health.usual_answer().as_millis();
+            event!(info, "store_state", state = state, usual_ms = usual_ms);
+        }
+    }
+
     /// Applies the changes of the directory to the queue, or the whole directory if the configuration is another.
     /// `applied` is the configuration version and the directory revision that were applied last.
     fn configure_queue(
@@ -66,6 +79,7 @@
     let mut last_sweep = Instant::now();
     let handing_over = Rc::new(Cell::new(false));
     let mut lost_since = None;
+    let mut store_state = State::default();
     loop {
         tick.tick().await;
         gateway.queue.tick();
@@ -99,6 +113,7 @@
         if last_sweep.elapsed() >= SWEEP_INTERVAL {
             last_sweep = Instant::now();
             gateway.queue.log_waiting();
+            gateway.report_store_state(&mut store_state);
             gateway.record_members();
             let (directory, confirmed_at) = {
                 let routing = gateway.routing.borrow();
--- a/src/gateway/front/metrics.rs
+++ b/src/gateway/front/metrics.rs
@@ -44,6 +44,8 @@
     history_wait_ms: Histogram<f64>,
     /// Time since the store last confirmed the server directory.
     directory_age_ms: Gauge<f64>,
+    /// Usual time of the store's answers.
+    store_answer_ms: Gauge<f64>,
     _dropped_log_lines: ObservableCounter<u64>,
 }
 
@@ -89,6 +91,10 @@
                 .f64_gauge("directory_age_ms")
                 .with_description("Milliseconds since the store said what stands in the directory")
                 .build(),
+            store_answer_ms: meter
+                .f64_gauge("store_answer_ms")
+                .with_description("Milliseconds that the store usually takes to answer")
+                .build(),
             _dropped_log_lines: meter
                 .u64_observable_counter("log_lines_dropped")
                 .with_description("Log lines dropped, since nobody read them fast enough")
@@ -151,6 +157,10 @@
         self.directory_age_ms.record(millis(age), &[]);
     }
 
+    pub(crate) fn store_answer(&self, usual: Duration) {
+        self.store_answer_ms.record(millis(usual), &[]);
+    }
+
     /// All metrics in the text format served at `/metrics`.
     pub(crate) fn text(&self) -> String {
         self.exporter.text()
--- a/src/gateway/front/mod.rs
+++ b/src/gateway/front/mod.rs
@@ -28,6 +28,7 @@
 use crate::gateway::{Gateway, conversation, peers};
 use crate::id::{Boot, Offset};
 use crate::member::{self, Announcement, Introduction, List, View};
+use crate::platform::store::Store;
 use crate::settings;
 use crate::supervisor::Supervisor;
 use crate::telemetry::event;
@@ -68,9 +69,10 @@
     let mut supervisor = Supervisor::new(CancellationToken::new());
     let (view_sender, view) = watch::channel(Arc::new(View::default()));
     let (peers_known_sender, peers_known) = watch::channel(false);
+    let store = Store::new(settings.store.address);
     let sources = Sources {
         vm: settings.vm.clone(),
-        store: settings.store.address,
+        store: store.separate(),
         port: settings.listen.operators.port(),
         seeds: settings.seeds.clone(),
         zone: settings.zone.clone(),
@@ -108,6 +110,7 @@
         vm_lists,
         introduction,
         peers_known_sender,
+        store,
     };
     LocalSet::new().block_on(&runtime, serve(path, settings, channels))
 }
@@ -121,6 +124,7 @@
     vm_lists: flume::Sender<List>,
     introduction: watch::Receiver<Option<Introduction>>,
     peers_known_sender: watch::Sender<bool>,
+    store: Store,
 }
 
 fn bind_udp(address: SocketAddr) -> Result<std::net::UdpSocket, Failure> {
@@ -196,11 +200,11 @@
         peers: Peers::new(socket, &settings.peer_key),
         partitions: Rc::new(Partitions::new(
             peer_address,
-            settings.store.address,
+            channels.store.separate(),
             settings.store.partitions,
         )),
         conversations: Rc::new(Conversations::new(
-            settings.store.address,
+            channels.store.separate(),
             settings.store.partitions,
             &settings.peer_key,
         )),
@@ -338,7 +342,12 @@
     /// Whether the store recently answered this VM and accepts its records.
     pub(crate) fn has_store(&self) -> bool {
         let last_read = self.routing.borrow().last_store_read;
-        last_read.is_some_and(|at| at.elapsed() < STORE_SILENCE_TIMEOUT)
+        // At a slow store the answer to the read after that one is still on its way.
+        let slow_answer = match self.partitions.store.observer().health() {
+            health if health.is_slow() => health.patience(Duration::ZERO),
+            _ => Duration::ZERO,
+        };
+        last_read.is_some_and(|at| at.elapsed() < STORE_SILENCE_TIMEOUT + slow_answer)
             && self.partitions.has_store()
     }
 
--- a/src/gateway/front/operators.rs
+++ b/src/gateway/front/operators.rs
@@ -11,6 +11,7 @@
 use serde_json::{Value, json};
 use std::rc::Rc;
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 
 /// Serves operators, and other VMs that need turns, introductions, or copies of configuration or directory.
 pub(crate) async fn run(gateway: Rc<Gateway>, listener: TcpListener) {
@@ -65,6 +66,7 @@
         let routing = self.routing.borrow();
         let view = self.view.borrow();
         let (partitions, programs) = self.partitions.owned_counts();
+        let store = self.partitions.store.observer().health();
         let (waiting, leased) = self.leases.counts();
         let servers = routing.directory.iter().map(|entry| {
             json!({
@@ -86,6 +88,11 @@
                 "from": routing.directory_source,
             }),
             "store_heard_ms": routing.last_store_read.map(|at| at.elapsed().as_millis()),
+            "store": json!({
+                "state": store.state(Instant::now()).to_string(),
+                "usual_ms": store.usual_answer().as_millis(),
+                "silent_ms": store.silent_for(Instant::now()).map(|silent| silent.as_millis()),
+            }),
             "servers": servers.collect::<Vec<_>>(),
             "services": self.queue.state(),
             "leases": json!({ "waiting": waiting, "places": leased }),
--- a/src/gateway/tokens/fallback.rs
+++ b/src/gateway/tokens/fallback.rs
@@ -7,7 +7,7 @@
 use crate::platform::store::Record;
 use crate::telemetry::event;
 use futures::future::select_ok;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 impl Partitions {
     /// Records an allowance in a fallback partition while its own partition is unavailable.
@@ -23,6 +23,7 @@
         if self.should_skip_store() {
             return false;
         }
+        let began = Instant::now();
         let record = [encode_record(&replica.program, replica.allowed)];
         // Written to all at once, so that a turn does not wait for one timeout after another.
         let writes = self.fallback_partitions(partition_id).map(|fallback| {
@@ -31,9 +32,14 @@
                 .append(FALLBACK_ALLOWANCE_TOPIC, fallback, &record, None);
             Box::pin(async move { write.await.map(|()| fallback) })
         });
-        let written = timeout(STORE_TIMEOUT, select_ok(writes)).await;
+        let patience = self.store.observer().patience(STORE_TIMEOUT);
+        let written = timeout(patience, select_ok(writes)).await;
         let Ok(Ok((fallback, _))) = written else {
-            self.record_store_result(false);
+            // If the store took another record meanwhile, it is slow and not lost.
+            let is_slow = written.is_err() && self.last_success.get() >= Some(began);
+            if !is_slow {
+                self.record_store_result(false);
+            }
             return false;
         };
         self.record_store_result(true);
--- a/src/gateway/tokens/handover.rs
+++ b/src/gateway/tokens/handover.rs
@@ -63,7 +63,11 @@
     /// After an outage VMs notice within a second of each other that the store is back. Without
     /// this check, those that notice late would hand their partitions to those that noticed early.
     async fn is_store_back(&self, partition_id: u64) -> bool {
-        let read = timeout(STORE_TIMEOUT, self.partitions.read_owner(partition_id)).await;
+        let read = timeout(
+            self.partitions.store.observer().patience(STORE_TIMEOUT),
+            self.partitions.read_owner(partition_id),
+        )
+        .await;
         if !matches!(read, Ok(Ok(_))) {
             return false;
         }
@@ -184,7 +188,8 @@
         let takeover =
             self.partitions
                 .take_over(partition_id, &partition, None, Origin::HandedOver);
-        let taken_over = timeout(TAKEOVER_TIMEOUT, takeover).await;
+        let takeover_timeout = self.partitions.store.observer().patience(TAKEOVER_TIMEOUT);
+        let taken_over = timeout(takeover_timeout, takeover).await;
         let taken_over = matches!(taken_over, Ok(Ok(())));
         if !taken_over && !ending {
             return Reply::Away;
--- a/src/gateway/tokens/owner.rs
+++ b/src/gateway/tokens/owner.rs
@@ -231,6 +231,9 @@
             );
         }
         let epoch = partition.ownership.get().map(|ownership| ownership.epoch);
+        if verdict != Verdict::Spent {
+            self.record_ahead(partition_id, &partition, program, turn);
+        }
         let durable = match verdict {
             Verdict::Spent => return Reply::Spent,
             Verdict::Covered => true,
@@ -253,6 +256,24 @@
         Reply::Granted { turns, total }
     }
 
+    /// At a slow store, records the allowance of the program's next turn while this one runs.
+    fn record_ahead(
+        &self,
+        partition_id: u64,
+        partition: &Rc<Partition>,
+        program: &str,
+        turn: allowance::Request,
+    ) {
+        if !self.partitions.store.observer().is_slow() {
+            return;
+        }
+        let ahead = partition.ledger.borrow().allowance_ahead(program, turn);
+        if let Some(allowed) = ahead {
+            partition.add_pending(program, allowed);
+            Rc::clone(&self.partitions).start_writer(partition_id, Rc::clone(partition));
+        }
+    }
+
     /// Makes an allowance durable: recorded in its partition, else in a fallback partition, else
     /// replicated to other VMs. Returns false if none of these succeeded.
     async fn make_durable(
@@ -285,7 +306,7 @@
             if partition.failing_since.get().is_some() || self.partitions.should_skip_store() {
                 Duration::ZERO
             } else {
-                STORE_TIMEOUT
+                self.partitions.store.observer().patience(STORE_TIMEOUT)
             };
         let replica = Replica {
             part: partition_id,
--- a/src/gateway/tokens/partitions.rs
+++ b/src/gateway/tokens/partitions.rs
@@ -65,6 +65,8 @@
     pub(crate) last_owners: RefCell<HashMap<u64, SocketAddr>>,
     consecutive_failures: Cell<u32>,
     last_failure: Cell<Option<Instant>>,
+    /// When the store last took a record of this VM.
+    pub(crate) last_success: Cell<Option<Instant>>,
     pub(crate) started_at: Instant,
 }
 
@@ -81,11 +83,11 @@
 }
 
 impl Partitions {
-    pub(crate) fn new(address: SocketAddr, store: SocketAddr, partition_count: u64) -> Self {
+    pub(crate) fn new(address: SocketAddr, store: Store, partition_count: u64) -> Self {
         Self {
             address,
             vm_number: peers::vm_number(address),
-            store: Store::new(store),
+            store,
             partition_count,
             by_id: RefCell::default(),
             reported_totals: RefCell::default(),
@@ -93,6 +95,7 @@
             orphaned_replicas: RefCell::default(),
             consecutive_failures: Cell::new(0),
             last_failure: Cell::new(None),
+            last_success: Cell::new(None),
             started_at: Instant::now(),
         }
     }
@@ -142,6 +145,9 @@
             self.consecutive_failures.get() + 1
         });
         self.last_failure.set((!succeeded).then(Instant::now));
+        if succeeded {
+            self.last_success.set(Some(Instant::now()));
+        }
         match (had_store, self.has_store()) {
             (true, false) => event!(warn, "store_lost", for_what = "allowances"),
             (false, true) => event!(info, "store_back", for_what = "allowances"),
--- a/src/gateway/world/copies.rs
+++ b/src/gateway/world/copies.rs
@@ -87,7 +87,7 @@
             relay,
             routing_tx,
             client: client.expect("a client without TLS can be built"),
-            store: Store::new(sources.store),
+            store: sources.store.separate(),
             started: Instant::now(),
         }
     }
--- a/src/gateway/world/feed.rs
+++ b/src/gateway/world/feed.rs
@@ -39,7 +39,7 @@
 
 async fn follow_config(sources: &Sources, relay: &Relay, routing_tx: &watch::Sender<Routing>) {
     let period = sources.period();
-    let mut store = Store::new(sources.store);
+    let mut store = sources.store.separate();
     let mut health = Health::new("config");
     loop {
         let started = Instant::now();
@@ -72,7 +72,10 @@
                 });
             }
             Err(error) => {
-                relay.has_store.set(false);
+                // One late answer of a slow store does not mean that it is lost.
+                let store_health = store.observer().health();
+                let is_slow = store_health.is_slow() && !store_health.is_silent(Instant::now());
+                relay.has_store.set(relay.has_store.get() && is_slow);
                 health.record_failure(&error, &mut store).await;
             }
         }
@@ -103,7 +106,7 @@
 
 async fn follow_directory(sources: &Sources, relay: &Relay) {
     let period = sources.period();
-    let mut reader = Reader::new(sources.store);
+    let mut reader = Reader::new(&sources.store);
     let follow_started = Instant::now();
     loop {
         let round_started = Instant::now();
--- a/src/gateway/world/reader.rs
+++ b/src/gateway/world/reader.rs
@@ -7,7 +7,6 @@
 use crate::platform::records::DIRECTORY_TOPIC;
 use crate::platform::store::{Error, Store};
 use crate::telemetry::event;
-use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -29,9 +28,9 @@
 }
 
 impl Reader {
-    pub(super) fn new(store: SocketAddr) -> Self {
+    pub(super) fn new(store: &Store) -> Self {
         Self {
-            store: Store::new(store),
+            store: store.separate(),
             health: Health::new("directory"),
             next: None,
             keep_missing_until: None,
@@ -97,15 +96,21 @@
     }
 
     async fn read_pending(&mut self, relay: &Relay) -> Result<(), Error> {
-        let keep_missing = self
-            .keep_missing_until
-            .is_some_and(|until| Instant::now() < until);
+        let now = Instant::now();
+        // Servers could not renew their registrations at a store that was slow or silent.
+        let store_health = self.store.observer().health();
+        let keep_missing = !store_health.is_well_for(now, REREGISTRATION_TIMEOUT)
+            || self.keep_missing_until.is_some_and(|until| now < until);
         if self.keep_missing_until.is_some() && !keep_missing {
             self.keep_missing_until = None;
             // Reads all records again; servers that are still missing are removed.
             self.next = None;
         }
         let Some(mut from) = self.next else {
+            if keep_missing {
+                let until = now + REREGISTRATION_TIMEOUT;
+                self.keep_missing_until = self.keep_missing_until.max(Some(until));
+            }
             let latest = self.store.read_latest(DIRECTORY_TOPIC, 0).await?;
             self.next = Some(latest.end);
             relay.replace(latest.end, |routing| {
--- a/src/gateway/world/sources.rs
+++ b/src/gateway/world/sources.rs
@@ -3,6 +3,7 @@
 use crate::gateway::world::state::Routing;
 use crate::id;
 use crate::member::View;
+use crate::platform::store::Store;
 use crate::policy::copies::{Source, order_sources};
 use crate::policy::relay;
 use crate::settings;
@@ -24,7 +25,7 @@
 pub(crate) struct Sources {
     /// Name of this VM.
     pub(crate) vm: id::Vm,
-    pub(crate) store: SocketAddr,
+    pub(crate) store: Store,
     /// Port on which every VM serves copies.
     pub(crate) port: u16,
     /// Addresses of other VMs from the settings.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -2,6 +2,7 @@
 //! each key.
 
 use crate::id::Offset;
+use crate::policy::store_health::StoreHealth;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::{BufMut, Bytes, BytesMut};
@@ -12,8 +13,10 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::pin::pin;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep};
 
 /// Timeout of a call, on top of the time for which the store is asked to wait.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
@@ -142,11 +145,80 @@
     expected: Option<u64>,
 }
 
+/// What all clients of this process have seen of the store.
+#[derive(Debug, Default)]
+pub(crate) struct Observer {
+    health: Mutex<StoreHealth>,
+    /// Notified when the store answers after a silence.
+    recovered: Notify,
+}
+
+impl Observer {
+    /// The present state.
+    pub(crate) fn health(&self) -> StoreHealth {
+        self.lock().clone()
+    }
+
+    /// Time limit of a call or of a wait for one; see [`StoreHealth::patience`].
+    pub(crate) fn patience(&self, limit: Duration) -> Duration {
+        self.lock().patience(limit)
+    }
+
+    pub(crate) fn is_slow(&self) -> bool {
+        self.lock().is_slow()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, StoreHealth> {
+        self.health.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Reports the outcome of one call to the [`Observer`].
+struct ObservedCall<'a> {
+    observer: &'a Observer,
+    began: Instant,
+    ended: bool,
+}
+
+impl<'a> ObservedCall<'a> {
+    fn begin(observer: &'a Observer) -> Self {
+        let began = Instant::now();
+        observer.lock().begin(began);
+        Self {
+            observer,
+            began,
+            ended: false,
+        }
+    }
+
+    fn end(mut self, response: &Result<Response, reqwest::Error>) {
+        self.ended = true;
+        match response {
+            Ok(response) if !response.status().is_server_error() => {
+                let now = Instant::now();
+                if self.observer.lock().answered(now, now - self.began) {
+                    self.observer.recovered.notify_waiters();
+                }
+            }
+            _ => self.observer.lock().failed(),
+        }
+    }
+}
+
+impl Drop for ObservedCall<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.observer.lock().cancelled(Instant::now());
+        }
+    }
+}
+
 /// Client of the store, with its own connection pool.
 #[derive(Debug, Clone)]
 pub(crate) struct Store {
     client: reqwest::Client,
     base_url: String,
+    observer: Arc<Observer>,
 }
 
 impl Store {
@@ -154,9 +226,35 @@
         Self {
             client: new_client(),
             base_url: format!("http://{address}"),
+            observer: Arc::default(),
         }
     }
 
+    /// A client with connections of its own, for another thread or purpose, and the same observer.
+    pub(crate) fn separate(&self) -> Self {
+        Self {
+            client: new_client(),
+            ..self.clone()
+        }
+    }
+
+    /// What all clients of this process have seen of the store.
+    pub(crate) fn observer(&self) -> &Arc<Observer> {
+        &self.observer
+    }
+
+    async fn send(&self, request: reqwest::RequestBuilder) -> Result<Response, Error> {
+        let call = ObservedCall::begin(&self.observer);
+        let response = request.send().await;
+        call.end(&response);
+        check(response).await
+    }
+
+    /// Time limit of a call.
+    fn call_timeout(&self) -> Duration {
+        self.observer.patience(CALL_TIMEOUT)
+    }
+
     /// Drops the pooled connections, since an unresponsive one would also stall the next call.
     pub(crate) fn reconnect(&mut self) {
         self.client = new_client();
@@ -177,7 +275,9 @@
                     .map_err(|error| Error::Malformed(error.to_string()))?
                     .into();
             }
-            let response = check(self.client.get(url).timeout(CALL_TIMEOUT).send().await).await?;
+            let response = self
+                .send(self.client.get(url).timeout(self.call_timeout()))
+                .await?;
             let bytes = response.bytes().await.map_err(|error| unknown(&error))?;
             let body: LatestBody = serde_json::from_slice(&bytes)
                 .map_err(|error| Error::Malformed(error.to_string()))?;
@@ -217,8 +317,8 @@
             "{}/log-read?topic={topic}&part={partition}&from={from}&waitMs={wait_ms}",
             self.base_url
         );
-        let request = self.client.get(url).timeout(wait + CALL_TIMEOUT);
-        let response = check(request.send().await).await?;
+        let request = self.client.get(url).timeout(wait + self.call_timeout());
+        let response = self.send(request).await?;
         let body = response.bytes().await.map_err(|error| unknown(&error))?;
         decode_page(from, &body).ok_or_else(|| Error::Malformed("truncated body".to_owned()))
     }
@@ -235,7 +335,7 @@
     ) -> Result<(), Error> {
         let mut client = self.clone();
         let mut calls = FuturesUnordered::new();
-        let mut hedge_delay = HEDGE_DELAY;
+        let mut hedge_delay = self.observer.lock().hedge_delay(HEDGE_DELAY);
         for sent in 1..=MAX_CALLS {
             let store = client.clone();
             calls.push(async move { store.append(topic, partition, records, writer).await });
@@ -288,9 +388,9 @@
         let request = self
             .client
             .post(url)
-            .timeout(CALL_TIMEOUT)
+            .timeout(self.call_timeout())
             .body(body.freeze());
-        check(request.send().await).await.map(drop)
+        self.send(request).await.map(drop)
     }
 }
 
--- a/src/policy/allowance.rs
+++ b/src/policy/allowance.rs
@@ -114,6 +114,13 @@
     pub fn max_unrecorded_tokens(&self) -> u64 {
         (self.budget / 2).max(self.most)
     }
+
+    /// The allowance to record for turns that begin when `used` tokens are spent or reserved.
+    fn next_allowance(&self, used: u64) -> u64 {
+        let step =
+            (self.most * MIN_TURNS_PER_ALLOWANCE).max(self.budget / MAX_ALLOWANCES_PER_BUDGET);
+        (used + step).min(self.budget + self.most)
+    }
 }
 
 impl Ledger {
@@ -229,9 +236,7 @@
         let verdict = if needed <= account.allowed {
             Verdict::Covered
         } else {
-            let step = (request.most * MIN_TURNS_PER_ALLOWANCE)
-                .max(request.budget / MAX_ALLOWANCES_PER_BUDGET);
-            let allowance = (needed - request.most + step).min(request.budget + request.most);
+            let allowance = request.next_allowance(needed - request.most);
             Verdict::Record(allowance.max(needed))
         };
         if !is_known {
@@ -241,6 +246,30 @@
         verdict
     }
 
+    /// The allowance to record before the next turns of a program need it; `None` while the present one covers two of
+    /// them.
+    ///
+    /// It covers three turns: a record at a slow store may wait behind another one, which takes longer than two turns.
+    ///
+    /// ```
+    /// use tokio::time::Instant;
+    /// use vanillatrail::policy::allowance::{Ledger, Request, Reservation};
+    /// let mut ledger = Ledger::default();
+    /// let request = Request { budget: 900, most: 290, seen: 0 };
+    /// ledger.reserve(Instant::now(), "p", Reservation { vm: 1, number: 1 }, request);
+    /// assert_eq!(ledger.allowance_ahead("p", request), Some(1160));
+    /// ledger.mark_recorded("p", 1160);
+    /// assert_eq!(ledger.allowance_ahead("p", request), None);
+    /// ```
+    #[must_use]
+    pub fn allowance_ahead(&self, program: &str, request: Request) -> Option<u64> {
+        let (_, used) = self.usage(program);
+        let allowed = self.allowed(program);
+        let wanted = request.next_allowance(used + request.most);
+        let covers_next = allowed >= used + request.most * MIN_TURNS_PER_ALLOWANCE;
+        (!covers_next && wanted > allowed && used < request.budget).then_some(wanted)
+    }
+
     /// Notes that an allowance is durable.
     pub fn mark_recorded(&mut self, program: &str, allowed: u64) {
         if let Some(account) = self.accounts.get_mut(program) {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -28,6 +28,7 @@
 mod service_pool;
 pub mod share;
 mod slack;
+pub mod store_health;
 mod window;
 
 pub use pool::Pool;
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -2,7 +2,7 @@
 
 use super::{Request, listen, response, unused_address};
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::io::{BufReader, Write};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -14,6 +14,8 @@
     records: Vec<Vec<u8>>,
     /// Epoch and next sequence number of each producer.
     writers: HashMap<String, (u64, u64)>,
+    /// Keys whose records have expired: reads of the newest records leave them out.
+    expired: HashSet<String>,
 }
 
 /// One endpoint of the fake store.
@@ -32,6 +34,10 @@
     read_delay_ms: Arc<AtomicU64>,
     /// Delay of appends.
     append_delay_ms: Arc<AtomicU64>,
+    /// Delay of all requests.
+    latency_ms: Arc<AtomicU64>,
+    /// Number of requests received by path.
+    request_counts: Arc<Mutex<HashMap<String, usize>>>,
     /// Topic whose reads and appends are refused.
     unavailable_topic: Arc<Mutex<Option<String>>>,
     /// Bytes of all responses by topic.
@@ -62,6 +68,10 @@
         let read_delay = Arc::clone(&read_delay_ms);
         let append_delay_ms = Arc::new(AtomicU64::new(0));
         let append_delay = Arc::clone(&append_delay_ms);
+        let latency_ms = Arc::new(AtomicU64::new(0));
+        let latency = Arc::clone(&latency_ms);
+        let request_counts: Arc<Mutex<HashMap<String, usize>>> = Arc::default();
+        let counts = Arc::clone(&request_counts);
         let sent_bytes: Arc<Mutex<HashMap<String, u64>>> = Arc::default();
         let byte_counts = Arc::clone(&sent_bytes);
         let unavailable_topic: Arc<Mutex<Option<String>>> = Arc::default();
@@ -71,6 +81,11 @@
             while let Some(request) = Request::read(&mut reader) {
                 let topic = refused_topics.lock().expect("not poisoned").clone();
                 let appends = request.target.starts_with("/log-append");
+                let path = request.target.split('?').next().unwrap_or_default();
+                let mut path_counts = counts.lock().expect("not poisoned");
+                *path_counts.entry(path.to_owned()).or_default() += 1;
+                drop(path_counts);
+                std::thread::sleep(Duration::from_millis(latency.load(Ordering::Relaxed)));
                 let topic_name = request.query("topic").unwrap_or_default();
                 let is_refused = appends
                     && topic.is_some_and(|refused_prefix| topic_name.starts_with(&refused_prefix));
@@ -115,6 +130,8 @@
             silent,
             read_delay_ms,
             append_delay_ms,
+            latency_ms,
+            request_counts,
             unavailable_topic,
             sent_bytes,
         }
@@ -147,6 +164,25 @@
         self.read_delay_ms.store(millis, Ordering::Relaxed);
     }
 
+    /// Delays all requests.
+    pub fn set_latency(&self, time: Duration) {
+        let millis = u64::try_from(time.as_millis()).expect("a short time");
+        self.latency_ms.store(millis, Ordering::Relaxed);
+    }
+
+    /// Number of requests received for a path.
+    pub fn request_count(&self, path: &str) -> usize {
+        let counts = self.request_counts.lock().expect("not poisoned");
+        counts.get(path).copied().unwrap_or(0)
+    }
+
+    /// Lets the records of a key expire: there is no tombstone, but reads of the newest records leave the key out.
+    pub fn expire(&self, topic: &str, key: &str) {
+        let mut partitions = self.partitions.lock().expect("not poisoned");
+        let partition = partitions.entry((topic.to_owned(), 0)).or_default();
+        partition.expired.insert(key.to_owned());
+    }
+
     /// Delays appends.
     pub fn set_append_delay(&self, time: Duration) {
         let millis = u64::try_from(time.as_millis()).expect("a short time");
@@ -181,6 +217,7 @@
         let mut partitions = self.partitions.lock().expect("not poisoned");
         let partition = partitions.entry((topic.to_owned(), 0)).or_default();
         partition.records.push(record);
+        partition.expired.remove(key);
     }
 
     /// Newest values of a topic by key.
@@ -272,8 +309,10 @@
             let records = partitions
                 .get(&key)
                 .map_or(&[][..], |partition| &partition.records);
+            let expired = partitions.get(&key).map(|partition| &partition.expired);
             let items = newest_records(records)
                 .into_iter()
+                .filter(|(key, _)| expired.is_none_or(|expired| !expired.contains(key)))
                 .map(|(key, (value, offset))| {
                     let value =
                         base64::Engine::encode(&base64::engine::general_purpose::STANDARD, value);
--- /dev/null
+++ b/tests/slow_store.rs
@@ -0,0 +1,165 @@
+//! Turns and the server directory while the store answers slowly or not at all, through the binary.
+
+mod platform;
+
+use platform::program::{engine, start_site, turn};
+use platform::{Vm, until};
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+use tokio::time::Instant;
+use vanillatrail::policy::store_health::StoreHealth;
+
+/// An answer of a store that is 96 times slower than one with 4 ms.
+const SLOW: Duration = Duration::from_millis(400);
+/// Tokens of a program of four turns, which needs two allowances or more.
+const BUDGET: u64 = 1_160;
+
+fn count(vms: &[Vm], event: &str) -> usize {
+    let lines = |vm: &Vm| vm.lines(&format!("event={event} ")).len();
+    vms.iter().map(lines).sum()
+}
+
+/// The number after `field=` in a log line.
+fn field(line: &str, field: &str) -> Option<u64> {
+    let value = line.split_once(&format!(" {field}="))?.1;
+    value.split_whitespace().next()?.parse().ok()
+}
+
+/// Serves one program after another for a time, through one VM after another; returns the statuses.
+fn serve_programs(vms: &[Vm], time: Duration, turns: usize) -> Vec<u16> {
+    let end = Instant::now() + time;
+    let statuses = Mutex::new(Vec::new());
+    thread::scope(|scope| {
+        for caller in 0..6 {
+            let statuses = &statuses;
+            scope.spawn(move || {
+                for number in 0.. {
+                    for step in 0..turns {
+                        if Instant::now() > end {
+                            return;
+                        }
+                        let program = format!("slow-{caller}-{number}");
+                        let vm = &vms[(caller + step) % vms.len()];
+                        let status = turn(vm, &program, BUDGET, &format!("{program}-{step}")).0;
+                        statuses.lock().expect("not poisoned").push(status);
+                        thread::sleep(Duration::from_millis(150));
+                    }
+                }
+            });
+        }
+    });
+    statuses.into_inner().expect("not poisoned")
+}
+
+/// A store that is 96 times slower must not be taken for a lost one: partitions stay where they are, no turn is refused or
+/// runs on tokens that nobody recorded, calls are not repeated, and only the first turn of a program waits for a record.
+#[test]
+fn a_slow_store_moves_no_partition_and_delays_only_first_turns() {
+    let backend = engine(20);
+    let (store, vms) = start_site(&backend, 3);
+    for number in 0..12 {
+        let program = format!("warm{number}");
+        until("the program has an owner", || {
+            turn(&vms[0], &program, BUDGET, &program).0 == 200
+        });
+    }
+    let takeovers = count(&vms, "allowances_taken");
+    store.set_latency(SLOW);
+    // The VMs need a few answers to see that the store is slow.
+    thread::sleep(Duration::from_secs(2));
+    let appends = store.request_count("/log-append");
+    let statuses = serve_programs(&vms, Duration::from_secs(6), 4);
+    let appends = store.request_count("/log-append") - appends;
+    store.set_latency(Duration::ZERO);
+    let ended: Vec<String> = vms
+        .iter()
+        .flat_map(|vm| vm.lines("program=slow-"))
+        .collect();
+    let ended = ended
+        .iter()
+        .filter(|line| line.contains("event=request_ended"));
+    let mut waits: Vec<u64> = ended.filter_map(|line| field(line, "allowed_ms")).collect();
+    waits.sort_unstable();
+    let refused = statuses.iter().filter(|status| **status != 200).count();
+    println!(
+        "turns={} refused={refused} median_wait_ms={} p90_wait_ms={} appends={appends} handed_over={} taken={} copied={}",
+        statuses.len(),
+        waits[waits.len() / 2],
+        waits[waits.len() * 9 / 10],
+        count(&vms, "allowances_handed_over"),
+        count(&vms, "allowances_taken") - takeovers,
+        count(&vms, "allowance_copied"),
+    );
+    assert_eq!(refused, 0, "{statuses:?}");
+    assert_eq!(count(&vms, "allowance_copied"), 0);
+    assert!(appends < statuses.len(), "{appends} appends");
+    assert_eq!(count(&vms, "allowances_handed_over"), 0);
+    assert_eq!(count(&vms, "allowances_taken"), takeovers);
+    assert!(waits[waits.len() / 2] <= 50, "{waits:?}");
+}
+
+/// Servers can't renew their registrations at a slow store. Those that expire must stay in use when another VM begins to
+/// read the directory meanwhile, and go once the store has been well for a while.
+#[test]
+fn a_registration_that_expires_at_a_slow_store_is_kept() {
+    let backend = engine(1);
+    let (store, mut vms) = start_site(&backend, 2);
+    store.set_latency(SLOW);
+    thread::sleep(Duration::from_secs(2));
+    store.expire("keyed.servers", "s");
+    let reads = |vm: &Vm| vm.state()["directory"]["from"].is_null();
+    let reader = vms.iter().position(reads).expect("a VM reads the store");
+    vms.remove(reader).kill();
+    let vm = &vms[0];
+    until("the other VM reads the directory", || {
+        !vm.lines("event=directory_reader reads=true").is_empty()
+    });
+    // Longer than registrations are doubted after another VM begins to read.
+    thread::sleep(Duration::from_secs(4));
+    assert_eq!(known_servers(vm), 1);
+    store.set_latency(Duration::ZERO);
+    until("the server is removed", || known_servers(vm) == 0);
+}
+
+fn known_servers(vm: &Vm) -> usize {
+    vm.state()["servers"].as_array().map_or(0, Vec::len)
+}
+
+/// Two late answers among five, and repeated calls that are dropped once one is answered, must not change the time limits
+/// of a healthy store.
+#[test]
+fn single_late_answers_do_not_make_the_store_slow_or_silent() {
+    let (mut now, mut health) = (Instant::now(), StoreHealth::default());
+    let limit = Duration::from_millis(250);
+    for number in 0..100 {
+        let late = number % 5 < 2;
+        let took = if late { SLOW } else { Duration::from_millis(4) };
+        let repeats = if late { 2 } else { 0 };
+        (0..=repeats).for_each(|_| health.begin(now));
+        now += took;
+        health.answered(now, took);
+        (0..repeats).for_each(|_| health.cancelled(now));
+        assert_eq!(
+            (health.patience(limit), health.hedge_delay(limit)),
+            (limit, limit)
+        );
+        now += Duration::from_secs(1);
+        assert!(!health.is_silent(now), "after answer {number}");
+    }
+}
+
+/// A store that refuses every call, or answers none, must count as silent until it answers, however many calls fail.
+#[test]
+fn failed_calls_do_not_end_a_silence() {
+    let (start, mut health) = (Instant::now(), StoreHealth::default());
+    let second = Duration::from_secs(1);
+    for number in 0..5 {
+        health.begin(start + second * number);
+        health.failed();
+    }
+    assert_eq!(health.silent_for(start + second * 5), Some(second * 5));
+    health.begin(start + second * 5);
+    assert!(health.answered(start + second * 5, Duration::from_millis(4)));
+    assert!(!health.is_silent(start + second * 6));
+}
