Turns wait for a silent store before they use an engine

Cause: while no VM reaches the store, each turn of a route that keeps conversations ran on an engine, could not be recorded, was cut at its caller's deadline and asked for again. Each failing bucket wrote log lines of its own.

Change: such turns wait before they reserve tokens and ask for a server, up to 1.5 s from arrival and half of their time, go on once this VM or another one hears from the store, and are refused as not run otherwise (VT3002, Retry-After as long as the silence so far, 0.7 to 3 s, spread by a quarter). A silence is told by the regular reads of the configuration, so that a silent partition does not count as one; a refusal is an answer. One probe per VM serves held turns and buckets whose turns have run; buckets then write 5 ms apart, longest wait first. Metric turns_held, state, log lines turns_held, turns_released and turn_held.

Order and rate of the release are tested by their formula only.

--- a/src/gateway/conversation/mod.rs
+++ b/src/gateway/conversation/mod.rs
@@ -11,6 +11,7 @@
 mod load;
 mod record;
 mod relay;
+mod silence;
 mod sweep;
 mod writer;
 
@@ -24,6 +25,7 @@
 use crate::platform::records::TURN_TOPICS;
 use crate::platform::store::Store;
 use load::BucketReads;
+use silence::Silence;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -70,6 +72,8 @@
     probing: Cell<bool>,
     /// Notified when the store accepts a record.
     store_recovered: Notify,
+    /// Turns and buckets that wait for a silent store.
+    silence: Silence,
 }
 
 impl Conversations {
@@ -88,6 +92,7 @@
             consecutive_failures: Cell::new(0),
             probing: Cell::new(false),
             store_recovered: Notify::new(),
+            silence: Silence::default(),
         }
     }
 
@@ -98,6 +103,7 @@
     /// Whether the store counts as unavailable.
     fn is_store_down(&self) -> bool {
         self.consecutive_failures.get() >= MAX_STORE_FAILURES
+            || self.store.borrow().observer().silent_for().is_some()
     }
 
     /// Counts a write that failed or timed out.
@@ -122,6 +128,8 @@
                 .map(|writer| writer.outbox.borrow().len())
                 .sum(),
             pointers: self.locations.borrow().len(),
+            held_turns: self.silence.turns(),
+            held_buckets: self.silence.buckets(),
         }
     }
 }
@@ -133,6 +141,10 @@
     bytes: usize,
     unrecorded: usize,
     pointers: usize,
+    /// Turns that wait for a silent store before they use an engine.
+    held_turns: usize,
+    /// Buckets with turns that wait for a silent store.
+    held_buckets: usize,
 }
 
 /// Unix time in milliseconds until which a record is kept whose turn may be continued for
--- a/src/gateway/conversation/writer.rs
+++ b/src/gateway/conversation/writer.rs
@@ -2,7 +2,7 @@
 //!
 //! The end of an answer waits for its turn to be written. Turns that arrive during a write share
 //! the next one, a write without an answer is sent again (turns are immutable), and a store that is
-//! unavailable is probed by one bucket at a time.
+//! unavailable is probed by one bucket at a time. While it is silent no bucket writes; see `silence`.
 
 use super::Conversations;
 use crate::clock;
@@ -61,6 +61,7 @@
     async fn write_pending(self: Rc<Self>, bucket: Bucket, writer: Rc<BucketWriter>) {
         let mut delay = RETRY_BACKOFF.0;
         loop {
+            self.wait_out_silence(bucket).await;
             writer.outbox.borrow_mut().expire(clock::wall_ms());
             let batch = writer.outbox.borrow().batch(MAX_WRITE_BYTES);
             if batch.is_empty() {
@@ -76,6 +77,9 @@
                 }
                 Err(fault) => {
                     self.record_store_failure();
+                    if self.store.borrow().observer().silent_for().is_some() {
+                        continue;
+                    }
                     if !writer.failing.replace(true) {
                         event!(warn, "turns_stuck", bucket = bucket, reason = fault);
                     }
--- a/src/gateway/front/metrics.rs
+++ b/src/gateway/front/metrics.rs
@@ -20,6 +20,8 @@
 
 pub(crate) struct Metrics {
     exporter: Exporter,
+    /// Turns that waited for a silent store, by result.
+    held_turns: Counter<u64>,
     /// New connections to backend servers.
     pub(crate) connections: Counter<u64>,
     /// Attempts at backend servers without a response, by reason.
@@ -71,6 +73,10 @@
         };
         Self {
             connections: counter("backend_connections", "New connections to backend servers"),
+            held_turns: counter(
+                "turns_held",
+                "Turns that waited for a silent store, by result",
+            ),
             attempts_failed: counter("attempts_failed", "Attempts without an answer, by reason"),
             responses: counter("gateway_answers", "Answers to callers, by kind and result"),
             limit_refusals: counter(
@@ -104,6 +110,12 @@
         }
     }
 
+    /// Counts a turn that waited for a silent store.
+    pub(crate) fn count_held_turn(&self, served: bool) {
+        let result = if served { "served" } else { "refused" };
+        self.held_turns.add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Counts an attempt at a backend server without a response.
     pub(crate) fn count_failed_attempt(&self, reason: &'static str) {
         self.attempts_failed
--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -99,6 +99,11 @@
         heard_after_loss(failing.elapsed(), last_contact.map(|at| at.elapsed()))
     }
 
+    /// Start of the newest call that the store answered to one of the other VMs, as far as these answer.
+    pub(crate) async fn last_store_contact_of_others(&self) -> Option<Instant> {
+        self.fresh_sample().await.last_store_contact
+    }
+
     async fn fresh_sample(&self) -> Sample {
         // Concurrent callers wait for the same sample.
         let mut newest = self.recent_members.newest_sample.lock().await;
--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -93,6 +93,8 @@
 async fn dispatch(job: &Rc<Job>) -> Result<Response<Body>, Failure> {
     // The rate limit goes first: a turn that it refuses must not leave a token reservation behind.
     sleep(check_limit(job).await?).await;
+    // Before the token reservation, since a turn that is refused here must not leave one behind.
+    job.gateway.wait_for_store(job).await?;
     // Concurrent to save latency; both must finish before the request is sent.
     tokio::try_join!(reserve_tokens(job), prepend_history(job))?;
     let mut avoid = Vec::new();
--- a/src/gateway/world/feed.rs
+++ b/src/gateway/world/feed.rs
@@ -39,7 +39,7 @@
 
 async fn follow_config(sources: &Sources, relay: &Relay, routing_tx: &watch::Sender<Routing>) {
     let period = sources.period();
-    let mut store = sources.store.separate();
+    let mut store = sources.store.regular();
     let mut health = Health::new("config");
     loop {
         let started = Instant::now();
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -16,6 +16,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
 use tokio::time::{Instant, sleep};
 
 /// Timeout of a call, on top of the time for which the store is asked to wait.
@@ -168,48 +169,30 @@
         self.lock().is_slow()
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, StoreHealth> {
-        self.health.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Waits until the store answers after a silence.
+    pub(crate) fn recovered(&self) -> Notified<'_> {
+        self.recovered.notified()
     }
-}
 
-/// Reports the outcome of one call to the [`Observer`].
-struct ObservedCall<'a> {
-    observer: &'a Observer,
-    began: Instant,
-    ended: bool,
-}
-
-impl<'a> ObservedCall<'a> {
-    fn begin(observer: &'a Observer) -> Self {
-        let began = Instant::now();
-        observer.lock().begin(began);
-        Self {
-            observer,
-            began,
-            ended: false,
-        }
+    /// How long the store has been silent; `None` if it is not.
+    pub(crate) fn silent_for(&self) -> Option<Duration> {
+        self.lock().silent_for(Instant::now())
     }
 
-    fn end(mut self, response: &Result<Response, reqwest::Error>) {
-        self.ended = true;
-        match response {
-            Ok(response) if !response.status().is_server_error() => {
-                let now = Instant::now();
-                if self.observer.lock().answered(now, now - self.began) {
-                    self.observer.recovered.notify_waiters();
-                }
-            }
-            _ => self.observer.lock().failed(),
+    fn record_answer(&self, status: StatusCode, began: Instant) {
+        let now = Instant::now();
+        let ends_silence = if status.is_server_error() {
+            self.lock().refused(now)
+        } else {
+            self.lock().answered(now, now - began)
+        };
+        if ends_silence {
+            self.recovered.notify_waiters();
         }
     }
-}
 
-impl Drop for ObservedCall<'_> {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.observer.lock().cancelled(Instant::now());
-        }
+    fn lock(&self) -> std::sync::MutexGuard<'_, StoreHealth> {
+        self.health.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -219,6 +202,8 @@
     client: reqwest::Client,
     base_url: String,
     observer: Arc<Observer>,
+    /// Whether the calls of this client tell that the store is silent.
+    regular: bool,
 }
 
 impl Store {
@@ -227,6 +212,7 @@
             client: new_client(),
             base_url: format!("http://{address}"),
             observer: Arc::default(),
+            regular: false,
         }
     }
 
@@ -234,19 +220,33 @@
     pub(crate) fn separate(&self) -> Self {
         Self {
             client: new_client(),
+            regular: false,
             ..self.clone()
         }
     }
 
+    /// As [`Store::separate`], for calls that are made all the time: without an answer the store counts as silent.
+    pub(crate) fn regular(&self) -> Self {
+        Self {
+            regular: true,
+            ..self.separate()
+        }
+    }
+
     /// What all clients of this process have seen of the store.
     pub(crate) fn observer(&self) -> &Arc<Observer> {
         &self.observer
     }
 
     async fn send(&self, request: reqwest::RequestBuilder) -> Result<Response, Error> {
-        let call = ObservedCall::begin(&self.observer);
+        let began = Instant::now();
+        if self.regular {
+            self.observer.lock().begin(began);
+        }
         let response = request.send().await;
-        call.end(&response);
+        if let Ok(response) = &response {
+            self.observer.record_answer(response.status(), began);
+        }
         check(response).await
     }
 
--- a/src/policy/store_health.rs
+++ b/src/policy/store_health.rs
@@ -18,10 +18,20 @@
 const PATIENCE_FACTOR: u32 = 3;
 /// Upper bound of time limits that grow with a slow store: callers leave after 2 s without an event.
 const MAX_PATIENCE: Duration = Duration::from_millis(1500);
+/// Time from its arrival for which a turn waits for a silent store: callers leave after 2 s without an event, and the
+/// engine needs time for the first one.
+const MAX_TURN_WAIT: Duration = Duration::from_millis(1500);
+/// Bounds of the time after which a refused turn may come back.
+const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(700), Duration::from_secs(3));
+/// Part of that time over which callers are spread.
+const RETRY_SPREAD: f64 = 0.25;
+/// Time between the first writes of two buckets after a silence, and the time within which all have begun: turns are to
+/// be recorded within 3 s.
+const RELEASE_INTERVAL: (Duration, Duration) = (Duration::from_millis(5), Duration::from_secs(1));
 /// Factor between the usual answer and the delay of a repeated call.
 const HEDGE_FACTOR: u32 = 2;
-/// A store with a usual answer of a few milliseconds is silent after this time without one. Above the delays of repeated
-/// calls, which tell a lost connection from a silent store.
+/// A store with a usual answer of a few milliseconds is silent after this time without one. Above the time limits within
+/// which a turn waits for a record, so that a short delay holds nothing back.
 const MIN_SILENCE: Duration = Duration::from_millis(300);
 
 /// State of the store as seen by one VM.
@@ -46,8 +56,10 @@
     }
 }
 
-/// What this VM has seen of the store. Every call is reported by [`StoreHealth::begin`], and its end by one of
-/// [`StoreHealth::answered`], [`StoreHealth::failed`] and [`StoreHealth::cancelled`].
+/// What this VM has seen of the store.
+///
+/// Answers of all calls count. A silence is told by regular calls alone ([`StoreHealth::begin`]): one partition may be
+/// silent while the others are not.
 ///
 /// ```
 /// use std::time::Duration;
@@ -56,7 +68,6 @@
 /// let (start, mut health) = (Instant::now(), StoreHealth::default());
 /// let late = start + Duration::from_millis(400);
 /// for _ in 0..5 {
-///     health.begin(start);
 ///     health.answered(late, late - start);
 /// }
 /// assert!(health.is_slow());
@@ -65,50 +76,40 @@
 #[derive(Debug, Clone, Default)]
 pub struct StoreHealth {
     times: VecDeque<Duration>,
-    /// Calls without an outcome.
-    pending: usize,
-    /// Since when calls have waited or failed without an answer to any call.
+    /// When the first regular call was sent that no answer to any call has followed.
     unanswered_since: Option<Instant>,
     /// When the store was last seen slow or silent.
     unwell_at: Option<Instant>,
 }
 
 impl StoreHealth {
-    /// Notes that a call is sent.
+    /// Notes that a regular call is sent.
     pub fn begin(&mut self, now: Instant) {
-        self.pending += 1;
         self.unanswered_since.get_or_insert(now);
     }
 
-    /// Notes that the store answered a call `took` after it was sent. Returns whether that ends a silence.
+    /// Notes that the store answered a call. Returns whether that ends a silence.
     pub fn answered(&mut self, now: Instant, took: Duration) -> bool {
-        let was_silent = self.is_silent(now);
-        self.pending = self.pending.saturating_sub(1);
-        self.unanswered_since = (self.pending > 0).then_some(now);
+        let was_silent = self.refused(now);
         if self.times.len() == SAMPLES {
             self.times.pop_front();
         }
         self.times.push_back(took);
-        if was_silent || self.is_slow() {
+        if self.is_slow() {
             self.unwell_at = Some(now);
         }
         was_silent
     }
 
-    /// Notes that a call failed: no connection, no answer in time, or a refusal by a server that does not work.
-    ///
-    /// The store stays unanswered: a store that refuses everything is as good as silent.
-    pub fn failed(&mut self) {
-        self.pending = self.pending.saturating_sub(1);
-    }
-
-    /// Notes that nobody waits for a call any longer.
-    pub fn cancelled(&mut self, now: Instant) {
-        self.pending = self.pending.saturating_sub(1);
-        // Repeated calls are dropped once one of them is answered.
-        if self.pending == 0 && !self.is_silent(now) {
-            self.unanswered_since = None;
+    /// Notes that the store refused a call as unavailable, which may be true for one of its partitions only. Returns
+    /// whether that ends a silence.
+    pub fn refused(&mut self, now: Instant) -> bool {
+        let was_silent = self.is_silent(now);
+        if was_silent {
+            self.unwell_at = Some(now);
         }
+        self.unanswered_since = None;
+        was_silent
     }
 
     /// The usual time of an answer; zero before the first five.
@@ -197,3 +198,55 @@
         delay.max(self.usual_answer() * HEDGE_FACTOR)
     }
 }
+
+/// Until when a turn waits for a silent store before it uses an engine. Half of the rest of its time is for the engine.
+///
+/// ```
+/// use std::time::Duration;
+/// use tokio::time::Instant;
+/// use vanillatrail::policy::store_health::wait_limit;
+/// let (arrived, second) = (Instant::now(), Duration::from_secs(1));
+/// assert_eq!(wait_limit(arrived, arrived, arrived + second * 9), arrived + second * 3 / 2);
+/// assert_eq!(wait_limit(arrived, arrived, arrived + second), arrived + second / 2);
+/// ```
+#[must_use]
+pub fn wait_limit(now: Instant, arrived: Instant, deadline: Instant) -> Instant {
+    let spare = deadline.saturating_duration_since(now) / 2;
+    (arrived + MAX_TURN_WAIT).min(now + spare)
+}
+
+/// When a turn that was refused in a silence may come back. `spread`, between 0 and 1, differs between callers.
+///
+/// Nobody knows how long a silence lasts; it is taken to go on for as long as it has lasted.
+///
+/// ```
+/// use std::time::Duration;
+/// use vanillatrail::policy::store_health::retry_after;
+/// let second = Duration::from_secs(1);
+/// assert_eq!(retry_after(second * 2, 0.0), second * 2);
+/// assert_eq!(retry_after(second * 2, 1.0), second * 5 / 2);
+/// assert_eq!(retry_after(second * 60, 0.0), second * 3);
+/// ```
+#[must_use]
+pub fn retry_after(silent_for: Duration, spread: f64) -> Duration {
+    let expected = silent_for.clamp(RETRY_AFTER.0, RETRY_AFTER.1);
+    expected.mul_f64(RETRY_SPREAD.mul_add(spread, 1.0))
+}
+
+/// How long a bucket waits after a silence before it writes, if `earlier` of `waiting` buckets have waited longer.
+///
+/// ```
+/// use std::time::Duration;
+/// use vanillatrail::policy::store_health::release_delay;
+/// assert_eq!(release_delay(0, 10), Duration::ZERO);
+/// assert_eq!(release_delay(9, 10), Duration::from_millis(45));
+/// assert_eq!(release_delay(500, 1000), Duration::from_millis(500));
+/// ```
+#[must_use]
+pub fn release_delay(earlier: usize, waiting: usize) -> Duration {
+    let count = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
+    let interval = RELEASE_INTERVAL
+        .0
+        .min(RELEASE_INTERVAL.1 / count(waiting).max(1));
+    interval * count(earlier)
+}
