--- a/src/gateway/conversation/mod.rs
+++ b/src/gateway/conversation/mod.rs
@@ -11,6 +11,7 @@
 mod load;
 mod record;
 mod relay;
+mod silence;
 mod sweep;
 mod writer;
 
@@ -24,12 +25,12 @@
 use crate::platform::records::TURN_TOPICS;
 use crate::platform::store::Store;
 use load::BucketReads;
+use silence::Silence;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::Notify;
+use tokio::sync::{Mutex, Notify};
 use tokio::time::Instant;
 use writer::BucketWriter;
 
@@ -67,16 +68,20 @@
     exchange_client: exchange::Client,
     /// Failed or timed-out writes since the last success.
     consecutive_failures: Cell<u32>,
-    /// Whether one bucket is already probing the unavailable store on behalf of all.
-    probing: Cell<bool>,
+    /// Locked by the bucket that probes the unavailable store on behalf of all; given on in the order of waiting.
+    probe: Mutex<()>,
+    /// Buckets whose last write failed.
+    stuck_buckets: RefCell<HashSet<Bucket>>,
     /// Notified when the store accepts a record.
     store_recovered: Notify,
+    /// Turns and buckets that wait for a silent store.
+    silence: Silence,
 }
 
 impl Conversations {
-    pub(super) fn new(store: SocketAddr, partitions: u64, key: &str) -> Self {
+    pub(super) fn new(store: Store, partitions: u64, key: &str) -> Self {
         Self {
-            store: RefCell::new(Store::new(store)),
+            store: RefCell::new(store),
             layout: Layout {
                 topics: TURN_TOPICS,
                 partitions,
@@ -87,8 +92,10 @@
             bucket_reads: BucketReads::default(),
             exchange_client: exchange::Client::new(key),
             consecutive_failures: Cell::new(0),
-            probing: Cell::new(false),
+            probe: Mutex::default(),
+            stuck_buckets: RefCell::default(),
             store_recovered: Notify::new(),
+            silence: Silence::default(),
         }
     }
 
@@ -99,6 +106,7 @@
     /// Whether the store counts as unavailable.
     fn is_store_down(&self) -> bool {
         self.consecutive_failures.get() >= MAX_STORE_FAILURES
+            || self.store.borrow().observer().silent_for().is_some()
     }
 
     /// Counts a write that failed or timed out.
@@ -123,6 +131,8 @@
                 .map(|writer| writer.outbox.borrow().len())
                 .sum(),
             pointers: self.locations.borrow().len(),
+            held_turns: self.silence.turns(),
+            held_buckets: self.silence.buckets(),
         }
     }
 }
@@ -134,6 +144,10 @@
     bytes: usize,
     unrecorded: usize,
     pointers: usize,
+    /// Turns that wait for a silent store before they use an engine.
+    held_turns: usize,
+    /// Buckets with turns that wait for a silent store.
+    held_buckets: usize,
 }
 
 /// Unix time in milliseconds until which a record is kept whose turn may be continued for
--- a/src/gateway/front/metrics.rs
+++ b/src/gateway/front/metrics.rs
@@ -21,6 +21,8 @@
 
 pub(crate) struct Metrics {
     exporter: Exporter,
+    /// Turns that waited for a silent store, by result.
+    held_turns: Counter<u64>,
     /// New connections to backend servers.
     pub(crate) connections: Counter<u64>,
     /// Attempts at backend servers without a response, by reason.
@@ -66,6 +68,8 @@
     /// Requests queued for lack of memory, by service.
     memory_waits: Gauge<u64>,
     programs_waiting: Gauge<u64>,
+    /// Usual time of the store's answers.
+    store_answer_ms: Gauge<f64>,
     _dropped_log_lines: ObservableCounter<u64>,
 }
 
@@ -94,6 +98,10 @@
         };
         Self {
             connections: counter("backend_connections", "New connections to backend servers"),
+            held_turns: counter(
+                "turns_held",
+                "Turns that waited for a silent store, by result",
+            ),
             attempts_failed: counter("attempts_failed", "Attempts without an answer, by reason"),
             plain_choices: counter(
                 "plain_choices",
@@ -155,6 +163,10 @@
                 .u64_gauge("programs_waiting")
                 .with_description("Programs that wait here to be admitted in the order of shares")
                 .build(),
+            store_answer_ms: meter
+                .f64_gauge("store_answer_ms")
+                .with_description("Milliseconds that the store usually takes to answer")
+                .build(),
             _dropped_log_lines: meter
                 .u64_observable_counter("log_lines_dropped")
                 .with_description("Log lines dropped, since nobody read them fast enough")
@@ -164,6 +176,12 @@
         }
     }
 
+    /// Counts a turn that waited for a silent store.
+    pub(crate) fn count_held_turn(&self, served: bool) {
+        let result = if served { "served" } else { "refused" };
+        self.held_turns.add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Counts an attempt at a backend server without a response.
     pub(crate) fn count_failed_attempt(&self, reason: &'static str) {
         self.attempts_failed
@@ -262,6 +280,10 @@
         self.programs_waiting.record(programs as u64, &[]);
     }
 
+    pub(crate) fn store_answer(&self, usual: Duration) {
+        self.store_answer_ms.record(millis(usual), &[]);
+    }
+
     /// All metrics in the text format served at `/metrics`.
     pub(crate) fn text(&self) -> String {
         self.exporter.text()
--- a/src/gateway/world/feed.rs
+++ b/src/gateway/world/feed.rs
@@ -40,7 +40,7 @@
 
 async fn follow_config(sources: &Sources, relay: &Relay, routing_tx: &watch::Sender<Routing>) {
     let period = sources.period();
-    let mut store = Store::new(sources.store);
+    let mut store = sources.store.regular();
     let mut health = Health::new("config");
     loop {
         let started = Instant::now();
@@ -73,7 +73,10 @@
                 });
             }
             Err(error) => {
-                relay.has_store.set(false);
+                // One late answer of a slow store does not mean that it is lost.
+                let store_health = store.observer().health();
+                let is_slow = store_health.is_slow() && !store_health.is_silent(Instant::now());
+                relay.has_store.set(relay.has_store.get() && is_slow);
                 health.record_failure(&error, &mut store).await;
             }
         }
@@ -109,7 +112,7 @@
 /// is left to the chosen reader, since the load on the store would grow with VMs times servers.
 async fn read_small_directory(sources: &Sources, relay: &Relay) {
     let started = Instant::now();
-    let store = Store::new(sources.store);
+    let store = sources.store.separate();
     let latest = store.read_latest_if_small(DIRECTORY_TOPIC, 0).await;
     if let Ok(Some(latest)) = latest
         && relay.as_of().is_none()
@@ -121,7 +124,7 @@
 
 async fn follow_directory(sources: &Sources, relay: &Relay) {
     let period = sources.period();
-    let mut reader = Reader::new(sources.store);
+    let mut reader = Reader::new(&sources.store);
     let follow_started = Instant::now();
     loop {
         let round_started = Instant::now();
