--- a/src/policy/affinity.rs
+++ b/src/policy/affinity.rs
@@ -10,6 +10,7 @@
 use super::queue::Band;
 use super::service_pool::ServicePool;
 use super::window::Server;
+use crate::id::Permit;
 use serde::Serialize;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -99,10 +100,15 @@
     }
 }
 
-/// Whether the server may be chosen for an object. A server that failed gets one request at a time
-/// until it has answered one, since it would never recover if it got none.
-fn accepts_objects(server: &Server, now: Instant) -> bool {
-    server.is_usable(now) && (server.consecutive_failures == 0 || server.in_flight == 0)
+/// One in this many requests may be sent to a server that has failed since its last answer.
+const PROBE_INTERVAL: u64 = 16;
+
+/// Whether a server may be chosen for this request. A server that failed gets few requests, one at a
+/// time, until it has answered one: a call that must not be repeated fails its program, but a server
+/// that gets none would never recover.
+pub(super) fn accepts(server: &Server, permit: Permit, now: Instant) -> bool {
+    let is_probe = server.in_flight == 0 && permit.0.is_multiple_of(PROBE_INTERVAL);
+    server.is_usable(now) && (server.consecutive_failures == 0 || is_probe)
 }
 
 impl ServicePool {
@@ -112,13 +118,14 @@
     pub(super) fn choose_for_object(
         &self,
         now: Instant,
+        permit: Permit,
         request: &Request,
         band: Band,
         object: u64,
         is_slow: impl Fn(&Server) -> bool,
     ) -> Option<Choice> {
         let usable = self.servers.iter().enumerate();
-        let usable = usable.filter(|(_, server)| accepts_objects(server, now));
+        let usable = usable.filter(|(_, server)| accepts(server, permit, now));
         let (indices, candidates): (Vec<usize>, Vec<Candidate<'_>>) = usable
             .map(|(index, server)| {
                 let candidate = Candidate {
--- a/src/policy/load_share.rs
+++ b/src/policy/load_share.rs
@@ -280,7 +280,8 @@
         let is_slow =
             |server: &Server| is_active && self.is_slow(&self.estimate(now, server, usual_ms));
         if let Some(object) = request.demand.as_ref().and_then(|demand| demand.object)
-            && let Some(choice) = pool.choose_for_object(now, request, band, object, is_slow)
+            && let Some(choice) =
+                pool.choose_for_object(now, permit, request, band, object, is_slow)
         {
             self.by_object.record(choice);
             return Some(choice.index);
@@ -304,7 +305,7 @@
         let usable = usable.filter(|index| {
             let server = &servers[*index];
             server.has_room(now, band)
-                && (server.consecutive_failures == 0 || server.in_flight == 0)
+                && affinity::accepts(server, permit, now)
                 && !request.avoid.contains(&server.info.id)
         });
         let usable = usable.map(|index| {
--- a/src/policy/needs.rs
+++ b/src/policy/needs.rs
@@ -89,7 +89,8 @@
     pub(super) fn remaining(&self, target_ms: f64, requests: u32) -> Option<Duration> {
         let expected = (self.requests * target_ms / self.target_ms.max(1.0)).max(1.0);
         let share = 1.0 - f64::from(requests.saturating_sub(1)) / expected;
-        let remaining_ms = target_ms * self.fast_share * share.max(1.0 / expected);
+        // A request may arrive after the deadline of its program, with a negative target.
+        let remaining_ms = (target_ms * self.fast_share * share.max(1.0 / expected)).max(0.0);
         self.is_known()
             .then(|| Duration::from_secs_f64(remaining_ms / 1000.0))
     }
