--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -2,6 +2,7 @@
 //! each key.
 
 use crate::id::Offset;
+use crate::policy::store_health::StoreHealth;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::{BufMut, Bytes, BytesMut};
@@ -12,8 +13,11 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::pin::pin;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
+use tokio::time::{Instant, sleep};
 
 /// Timeout of a call, on top of the time for which the store is asked to wait.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
@@ -142,11 +146,64 @@
     expected: Option<u64>,
 }
 
+/// What all clients of this process have seen of the store.
+#[derive(Debug, Default)]
+pub(crate) struct Observer {
+    health: Mutex<StoreHealth>,
+    /// Notified when the store answers after a silence.
+    recovered: Notify,
+}
+
+impl Observer {
+    /// The present state.
+    pub(crate) fn health(&self) -> StoreHealth {
+        self.lock().clone()
+    }
+
+    /// Time limit of a call or of a wait for one; see [`StoreHealth::patience`].
+    pub(crate) fn patience(&self, limit: Duration) -> Duration {
+        self.lock().patience(limit)
+    }
+
+    pub(crate) fn is_slow(&self) -> bool {
+        self.lock().is_slow()
+    }
+
+    /// Waits until the store answers after a silence.
+    pub(crate) fn recovered(&self) -> Notified<'_> {
+        self.recovered.notified()
+    }
+
+    /// How long the store has been silent; `None` if it is not.
+    pub(crate) fn silent_for(&self) -> Option<Duration> {
+        self.lock().silent_for(Instant::now())
+    }
+
+    fn record_answer(&self, status: StatusCode, began: Instant) {
+        let now = Instant::now();
+        let ends_silence = if status.is_server_error() {
+            self.lock().refused(now)
+        } else {
+            self.lock().answered(now, now - began)
+        };
+        if ends_silence {
+            self.recovered.notify_waiters();
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, StoreHealth> {
+        self.health.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Client of the store, with its own connection pool.
 #[derive(Debug, Clone)]
 pub(crate) struct Store {
     client: reqwest::Client,
     base_url: String,
+    observer: Arc<Observer>,
+    /// Whether the calls of this client tell that the store is silent.
+    regular: bool,
 }
 
 impl Store {
@@ -154,9 +211,50 @@
         Self {
             client: new_client(),
             base_url: format!("http://{address}"),
+            observer: Arc::default(),
+            regular: false,
         }
     }
 
+    /// A client with connections of its own, for another thread or purpose, and the same observer.
+    pub(crate) fn separate(&self) -> Self {
+        Self {
+            client: new_client(),
+            regular: false,
+            ..self.clone()
+        }
+    }
+
+    /// As [`Store::separate`], for calls that are made all the time: without an answer the store counts as silent.
+    pub(crate) fn regular(&self) -> Self {
+        Self {
+            regular: true,
+            ..self.separate()
+        }
+    }
+
+    /// What all clients of this process have seen of the store.
+    pub(crate) fn observer(&self) -> &Arc<Observer> {
+        &self.observer
+    }
+
+    async fn send(&self, request: reqwest::RequestBuilder) -> Result<Response, Error> {
+        let began = Instant::now();
+        if self.regular {
+            self.observer.lock().begin(began);
+        }
+        let response = request.send().await;
+        if let Ok(response) = &response {
+            self.observer.record_answer(response.status(), began);
+        }
+        check(response).await
+    }
+
+    /// Time limit of a call.
+    fn call_timeout(&self) -> Duration {
+        self.observer.patience(CALL_TIMEOUT)
+    }
+
     /// Drops the pooled connections, since an unresponsive one would also stall the next call.
     pub(crate) fn reconnect(&mut self) {
         self.client = new_client();
@@ -200,7 +298,9 @@
                 .map_err(|error| Error::Malformed(error.to_string()))?
                 .into();
         }
-        let response = check(self.client.get(url).timeout(CALL_TIMEOUT).send().await).await?;
+        let response = self
+            .send(self.client.get(url).timeout(self.call_timeout()))
+            .await?;
         let bytes = response.bytes().await.map_err(|error| unknown(&error))?;
         let body: LatestBody =
             serde_json::from_slice(&bytes).map_err(|error| Error::Malformed(error.to_string()))?;
@@ -232,8 +332,8 @@
             "{}/log-read?topic={topic}&part={partition}&from={from}&waitMs={wait_ms}",
             self.base_url
         );
-        let request = self.client.get(url).timeout(wait + CALL_TIMEOUT);
-        let response = check(request.send().await).await?;
+        let request = self.client.get(url).timeout(wait + self.call_timeout());
+        let response = self.send(request).await?;
         let body = response.bytes().await.map_err(|error| unknown(&error))?;
         decode_page(from, &body).ok_or_else(|| Error::Malformed("truncated body".to_owned()))
     }
@@ -250,7 +350,7 @@
     ) -> Result<(), Error> {
         let mut client = self.clone();
         let mut calls = FuturesUnordered::new();
-        let mut hedge_delay = HEDGE_DELAY;
+        let mut hedge_delay = self.observer.lock().hedge_delay(HEDGE_DELAY);
         for sent in 1..=MAX_CALLS {
             let store = client.clone();
             calls.push(async move { store.append(topic, partition, records, writer).await });
@@ -303,9 +403,9 @@
         let request = self
             .client
             .post(url)
-            .timeout(CALL_TIMEOUT)
+            .timeout(self.call_timeout())
             .body(body.freeze());
-        check(request.send().await).await.map(drop)
+        self.send(request).await.map(drop)
     }
 }
 
