Mend what the review of the merged parts found

Cause, found by reading: admission by outcome acted on plain services with objects, counted the runs of draining engines against the capacity of the others, left sibling requests of an admitted program waiting and kept stale entries in the order of shares; the expected shortest time of a program could become negative; a memory count leaked where a prompt lists a part twice; a request was refused for good by a guess of its output; an allowance recorded ahead reached no replica; a late answer of the store dropped the accounts of a partition that was being handed over, and reused a sequence number after a failed handover; a stall of this VM counted as a stall of the engine; streams that could not continue were ended by a stall; releases of pins were sent for runs that did not begin.

The replay of plain calls compares with servers that report no pace, which is the previous order.

Result: tests competing, dispatch*, engine_memory, pace, plain_services, runs, pins, slow_store, budget, allowance green.

--- a/src/gateway/conversation/record.rs
+++ b/src/gateway/conversation/record.rs
@@ -165,10 +165,17 @@
     /// Records a turn in a fallback partition while its own is unavailable: the store may lose some
     /// of its partitions and serve the rest.
     async fn record_in_fallback_partition(&self, bucket: Bucket, turn: &Turn) -> bool {
-        if !self.has_store() {
+        let conversations = &self.conversations;
+        // One probe per VM waits for a silent store.
+        let is_silent = conversations
+            .store
+            .borrow()
+            .observer()
+            .silent_for()
+            .is_some();
+        if is_silent || !self.has_store() {
             return false;
         }
-        let conversations = &self.conversations;
         let record = [super::writer::turn_record(turn)];
         let store = conversations.store.borrow().clone();
         let writes = conversations
--- a/src/gateway/conversation/silence.rs
+++ b/src/gateway/conversation/silence.rs
@@ -38,8 +38,8 @@
     /// Waiting buckets, with the time since when, ordered by how long they have waited.
     buckets: RefCell<BTreeSet<(Instant, Bucket)>>,
     probing: Cell<bool>,
-    /// Whether the log says that turns are held.
-    told: Cell<bool>,
+    /// Whether `turns_held` was logged without a `turns_released` after it.
+    hold_logged: Cell<bool>,
 }
 
 impl Silence {
@@ -51,6 +51,18 @@
         self.buckets.borrow().len()
     }
 
+    /// Logs the end of a silence, if its beginning was logged.
+    fn log_release(&self) {
+        if self.hold_logged.replace(false) {
+            event!(
+                info,
+                "turns_released",
+                turns = self.turns(),
+                buckets = self.buckets()
+            );
+        }
+    }
+
     /// Adds a bucket to those that wait.
     pub(super) fn wait(&self, bucket: Bucket) -> Waiting<'_> {
         let key = (Instant::now(), bucket);
@@ -107,7 +119,12 @@
     pub(crate) async fn wait_for_store(&self, job: &Job) -> Result<(), Failure> {
         let conversations = &self.conversations;
         let observer = conversations.observer();
-        if !job.route.stores_history || observer.silent_for().is_none() {
+        if !job.route.stores_history {
+            return Ok(());
+        }
+        if observer.silent_for().is_none() {
+            // The probe ends without a line if nobody waits when the store returns.
+            conversations.silence.log_release();
             return Ok(());
         }
         let Ok(id) = job.meta.turn_name.parse::<Id>() else {
@@ -168,7 +185,8 @@
         Arc::clone(self.store.borrow().observer())
     }
 
-    /// Waits while the store is silent, and then until the bucket may write: those that have waited longest come first. Returns at once if the store is not silent.
+    /// Waits while the store is silent, and then until the bucket may write: those that have waited longest come first.
+    /// Returns at once if the store is not silent.
     pub(super) async fn wait_out_silence(self: &Rc<Self>, bucket: Bucket) {
         let observer = self.observer();
         if observer.silent_for().is_none() {
@@ -199,7 +217,7 @@
         let observer = self.observer();
         let topic = turn_topic(self.layout.topic(bucket));
         let partition = self.layout.partition(bucket);
-        if !self.silence.told.replace(true) {
+        if !self.silence.hold_logged.replace(true) {
             let silent_ms = observer.silent_for().unwrap_or_default().as_millis();
             event!(warn, "turns_held", silent_ms = silent_ms);
         }
@@ -214,13 +232,8 @@
             }
         }
         self.silence.probing.set(false);
-        if observer.silent_for().is_none() && self.silence.told.replace(false) {
-            event!(
-                info,
-                "turns_released",
-                turns = self.silence.turns(),
-                buckets = self.silence.buckets()
-            );
+        if observer.silent_for().is_none() {
+            self.silence.log_release();
         }
     }
 }
--- a/src/gateway/conversation/writer.rs
+++ b/src/gateway/conversation/writer.rs
@@ -20,6 +20,7 @@
 const MAX_WRITE_BYTES: usize = 1 << 20;
 /// Initial and maximum delay after a failed write.
 const RETRY_BACKOFF: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(300));
+
 /// Turns of one bucket that are not recorded at the store yet.
 #[derive(Debug, Default)]
 pub(super) struct BucketWriter {
--- a/src/gateway/request/job.rs
+++ b/src/gateway/request/job.rs
@@ -43,7 +43,7 @@
     pub(crate) tokens_per_event: u64,
     /// Grant for the tokens that this turn may generate, from the token budget of its program.
     pub(crate) allowance: RefCell<Option<Grant>>,
-    /// Servers that a permit was obtained for, in order.
+    /// Servers that the request was assigned to, in order, including those that its run continued at.
     pub(crate) servers: RefCell<Vec<Instance>>,
     /// Time spent in queues for backend servers.
     pub(crate) queue_time: Cell<Duration>,
@@ -61,7 +61,7 @@
     pub(crate) end_recorded: Cell<bool>,
     /// Events of the response passed to the caller.
     pub(crate) events_relayed: Cell<u64>,
-    /// Copies of its run at other engines.
+    /// Copies, moves and pins of its run.
     pub(crate) run: RunState,
 }
 
--- a/src/gateway/request/stream.rs
+++ b/src/gateway/request/stream.rs
@@ -16,12 +16,18 @@
 use http::Response;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 /// Maximum resumptions of one stream.
 const MAX_RESUMES: usize = 4;
+/// Delay of the stall timer from which this VM, not the server, is assumed to have paused. Above the usual 100 ms
+/// period of a CPU quota, which delays timers on small VMs.
+const MAX_TIMER_DELAY: Duration = Duration::from_millis(250);
 
-/// Returns the head of a streamed response, without a permit if its run was continued, and spawns a task that relays the events.
+/// Returns the head of a streamed response and spawns a task that relays the events. `permit` is `None` if the run was
+/// continued at another server.
 pub(super) fn relay(job: &Rc<Job>, permit: Option<Permit>, stream: Stream) -> Response<Body> {
     pinning::turn_began(job);
     let (chunks, body) = Body::streamed();
@@ -76,11 +82,19 @@
         let mut resumes = 0;
         let chunks = self.chunks.clone();
         while end.is_none() {
-            let stall_limit = self.job.run.stall_limit();
+            let waiting_since = Instant::now();
+            let stall_limit = continuation::stall_limit(&self.job, self.last_event);
             let stalled = tokio::time::sleep(stall_limit.unwrap_or_default());
             let next = tokio::select! {
                 next = self.source.next() => next,
-                () = stalled, if stall_limit.is_some() => StreamItem::Broken("stalled"),
+                () = stalled, if stall_limit.is_some() => {
+                    let limit = stall_limit.unwrap_or_default() + MAX_TIMER_DELAY;
+                    if waiting_since.elapsed() > limit {
+                        // Events may have arrived while this VM was paused, and are read first.
+                        continue;
+                    }
+                    StreamItem::Broken("stalled")
+                },
                 () = chunks.closed() => { end = Some(StreamEnd::CallerLeft); break },
                 () = tokio::time::sleep_until(self.job.deadline) => {
                     end = Some(StreamEnd::DeadlinePassed);
@@ -250,6 +264,7 @@
                 });
             }
             pinning::turn_ended(&job);
+            continuation::run_ended(&job);
             let saved = save_turn(&job, transcript).await;
             job.record_end(if saved { "200" } else { "cut:not_kept" }, saved);
             if !saved {
--- a/src/gateway/server/attempt.rs
+++ b/src/gateway/server/attempt.rs
@@ -131,6 +131,13 @@
         ..RunHeaders::default()
     };
     let mut result = attempt_at(job, &permit.server, &run).await;
+    if matches!(
+        result,
+        AttemptResult::NotRun(_) | AttemptResult::Unreachable
+    ) {
+        // The run did not begin, so the engine has no pin to release.
+        pinning::forget(job);
+    }
     if let AttemptResult::Stream(stream) = &mut result
         && let Some(load) = &mut stream.source.load
         && load.host_pace.is_some()
@@ -174,7 +181,7 @@
         };
         let closing = connection.closing();
         let result = exchange(job, server, connection, run).await;
-        if run.backup.is_some()
+        if (run.backup.is_some() || run.copy_of.is_some())
             && matches!(
                 result,
                 Err(SendError::OutcomeUnknown) | Ok(AttemptResult::OutcomeUnknown(_))
--- a/src/gateway/server/continuation.rs
+++ b/src/gateway/server/continuation.rs
@@ -75,17 +75,31 @@
         run.gateway.copies.planner.borrow_mut().release(&taken.0);
         Some(taken)
     }
+}
 
-    /// Longest pause between two events; `None` if the run has no copy to continue from.
-    pub(crate) fn stall_limit(&self) -> Option<Duration> {
-        self.has_copy().then_some(STALL_LIMIT)
-    }
+/// Longest pause between two events; `None` if the run could not continue elsewhere. `last_event` is the ID of the
+/// last event that the caller has.
+pub(crate) fn stall_limit(job: &Job, last_event: Option<u64>) -> Option<Duration> {
+    let can_continue =
+        job.run.has_copy() && allows_another(job) && is_position_known(job, last_event);
+    can_continue.then_some(STALL_LIMIT)
+}
+
+/// Whether an engine can tell from `last_event` which events the caller has.
+fn is_position_known(job: &Job, last_event: Option<u64>) -> bool {
+    job.events_relayed.get() == 0 || last_event.is_some()
+}
+
+/// Ends the count of a run that its engine has finished. Its copy no longer exists, though the turn may not be stored.
+pub(crate) fn run_ended(job: &Job) {
+    drop(job.run.counted.take());
 }
 
 /// Whether the run may be copied, and the memory of an engine in tokens if it may.
 fn copyable(job: &Job) -> Option<u64> {
     let route = &job.route;
-    if route.kind != Kind::Stream || route.resumable || route.attempts < 2 {
+    let is_enabled = job.gateway.settings.run_copies;
+    if !is_enabled || route.kind != Kind::Stream || route.resumable || route.attempts < 2 {
         return None;
     }
     let routing = job.gateway.routing.borrow();
@@ -96,9 +110,10 @@
 
 /// Decides at the start of an attempt whether its run is copied; returns the address of the second engine.
 pub(crate) fn plan(job: &Job, server: &Arc<Entry>) -> Option<SocketAddr> {
+    // An earlier attempt was refused, so its copy is void, even where the configuration no longer allows copies.
+    let earlier = job.run.counted.take();
     let engine_tokens = copyable(job)?;
-    // An earlier attempt was refused, so its copy is void.
-    let stage = match job.run.counted.take() {
+    let stage = match earlier {
         None => Stage::First,
         Some(refused) => Stage::Repeated {
             copied: refused.copy.is_some(),
@@ -253,8 +268,7 @@
     reason: &'static str,
     last_event: Option<u64>,
 ) -> Option<Stream> {
-    if job.events_relayed.get() > 0 && last_event.is_none() {
-        // The stream has no event IDs, so the engine can't tell what the caller has.
+    if !is_position_known(job, last_event) {
         return None;
     }
     while let Some((copy, entry)) = job.run.take_copy() {
--- a/src/gateway/tokens/handover.rs
+++ b/src/gateway/tokens/handover.rs
@@ -118,7 +118,13 @@
         } else {
             // The handover failed. If the other VM owns the partition all the same, the store
             // rejects this VM's writes.
-            partition.ownership.set(Some(ownership));
+            // An append that was in progress may have used the sequence number. The store would take
+            // the next one with the same number for a repetition and drop it; a number that is too
+            // high is only corrected.
+            partition.ownership.set(Some(Ownership {
+                sequence: ownership.sequence + 1,
+                ..ownership
+            }));
             partition.successor.set(None);
         }
         partition.handover_in_progress.set(false);
--- a/src/gateway/tokens/owner.rs
+++ b/src/gateway/tokens/owner.rs
@@ -259,8 +259,11 @@
     }
 
     /// At a slow store, records the allowance of the program's next turn while this one runs.
+    ///
+    /// The successor gets a replica at once: turns that the allowance covers do not send one, and a successor without
+    /// the store would grant their tokens again.
     fn record_ahead(
-        &self,
+        self: &Rc<Self>,
         partition_id: u64,
         partition: &Rc<Partition>,
         program: &str,
@@ -273,6 +276,18 @@
         if let Some(allowed) = ahead {
             partition.add_pending(program, allowed);
             Rc::clone(&self.partitions).start_writer(partition_id, Rc::clone(partition));
+            let ownership = partition.ownership.get();
+            let replica = Replica {
+                part: partition_id,
+                program: program.to_owned(),
+                allowed,
+                epoch: ownership.map_or(0, |ownership| ownership.epoch),
+                fenced: ownership.is_some_and(|ownership| ownership.fenced),
+            };
+            let gateway = Rc::clone(self);
+            tokio::task::spawn_local(async move {
+                gateway.send_replica_to_successor(replica).await;
+            });
         }
     }
 
--- a/src/gateway/tokens/partitions.rs
+++ b/src/gateway/tokens/partitions.rs
@@ -275,7 +275,13 @@
     }
 
     /// Gives up ownership because another VM owns the partition under a higher epoch.
+    ///
+    /// Does nothing if `epoch` is not the present one. A late answer of the store must not drop the accounts of a newer
+    /// ownership, or those of a partition that is being handed over: if the handover fails, this VM keeps it.
     pub(crate) fn lose_ownership(&self, partition_id: u64, partition: &Partition, epoch: u64) {
+        if partition.epoch() != Some(epoch) {
+            return;
+        }
         event!(warn, "allowances_lost", part = partition_id, epoch = epoch);
         partition.ownership.set(None);
         partition.ownership_ended.set(Some(Instant::now()));
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -210,12 +210,12 @@
     forwarded
 }
 
-/// A copy of a run's memory.
+/// The memory of a run, copied or kept by an engine.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct CopyOf<'a> {
     /// The engine that holds it.
     pub(crate) holder: SocketAddr,
-    /// Request ID of the run.
+    /// Request ID of the run or, after a move, the handle.
     pub(crate) id: &'a str,
 }
 
@@ -280,7 +280,11 @@
 
 impl Moved {
     pub(crate) fn parse(body: &[u8]) -> Option<Self> {
-        serde_json::from_slice(body).ok()
+        let moved: Self = serde_json::from_slice(body).ok()?;
+        // A handle that can't be part of a header would be left out, and the request would run anew.
+        let is_valid =
+            !moved.handle.is_empty() && moved.handle.bytes().all(|byte| byte.is_ascii_graphic());
+        is_valid.then_some(moved)
     }
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -160,9 +160,14 @@
         self.lock().clone()
     }
 
-    /// Time limit of a call or of a wait for one; see [`StoreHealth::patience`].
+    /// Time limit of a wait for a call; see [`StoreHealth::patience`]. At a silent store it is `limit`, even if the
+    /// store was slow before: two longer waits in a row exceed the 2 s after which callers leave.
     pub(crate) fn patience(&self, limit: Duration) -> Duration {
-        self.lock().patience(limit)
+        let health = self.lock();
+        if health.is_silent(Instant::now()) {
+            return limit;
+        }
+        health.patience(limit)
     }
 
     pub(crate) fn is_slow(&self) -> bool {
@@ -250,9 +255,9 @@
         check(response).await
     }
 
-    /// Time limit of a call.
+    /// Time limit of a call. Also longer during a silence that follows slow answers, since only an answer ends it.
     fn call_timeout(&self) -> Duration {
-        self.observer.patience(CALL_TIMEOUT)
+        self.observer.lock().patience(CALL_TIMEOUT)
     }
 
     /// Drops the pooled connections, since an unresponsive one would also stall the next call.
--- a/src/policy/backup.rs
+++ b/src/policy/backup.rs
@@ -13,9 +13,8 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Largest share of runs with a copy. A copy transfers all memory of a run, and few runs lose their
-/// engine, so that only the dearest runs are worth one.
-const MAX_SHARE: f64 = 0.02;
+/// Largest share of runs with a copy.
+const MAX_SHARE: f64 = 0.25;
 /// Copies that may be ordered at once after a time with few.
 const MAX_CREDIT: f64 = 4.0;
 /// Largest share of an engine's memory that the copies of one VM may hold.
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -327,7 +327,7 @@
         if let Some(pool) = self.pools.get_mut(service) {
             pool.remove_server(id);
             if let Some(share) = self.plain.get_mut(service) {
-                share.retain_servers(pool);
+                share.forget_server(id);
             }
         }
     }
@@ -368,7 +368,7 @@
         let session_server = request
             .session
             .and_then(|session| self.session_servers.get(&session));
-        if queued_ahead == 0 && !pool.must_hold(now, &request, priority) {
+        if queued_ahead == 0 && !pool.must_hold(now, &request) {
             let plain = self.plain.get_mut(&request.service);
             let chosen = plain.and_then(|share| share.choose(now, permit, &request, band, pool));
             let choice = chosen.map_or_else(
@@ -479,7 +479,7 @@
             if full_band == Some(band) {
                 continue;
             }
-            if pool.must_hold(now, &queued.request, queued.priority) {
+            if pool.must_hold(now, &queued.request) {
                 continue;
             }
             let session_server = queued
@@ -634,7 +634,10 @@
                 record_latency(server, &mut pool.mean_ms_per_work, took, work);
                 let tokens_per_event = self.tokens_per_event.get(&request.service);
                 let work = (work, tokens_per_event.copied());
-                if let (Some(demand), (events, Some(tokens))) = (&request.demand, work) {
+                // A response without events, such as one that is not a stream, gives no length.
+                if let (Some(demand), (events, Some(tokens))) = (&request.demand, work)
+                    && events > 1.0
+                {
                     let tokens = (events - 1.0) * tokens as f64;
                     pool.profile.outputs.record(demand, tokens);
                 }
--- a/src/policy/load_share.rs
+++ b/src/policy/load_share.rs
@@ -25,7 +25,7 @@
 /// Most datagrams a second that the VM which collects the reports of a service receives, and most
 /// that it sends.
 const MAX_DATAGRAMS_PER_SECOND: usize = 600;
-/// Reports in one datagram, at about 17 bytes each.
+/// Reports in one datagram, at about 17 bytes each and at most 19.
 pub const MAX_REPORTS_PER_DATAGRAM: usize = 55;
 /// Weight of a fresh reported load against the average that this dispatcher learns. With full weight,
 /// all VMs would choose the server that was idle at the last report: on the replay more calls queued
@@ -49,9 +49,11 @@
 const SLOW_RATIO: f64 = 1.4;
 /// Bounds of the usual time of a request, which is the time in which a reported load changes.
 const USUAL_MS_BOUNDS: (f64, f64) = (5.0, 600.0);
-/// Bounds of a reported pace, against servers that report nonsense. Hosts are hardly faster than
+/// Bounds of a reported pace, against servers that report wrong figures. Hosts are hardly faster than
 /// usual, so a low pace is not to attract requests.
 const PACE_BOUNDS: (u32, u32) = (80, 1000);
+/// Bound of a reported load, so that reports fit into their datagram.
+const MAX_REPORTED_LOAD: u32 = 65_535;
 /// Sends remembered for each server.
 const MAX_REMEMBERED_SENDS: usize = 64;
 
@@ -135,6 +137,11 @@
         self.known.retain(|server, _| servers.contains(server));
     }
 
+    /// Forgets a server.
+    pub(super) fn forget_server(&mut self, id: &str) {
+        self.known.remove(&server_hash(id));
+    }
+
     /// Records a load that came with an answer to this VM.
     pub(super) fn record_answer(&mut self, now: Instant, server: &str, load: Load) {
         let known = self.known.entry(server_hash(server)).or_default();
@@ -142,7 +149,10 @@
         let Some(pace) = load.host_pace else {
             return;
         };
-        let requests = u32::try_from(load.running + load.waiting).unwrap_or(u32::MAX);
+        let requests = load.running.saturating_add(load.waiting);
+        let requests = u32::try_from(requests).map_or(MAX_REPORTED_LOAD, |requests| {
+            requests.min(MAX_REPORTED_LOAD)
+        });
         known.report = Some((now, requests, clamped(pace)));
         known.unsent = true;
         self.add_to_mean(clamped(pace));
@@ -258,6 +268,13 @@
         estimate.pace > self.mean_pace * SLOW_RATIO
     }
 
+    /// Whether the server answered some VM a moment ago, which shows that it has recovered from an earlier failure.
+    fn has_fresh_report(&self, now: Instant, server: &Server) -> bool {
+        let hash = server_hash(&server.info.id);
+        let known = self.known.get(&hash);
+        server.is_usable(now) && known.is_some_and(|known| known.fresh_report(now, hash).is_some())
+    }
+
     fn has_open_connection(&self, now: Instant, server: &Server) -> bool {
         let known = self.known.get(&server_hash(&server.info.id));
         let last_answer = known.and_then(|known| known.last_answer);
@@ -305,7 +322,7 @@
         let usable = usable.filter(|index| {
             let server = &servers[*index];
             server.has_room(now, band)
-                && affinity::accepts(server, permit, now)
+                && (affinity::accepts(server, permit, now) || self.has_fresh_report(now, server))
                 && !request.avoid.contains(&server.info.id)
         });
         let usable = usable.map(|index| {
--- a/src/policy/memory.rs
+++ b/src/policy/memory.rs
@@ -140,9 +140,13 @@
 
     /// Adds a run with `own` tokens beyond the parts of its prompt.
     pub(super) fn begin(&mut self, permit: Permit, prompt: &[Part], own: f64) {
-        self.tokens += self.needed(prompt, own);
+        self.tokens += own;
         for part in prompt {
-            let (_, runs) = self.parts.entry(part.id).or_insert((part.tokens, 0));
+            let (tokens, runs) = self.parts.entry(part.id).or_insert((part.tokens, 0));
+            // Counted once, also if the prompt lists the part twice.
+            if *runs == 0 {
+                self.tokens += f64::from(*tokens);
+            }
             *runs += 1;
         }
         let parts = prompt.iter().map(|part| part.id).collect();
--- a/src/policy/needs.rs
+++ b/src/policy/needs.rs
@@ -53,11 +53,13 @@
         if self.samples == 1 {
             self.fast_share = share.min(1.0);
         }
-        self.fast_share += if share < self.fast_share {
+        let step = if share < self.fast_share {
             -0.018
         } else {
             0.002
         };
+        // Without the bound, programs far faster than their target would make it negative.
+        self.fast_share = (self.fast_share + step).max(0.0);
         average(&mut self.requests, self.samples, f64::from(sample.requests));
     }
 
--- a/src/policy/programs.rs
+++ b/src/policy/programs.rs
@@ -56,7 +56,7 @@
     /// Queued and running requests.
     open_requests: u32,
     last_activity: Instant,
-    /// Team and class; none if its requests carry no demand.
+    /// Team and class; none if its requests carry no demand, or concern an object.
     flow: Option<Flow>,
     requests: u32,
     /// Time at servers that its flow was charged.
@@ -122,10 +122,13 @@
             server_ms: 0.0,
             open_requests: 0,
             last_activity: now,
-            flow: request.demand.as_ref().map(|demand| Flow {
-                team: demand.team,
-                class: demand.class,
-            }),
+            // Requests that concern an object are for services without an engine.
+            flow: (request.demand.as_ref())
+                .filter(|demand| demand.object.is_none())
+                .map(|demand| Flow {
+                    team: demand.team,
+                    class: demand.class,
+                }),
             requests: 0,
             charged_ms: None,
             first_seen: now,
@@ -140,9 +143,11 @@
         program.open_requests += 1;
         program.last_activity = now;
         program.ended = false;
-        if program
-            .flow
-            .is_none_or(|flow| self.fairness.goes_first(flow))
+        // The order of the flows only matters to programs that are not admitted yet.
+        if program.reserved_slots.is_none()
+            && program
+                .flow
+                .is_none_or(|flow| self.fairness.goes_first(flow))
         {
             self.try_admit(now_ms, key, capacity);
         }
@@ -196,6 +201,19 @@
         true
     }
 
+    /// Whether slots are reserved for the program.
+    pub(super) fn is_admitted(&self, key: u64) -> bool {
+        let program = self.by_key.get(&key);
+        program.is_some_and(|program| program.reserved_slots.is_some())
+    }
+
+    /// Whether the program has a flow, is not admitted, and none of its requests was granted.
+    pub(super) fn awaits_admission(&self, key: u64) -> bool {
+        self.by_key.get(&key).is_some_and(|program| {
+            program.flow.is_some() && program.reserved_slots.is_none() && !program.has_started
+        })
+    }
+
     /// Notes that a request of the program was granted.
     pub(super) fn request_granted(&mut self, key: u64) {
         if let Some(program) = self.by_key.get_mut(&key) {
@@ -252,7 +270,10 @@
         self.release(now, now_ms, false);
         self.fairness.sweep();
         self.by_key.retain(|_, program| {
-            program.open_requests > 0 || program.last_activity + RETENTION > now
+            // After a stall, reserved slots may not have been released yet.
+            program.open_requests > 0
+                || program.reserved_slots.is_some()
+                || program.last_activity + RETENTION > now
         });
     }
 
--- a/src/policy/service_pool.rs
+++ b/src/policy/service_pool.rs
@@ -158,17 +158,17 @@
         }
     }
 
-    /// Whether a request needs more memory than any server of the service has.
+    /// Whether a request needs more memory than any server of the service has, even if it generates a single token.
+    /// The expected output does not count: it is a guess, and the refusal is final.
     pub(super) fn is_too_large(&self, now: Instant, request: &Request) -> bool {
         if request.demand.is_none() {
             return false;
         }
         let need = Need::of(request, &self.profile.outputs);
-        let needed = need.prompt + need.output.unwrap_or_default();
         let largest = self.servers.iter().map(|server| server.info.cache_tokens);
         self.profile.has_reports(now)
             && self.servers.iter().all(Server::has_memory)
-            && needed > largest.max().unwrap_or_default() as f64
+            && need.prompt + 1.0 > largest.max().unwrap_or_default() as f64
     }
 
     /// Slots of usable servers, without those taken by other senders.
@@ -256,7 +256,9 @@
         for permit in self.queue.most_urgent(now_ms, MAX_SCANNED) {
             let Some((
                 QueuedRequest {
-                    request, priority, ..
+                    request,
+                    priority,
+                    place,
                 },
                 Band::Late,
             )) = self.queue.get(permit)
@@ -266,40 +268,33 @@
             let Some(program) = request.program else {
                 continue;
             };
-            if request.demand.is_some() {
-                // Admitted in the order of the shares, see `admit_waiting`.
+            // Admitted in the order of the shares, see `admit_waiting`. That moves one request of the
+            // program; the others follow here.
+            if place.is_some() && !self.programs.is_admitted(program) {
                 continue;
             }
             if priority.admitted || !self.programs.try_admit(now_ms, program, capacity) {
                 continue;
             }
-            if let Some(QueuedRequest {
-                request, priority, ..
-            }) = self.queue.remove(permit)
-            {
-                let priority = self
-                    .programs
-                    .priority(priority.arrival_ms, program, &request);
-                self.queue.push(
-                    now_ms,
-                    permit,
-                    QueuedRequest {
-                        request,
-                        priority,
-                        place: None,
-                    },
-                );
+            if let Some(mut queued) = self.dequeue(permit) {
+                let arrival_ms = queued.priority.arrival_ms;
+                queued.priority = self.programs.priority(arrival_ms, program, &queued.request);
+                self.enqueue(now_ms, permit, queued);
             }
         }
     }
 
     /// Whether a request has to wait until its program is admitted: the program has not begun, and starting it would
     /// take slots that admitted programs use up.
-    pub(super) fn must_hold(&self, now: Instant, request: &Request, priority: Priority) -> bool {
-        if request.demand.is_none() || priority.admitted || priority.has_started {
+    pub(super) fn must_hold(&self, now: Instant, request: &Request) -> bool {
+        // The program may have begun, or been admitted, since the request was queued.
+        let is_held = |program| self.programs.awaits_admission(program);
+        if request.demand.is_none() || !request.program.is_some_and(is_held) {
             return false;
         }
-        let in_flight: usize = self.servers.iter().map(|server| server.in_flight).sum();
+        // Runs on draining or ejected servers take no slots of the capacity.
+        let usable = self.servers.iter().filter(|server| server.is_usable(now));
+        let in_flight: usize = usable.map(|server| server.in_flight).sum();
         in_flight as f64 >= self.capacity(now)
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -283,6 +283,10 @@
     /// Timeout of a graceful shutdown, in milliseconds.
     #[serde(default = "Settings::default_stop")]
     pub stop_ms: u64,
+    /// Whether runs that would be costly to lose are copied to a second engine while they run, where
+    /// the engines offer it. A copy transfers all memory of a run.
+    #[serde(default)]
+    pub run_copies: bool,
 }
 
 impl Gateway {
--- a/tests/fleet/plain.rs
+++ b/tests/fleet/plain.rs
@@ -223,7 +223,8 @@
         let load = Load {
             running: state.running,
             waiting: state.waiting.len(),
-            host_pace: Some(HostPace(state.pace)),
+            // The previous order read no pace.
+            host_pace: self.scenario.enabled.then_some(HostPace(state.pace)),
         };
         let Call { vm, arrived_us, .. } = self.calls[call];
         if arrived_us > 1_000_000 {
--- a/tests/plain_services.rs
+++ b/tests/plain_services.rs
@@ -108,27 +108,30 @@
         dispatcher.finish(now, Permit(permit), Outcome::Void);
     }
     let later = now + Duration::from_secs(5);
-    let probe = granted(dispatcher.request(later, Permit(10), about(5, 1)));
+    let early = granted(dispatcher.request(later, Permit(15), about(5, 1)));
+    assert_ne!(early, home, "few requests try the server");
+    dispatcher.finish(later, Permit(15), Outcome::Void);
+    let probe = granted(dispatcher.request(later, Permit(16), about(5, 1)));
     assert_eq!(probe, home, "one request tries the server");
-    let second = granted(dispatcher.request(later, Permit(11), about(5, 1)));
+    let second = granted(dispatcher.request(later, Permit(32), about(5, 1)));
     assert_ne!(second, home, "no others while it has not answered");
-    dispatcher.finish(later, Permit(11), Outcome::Void);
-    dispatcher.finish(later, Permit(10), completed(Duration::from_millis(20)));
+    dispatcher.finish(later, Permit(32), Outcome::Void);
+    dispatcher.finish(later, Permit(16), completed(Duration::from_millis(20)));
     let repeated = Request {
         avoid: vec![Arc::clone(&home)],
         ..about(5, 1)
     };
     assert_ne!(
-        granted(dispatcher.request(later, Permit(12), repeated)),
+        granted(dispatcher.request(later, Permit(33), repeated)),
         home
     );
-    dispatcher.finish(later, Permit(12), Outcome::Void);
+    dispatcher.finish(later, Permit(33), Outcome::Void);
     dispatcher.update_server(Description {
         draining: true,
         ..server(&home, "a", 6)
     });
     assert_ne!(
-        granted(dispatcher.request(later, Permit(13), about(5, 1))),
+        granted(dispatcher.request(later, Permit(34), about(5, 1))),
         home
     );
 }
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -240,7 +240,7 @@
                 "address": store.address, "writes_per_second": 800, "reads_per_second": 2000,
                 "partitions": 4,
             },
-            "cores": 1.0, "stop_ms": 4000,
+            "cores": 1.0, "stop_ms": 4000, "run_copies": true,
         });
         let dir = Arc::new(tempfile::tempdir().expect("a temporary folder"));
         let path = dir.path().join("settings.json");
