Tell other VMs of failures at plain servers

Change: a failed request counts like the report of a host ten times slower, which the exchange passes on; the next answer to any VM replaces it. A server whose answers contradict its reports is left out like a slow one.

--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -656,7 +656,13 @@
                 }
             }
             Outcome::Error => server.record_error(now, mean_error_rate.unwrap_or_default()),
-            Outcome::Full | Outcome::Failed => server.eject(now),
+            Outcome::Full => server.eject(now),
+            Outcome::Failed => {
+                server.eject(now);
+                if let Some(share) = self.plain.get_mut(&request.service) {
+                    share.record_failure(now, &request.server);
+                }
+            }
             Outcome::Void => {}
         }
     }
--- a/src/policy/load_share.rs
+++ b/src/policy/load_share.rs
@@ -52,6 +52,10 @@
 /// Bounds of a reported pace, against servers that report wrong figures. Hosts are hardly faster than
 /// usual, so a low pace is not to attract requests.
 const PACE_BOUNDS: (u32, u32) = (80, 1000);
+/// Pace that stands for a server at which a request has failed. A server that resets its connections
+/// reports nothing, and each VM would have to fail there once before it avoids the server; the next
+/// answer to any VM replaces the report.
+const FAILED_PACE: HostPace = HostPace(PACE_BOUNDS.1);
 /// Bound of a reported load, so that reports fit into their datagram.
 const MAX_REPORTED_LOAD: u32 = 65_535;
 /// Sends remembered for each server.
@@ -142,6 +146,16 @@
         self.known.remove(&server_hash(id));
     }
 
+    /// Records that a request of this VM failed at a server.
+    pub(super) fn record_failure(&mut self, now: Instant, server: &str) {
+        if !self.is_active(now) {
+            return;
+        }
+        let known = self.known.entry(server_hash(server)).or_default();
+        known.report = Some((now, 0, FAILED_PACE));
+        known.unsent = true;
+    }
+
     /// Records a load that came with an answer to this VM.
     pub(super) fn record_answer(&mut self, now: Instant, server: &str, load: Load) {
         let known = self.known.entry(server_hash(server)).or_default();
@@ -188,7 +202,9 @@
             if known.report.is_none_or(|(known_at, ..)| known_at < at) {
                 known.report = Some((at, report.load, clamped(report.pace)));
                 known.unsent = false;
-                self.add_to_mean(clamped(report.pace));
+                if report.pace < FAILED_PACE {
+                    self.add_to_mean(clamped(report.pace));
+                }
                 self.newest = self.newest.max(Some(at));
             }
         }
@@ -268,11 +284,17 @@
         estimate.pace > self.mean_pace * SLOW_RATIO
     }
 
+    /// Whether a server is expected to be slow, or reports a pace that its answers contradict.
+    fn is_slow_server(&self, server: &Server, estimate: &Estimate) -> bool {
+        self.is_slow(estimate) || server.pace.is_distrusted()
+    }
+
     /// Whether the server answered some VM a moment ago, which shows that it has recovered from an earlier failure.
     fn has_fresh_report(&self, now: Instant, server: &Server) -> bool {
         let hash = server_hash(&server.info.id);
         let known = self.known.get(&hash);
-        server.is_usable(now) && known.is_some_and(|known| known.fresh_report(now, hash).is_some())
+        let report = known.and_then(|known| known.fresh_report(now, hash));
+        server.is_usable(now) && report.is_some_and(|report| report.pace < FAILED_PACE)
     }
 
     fn has_open_connection(&self, now: Instant, server: &Server) -> bool {
@@ -294,8 +316,9 @@
         let usual_ms = pool.mean_ms_per_work.unwrap_or(USUAL_MS_BOUNDS.0);
         let usual_ms = usual_ms.clamp(USUAL_MS_BOUNDS.0, USUAL_MS_BOUNDS.1);
         let is_active = self.is_active(now);
-        let is_slow =
-            |server: &Server| is_active && self.is_slow(&self.estimate(now, server, usual_ms));
+        let is_slow = |server: &Server| {
+            is_active && self.is_slow_server(server, &self.estimate(now, server, usual_ms))
+        };
         if let Some(object) = request.demand.as_ref().and_then(|demand| demand.object)
             && let Some(choice) =
                 pool.choose_for_object(now, permit, request, band, object, is_slow)
@@ -335,7 +358,7 @@
             Candidate {
                 index,
                 is_open,
-                is_slow: self.is_slow(&estimate),
+                is_slow: self.is_slow_server(server, &estimate),
                 cost: estimate.cost + zone_cost + connection_cost,
             }
         });
--- a/tests/load_reports.rs
+++ b/tests/load_reports.rs
@@ -233,6 +233,42 @@
     false_reports
 }
 
+/// Guards against each VM failing at a server that resets all requests before it avoids it, and against
+/// a failure that keeps the others away after the server has answered again.
+#[test]
+fn failures_are_told_to_the_other_vms() {
+    let now = Instant::now();
+    let vm = || {
+        let mut dispatcher = Dispatcher::default();
+        dispatcher.set_servers((0..4).map(|number| server(&format!("s{number}"), "a", 6)));
+        dispatcher.set_plain_services([Arc::from("pool")]);
+        dispatcher
+    };
+    let (mut one, mut other) = (vm(), vm());
+    let answer = Outcome::Done {
+        took: Duration::from_millis(20),
+        work: 1.0,
+        load: Some(load(1, Some(100))),
+    };
+    let use_server = |dispatcher: &mut Dispatcher, number: u64, outcome| {
+        let Placement::Granted(server) = dispatcher.request(now, Permit(number), request(0)) else {
+            panic!("not granted");
+        };
+        dispatcher.finish(now, Permit(number), outcome);
+        server
+    };
+    for number in 1..20 {
+        use_server(&mut one, number, answer);
+        use_server(&mut other, number, answer);
+    }
+    let failed = use_server(&mut one, 20, Outcome::Failed);
+    let reports = one.take_load_reports(now, "pool").expect("reports");
+    other.merge_load_reports(now, "pool", &reports);
+    for number in 21..60 {
+        assert_ne!(use_server(&mut other, number, answer), failed);
+    }
+}
+
 /// Guards against a slow server that gets more calls by false reports of its host than without them.
 #[test]
 fn false_reports_do_not_attract_calls() {
