--- a/src/gateway/conversation/assemble.rs
+++ b/src/gateway/conversation/assemble.rs
@@ -88,8 +88,12 @@
             } else {
                 let turn = id.clone();
                 let question = Question::Locate { turn, lost };
-                let patience = self.partitions.store.observer().patience(LOCATE_TIMEOUT);
-                let reply = timeout(patience, self.peers.ask(home.address, &question));
+                let limit = self
+                    .partitions
+                    .store
+                    .observer()
+                    .scaled_timeout(LOCATE_TIMEOUT);
+                let reply = timeout(limit, self.peers.ask(home.address, &question));
                 reply.await.ok().flatten()
             };
             let holder = match reply {
--- a/src/gateway/conversation/load.rs
+++ b/src/gateway/conversation/load.rs
@@ -141,7 +141,7 @@
         let max_reads = if self.is_store_down() { 1 } else { MAX_READS };
         for _ in 0..max_reads {
             let store = self.store.borrow().clone();
-            let read_timeout = store.observer().patience(READ_TIMEOUT);
+            let read_timeout = store.observer().scaled_timeout(READ_TIMEOUT);
             match timeout(read_timeout, store.read_latest(topic, partition)).await {
                 Ok(Ok(newest)) => return Ok(newest),
                 // The topic or partition does not exist until its first write.
--- a/src/gateway/conversation/record.rs
+++ b/src/gateway/conversation/record.rs
@@ -127,7 +127,7 @@
                 .store
                 .borrow()
                 .observer()
-                .patience(STORE_TIMEOUT)
+                .scaled_timeout(STORE_TIMEOUT)
         };
         if timeout(store_timeout, writer.wait_until_recorded(&turn.id))
             .await
--- a/src/gateway/front/mod.rs
+++ b/src/gateway/front/mod.rs
@@ -352,7 +352,7 @@
         let last_read = self.routing.borrow().last_store_read;
         // At a slow store the answer to the read after that one is still on its way.
         let slow_answer = match self.partitions.store.observer().health() {
-            health if health.is_slow() => health.patience(Duration::ZERO),
+            health if health.is_slow() => health.scaled_timeout(Duration::ZERO),
             _ => Duration::ZERO,
         };
         last_read.is_some_and(|at| at.elapsed() < STORE_SILENCE_TIMEOUT + slow_answer)
--- a/src/gateway/tokens/failover.rs
+++ b/src/gateway/tokens/failover.rs
@@ -87,7 +87,11 @@
         } else {
             STORE_TIMEOUT
         };
-        let store_timeout = self.partitions.store.observer().patience(store_timeout);
+        let store_timeout = self
+            .partitions
+            .store
+            .observer()
+            .scaled_timeout(store_timeout);
         for _ in 0..MAX_ATTEMPTS {
             let Ok(Ok(owner)) =
                 timeout(store_timeout, self.partitions.read_owner(partition_id)).await
--- a/src/gateway/tokens/fallback.rs
+++ b/src/gateway/tokens/fallback.rs
@@ -32,8 +32,8 @@
                 .append(FALLBACK_ALLOWANCE_TOPIC, fallback, &record, None);
             Box::pin(async move { write.await.map(|()| fallback) })
         });
-        let patience = self.store.observer().patience(STORE_TIMEOUT);
-        let written = timeout(patience, select_ok(writes)).await;
+        let limit = self.store.observer().scaled_timeout(STORE_TIMEOUT);
+        let written = timeout(limit, select_ok(writes)).await;
         let Ok(Ok((fallback, _))) = written else {
             // If the store took another record meanwhile, it is slow and not lost.
             let is_slow = written.is_err() && self.last_success.get() >= Some(began);
--- a/src/gateway/tokens/handover.rs
+++ b/src/gateway/tokens/handover.rs
@@ -64,7 +64,10 @@
     /// this check, those that notice late would hand their partitions to those that noticed early.
     async fn is_store_back(&self, partition_id: u64) -> bool {
         let read = timeout(
-            self.partitions.store.observer().patience(STORE_TIMEOUT),
+            self.partitions
+                .store
+                .observer()
+                .scaled_timeout(STORE_TIMEOUT),
             self.partitions.read_owner(partition_id),
         )
         .await;
@@ -194,7 +197,11 @@
         let takeover =
             self.partitions
                 .take_over(partition_id, &partition, None, Origin::HandedOver);
-        let takeover_timeout = self.partitions.store.observer().patience(TAKEOVER_TIMEOUT);
+        let takeover_timeout = self
+            .partitions
+            .store
+            .observer()
+            .scaled_timeout(TAKEOVER_TIMEOUT);
         let taken_over = timeout(takeover_timeout, takeover).await;
         let taken_over = matches!(taken_over, Ok(Ok(())));
         if !taken_over && !ending {
--- a/src/gateway/tokens/owner.rs
+++ b/src/gateway/tokens/owner.rs
@@ -323,7 +323,10 @@
             if partition.failing_since.get().is_some() || self.partitions.should_skip_store() {
                 Duration::ZERO
             } else {
-                self.partitions.store.observer().patience(STORE_TIMEOUT)
+                self.partitions
+                    .store
+                    .observer()
+                    .scaled_timeout(STORE_TIMEOUT)
             };
         let replica = Replica {
             part: partition_id,
--- a/src/gateway/world/reader.rs
+++ b/src/gateway/world/reader.rs
@@ -99,7 +99,7 @@
         let now = Instant::now();
         // Servers could not renew their registrations at a store that was slow or silent.
         let store_health = self.store.observer().health();
-        let keep_missing = !store_health.is_well_for(now, REREGISTRATION_TIMEOUT)
+        let keep_missing = !store_health.is_healthy_for(now, REREGISTRATION_TIMEOUT)
             || self.keep_missing_until.is_some_and(|until| now < until);
         if self.keep_missing_until.is_some() && !keep_missing {
             self.keep_missing_until = None;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -162,14 +162,14 @@
         self.lock().clone()
     }
 
-    /// Time limit of a wait for a call; see [`StoreHealth::patience`]. At a silent store it is `limit`, even if the
+    /// Time limit of a wait for a call; see [`StoreHealth::scaled_timeout`]. At a silent store it is `limit`, even if the
     /// store was slow before: two longer waits in a row exceed the 2 s after which callers leave.
-    pub(crate) fn patience(&self, limit: Duration) -> Duration {
+    pub(crate) fn scaled_timeout(&self, limit: Duration) -> Duration {
         let health = self.lock();
         if health.is_silent(Instant::now()) {
             return limit;
         }
-        health.patience(limit)
+        health.scaled_timeout(limit)
     }
 
     pub(crate) fn is_slow(&self) -> bool {
@@ -259,7 +259,7 @@
 
     /// Time limit of a call. Also longer during a silence that follows slow answers, since only an answer ends it.
     fn call_timeout(&self) -> Duration {
-        self.observer.lock().patience(CALL_TIMEOUT)
+        self.observer.lock().scaled_timeout(CALL_TIMEOUT)
     }
 
     /// Drops the pooled connections, since an unresponsive one would also stall the next call.
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -798,7 +798,7 @@
         profile.record_report(now, &mut server.pace, host_pace, age);
     }
     run.observe(now, &server.pace);
-    run.work.others = f64::midpoint(run.work.others, server.batch_mates());
+    run.work.others = f64::midpoint(run.work.others, server.concurrent_requests());
     run.work.output_tokens = tokens_per_event.map_or(0.0, |tokens| (work - 1.0) * tokens as f64);
     profile.record_answer(&mut server.pace, &run, took);
 }
--- a/src/policy/needs.rs
+++ b/src/policy/needs.rs
@@ -9,6 +9,9 @@
 const PAUSE_DEVIATIONS: f64 = 4.0;
 /// Shortest such time; below it, the spread of a few samples is not trusted.
 const MIN_PAUSE: Duration = Duration::from_millis(250);
+/// Step of the share of the target in which one in ten programs ends. A step down is nine times as
+/// large, so that the steps balance at that share.
+const FAST_SHARE_STEP: f64 = 0.002;
 /// Programs of a class that must have ended before its averages are used. The averages are plain means until then.
 const MIN_SAMPLES: u32 = 20;
 /// Classes are routes; cleared when full.
@@ -54,9 +57,9 @@
             self.fast_share = share.min(1.0);
         }
         let step = if share < self.fast_share {
-            -0.018
+            -9.0 * FAST_SHARE_STEP
         } else {
-            0.002
+            FAST_SHARE_STEP
         };
         // Without the bound, programs far faster than their target would make it negative.
         self.fast_share = (self.fast_share + step).max(0.0);
@@ -91,7 +94,7 @@
     pub(super) fn remaining(&self, target_ms: f64, requests: u32) -> Option<Duration> {
         let expected = (self.requests * target_ms / self.target_ms.max(1.0)).max(1.0);
         let share = 1.0 - f64::from(requests.saturating_sub(1)) / expected;
-        // A request may arrive after the deadline of its program, with a negative target.
+        // A negative time can't be converted, and would end the task that serves the request.
         let remaining_ms = (target_ms * self.fast_share * share.max(1.0 / expected)).max(0.0);
         self.is_known()
             .then(|| Duration::from_secs_f64(remaining_ms / 1000.0))
--- a/src/policy/pace.rs
+++ b/src/policy/pace.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Age at which a report tells nothing any more: the period with which hosts change.
+/// Age at which a report is ignored: the period with which hosts change.
 const REPORT_LIFETIME: Duration = Duration::from_millis(600);
 /// A service without a report for this long is placed as one whose servers report no pace.
 const REPORTING_PERIOD: Duration = Duration::from_secs(10);
@@ -28,7 +28,7 @@
 const SERVICE_WEIGHT: f64 = 0.02;
 /// Share of the fit that the newest answer replaces.
 const FIT_WEIGHT: f64 = 1.0 / 512.0;
-/// Ratio of the highest to the lowest pace during a run above which the run teaches nothing: the
+/// Ratio of the highest to the lowest pace during a run above which nothing is learned from the run: the
 /// host has changed at an unknown time.
 const MAX_PACE_RATIO: f64 = 1.3;
 /// Reports of a server are ignored if answers deviate this much more, as a logarithm, from the time
@@ -164,7 +164,7 @@
     }
 }
 
-/// What the answers of all servers of a service taught.
+/// What is learned from the answers of all servers of a service.
 #[derive(Debug)]
 pub(super) struct Profile {
     /// Weighted sums of the products of terms, and of terms and times, for a least-squares fit.
--- a/src/policy/programs.rs
+++ b/src/policy/programs.rs
@@ -34,6 +34,9 @@
 const IDLE_TIMEOUT: Duration = Duration::from_millis(2500);
 /// How long an ended program is remembered.
 const RETENTION: Duration = Duration::from_secs(30);
+/// Longest time on idle servers that a flow is charged for a program that is admitted. Callers declare
+/// the target, and a huge one must not put all programs of the class behind the others.
+const MAX_CHARGED_MS: f64 = 60_000.0;
 /// Cleared when full.
 const MAX_PROGRAMS: usize = 50_000;
 
@@ -195,7 +198,7 @@
         program.reserved_slots = Some(slots);
         self.reserved_slots += slots;
         if let (Some(flow), None) = (program.flow, program.charged_ms) {
-            let ms = slots * program.idle_ms();
+            let ms = slots * program.idle_ms().min(MAX_CHARGED_MS);
             program.charged_ms = Some(ms);
             self.fairness.charge(flow, ms);
         }
--- a/src/policy/store_health.rs
+++ b/src/policy/store_health.rs
@@ -15,9 +15,9 @@
 const SLOW_ANSWER: Duration = Duration::from_millis(200);
 /// Factor between the usual answer and a time limit: a record may wait behind one write in progress, and then takes one
 /// of its own.
-const PATIENCE_FACTOR: u32 = 3;
+const TIMEOUT_FACTOR: u32 = 3;
 /// Upper bound of time limits that grow with a slow store: callers leave after 2 s without an event.
-const MAX_PATIENCE: Duration = Duration::from_millis(1500);
+const MAX_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time from its arrival for which a turn waits for a silent store: callers leave after 2 s without an event, and the
 /// engine needs time for the first one.
 const MAX_TURN_WAIT: Duration = Duration::from_millis(1500);
@@ -40,7 +40,7 @@
 pub enum State {
     /// It answers in its usual time.
     #[default]
-    Well,
+    Healthy,
     /// It answers slowly.
     Slow,
     /// It does not answer.
@@ -50,7 +50,7 @@
 impl fmt::Display for State {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Self::Well => "well",
+            Self::Healthy => "healthy",
             Self::Slow => "slow",
             Self::Silent => "silent",
         })
@@ -72,7 +72,7 @@
 ///     health.answered(late, late - start);
 /// }
 /// assert!(health.is_slow());
-/// assert_eq!(health.patience(Duration::from_millis(250)), Duration::from_millis(1200));
+/// assert_eq!(health.scaled_timeout(Duration::from_millis(250)), Duration::from_millis(1200));
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct StoreHealth {
@@ -80,7 +80,7 @@
     /// When the first regular call was sent that no answer to any call has followed.
     unanswered_since: Option<Instant>,
     /// When the store was last seen slow or silent.
-    unwell_at: Option<Instant>,
+    last_unhealthy_at: Option<Instant>,
 }
 
 impl StoreHealth {
@@ -97,7 +97,7 @@
         }
         self.times.push_back(took);
         if self.is_slow() {
-            self.unwell_at = Some(now);
+            self.last_unhealthy_at = Some(now);
         }
         was_silent
     }
@@ -107,7 +107,7 @@
     pub fn refused(&mut self, now: Instant) -> bool {
         let was_silent = self.is_silent(now);
         if was_silent {
-            self.unwell_at = Some(now);
+            self.last_unhealthy_at = Some(now);
         }
         self.unanswered_since = None;
         was_silent
@@ -136,14 +136,14 @@
         match (self.is_silent(now), self.is_slow()) {
             (true, _) => State::Silent,
             (false, true) => State::Slow,
-            (false, false) => State::Well,
+            (false, false) => State::Healthy,
         }
     }
 
     /// How long the store has not answered any call; `None` if it is not silent.
     #[must_use]
     pub fn silent_for(&self, now: Instant) -> Option<Duration> {
-        let limit = (self.usual_answer() * PATIENCE_FACTOR).max(MIN_SILENCE);
+        let limit = (self.usual_answer() * TIMEOUT_FACTOR).max(MIN_SILENCE);
         let waited = now.saturating_duration_since(self.unanswered_since?);
         (waited > limit).then_some(waited)
     }
@@ -165,28 +165,28 @@
     /// use vanillatrail::policy::store_health::StoreHealth;
     /// let (start, second) = (Instant::now(), Duration::from_secs(1));
     /// let mut health = StoreHealth::default();
-    /// assert!(health.is_well_for(start, second));
+    /// assert!(health.is_healthy_for(start, second));
     /// health.begin(start);
-    /// assert!(!health.is_well_for(start + second, second));
+    /// assert!(!health.is_healthy_for(start + second, second));
     /// health.answered(start + second * 2, second * 2);
-    /// assert!(!health.is_well_for(start + second * 2, second));
-    /// assert!(health.is_well_for(start + second * 3, second));
+    /// assert!(!health.is_healthy_for(start + second * 2, second));
+    /// assert!(health.is_healthy_for(start + second * 3, second));
     /// ```
     #[must_use]
-    pub fn is_well_for(&self, now: Instant, time: Duration) -> bool {
-        let recently_unwell = self
-            .unwell_at
+    pub fn is_healthy_for(&self, now: Instant, time: Duration) -> bool {
+        let recently_unhealthy = self
+            .last_unhealthy_at
             .is_some_and(|at| now.saturating_duration_since(at) < time);
-        !recently_unwell && !self.is_slow() && !self.is_silent(now)
+        !recently_unhealthy && !self.is_slow() && !self.is_silent(now)
     }
 
     /// A time limit that is `limit` at a healthy store, and longer at a slow one.
     #[must_use]
-    pub fn patience(&self, limit: Duration) -> Duration {
+    pub fn scaled_timeout(&self, limit: Duration) -> Duration {
         if !self.is_slow() {
             return limit;
         }
-        limit.max((self.usual_answer() * PATIENCE_FACTOR).min(MAX_PATIENCE))
+        limit.max((self.usual_answer() * TIMEOUT_FACTOR).min(MAX_TIMEOUT))
     }
 
     /// The delay of a repeated call, `delay` at a healthy store. Repeating calls that are on their way makes a slow store
--- a/src/policy/window.rs
+++ b/src/policy/window.rs
@@ -169,7 +169,7 @@
         Work {
             prompt_tokens: uncached as f64 + need.beyond_parts,
             output_tokens: need.output.unwrap_or(profile.mean_output_tokens()),
-            others: self.batch_mates(),
+            others: self.concurrent_requests(),
         }
     }
 
@@ -197,7 +197,7 @@
     }
 
     /// Requests that would run beside a new one.
-    pub(super) fn batch_mates(&self) -> f64 {
+    pub(super) fn concurrent_requests(&self) -> f64 {
         let slots = self.info.slots as f64;
         self.believed_load().min((slots - 1.0).max(0.0))
     }
--- a/tests/slow_store.rs
+++ b/tests/slow_store.rs
@@ -332,7 +332,7 @@
         now += took;
         health.answered(now, took);
         assert_eq!(
-            (health.patience(limit), health.hedge_delay(limit)),
+            (health.scaled_timeout(limit), health.hedge_delay(limit)),
             (limit, limit)
         );
         now += Duration::from_secs(1);
