Admit programs by their outcome only where streams can't be resumed

Change: a request to an engine carries a demand only where its stream can't be resumed, so that all other deployments are scheduled, and their messages encoded, as before.

--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -241,11 +241,14 @@
 }
 
 /// What the request is expected to use; `None` if nothing of that matters for its service.
+///
+/// Programs are admitted by their outcome only where streams can't be resumed: elsewhere a run that is
+/// late or lost costs its program little, and the previous order ends more long programs in a burst.
 fn demand(job: &Job) -> Option<dispatch::Demand> {
     // Engines keep prompts, not objects.
-    let keeps_objects = job.route.sticky && job.tokens_per_event == 0;
-    let object = job.meta.affinity.filter(|_| keeps_objects);
-    if job.tokens_per_event == 0 && object.is_none() {
+    let is_plain = job.tokens_per_event == 0;
+    let object = job.meta.affinity.filter(|_| job.route.sticky && is_plain);
+    if object.is_none() && (is_plain || job.route.resumable) {
         return None;
     }
     let tokens = |count: u64| u32::try_from(count).unwrap_or(u32::MAX);
