Keep objects at one server only where VMs exchange load reports

Servers there report no pace, so VMs do not learn of each other's failures, and idle connections of up to 3 s were reused for such calls.

Change: objects are followed only where load reports are exchanged; connections idle for up to 3 s are reused for streams, others that run once keep 1.5 s.

--- a/src/gateway/queue/permit.rs
+++ b/src/gateway/queue/permit.rs
@@ -109,6 +109,13 @@
         self.grant_waiting();
     }
 
+    /// Whether VMs exchange the load reports of a service.
+    pub(crate) fn has_load_reports(&self, service: &str) -> bool {
+        self.dispatcher
+            .borrow()
+            .has_load_reports(Instant::now(), service)
+    }
+
     /// Waiting requests and requests in flight at each server, by service.
     pub(crate) fn state(&self) -> serde_json::Value {
         self.dispatcher.borrow().state()
--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -245,9 +245,12 @@
 /// Programs are admitted by their outcome only where streams can't be resumed: elsewhere a run that is
 /// late or lost costs its program little, and the previous order ends more long programs in a burst.
 fn demand(job: &Job) -> Option<dispatch::Demand> {
-    // Engines keep prompts, not objects.
+    // Engines keep prompts, not objects. Without load reports, VMs do not learn of each other's failures
+    // at a server, and calls that must not be repeated would fail there from each VM.
     let is_plain = job.tokens_per_event == 0;
-    let object = job.meta.affinity.filter(|_| job.route.sticky && is_plain);
+    let keeps_objects =
+        job.route.sticky && is_plain && job.gateway.queue.has_load_reports(&job.service);
+    let object = job.meta.affinity.filter(|_| keeps_objects);
     if object.is_none() && (is_plain || job.route.resumable) {
         return None;
     }
--- a/src/gateway/server/attempt.rs
+++ b/src/gateway/server/attempt.rs
@@ -18,11 +18,13 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Maximum idle time of a connection that is reused for a non-idempotent request. Limited, since the
-/// server may have dropped an idle connection, and a reset leaves open whether the request ran. Not
-/// below the time for which the dispatcher assumes a connection to be open, or it would choose
-/// servers for connections that are not reused.
-const MAX_IDLE_NON_IDEMPOTENT: Duration = Duration::from_secs(3);
+/// Maximum idle time of a connection that is reused for a non-idempotent request. Short, since the
+/// server may have dropped an idle connection, and a reset leaves open whether the request ran.
+const MAX_IDLE_NON_IDEMPOTENT: Duration = Duration::from_millis(1500);
+/// The same for a stream, which its caller may begin again. Not below the time for which the
+/// dispatcher assumes a connection to be open, or it would choose engines for connections that are
+/// not reused.
+const MAX_IDLE_STREAM: Duration = Duration::from_secs(3);
 /// Maximum idle time of a connection that is reused for an idempotent request.
 const MAX_IDLE_IDEMPOTENT: Duration = Duration::from_secs(30);
 /// Maximum size of a buffered response body.
@@ -163,6 +165,8 @@
 async fn send(job: &Job, server: &Arc<Entry>, run: &RunHeaders<'_>) -> AttemptResult {
     let max_idle = if job.route.idempotent() {
         MAX_IDLE_IDEMPOTENT
+    } else if job.route.kind == Kind::Stream {
+        MAX_IDLE_STREAM
     } else {
         MAX_IDLE_NON_IDEMPOTENT
     };
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -696,6 +696,14 @@
         self.plain.contains_key(service)
     }
 
+    /// Whether servers of a service without an engine report the pace of their hosts.
+    #[must_use]
+    pub fn has_load_reports(&self, now: Instant, service: &str) -> bool {
+        self.plain
+            .get(service)
+            .is_some_and(|share| share.is_active(now))
+    }
+
     /// Load reports that came with answers since the previous call; `None` if the service was not
     /// used since, or its servers do not report the pace of their hosts.
     pub fn take_load_reports(&mut self, now: Instant, service: &str) -> Option<Vec<Report>> {
