--- a/src/gateway/front/metrics.rs
+++ b/src/gateway/front/metrics.rs
@@ -160,10 +160,10 @@
                 "memory_waits",
                 "Requests queued since no engine with room had enough memory, by service",
             ),
-            programs_waiting: meter
-                .u64_gauge("programs_waiting")
-                .with_description("Programs that wait here to be admitted in the order of shares")
-                .build(),
+            programs_waiting: gauge(
+                "programs_waiting",
+                "Programs that wait here to be admitted in the order of shares",
+            ),
             store_answer_ms: meter
                 .f64_gauge("store_answer_ms")
                 .with_description("Milliseconds that the store usually takes to answer")
--- a/src/gateway/queue/permit.rs
+++ b/src/gateway/queue/permit.rs
@@ -109,13 +109,6 @@
         self.grant_waiting();
     }
 
-    /// Whether VMs exchange the load reports of a service.
-    pub(crate) fn has_load_reports(&self, service: &str) -> bool {
-        self.dispatcher
-            .borrow()
-            .has_load_reports(Instant::now(), service)
-    }
-
     /// Waiting requests and requests in flight at each server, by service.
     pub(crate) fn state(&self) -> serde_json::Value {
         self.dispatcher.borrow().state()
@@ -378,11 +371,11 @@
     failure.retry_after(retry_after)
 }
 
-/// The failure of a request that no engine can run.
+/// The failure of a request whose prompt no engine can hold.
 pub(crate) fn too_large() -> Failure {
     Failure::refused(
         Code::RequestTooLarge,
-        "the prompt and the expected output exceed the memory of every engine",
+        "the prompt exceeds the memory of every engine",
     )
 }
 
--- a/src/gateway/request/job.rs
+++ b/src/gateway/request/job.rs
@@ -5,7 +5,7 @@
 use crate::gateway::server::continuation::RunState;
 use crate::gateway::tokens::partitions::Grant;
 use crate::gateway::world::directory::Instance;
-use crate::gateway::world::table::Route;
+use crate::gateway::world::table::{Engine, Kind, Route};
 use crate::gateway::world::team::Team;
 use crate::platform::headers::Meta;
 use crate::telemetry::event;
@@ -85,6 +85,26 @@
         u64::try_from(self.arrived.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// Milliseconds until its program misses its target, or the route's where the caller gave none; negative if it
+    /// has.
+    pub(crate) fn left_ms(&self) -> i64 {
+        let age_ms = i64::try_from(self.age_ms()).unwrap_or(i64::MAX);
+        let target_ms = i64::try_from(self.route.latency_target.as_millis()).unwrap_or(i64::MAX);
+        let finish_ms = self.meta.finish_ms.unwrap_or(target_ms);
+        finish_ms.saturating_sub(age_ms)
+    }
+
+    /// Settings of its engines; `None` if its response is not a stream of an engine, or is one that callers resume by
+    /// themselves.
+    pub(crate) fn engine_settings(&self) -> Option<Engine> {
+        if self.route.kind != Kind::Stream || self.route.resumable {
+            return None;
+        }
+        let routing = self.gateway.routing.borrow();
+        let services = &routing.table.as_ref()?.services;
+        services.get(&*self.service)?.engine
+    }
+
     /// Logs and counts the end of the request; `result` is an HTTP status or the reason for the abort.
     pub(crate) fn record_end(&self, result: &str, succeeded: bool) {
         self.end_recorded.set(true);
--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -221,9 +221,9 @@
 }
 
 fn dispatch_request(job: &Job, avoid: &[Arc<str>]) -> dispatch::Request {
-    let age_ms = i64::try_from(job.age_ms()).unwrap_or(i64::MAX);
-    let latency_target_ms = i64::try_from(job.route.latency_target.as_millis()).unwrap_or(i64::MAX);
     let grant = job.allowance.borrow();
+    // Engines keep prompts, not objects.
+    let keeps_objects = job.route.sticky && job.tokens_per_event == 0;
     dispatch::Request {
         service: Arc::clone(&job.service),
         zone: job.gateway.zone(),
@@ -231,12 +231,13 @@
         rank: job.rank(),
         program: job.meta.program.as_ref().map(|program| hash(program)),
         turns: grant.as_ref().map_or(0, |grant| grant.turns),
-        left_ms: job.meta.finish_ms.unwrap_or(latency_target_ms) - age_ms,
+        left_ms: job.left_ms(),
         max_wait_ms: u64::try_from(job.remaining().as_millis()).unwrap_or(u64::MAX),
         session: job.meta.session.as_ref().map(|line| hash(line)),
         prompt: job.meta.prompt_parts.clone(),
         avoid: avoid.to_vec(),
         demand: demand(job),
+        object: job.meta.affinity.filter(|_| keeps_objects),
     }
 }
 
@@ -245,13 +246,7 @@
 /// Programs are admitted by their outcome only where streams can't be resumed: elsewhere a run that is
 /// late or lost costs its program little, and the previous order ends more long programs in a burst.
 fn demand(job: &Job) -> Option<dispatch::Demand> {
-    // Engines keep prompts, not objects. Without load reports, VMs do not learn of each other's failures
-    // at a server, and calls that must not be repeated would fail there from each VM.
-    let is_plain = job.tokens_per_event == 0;
-    let keeps_objects =
-        job.route.sticky && is_plain && job.gateway.queue.has_load_reports(&job.service);
-    let object = job.meta.affinity.filter(|_| keeps_objects);
-    if object.is_none() && (is_plain || job.route.resumable) {
+    if job.tokens_per_event == 0 || job.route.resumable {
         return None;
     }
     let tokens = |count: u64| u32::try_from(count).unwrap_or(u32::MAX);
@@ -261,7 +256,6 @@
         prompt_tokens: tokens(job.meta.prompt_tokens),
         output_tokens: tokens(job.meta.output_hint.unwrap_or_default()),
         max_output_tokens: tokens(job.meta.max_tokens),
-        object,
     })
 }
 
--- a/src/gateway/server/attempt.rs
+++ b/src/gateway/server/attempt.rs
@@ -138,7 +138,7 @@
         AttemptResult::NotRun(_) | AttemptResult::Unreachable
     ) {
         // The run did not begin, so the engine has no pin to release.
-        pinning::forget(job);
+        pinning::discard_planned(job);
     }
     if let AttemptResult::Stream(stream) = &mut result
         && let Some(load) = &mut stream.source.load
@@ -175,12 +175,9 @@
         let reused = pooled.is_some();
         let connection = match pooled.take() {
             Some(connection) => connection,
-            None => match Connection::open(server).await {
-                Ok(connection) => {
-                    job.gateway.metrics.connections.add(1, &[]);
-                    connection
-                }
-                Err(_) => return AttemptResult::Unreachable,
+            None => match job.gateway.connect(server).await {
+                Some(connection) => connection,
+                None => return AttemptResult::Unreachable,
             },
         };
         let closing = connection.closing();
--- a/src/gateway/server/continuation.rs
+++ b/src/gateway/server/continuation.rs
@@ -6,7 +6,6 @@
 use crate::gateway::server::event::EventBatch;
 use crate::gateway::server::pinning::{self, TurnState};
 use crate::gateway::world::directory::{Directory, Entry};
-use crate::gateway::world::table::Kind;
 use crate::platform::headers::{CopyOf, RunHeaders};
 use crate::policy::backup::{Candidate, Copy, Planner, Run, Skip};
 use crate::policy::dispatch::Load;
@@ -97,14 +96,10 @@
 
 /// Whether the run may be copied, and the memory of an engine in tokens if it may.
 fn copyable(job: &Job) -> Option<u64> {
-    let route = &job.route;
-    let is_enabled = job.gateway.settings.run_copies;
-    if !is_enabled || route.kind != Kind::Stream || route.resumable || route.attempts < 2 {
+    if !job.gateway.settings.run_copies || job.route.attempts < 2 {
         return None;
     }
-    let routing = job.gateway.routing.borrow();
-    let service = routing.table.as_ref()?.services.get(&*job.service)?;
-    let engine = service.engine.as_ref().filter(|engine| engine.backups)?;
+    let engine = job.engine_settings().filter(|engine| engine.backups)?;
     Some(engine.cache_tokens)
 }
 
@@ -119,7 +114,7 @@
             copied: refused.copy.is_some(),
         },
     };
-    let decision = order(job, server, engine_tokens, stage);
+    let decision = decide(job, server, engine_tokens, stage);
     let target = decision.as_ref().map(|(_, entry)| entry.address).ok();
     job.run.counted.replace(Some(Counted {
         gateway: Rc::clone(&job.gateway),
@@ -141,7 +136,8 @@
     Continued,
 }
 
-fn order(
+/// Chooses the engine that holds the copy of a run.
+fn decide(
     job: &Job,
     server: &Entry,
     engine_tokens: u64,
@@ -194,13 +190,11 @@
 
 fn describe<'a>(job: &'a Job, server: &'a Entry, engine_tokens: u64) -> Run<'a> {
     let meta = &job.meta;
-    let age_ms = i64::try_from(job.age_ms()).unwrap_or(i64::MAX);
-    let target_ms = i64::try_from(job.route.latency_target.as_millis()).unwrap_or(i64::MAX);
     Run {
         id: &meta.id,
         prompt_tokens: meta.prompt_tokens,
         output_tokens: meta.output_hint.unwrap_or(meta.max_tokens),
-        left_ms: meta.finish_ms.unwrap_or(target_ms).saturating_sub(age_ms),
+        left_ms: job.left_ms(),
         waited: job.queue_time.get(),
         engine_tokens,
         address: server.address,
@@ -214,8 +208,8 @@
 }
 
 /// Records that a run continues at an engine with its moved memory, which may be another one.
-pub(crate) fn count(job: &Job, entry: &Arc<Entry>, is_other: bool) {
-    pinning::forget(job);
+pub(crate) fn record_moved(job: &Job, entry: &Arc<Entry>, is_other: bool) {
+    pinning::discard_planned(job);
     let continuations = job.run.continuations.get() + u32::from(is_other);
     job.run.continuations.set(continuations);
     if let Some(run) = &mut *job.run.counted.borrow_mut() {
@@ -224,7 +218,7 @@
 }
 
 /// The engine that a run may move to.
-pub(crate) fn other_engine(job: &Job, server: &Entry, directory: &Directory) -> Option<Arc<Entry>> {
+pub(crate) fn move_target(job: &Job, server: &Entry, directory: &Directory) -> Option<Arc<Entry>> {
     let run = describe(job, server, 0);
     let planner = job.gateway.copies.planner.borrow();
     let target = planner.target(Instant::now(), &run, candidates(directory, &job.service))?;
@@ -277,7 +271,7 @@
         }
         let continuations = job.run.continuations.get() + 1;
         job.run.continuations.set(continuations);
-        pinning::forget(job);
+        pinning::discard_planned(job);
         job.servers.borrow_mut().push(Arc::clone(&entry.id));
         let from = job.run.counted.borrow().as_ref()?.server.id.clone();
         let backup = plan_next(job, &entry, continuations);
@@ -323,7 +317,7 @@
     None
 }
 
-/// Makes the holder of the copy the engine of the run, and orders a further copy if another attempt is allowed.
+/// Makes the holder of the copy the engine of the run, and asks for a further copy if another attempt is allowed.
 fn plan_next(job: &Job, entry: &Arc<Entry>, continuations: u32) -> Option<SocketAddr> {
     if let Some(run) = &mut *job.run.counted.borrow_mut() {
         run.server = Arc::clone(entry);
@@ -332,7 +326,7 @@
         return None;
     }
     let engine_tokens = copyable(job)?;
-    let (copy, target) = order(job, entry, engine_tokens, Stage::Continued).ok()?;
+    let (copy, target) = decide(job, entry, engine_tokens, Stage::Continued).ok()?;
     let address = target.address;
     if let Some(run) = &mut *job.run.counted.borrow_mut() {
         run.copy = Some((copy, target));
--- a/src/gateway/server/mod.rs
+++ b/src/gateway/server/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to backend servers, and single attempts of requests at them.
 
 pub(crate) mod attempt;
+pub(crate) mod call;
 pub(crate) mod connection;
 pub(crate) mod continuation;
 pub(crate) mod event;
--- a/src/gateway/server/moving.rs
+++ b/src/gateway/server/moving.rs
@@ -3,16 +3,12 @@
 use crate::gateway::Gateway;
 use crate::gateway::request::job::Job;
 use crate::gateway::server::attempt::{AttemptResult, Stream, attempt_at};
-use crate::gateway::server::connection::Connection;
 use crate::gateway::server::continuation;
 use crate::gateway::world::directory::Entry;
-use crate::gateway::world::table::Kind;
 use crate::platform::headers::{self, CopyOf, Move, Moved, RunHeaders};
 use crate::policy::moves::{Planner, Progress};
 use crate::telemetry::event;
-use bytes::Bytes;
-use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http::StatusCode;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -24,8 +20,8 @@
 const COPY_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time limit of the call that stops the run. Callers abandon a stream after 2 s without an event.
 const STOP_TIMEOUT: Duration = Duration::from_secs(1);
-/// Size limit of an answer.
-const MAX_ANSWER_BYTES: usize = 4096;
+/// No idle connection is reused: the engine may have closed it, and a lost call is not repeated.
+const MAX_IDLE: Duration = Duration::ZERO;
 
 /// The moves of the runs whose streams this VM serves.
 #[derive(Debug, Default)]
@@ -59,8 +55,9 @@
         let request = headers::free_handle_request(&self.name, &source.name, source.address);
         tokio::task::spawn_local(async move {
             if let Some(request) = request {
+                let call = gateway.call_engine(&source, request, MAX_IDLE);
                 // A failure is not repeated: the engine frees the handle by its own time limit.
-                drop(timeout(STOP_TIMEOUT, gateway.call_engine(&source, request)).await);
+                drop(timeout(STOP_TIMEOUT, call).await);
             }
         });
     }
@@ -79,20 +76,12 @@
 
 /// Starts to move a run if its engine is draining and the run would outlast it. Called after each event.
 pub(crate) fn start(job: &Rc<Job>, server: &Arc<Entry>, started: Instant) -> Option<Moving> {
-    let route = &job.route;
-    if route.kind != Kind::Stream || route.resumable {
+    job.engine_settings().filter(|engine| engine.moves)?;
+    let gateway = &job.gateway;
+    let directory = Arc::clone(&gateway.routing.borrow().directory);
+    if !directory.get(&server.id)?.draining {
         return None;
     }
-    let gateway = &job.gateway;
-    let directory = {
-        let routing = gateway.routing.borrow();
-        let service = routing.table.as_ref()?.services.get(&*job.service)?;
-        service.engine.as_ref().filter(|engine| engine.moves)?;
-        if !routing.directory.get(&server.id)?.draining {
-            return None;
-        }
-        Arc::clone(&routing.directory)
-    };
     if !continuation::allows_another(job) || job.run.moved.get() {
         return None;
     }
@@ -101,7 +90,7 @@
         expected_tokens: job.meta.output_hint.unwrap_or(job.meta.max_tokens),
         elapsed: started.elapsed(),
     };
-    let target = continuation::other_engine(job, server, &directory)?;
+    let target = continuation::move_target(job, server, &directory)?;
     let limit = Duration::from_millis(gateway.settings.bounds.drain_ms);
     let mut planner = gateway.moves.planner.borrow_mut();
     if !planner.start(Instant::now(), &server.id, &progress, limit) {
@@ -139,7 +128,7 @@
     loop {
         job.servers.borrow_mut().push(Arc::clone(&next.id));
         let is_back = next.id == handle.source.id;
-        continuation::count(job, &next, !is_back);
+        continuation::record_moved(job, &next, !is_back);
         let run = RunHeaders {
             last_event,
             copy_of: Some(CopyOf {
@@ -183,13 +172,13 @@
         let (Some(copy), Some(stop)) = (call(false), call(true)) else {
             return ("no_id", None);
         };
-        let copied = timeout(COPY_TIMEOUT, self.call_engine(source, copy)).await;
+        let copied = timeout(COPY_TIMEOUT, self.call_engine(source, copy, MAX_IDLE)).await;
         match copied {
             Ok(Some((StatusCode::OK, _))) => {}
             Ok(Some((status, _))) => return (refusal(status), None),
             Ok(None) | Err(_) => return ("no_answer", None),
         }
-        let stopped = timeout(STOP_TIMEOUT, self.call_engine(source, stop)).await;
+        let stopped = timeout(STOP_TIMEOUT, self.call_engine(source, stop, MAX_IDLE)).await;
         let Ok(Some((status, body))) = stopped else {
             return ("no_answer", None);
         };
@@ -210,25 +199,6 @@
             (status, _) => (refusal(status), None),
         }
     }
-
-    /// Sends a call to an engine and reads the whole answer.
-    async fn call_engine(
-        &self,
-        server: &Entry,
-        request: Request<Full<Bytes>>,
-    ) -> Option<(StatusCode, Bytes)> {
-        let mut connection = Connection::open(server).await.ok()?;
-        self.metrics.connections.add(1, &[]);
-        let response = connection.send(request).await.ok()?;
-        let headers = headers::Response::of(response.headers());
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
-        let body = body.collect().await.ok()?.to_bytes();
-        if !headers.closes {
-            self.connections.put(connection, headers.keep_alive);
-        }
-        Some((status, body))
-    }
 }
 
 const fn refusal(status: StatusCode) -> &'static str {
--- a/src/gateway/server/pinning.rs
+++ b/src/gateway/server/pinning.rs
@@ -2,13 +2,12 @@
 
 use crate::gateway::Gateway;
 use crate::gateway::request::job::Job;
-use crate::gateway::server::connection::Connection;
 use crate::gateway::world::directory::Entry;
-use crate::gateway::world::table::{self, Kind};
+use crate::gateway::world::table::Engine;
 use crate::platform::headers::{self, Pinned};
 use crate::policy::pins::{Pin, Planner, Room, Turn};
 use crate::telemetry::event;
-use http_body_util::BodyExt;
+use http::StatusCode;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -28,8 +27,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Pins {
     planner: RefCell<Planner>,
-    /// Where each session's pin is, by session.
-    places: RefCell<HashMap<u64, Named>>,
+    /// Locations of the pins, by session.
+    locations: RefCell<HashMap<u64, Location>>,
     releases: Cell<usize>,
 }
 
@@ -45,14 +44,14 @@
     /// Set once the turn was counted.
     turn: Cell<Option<Turn>>,
     /// Pin of the turn before, which the start of this one ends.
-    before: RefCell<Option<Named>>,
+    before: RefCell<Option<Location>>,
     /// Pin that the engine sets at the end of the run.
     planned: RefCell<Option<Planned>>,
 }
 
-/// A pinned prompt at its engine.
+/// The engine of a pin, and the prompt part that identifies the pin there.
 #[derive(Debug, Clone)]
-struct Named {
+struct Location {
     server: Arc<Entry>,
     name: String,
 }
@@ -62,28 +61,25 @@
 struct Planned {
     gateway: Rc<Gateway>,
     pin: Option<Pin>,
-    at: Named,
+    location: Location,
 }
 
 impl Drop for Planned {
     fn drop(&mut self) {
         if let Some(pin) = self.pin.take() {
             self.gateway.pins.planner.borrow_mut().release(&pin);
-            self.gateway.release_pin(self.at.clone(), "not_ended");
+            self.gateway.release_pin(self.location.clone(), "not_ended");
         }
     }
 }
 
 /// The engine settings of a request whose prompt may be pinned.
-fn pinnable(job: &Job) -> Option<table::Engine> {
-    let route = &job.route;
-    if route.kind != Kind::Stream || route.resumable || job.meta.prompt_parts.is_empty() {
+fn pinnable(job: &Job) -> Option<Engine> {
+    if job.meta.prompt_parts.is_empty() {
         return None;
     }
-    let routing = job.gateway.routing.borrow();
-    let service = routing.table.as_ref()?.services.get(&*job.service)?;
-    let engine = service.engine.as_ref();
-    engine.filter(|engine| !engine.pin_limit.is_zero()).cloned()
+    let engine = job.engine_settings();
+    engine.filter(|engine| !engine.pin_limit.is_zero())
 }
 
 /// The turn of a request; `None` if its session is unknown.
@@ -107,11 +103,11 @@
     let pins = &job.gateway.pins;
     let state = &job.run.pins;
     // An earlier attempt was refused; its engine has nothing to release.
-    forget(job);
+    discard_planned(job);
     if state.turn.replace(Some(turn)).is_none() {
         let pin = pins.planner.borrow_mut().arrive(job.arrived, &turn);
-        let place = pins.places.borrow_mut().remove(&turn.session);
-        state.before.replace(pin.and(place));
+        let location = pins.locations.borrow_mut().remove(&turn.session);
+        state.before.replace(pin.and(location));
     }
     let name = headers::last_prompt_part(&job.headers)?;
     let routing = job.gateway.routing.borrow();
@@ -126,7 +122,7 @@
     state.planned.replace(Some(Planned {
         gateway: Rc::clone(&job.gateway),
         pin: Some(pin),
-        at: Named {
+        location: Location {
             server: Arc::clone(server),
             name,
         },
@@ -135,7 +131,7 @@
 }
 
 /// Drops the pin that an attempt has asked for, where its engine has refused the run or is lost.
-pub(crate) fn forget(job: &Job) {
+pub(crate) fn discard_planned(job: &Job) {
     if let Some(mut planned) = job.run.pins.planned.take()
         && let Some(pin) = planned.pin.take()
     {
@@ -164,21 +160,21 @@
     };
     let pins = &job.gateway.pins;
     let planned = state.planned.take();
-    let (pin, at) = planned.map_or((None, None), |mut planned| {
-        (planned.pin.take(), Some(planned.at.clone()))
+    let (pin, location) = planned.map_or((None, None), |mut planned| {
+        (planned.pin.take(), Some(planned.location.clone()))
     });
-    let mut places = pins.places.borrow_mut();
+    let mut locations = pins.locations.borrow_mut();
     let replaced = pins
         .planner
         .borrow_mut()
         .end(Instant::now(), turn, pin.clone());
     let refused = replaced.is_some() && replaced == pin;
     let outdated = if refused {
-        at.clone()
+        location.clone()
     } else {
-        replaced.and(places.remove(&turn.session))
+        replaced.and(locations.remove(&turn.session))
     };
-    if let (Some(pin), Some(at), false) = (&pin, at, refused) {
+    if let (Some(pin), Some(location), false) = (&pin, location, refused) {
         job.gateway.metrics.count_pin("set");
         if job.gateway.sampler.should_log(&job.meta.id) {
             event!(
@@ -190,9 +186,9 @@
                 tokens = pin.tokens
             );
         }
-        places.insert(turn.session, at);
+        locations.insert(turn.session, location);
     }
-    drop(places);
+    drop(locations);
     if let Some(outdated) = outdated {
         job.gateway.release_pin(outdated, "replaced");
     }
@@ -208,8 +204,8 @@
     let mut released = state.before.take();
     if let Some(turn) = turn(job) {
         let pin = pins.planner.borrow_mut().end_session(turn.session);
-        let place = pins.places.borrow_mut().remove(&turn.session);
-        released = released.or(pin.and(place));
+        let location = pins.locations.borrow_mut().remove(&turn.session);
+        released = released.or(pin.and(location));
     }
     if let Some(released) = released {
         job.gateway.release_pin(released, reason);
@@ -217,14 +213,14 @@
 }
 
 impl Gateway {
-    /// Forgets the places of pins that have expired.
+    /// Forgets the locations of pins that have expired.
     pub(crate) fn sweep_pins(&self) {
         let planner = self.pins.planner.borrow();
-        let mut places = self.pins.places.borrow_mut();
-        places.retain(|session, _| planner.has_pin(*session));
+        let mut locations = self.pins.locations.borrow_mut();
+        locations.retain(|session, _| planner.has_pin(*session));
     }
 
-    fn release_pin(self: &Rc<Self>, pin: Named, reason: &'static str) {
+    fn release_pin(self: &Rc<Self>, pin: Location, reason: &'static str) {
         let releases = &self.pins.releases;
         if releases.get() >= MAX_RELEASES {
             self.metrics.count_pin("left_to_expire");
@@ -254,7 +250,7 @@
         });
     }
 
-    async fn send_release(&self, pin: &Named) -> bool {
+    async fn send_release(&self, pin: &Location) -> bool {
         let Some(request) = headers::release_request(&Pinned {
             name: &pin.name,
             server: &pin.server.name,
@@ -262,27 +258,7 @@
         }) else {
             return false;
         };
-        let pooled = self.connections.get(&pin.server.id, MAX_IDLE);
-        let mut connection = match pooled {
-            Some(connection) => connection,
-            None => match Connection::open(&pin.server).await {
-                Ok(connection) => {
-                    self.metrics.connections.add(1, &[]);
-                    connection
-                }
-                Err(_) => return false,
-            },
-        };
-        let Ok(response) = connection.send(request).await else {
-            return false;
-        };
-        let gone =
-            response.status().is_success() || response.status() == http::StatusCode::NOT_FOUND;
-        let headers = headers::Response::of(response.headers());
-        let whole = response.into_body().collect().await.is_ok();
-        if whole && !headers.closes {
-            self.connections.put(connection, headers.keep_alive);
-        }
-        gone
+        let answer = self.call_engine(&pin.server, request, MAX_IDLE).await;
+        answer.is_some_and(|(status, _)| status.is_success() || status == StatusCode::NOT_FOUND)
     }
 }
--- a/src/gateway/world/feed.rs
+++ b/src/gateway/world/feed.rs
@@ -40,7 +40,7 @@
 
 async fn follow_config(sources: &Sources, relay: &Relay, routing_tx: &watch::Sender<Routing>) {
     let period = sources.period();
-    let mut store = sources.store.regular();
+    let mut store = sources.store.polling();
     let mut health = Health::new("config");
     loop {
         let started = Instant::now();
--- a/src/gateway/world/table.rs
+++ b/src/gateway/world/table.rs
@@ -93,8 +93,6 @@
     pub public: bool,
     /// Whether a server that recently handled an object handles it faster.
     pub sticky: bool,
-    /// Longest pause between two events of a stream that is still on time; `None` if not configured.
-    pub gap_target: Option<Duration>,
 }
 
 impl Route {
@@ -133,7 +131,7 @@
 }
 
 /// Settings of the model engines of a service.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Engine {
     /// Requests that one engine processes in a batch.
     pub slots: usize,
@@ -147,16 +145,6 @@
     pub backups: bool,
     /// Longest time for which an ended run may stay in an engine's memory; zero if it may not.
     pub pin_limit: Duration,
-    /// Longest time for which a slot may be reserved; zero if it may not.
-    pub hold_limit: Duration,
-    /// How long a copy of a run is kept.
-    pub handle_lifetime: Duration,
-    /// Bytes of one token in memory; zero if unknown.
-    pub bytes_per_token: f64,
-    /// Bandwidth between engines, in megabits a second; zero if unknown.
-    pub link_mbps: f64,
-    /// Calls for cache events that an engine keeps waiting at a time.
-    pub max_event_polls: usize,
 }
 
 /// Limits on callers' requests and connections.
--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -88,7 +88,6 @@
     public: bool,
     #[serde(default)]
     sticky: bool,
-    gap_target_ms: Option<f64>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -120,17 +119,6 @@
     backups: bool,
     #[serde(default)]
     pin_ms: f64,
-    #[serde(default)]
-    hold_ms: f64,
-    #[serde(default, rename = "handle_s")]
-    handle_s: f64,
-    #[serde(default)]
-    kv_token_bytes: f64,
-    #[serde(default)]
-    link_mbps: f64,
-    /// Calls for cache events that an engine keeps waiting.
-    #[serde(default)]
-    most: usize,
 }
 
 /// A team. Does not derive `Debug`, since it contains API keys.
@@ -219,7 +207,6 @@
                 .map(|seconds| duration_from_millis(seconds * 1000.0)),
             public: self.public,
             sticky: self.sticky,
-            gap_target: self.gap_target_ms.map(duration_from_millis),
         })
     }
 }
@@ -236,11 +223,6 @@
             moves: engine.moves,
             backups: engine.backups,
             pin_limit: duration_from_millis(engine.pin_ms),
-            hold_limit: duration_from_millis(engine.hold_ms),
-            handle_lifetime: duration_from_millis(engine.handle_s * 1000.0),
-            bytes_per_token: engine.kv_token_bytes.max(0.0),
-            link_mbps: engine.link_mbps.max(0.0),
-            max_event_polls: engine.most,
         });
         let service = Service {
             max_connections: self.max_conns,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -209,8 +209,8 @@
     client: reqwest::Client,
     base_url: String,
     observer: Arc<Observer>,
-    /// Whether the calls of this client tell that the store is silent.
-    regular: bool,
+    /// Whether a call of this client without an answer shows that the store is silent.
+    polls: bool,
 }
 
 impl Store {
@@ -219,7 +219,7 @@
             client: new_client(),
             base_url: format!("http://{address}"),
             observer: Arc::default(),
-            regular: false,
+            polls: false,
         }
     }
 
@@ -227,15 +227,15 @@
     pub(crate) fn separate(&self) -> Self {
         Self {
             client: new_client(),
-            regular: false,
+            polls: false,
             ..self.clone()
         }
     }
 
-    /// As [`Store::separate`], for calls that are made all the time: without an answer the store counts as silent.
-    pub(crate) fn regular(&self) -> Self {
+    /// As [`Store::separate`], for polling: if a call gets no answer, the store counts as silent.
+    pub(crate) fn polling(&self) -> Self {
         Self {
-            regular: true,
+            polls: true,
             ..self.separate()
         }
     }
@@ -247,7 +247,7 @@
 
     async fn send(&self, request: reqwest::RequestBuilder) -> Result<Response, Error> {
         let began = Instant::now();
-        if self.regular {
+        if self.polls {
             self.observer.lock().begin(began);
         }
         let response = request.send().await;
--- a/src/policy/affinity.rs
+++ b/src/policy/affinity.rs
@@ -6,13 +6,7 @@
 //! leaves. A popular object must not overload its server: a server above a bound on its load is
 //! passed over for the next one in the object's order (rendezvous hashing with bounded load).
 
-use super::dispatch::Request;
-use super::queue::Band;
-use super::service_pool::ServicePool;
-use super::window::Server;
-use crate::id::Permit;
 use serde::Serialize;
-use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Highest load of a chosen server, relative to the mean of the usable servers. A lower bound moves
@@ -99,49 +93,3 @@
         }
     }
 }
-
-/// One in this many requests may be sent to a server that has failed since its last answer.
-const PROBE_INTERVAL: u64 = 16;
-
-/// Whether a server may be chosen for this request. A server that failed gets few requests, one at a
-/// time, until it has answered one: a call that must not be repeated fails its program, but a server
-/// that gets none would never recover.
-pub(super) fn accepts(server: &Server, permit: Permit, now: Instant) -> bool {
-    let is_probe = server.in_flight == 0 && permit.0.is_multiple_of(PROBE_INTERVAL);
-    server.is_usable(now) && (server.consecutive_failures == 0 || is_probe)
-}
-
-impl ServicePool {
-    /// Index of the server for the object of a request; `None` if no server accepts it. Servers for
-    /// which `is_slow` holds are passed over: at 2.5 times the usual time, knowing the object does
-    /// not make up for it.
-    pub(super) fn choose_for_object(
-        &self,
-        now: Instant,
-        permit: Permit,
-        request: &Request,
-        band: Band,
-        object: u64,
-        is_slow: impl Fn(&Server) -> bool,
-    ) -> Option<Choice> {
-        let usable = self.servers.iter().enumerate();
-        let usable = usable.filter(|(_, server)| accepts(server, permit, now));
-        let (indices, candidates): (Vec<usize>, Vec<Candidate<'_>>) = usable
-            .map(|(index, server)| {
-                let candidate = Candidate {
-                    id: &server.info.id,
-                    load: server.load(),
-                    has_room: server.has_room(now, band)
-                        && !request.avoid.contains(&server.info.id)
-                        && !is_slow(server),
-                };
-                (index, candidate)
-            })
-            .unzip();
-        let choice = choose(object, &candidates)?;
-        Some(Choice {
-            index: indices[choice.index],
-            ..choice
-        })
-    }
-}
--- a/src/policy/backup.rs
+++ b/src/policy/backup.rs
@@ -169,11 +169,11 @@
         if run.waited >= QUEUED_WAIT {
             self.paused_until = Some(now + PAUSE);
         }
-        let dear = self.exceeds_threshold(loss(run));
+        let is_costly = self.exceeds_threshold(loss(run));
         if self.paused_until.is_some_and(|until| now < until) {
             return Err(Skip::Queued);
         }
-        if !dear {
+        if !is_costly {
             return Err(Skip::Cheap);
         }
         if self.credit < 1.0
--- a/src/policy/load_share.rs
+++ b/src/policy/load_share.rs
@@ -7,10 +7,10 @@
 //! choices), with those that the VM has a connection to, as new connections are expensive.
 
 use super::affinity;
-use super::dispatch::{HostPace, Load, Request};
-use super::queue::Band;
+use super::dispatch::{HostPace, Load};
+use super::pace::REPORT_LIFETIME;
 use super::service_pool::ServicePool;
-use super::window::Server;
+use super::window::{CROSS_ZONE_COST, OPEN_CONNECTION_BONUS, Query, Server};
 use crate::id::Permit;
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -18,8 +18,8 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-/// Age from which a report is not used: the period with which hosts change.
-pub const MAX_REPORT_AGE: Duration = Duration::from_millis(600);
+/// Age from which a report is not used.
+pub const MAX_REPORT_AGE: Duration = REPORT_LIFETIME;
 /// Shortest interval between two exchanges.
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
 /// Most datagrams a second that the VM which collects the reports of a service receives, and most
@@ -31,13 +31,6 @@
 /// all VMs would choose the server that was idle at the last report: on the replay more calls queued
 /// at servers than without reports.
 const REPORTED_LOAD_WEIGHT: f64 = 0.3;
-/// Price of a new connection as a fraction of a server's slots, the same as the connection bonus of
-/// the window.
-const NEW_CONNECTION_COST: f64 = 0.4;
-/// Price of a server in another zone, in the same unit.
-const CROSS_ZONE_COST: f64 = 0.24;
-/// How long a connection is assumed to stay open; below the keep-alive timeout of the servers.
-const CONNECTION_IDLE_TIME: Duration = Duration::from_secs(3);
 /// Learned slowdown from which a report of a usual pace is not believed. Below it, the slowdown
 /// mostly shows what kinds of requests the server happened to get.
 const TRUSTED_SLOWDOWN: f64 = 1.8;
@@ -106,8 +99,6 @@
     unsent: bool,
     /// When this VM sent requests there, the newest at the back.
     sends: VecDeque<Instant>,
-    /// When a request of this VM ended there, which left a connection open.
-    last_answer: Option<Instant>,
 }
 
 /// Requests placed by load reports, since the start.
@@ -158,8 +149,6 @@
 
     /// Records a load that came with an answer to this VM.
     pub(super) fn record_answer(&mut self, now: Instant, server: &str, load: Load) {
-        let known = self.known.entry(server_hash(server)).or_default();
-        known.last_answer = Some(now);
         let Some(pace) = load.host_pace else {
             return;
         };
@@ -167,6 +156,7 @@
         let requests = u32::try_from(requests).map_or(MAX_REPORTED_LOAD, |requests| {
             requests.min(MAX_REPORTED_LOAD)
         });
+        let known = self.known.entry(server_hash(server)).or_default();
         known.report = Some((now, requests, clamped(pace)));
         known.unsent = true;
         self.add_to_mean(clamped(pace));
@@ -234,7 +224,7 @@
     }
 
     /// Whether any report is fresh enough to choose by.
-    pub(super) fn is_active(&self, now: Instant) -> bool {
+    fn is_active(&self, now: Instant) -> bool {
         self.newest.is_some_and(|at| at + MAX_REPORT_AGE > now)
     }
 
@@ -280,13 +270,9 @@
         }
     }
 
-    fn is_slow(&self, estimate: &Estimate) -> bool {
-        estimate.pace > self.mean_pace * SLOW_RATIO
-    }
-
     /// Whether a server is expected to be slow, or reports a pace that its answers contradict.
-    fn is_slow_server(&self, server: &Server, estimate: &Estimate) -> bool {
-        self.is_slow(estimate) || server.pace.is_distrusted()
+    fn is_slow(&self, server: &Server, estimate: &Estimate) -> bool {
+        estimate.pace > self.mean_pace * SLOW_RATIO || server.pace.is_distrusted()
     }
 
     /// Whether the server answered some VM a moment ago, which shows that it has recovered from an earlier failure.
@@ -297,68 +283,89 @@
         server.is_usable(now) && report.is_some_and(|report| report.pace < FAILED_PACE)
     }
 
-    fn has_open_connection(&self, now: Instant, server: &Server) -> bool {
-        let known = self.known.get(&server_hash(&server.info.id));
-        let last_answer = known.and_then(|known| known.last_answer);
-        last_answer.is_some_and(|at| at + CONNECTION_IDLE_TIME > now)
-    }
-
-    /// Index of the server for a request, by its object if it has one, otherwise by load reports;
-    /// `None` without either, or if no server has room.
-    pub(super) fn choose(
-        &mut self,
-        now: Instant,
-        permit: Permit,
-        request: &Request,
-        band: Band,
-        pool: &ServicePool,
-    ) -> Option<usize> {
+    /// Index of the server for a request, by its object if it has one, otherwise by load reports; `None` without
+    /// fresh reports, or if no server has room.
+    ///
+    /// Objects too are followed only with fresh reports: without them, VMs do not learn of each other's failures at a
+    /// server, and a request that must not be repeated would fail there from each VM.
+    pub(super) fn choose(&mut self, query: &Query<'_>, pool: &ServicePool) -> Option<usize> {
+        if !self.is_active(query.now) {
+            return None;
+        }
         let usual_ms = pool.mean_ms_per_work.unwrap_or(USUAL_MS_BOUNDS.0);
         let usual_ms = usual_ms.clamp(USUAL_MS_BOUNDS.0, USUAL_MS_BOUNDS.1);
-        let is_active = self.is_active(now);
-        let is_slow = |server: &Server| {
-            is_active && self.is_slow_server(server, &self.estimate(now, server, usual_ms))
-        };
-        if let Some(object) = request.demand.as_ref().and_then(|demand| demand.object)
-            && let Some(choice) =
-                pool.choose_for_object(now, permit, request, band, object, is_slow)
+        if let Some(object) = query.request.object
+            && let Some(choice) = self.choose_by_object(query, object, pool, usual_ms)
         {
             self.by_object.record(choice);
             return Some(choice.index);
         }
-        is_active
-            .then(|| self.choose_by_load(now, permit, request, band, pool, usual_ms))
-            .flatten()
+        self.choose_by_load(query, pool, usual_ms)
+    }
+
+    /// The server for an object; `None` if no server accepts the request. Slow servers are passed over: at 2.5 times
+    /// the usual time, knowing the object does not make up for it.
+    fn choose_by_object(
+        &self,
+        query: &Query<'_>,
+        object: u64,
+        pool: &ServicePool,
+        usual_ms: f64,
+    ) -> Option<affinity::Choice> {
+        let usable = pool.servers.iter().enumerate();
+        let usable = usable.filter(|(_, server)| server.accepts(query.now, query.permit));
+        let (indices, candidates): (Vec<usize>, Vec<affinity::Candidate<'_>>) = usable
+            .map(|(index, server)| {
+                let candidate = affinity::Candidate {
+                    id: &server.info.id,
+                    load: server.load(),
+                    has_room: server.has_room(query.now, query.band)
+                        && !query.request.avoid.contains(&server.info.id)
+                        && !self.is_slow(server, &self.estimate(query.now, server, usual_ms)),
+                };
+                (index, candidate)
+            })
+            .unzip();
+        let choice = affinity::choose(object, &candidates)?;
+        Some(affinity::Choice {
+            index: indices[choice.index],
+            ..choice
+        })
     }
 
     fn choose_by_load(
         &mut self,
-        now: Instant,
-        permit: Permit,
-        request: &Request,
-        band: Band,
+        query: &Query<'_>,
         pool: &ServicePool,
         usual_ms: f64,
     ) -> Option<usize> {
+        let Query {
+            now,
+            permit,
+            request,
+            band,
+            ..
+        } = *query;
         let servers = &pool.servers;
         let usable = pool.candidates.select(permit, request, None).into_iter();
         let usable = usable.filter(|index| {
             let server = &servers[*index];
             server.has_room(now, band)
-                && (affinity::accepts(server, permit, now) || self.has_fresh_report(now, server))
+                && (server.accepts(now, permit) || self.has_fresh_report(now, server))
                 && !request.avoid.contains(&server.info.id)
         });
         let usable = usable.map(|index| {
             let server = &servers[index];
             let estimate = self.estimate(now, server, usual_ms);
-            let is_open = self.has_open_connection(now, server);
+            let is_open = server.has_open_connection(now, request.vm);
             let is_near = server.info.zone == request.zone;
             let zone_cost = if is_near { 0.0 } else { CROSS_ZONE_COST };
-            let connection_cost = if is_open { 0.0 } else { NEW_CONNECTION_COST };
+            // The bonus of the window, as a cost of the others: costs of candidates are only compared.
+            let connection_cost = if is_open { 0.0 } else { OPEN_CONNECTION_BONUS };
             Candidate {
                 index,
                 is_open,
-                is_slow: self.is_slow_server(server, &estimate),
+                is_slow: self.is_slow(server, &estimate),
                 cost: estimate.cost + zone_cost + connection_cost,
             }
         });
--- a/src/policy/pace.rs
+++ b/src/policy/pace.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 /// Age at which a report is ignored: the period with which hosts change.
-const REPORT_LIFETIME: Duration = Duration::from_millis(600);
+pub(super) const REPORT_LIFETIME: Duration = Duration::from_millis(600);
 /// A service without a report for this long is placed as one whose servers report no pace.
 const REPORTING_PERIOD: Duration = Duration::from_secs(10);
 /// Answers after which the expected time is used. Fewer do not determine four coefficients.
--- a/src/policy/programs.rs
+++ b/src/policy/programs.rs
@@ -60,7 +60,7 @@
     /// Queued and running requests.
     open_requests: u32,
     last_activity: Instant,
-    /// Team and class; none if its requests carry no demand, or concern an object.
+    /// Team and class; none if its requests carry no demand.
     flow: Option<Flow>,
     requests: u32,
     /// Time at servers that its flow was charged.
@@ -126,13 +126,10 @@
             server_ms: 0.0,
             open_requests: 0,
             last_activity: now,
-            // Requests that concern an object are for services without an engine.
-            flow: (request.demand.as_ref())
-                .filter(|demand| demand.object.is_none())
-                .map(|demand| Flow {
-                    team: demand.team,
-                    class: demand.class,
-                }),
+            flow: request.demand.as_ref().map(|demand| Flow {
+                team: demand.team,
+                class: demand.class,
+            }),
             requests: 0,
             charged_ms: None,
             first_seen: now,
--- a/src/policy/service_pool.rs
+++ b/src/policy/service_pool.rs
@@ -9,7 +9,7 @@
 use super::priority::Priority;
 use super::programs::Programs;
 use super::queue::{Band, Prioritized, Queue};
-use super::window::{Choice, Server, choose, choose_by_time};
+use super::window::{Choice, Query, Server, choose, choose_by_time};
 use crate::id::Permit;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -115,37 +115,22 @@
     /// The best server with room for a request. Falls back to all servers if no candidate has room.
     ///
     /// `ahead` requests wait for a server without room although others have some.
-    pub(super) fn choose(
-        &self,
-        now: Instant,
-        permit: Permit,
-        request: &Request,
-        band: Band,
-        session_server: Option<&Arc<str>>,
-        ahead: usize,
-    ) -> Choice {
-        let candidates = self.candidates.select(permit, request, session_server);
+    pub(super) fn choose(&self, query: &Query<'_>, ahead: usize) -> Choice {
+        let (now, request) = (query.now, query.request);
+        let candidates = self
+            .candidates
+            .select(query.permit, request, query.session_server);
         let is_subset = candidates.len() < self.servers.len();
         let servers = &self.servers;
         let need = Need::of(request, &self.profile.outputs);
         let choose = |candidates: Vec<usize>| {
             if self.profile.is_on(now) {
-                let profile = (&self.profile, &need, ahead);
-                return choose_by_time(
-                    servers,
-                    &candidates,
-                    request,
-                    band,
-                    session_server,
-                    now,
-                    profile,
-                );
+                return choose_by_time(servers, &candidates, query, &self.profile, &need, ahead);
             }
             let is_checked = self.profile.has_reports(now);
             let fits = |index: &usize| !is_checked || servers[*index].fits(request, &need);
-            let fitting = candidates.iter().copied().filter(fits);
-            let chosen = choose(servers, fitting, request, band, session_server, now);
-            let has_room = |index: &usize| servers[*index].has_room(now, band);
+            let chosen = choose(servers, candidates.iter().copied().filter(fits), query);
+            let has_room = |index: &usize| servers[*index].has_room(now, query.band);
             match chosen {
                 Some(index) => Choice::Server(index),
                 None if is_checked && candidates.iter().any(has_room) => Choice::NoMemory,
@@ -159,7 +144,7 @@
     }
 
     /// Whether a request needs more memory than any server of the service has, even if it generates a single token.
-    /// The expected output does not count: it is a guess, and the refusal is final.
+    /// The expected output does not count: it is an estimate, and the refusal is final.
     pub(super) fn is_too_large(&self, now: Instant, request: &Request) -> bool {
         if request.demand.is_none() {
             return false;
@@ -276,11 +261,18 @@
             if priority.admitted || !self.programs.try_admit(now_ms, program, capacity) {
                 continue;
             }
-            if let Some(mut queued) = self.dequeue(permit) {
-                let arrival_ms = queued.priority.arrival_ms;
-                queued.priority = self.programs.priority(arrival_ms, program, &queued.request);
-                self.enqueue(now_ms, permit, queued);
-            }
+            self.reprioritize(now_ms, permit);
+        }
+    }
+
+    /// Moves a queued request to its place after its program was admitted.
+    fn reprioritize(&mut self, now_ms: i64, permit: Permit) {
+        if let Some(mut queued) = self.dequeue(permit)
+            && let Some(program) = queued.request.program
+        {
+            let arrival_ms = queued.priority.arrival_ms;
+            queued.priority = self.programs.priority(arrival_ms, program, &queued.request);
+            self.enqueue(now_ms, permit, queued);
         }
     }
 
@@ -330,13 +322,7 @@
                 .and_then(|(queued, _)| queued.request.program)
         });
         for permit in admitted {
-            if let Some(mut queued) = self.dequeue(permit)
-                && let Some(program) = queued.request.program
-            {
-                let arrival_ms = queued.priority.arrival_ms;
-                queued.priority = self.programs.priority(arrival_ms, program, &queued.request);
-                self.enqueue(now_ms, permit, queued);
-            }
+            self.reprioritize(now_ms, permit);
         }
     }
 }
--- a/src/policy/store_health.rs
+++ b/src/policy/store_health.rs
@@ -21,8 +21,8 @@
 /// Time from its arrival for which a turn waits for a silent store: callers leave after 2 s without an event, and the
 /// engine needs time for the first one.
 const MAX_TURN_WAIT: Duration = Duration::from_millis(1500);
-/// Bounds of the time after which a refused turn may come back. With 3 s, callers came back long after the end of a silence of
-/// 5 s; a held turn costs nothing, so that coming back early does not matter.
+/// Bounds of the time after which a refused turn may come back. With 3 s, callers came back long after the end of a
+/// silence of 5 s; a held turn costs nothing, so coming back early does no harm.
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(700), Duration::from_secs(2));
 /// Part of that time over which callers are spread.
 const RETRY_SPREAD: f64 = 0.25;
@@ -59,8 +59,8 @@
 
 /// What this VM has seen of the store.
 ///
-/// Answers of all calls count. A silence is told by regular calls alone ([`StoreHealth::begin`]): one partition may be
-/// silent while the others are not.
+/// Answers to all calls count. Silence is detected by polling calls alone ([`StoreHealth::begin`]): one partition may
+/// be silent while the others are not.
 ///
 /// ```
 /// use std::time::Duration;
@@ -77,14 +77,14 @@
 #[derive(Debug, Clone, Default)]
 pub struct StoreHealth {
     times: VecDeque<Duration>,
-    /// When the first regular call was sent that no answer to any call has followed.
+    /// When the first polling call was sent that no answer to any call has followed.
     unanswered_since: Option<Instant>,
     /// When the store was last seen slow or silent.
     last_unhealthy_at: Option<Instant>,
 }
 
 impl StoreHealth {
-    /// Notes that a regular call is sent.
+    /// Notes that a polling call is sent.
     pub fn begin(&mut self, now: Instant) {
         self.unanswered_since.get_or_insert(now);
     }
--- a/src/policy/window.rs
+++ b/src/policy/window.rs
@@ -9,6 +9,7 @@
 use super::pace::{Pace, Profile, Work};
 use super::prefix::Cache;
 use super::queue::Band;
+use crate::id::Permit;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,7 +25,7 @@
 const SLOWDOWN_BOUNDS: (f64, f64) = (0.25, 8.0);
 /// Cost of a server in another zone, as a fraction of its window: traffic between zones is billed.
 /// One request more hardly slows a server.
-const CROSS_ZONE_COST: f64 = 0.24;
+pub(super) const CROSS_ZONE_COST: f64 = 0.24;
 /// Bonus of the server that ran the previous turn of the session, as a fraction of its window. Only
 /// for prompts of unknown parts; others are scored by their uncached tokens.
 const SESSION_AFFINITY_BONUS: f64 = 1.0;
@@ -34,7 +35,7 @@
 /// Bonus of a server to which the sending VM probably has an open connection, as a fraction of its
 /// window. Must outweigh a difference of two requests in load. Otherwise a VM that sends few
 /// requests goes to whichever server has one less at the moment. A new connection takes 2 ms more.
-const OPEN_CONNECTION_BONUS: f64 = 0.4;
+pub(super) const OPEN_CONNECTION_BONUS: f64 = 0.4;
 /// How long a connection is assumed to stay open; below the keep-alive timeout of the servers.
 const CONNECTION_IDLE_TIME: Duration = Duration::from_secs(3);
 /// Requests sent to a server beyond its slots, so that a freed slot is refilled without a round
@@ -52,6 +53,8 @@
 /// Ejection also needs an error rate this many times the mean of the service: if all servers fail,
 /// ejecting one does not help.
 const EJECTION_MEAN_RATIO: f64 = 3.0;
+/// One in this many requests may be sent to a server that has failed since its last answer.
+const PROBE_INTERVAL: u64 = 16;
 /// Weight of the newest load report in a server's external load.
 const LOAD_EWMA_WEIGHT: f64 = 0.1;
 /// Cost of a full window in mean times of a request. Below 1, expected times outweigh cached prompts
@@ -64,6 +67,17 @@
 /// reports too little does not attract all requests.
 const MIN_BELIEVED_LOAD: f64 = 0.5;
 
+/// A request to be placed on a server now.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Query<'a> {
+    pub(super) now: Instant,
+    pub(super) permit: Permit,
+    pub(super) request: &'a Request,
+    pub(super) band: Band,
+    /// Server that ran the previous turn of its session.
+    pub(super) session_server: Option<&'a Arc<str>>,
+}
+
 #[derive(Debug)]
 pub(super) struct Server {
     pub(super) info: Description,
@@ -122,7 +136,8 @@
         self.last_used_by_vm.insert(vm, now);
     }
 
-    fn has_open_connection(&self, now: Instant, vm: u64) -> bool {
+    /// Whether the VM probably has an open connection to the server.
+    pub(super) fn has_open_connection(&self, now: Instant, vm: u64) -> bool {
         self.last_used_by_vm
             .get(&vm)
             .is_some_and(|at| *at + CONNECTION_IDLE_TIME > now)
@@ -132,6 +147,14 @@
         !self.info.draining && self.ejected_until.is_none_or(|until| until <= now)
     }
 
+    /// Whether this request may be sent here. A server that failed gets few requests, one at a time, until it has
+    /// answered one: a request that must not be repeated fails its program, but a server that gets none would never
+    /// recover.
+    pub(super) fn accepts(&self, now: Instant, permit: Permit) -> bool {
+        let is_probe = self.in_flight == 0 && permit.0.is_multiple_of(PROBE_INTERVAL);
+        self.is_usable(now) && (self.consecutive_failures == 0 || is_probe)
+    }
+
     /// Whether it can take one more request of this band.
     pub(super) fn has_room(&self, now: Instant, band: Band) -> bool {
         self.is_usable(now) && self.load() + 0.5 <= self.max_in_flight(band) as f64
@@ -262,29 +285,25 @@
 }
 
 /// Cost of a server with this cost of its load, as a fraction of its window.
-fn total_cost(
-    (load_cost, uncached): (f64, u64),
-    server: &Server,
-    request: &Request,
-    session_server: Option<&Arc<str>>,
-    now: Instant,
-) -> f64 {
+fn total_cost(load_cost: f64, uncached: u64, server: &Server, query: &Query<'_>) -> f64 {
+    let request = query.request;
     let cross_zone_cost = if server.info.zone == request.zone {
         0.0
     } else {
         CROSS_ZONE_COST
     };
-    let session_bonus = if request.prompt.is_empty() && session_server == Some(&server.info.id) {
-        SESSION_AFFINITY_BONUS
-    } else {
-        0.0
-    };
+    let session_bonus =
+        if request.prompt.is_empty() && query.session_server == Some(&server.info.id) {
+            SESSION_AFFINITY_BONUS
+        } else {
+            0.0
+        };
     let avoid_cost = if request.avoid.contains(&server.info.id) {
         100.0
     } else {
         0.0
     };
-    let connection_bonus = if server.has_open_connection(now, request.vm) {
+    let connection_bonus = if server.has_open_connection(query.now, request.vm) {
         OPEN_CONNECTION_BONUS
     } else {
         0.0
@@ -300,20 +319,16 @@
 pub(super) fn choose(
     servers: &[Server],
     candidates: impl IntoIterator<Item = usize>,
-    request: &Request,
-    band: Band,
-    session_server: Option<&Arc<str>>,
-    now: Instant,
+    query: &Query<'_>,
 ) -> Option<usize> {
     let cost = |server: &Server| {
-        let uncached = server.prefix_cache.uncached_tokens(&request.prompt);
-        let costs = (server.cost(), uncached);
-        total_cost(costs, server, request, session_server, now)
+        let uncached = server.prefix_cache.uncached_tokens(&query.request.prompt);
+        total_cost(server.cost(), uncached, server, query)
     };
     let with_room = candidates
         .into_iter()
         .map(|index| (index, &servers[index]))
-        .filter(|(_, server)| server.has_room(now, band));
+        .filter(|(_, server)| server.has_room(query.now, query.band));
     with_room
         .map(|(index, server)| (index, cost(server)))
         .min_by(|(_, a), (_, b)| a.total_cmp(b))
@@ -325,12 +340,14 @@
 pub(super) fn choose_by_time(
     servers: &[Server],
     candidates: &[usize],
-    request: &Request,
-    band: Band,
-    session_server: Option<&Arc<str>>,
-    now: Instant,
-    (profile, need, ahead): (&Profile, &Need, usize),
+    query: &Query<'_>,
+    profile: &Profile,
+    need: &Need,
+    ahead: usize,
 ) -> Choice {
+    let Query {
+        now, request, band, ..
+    } = *query;
     let mean_ms = profile.mean_ms();
     let cost = |server: &Server, uncached: u64, expected_ms: f64| {
         let slots = server.info.slots.max(1) as f64;
@@ -338,7 +355,7 @@
         let mean_speed_ms = server.pace.expected_ms(now, profile, profile.mean_work());
         // As in `choose`, with the momentary pace in place of the slowdown.
         let load_cost = (load + 0.5) / slots * mean_speed_ms / mean_ms.max(0.001);
-        let shares = total_cost((load_cost, uncached), server, request, session_server, now);
+        let shares = total_cost(load_cost, uncached, server, query);
         expected_ms + WINDOW_COST * shares * mean_ms
     };
     let with_room = candidates.iter().map(|index| (*index, &servers[*index]));
--- a/tests/competing.rs
+++ b/tests/competing.rs
@@ -144,7 +144,6 @@
             prompt_tokens: 1100,
             output_tokens: 78,
             max_output_tokens: 200,
-            object: None,
         };
         let index = call.program as u64;
         let turn = Request {
--- a/tests/engine_memory.rs
+++ b/tests/engine_memory.rs
@@ -41,7 +41,6 @@
         prompt_tokens,
         output_tokens,
         max_output_tokens: 400,
-        object: None,
     };
     Request {
         demand: Some(demand),
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -32,6 +32,7 @@
         prompt: Vec::new(),
         avoid: Vec::new(),
         demand: None,
+        object: None,
     }
 }
 
--- a/tests/fleet/plain.rs
+++ b/tests/fleet/plain.rs
@@ -7,9 +7,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 use vanillatrail::id::Permit;
-use vanillatrail::policy::dispatch::{
-    Demand, Dispatcher, HostPace, Load, Outcome, Placement, Request,
-};
+use vanillatrail::policy::dispatch::{Dispatcher, HostPace, Load, Outcome, Placement, Request};
 use vanillatrail::policy::load_share::exchange_interval;
 
 /// Period with which hosts draw their pace anew.
@@ -152,18 +150,10 @@
             usual_us: scenario.call_us[kind],
             object,
         });
-        let demand = (scenario.objects > 0).then_some(Demand {
-            class: 0,
-            team: None,
-            prompt_tokens: 0,
-            output_tokens: 0,
-            max_output_tokens: 0,
-            object: Some(object),
-        });
         let request = Request {
             vm: vm as u64,
             zone: format!("z{}", vm % scenario.zones).into(),
-            demand,
+            object: (scenario.objects > 0).then_some(object),
             ..request(0)
         };
         let permit = Permit(call as u64);
--- a/tests/load_reports.rs
+++ b/tests/load_reports.rs
@@ -238,13 +238,7 @@
 #[test]
 fn failures_are_told_to_the_other_vms() {
     let now = Instant::now();
-    let vm = || {
-        let mut dispatcher = Dispatcher::default();
-        dispatcher.set_servers((0..4).map(|number| server(&format!("s{number}"), "a", 6)));
-        dispatcher.set_plain_services([Arc::from("pool")]);
-        dispatcher
-    };
-    let (mut one, mut other) = (vm(), vm());
+    let (mut one, mut other) = (dispatcher(4, true), dispatcher(4, true));
     let answer = Outcome::Done {
         took: Duration::from_millis(20),
         work: 1.0,
--- a/tests/pace.rs
+++ b/tests/pace.rs
@@ -159,7 +159,6 @@
         prompt_tokens: prompt.iter().map(|part| part.tokens).sum(),
         output_tokens: tokens,
         max_output_tokens: 400,
-        object: None,
     };
     Request {
         zone: "z".into(),
--- a/tests/plain_services.rs
+++ b/tests/plain_services.rs
@@ -10,21 +10,14 @@
 use vanillatrail::id::Permit;
 use vanillatrail::policy::affinity::{Candidate, choose};
 use vanillatrail::policy::dispatch::{
-    Demand, Description, Dispatcher, Outcome, Placement, Request,
+    Description, Dispatcher, HostPace, Load, Outcome, Placement, Request,
 };
 
 /// A request of this VM about an object.
 fn about(object: u64, vm: u64) -> Request {
     Request {
         vm,
-        demand: Some(Demand {
-            class: 1,
-            team: None,
-            prompt_tokens: 0,
-            output_tokens: 0,
-            max_output_tokens: 0,
-            object: Some(object),
-        }),
+        object: Some(object),
         ..request(0)
     }
 }
@@ -45,6 +38,28 @@
     dispatcher
 }
 
+/// Lets a server that is not in `avoid` report the usual pace of its host, without which objects are not followed.
+fn report_pace(dispatcher: &mut Dispatcher, now: Instant, avoid: &[Arc<str>]) {
+    let permit = Permit(u64::MAX);
+    let request = Request {
+        vm: u64::MAX,
+        avoid: avoid.to_vec(),
+        ..request(0)
+    };
+    granted(dispatcher.request(now, permit, request));
+    let load = Load {
+        running: 1,
+        waiting: 0,
+        host_pace: Some(HostPace(100)),
+    };
+    let outcome = Outcome::Done {
+        took: Duration::from_millis(20),
+        work: 1.0,
+        load: Some(load),
+    };
+    dispatcher.finish(now, permit, outcome);
+}
+
 /// Guards against VMs that send requests about one object to different servers.
 #[test]
 fn all_vms_choose_the_same_server_for_an_object() {
@@ -52,6 +67,7 @@
     let chosen = |object| -> HashSet<Arc<str>> {
         let vms = (0..12).map(|vm| {
             let mut dispatcher = plain_dispatcher(18, vm);
+            report_pace(&mut dispatcher, now, &[]);
             granted(dispatcher.request(now, Permit(1), about(object, vm as u64)))
         });
         vms.collect()
@@ -66,6 +82,7 @@
 #[test]
 fn load_of_a_server_stays_within_the_bound() {
     let (now, mut dispatcher) = (Instant::now(), plain_dispatcher(18, 0));
+    report_pace(&mut dispatcher, now, &[]);
     let mut loads: HashMap<Arc<str>, f64> = HashMap::new();
     for number in 0..72 {
         let object = if number % 2 == 0 { 0 } else { number };
@@ -100,14 +117,25 @@
 #[test]
 fn unusable_server_is_passed_over_until_it_recovers() {
     let (now, mut dispatcher) = (Instant::now(), plain_dispatcher(6, 0));
+    report_pace(&mut dispatcher, now, &[]);
     let home = granted(dispatcher.request(now, Permit(1), about(5, 1)));
     dispatcher.finish(now, Permit(1), Outcome::Failed);
+    // Another VM got an answer since, so that the server is passed over for its ejection alone.
+    let answered = now + Duration::from_millis(10);
+    let mut other_vm = plain_dispatcher(6, 0);
+    let others = (0..6).map(|id| Arc::from(format!("s{id}")));
+    let others: Vec<_> = others.filter(|id| *id != home).collect();
+    report_pace(&mut other_vm, answered, &others);
+    let reports = other_vm.take_load_reports(answered, "pool");
+    let reports = reports.expect("the service was used");
+    dispatcher.merge_load_reports(answered, "pool", &reports);
     for permit in 2..10 {
-        let other = granted(dispatcher.request(now, Permit(permit), about(5, 1)));
+        let other = granted(dispatcher.request(answered, Permit(permit), about(5, 1)));
         assert_ne!(other, home);
-        dispatcher.finish(now, Permit(permit), Outcome::Void);
+        dispatcher.finish(answered, Permit(permit), Outcome::Void);
     }
     let later = now + Duration::from_secs(5);
+    report_pace(&mut dispatcher, later, &[Arc::clone(&home)]);
     let early = granted(dispatcher.request(later, Permit(15), about(5, 1)));
     assert_ne!(early, home, "few requests try the server");
     dispatcher.finish(later, Permit(15), Outcome::Void);
@@ -136,28 +164,41 @@
     );
 }
 
-/// Guards against objects that change the placement at services with an engine, and at requests without an object.
+/// Guards against objects that change the placement at services with an engine or without load reports, and at requests
+/// without an object.
 #[test]
 fn only_objects_at_services_without_an_engine_change_the_placement() {
     let now = Instant::now();
-    let servers_used = |plain: bool, object: fn(u64) -> Option<u64>| -> HashSet<Arc<str>> {
+    let placed = |plain: bool, reports: bool, object: fn(u64) -> Option<u64>| {
         let mut dispatcher = plain_dispatcher(18, 0);
         dispatcher.update_server(server("near", "b", 6));
         if !plain {
             dispatcher.set_plain_services([]);
         }
+        if reports {
+            report_pace(&mut dispatcher, now, &[]);
+        }
         let servers = (0..40).map(|number| {
-            let mut request = about(0, 1);
-            request.zone = "b".into();
-            request.demand = object(number).and_then(|object| about(object, 1).demand);
+            let request = Request {
+                zone: "b".into(),
+                object: object(number),
+                ..about(0, 1)
+            };
             let server = granted(dispatcher.request(now, Permit(number), request));
             dispatcher.finish(now, Permit(number), Outcome::Void);
             server
         });
-        servers.collect()
+        let servers: HashSet<Arc<str>> = servers.collect();
+        let counts = dispatcher.plain_counts().next();
+        let by_object = counts.map(|(_, by_object, _)| by_object.first + by_object.later);
+        (servers, by_object)
     };
-    let near = HashSet::from([Arc::from("near")]);
-    assert_eq!(servers_used(false, Some), near);
-    assert_eq!(servers_used(true, |_| None), near);
-    assert!(servers_used(true, Some).len() > 10);
+    let near = || HashSet::from([Arc::from("near")]);
+    assert_eq!(placed(false, true, Some), (near(), None));
+    assert_eq!(placed(true, false, Some), (near(), Some(0)));
+    assert_eq!(placed(true, false, |_| None), (near(), Some(0)));
+    assert_eq!(placed(true, true, |_| None).1, Some(0));
+    let (servers, by_object) = placed(true, true, Some);
+    assert_eq!(by_object, Some(40));
+    assert!(servers.len() > 10);
 }
