Log a hash of the content of requests that fail at a server

Cause of the change: after a report of a request that was repeated at further servers, logs could not tell whether two request IDs were one request. attempt_failed, stream_resumed and request_ended now carry content=, a hash of what a caller's retry leaves the same. No decision reads it.

--- a/src/gateway/request/admit.rs
+++ b/src/gateway/request/admit.rs
@@ -13,7 +13,7 @@
 use http::{Request, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -107,6 +107,7 @@
         uri: parts.uri,
         headers: parts.headers,
         input: body.clone(),
+        content: OnceCell::new(),
         body: RefCell::new(body),
         prev_turn,
         arrived,
--- a/src/gateway/request/job.rs
+++ b/src/gateway/request/job.rs
@@ -7,11 +7,12 @@
 use crate::gateway::world::directory::Instance;
 use crate::gateway::world::table::{Engine, Kind, Route};
 use crate::gateway::world::team::Team;
+use crate::id::ContentHash;
 use crate::platform::headers::Meta;
 use crate::telemetry::event;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -33,6 +34,8 @@
     pub(crate) headers: HeaderMap,
     /// Body as the caller sent it.
     pub(crate) input: Bytes,
+    /// See [`Job::content`].
+    pub(super) content: OnceCell<ContentHash>,
     /// Body sent to the server: the input, preceded by the conversation history where turns are stored.
     pub(crate) body: RefCell<Bytes>,
     /// Previous turn of the conversation, where the route stores turns.
@@ -143,7 +146,8 @@
             limit_ms = self
                 .deadline
                 .saturating_duration_since(self.arrived)
-                .as_millis()
+                .as_millis(),
+            content = self.content()
         );
     }
 }
--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 pub(crate) mod body;
+mod content;
 mod identify;
 pub(crate) mod job;
 pub(crate) mod reply;
@@ -278,7 +279,8 @@
         server = server,
         reason = reason,
         age_ms = job.age_ms(),
-        config = job.version
+        config = job.version,
+        content = job.content()
     );
 }
 
--- a/src/gateway/request/stream.rs
+++ b/src/gateway/request/stream.rs
@@ -321,6 +321,7 @@
         after = reason,
         last = last_event.unwrap_or_default(),
         outcome = outcome,
-        age_ms = job.age_ms()
+        age_ms = job.age_ms(),
+        content = job.content()
     );
 }
--- a/src/id.rs
+++ b/src/id.rs
@@ -183,6 +183,11 @@
     "permit",
     "Id of a permit to send one call to one backend server."
 );
+number!(
+    ContentHash,
+    "content hash",
+    "Hash of a request's content, which is the same in each retry of its caller."
+);
 
 /// Maximum number of records per append, as encoded in an [`Epoch`].
 const MAX_RECORDS_PER_APPEND: u64 = 1 << 16;
