Stop sending a request on after three servers ended under it

What callers saw: a request that ended its server was sent on by its VM, by its caller's retries and by its program's repeats of the turn, and ended further servers with everything that these ran.

Cause: nothing remembered that servers ended under a request. A server that ended does not count against the attempts of a route, a stream was resumed at up to four more servers, and each retry has another request ID and comes to another VM, which began at zero.

Change: a ledger of servers that ended under a request, by its content (policy::server_ends, no I/O). A VM that loses a server connects to it again to tell an end from a broken connection, and tells all VMs before its caller gets an answer. Three ends refuse the request for a minute, one at a VM that has just started or reaches no majority. It holds at most 4,096 requests; those with most ends stay.

New tests: a request that met two ended servers is answered; servers that only close connections are not counted (two streams of 12 breaks go on as before); a restart of one VM and of all; a VM that reaches no other; bounded memory; the time to come back; success clears.

--- a/src/code.rs
+++ b/src/code.rs
@@ -112,6 +112,7 @@
     NotReady = 3009, 503, "The VM has not caught up with the configuration.";
     HistoryGap = 3010, 503, "Records of the program are missing from the log.";
     HistoryAway = 3011, 503, "The conversation history is temporarily unavailable.";
+    ServersEnded = 3012, 503, "Servers ended under the request, so it is not sent to another one for now.";
     EngineFailed = 4001, 502, "The model engine failed.";
     ServiceFailed = 4002, 502, "The service failed.";
     OutcomeUnknown = 4003, 502, "The call was sent and its outcome is unknown; it is not retried.";
--- a/src/gateway/front/metrics.rs
+++ b/src/gateway/front/metrics.rs
@@ -40,6 +40,8 @@
     prompt_pins: Counter<u64>,
     /// Moves of runs off draining engines, by outcome.
     run_moves: Counter<u64>,
+    /// Servers that ended under requests, and requests refused for that.
+    server_ends: Counter<u64>,
     /// Responses to callers, by kind of route and result.
     responses: Counter<u64>,
     /// Requests refused by team limits, by team.
@@ -125,6 +127,10 @@
                 "run_moves",
                 "Moves of runs off draining engines, by outcome",
             ),
+            server_ends: counter(
+                "server_ends",
+                "Servers that ended under requests, and requests refused for that",
+            ),
             responses: counter("gateway_answers", "Answers to callers, by kind and result"),
             limit_refusals: counter(
                 "limit_refusals",
@@ -200,6 +206,11 @@
         self.load_notes.add(1, &[KeyValue::new("what", what)]);
     }
 
+    /// Counts a server that ended under a request, or a request that was refused for that.
+    pub(crate) fn count_server_end(&self, what: &'static str) {
+        self.server_ends.add(1, &[KeyValue::new("what", what)]);
+    }
+
     /// Counts a decision about the copy of a run.
     pub(crate) fn count_copy(&self, verdict: &'static str) {
         self.run_copies.add(1, &[KeyValue::new("verdict", verdict)]);
--- a/src/gateway/front/mod.rs
+++ b/src/gateway/front/mod.rs
@@ -19,6 +19,7 @@
 use crate::gateway::request::body::Body;
 use crate::gateway::server::connection::Pool;
 use crate::gateway::server::continuation::Copies;
+use crate::gateway::server::ends::Ends;
 use crate::gateway::server::moving::Moves;
 use crate::gateway::server::pinning::Pins;
 use crate::gateway::tokens::handover::Reason;
@@ -219,6 +220,7 @@
         copies: Copies::default(),
         pins: Pins::default(),
         moves: Moves::default(),
+        ends: Ends::default(),
         queue: Queue::default(),
         leases: Leases::default(),
         metrics: Metrics::new(),
@@ -255,6 +257,7 @@
     spawn_local(snapshot::publish(Rc::clone(&gateway)));
     spawn_local(peers::receive(Rc::clone(&gateway)));
     spawn_local(reports::run(Rc::clone(&gateway)));
+    spawn_local(Rc::clone(&gateway).learn_ends());
     spawn_local(partitions::run_maintenance(Rc::clone(&gateway)));
     spawn_local(conversation::run_maintenance(Rc::clone(&gateway)));
     let discovery = Rc::clone(&gateway.discovery);
--- a/src/gateway/front/operators.rs
+++ b/src/gateway/front/operators.rs
@@ -99,6 +99,7 @@
             "run_copies": self.copies.state(),
             "pins": self.pins.state(),
             "moves": self.moves.state(),
+            "server_ends": self.ends.state(),
             "leases": json!({ "waiting": waiting, "places": leased }),
             "counted": json!({ "partitions": partitions, "programs": programs }),
             "teams": routing.table.as_ref().and_then(|table| table.teams.as_ref()).map(Teams::len),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -42,6 +42,7 @@
 use reachability::Members;
 use server::connection::Pool;
 use server::continuation::Copies;
+use server::ends::Ends;
 use server::moving::Moves;
 use server::pinning::Pins;
 use std::cell::Cell;
@@ -78,6 +79,7 @@
     copies: Copies,
     pins: Pins,
     moves: Moves,
+    ends: Ends,
     queue: Queue,
     leases: Leases,
     metrics: Metrics,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -10,6 +10,7 @@
 use crate::member::{MAX_DATAGRAM_BYTES, Sealer};
 use crate::policy::allowance::{Reservation, Snapshot};
 use crate::policy::dispatch::{Load, Outcome, Request};
+use crate::policy::server_ends::End;
 use crate::telemetry::event;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
@@ -82,6 +83,9 @@
         /// VM that an earlier reply named, but that did not have the turn.
         lost: Option<SocketAddr>,
     },
+    /// Asks for the servers that ended under requests.
+    #[serde(rename = "e")]
+    Ends,
     /// Hands a partition over to the receiver, in one or more messages.
     #[serde(rename = "a")]
     Adopt {
@@ -173,6 +177,9 @@
     /// The request can't be served in time; the caller may retry after `retry_ms`.
     #[serde(rename = "f")]
     Full { retry_ms: u64 },
+    /// Servers that ended under requests, and whether the VM knows of those from before its start.
+    #[serde(rename = "d")]
+    Ends { ends: Vec<End>, informed: bool },
     /// The request needs more memory than any engine of the service has.
     #[serde(rename = "b")]
     TooLarge,
@@ -203,6 +210,9 @@
     /// Loads that servers of a service reported.
     #[serde(rename = "o")]
     Loads(LoadNote),
+    /// Servers ended under requests.
+    #[serde(rename = "d")]
+    Ended(Vec<End>),
 }
 
 /// Content of a datagram; questions and replies carry the number of the question.
--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -97,6 +97,8 @@
 
 /// Sends the request to one server after another until one responds.
 async fn dispatch(job: &Rc<Job>) -> Result<Response<Body>, Failure> {
+    // A request that is refused here must count against no limit.
+    job.check_ended_servers().await?;
     // The rate limit goes first: a turn that it refuses must not leave a token reservation behind.
     sleep(check_limit(job).await?).await;
     // Before the token reservation, since a turn that is refused here must not leave one behind.
@@ -106,10 +108,16 @@
     let mut avoid = Vec::new();
     let mut possible_runs = 0;
     for _ in 0..MAX_SERVER_TRIES {
+        if !avoid.is_empty() {
+            job.check_ended_servers().await?;
+        }
         let permit = acquire_permit(job, &avoid).await?;
         let server = Arc::clone(&permit.server.id);
         let mut outcome = attempt(job, &permit, job.meta.last_event).await;
-        if matches!(outcome, AttemptResult::OutcomeUnknown(_)) && job.route.idempotent() {
+        let broke_off = matches!(outcome, AttemptResult::OutcomeUnknown(_));
+        // Servers that ended do not count as attempts; how many may is checked before the next one.
+        let has_ended = broke_off && job.check_server(&permit.server).await;
+        if broke_off && !has_ended && job.route.idempotent() {
             possible_runs += 1;
             // The last server gets one repeat, which does not count as another attempt.
             if possible_runs >= job.route.attempts {
@@ -119,11 +127,18 @@
         }
         log_failed_attempt(job, &server, &outcome);
         match outcome {
-            AttemptResult::Response(response) => return Ok(complete(job, permit, response)),
+            AttemptResult::Response(response) => {
+                if response.status.is_success() {
+                    job.record_success().await;
+                }
+                return Ok(complete(job, permit, response));
+            }
             AttemptResult::Stream(stream) => return Ok(relay(job, Some(permit), *stream)),
             AttemptResult::OutcomeUnknown(reason) if !job.route.idempotent() => {
                 permit.release(Outcome::Failed);
-                if let Some(stream) = continue_run(job, reason, job.meta.last_event).await {
+                if job.check_ended_servers().await.is_ok()
+                    && let Some(stream) = continue_run(job, reason, job.meta.last_event).await
+                {
                     return Ok(relay(job, None, stream));
                 }
                 return Err(reply::outcome_unknown(Code::OutcomeUnknown, reason));
--- a/src/gateway/request/stream.rs
+++ b/src/gateway/request/stream.rs
@@ -5,11 +5,14 @@
 use super::job::Job;
 use crate::conversation::Transcript;
 use crate::gateway::queue::permit::Permit;
-use crate::gateway::server::attempt::{AttemptResult, EventSource, Stream, StreamItem, attempt};
+use crate::gateway::server::attempt::{
+    AttemptResult, EventSource, OTHER_INSTANCE, Stream, StreamItem, attempt,
+};
 use crate::gateway::server::continuation::{self, Gap, Sequence, continue_run};
 use crate::gateway::server::event::EventBatch;
 use crate::gateway::server::moving::{self, Moving, continue_moved};
 use crate::gateway::server::pinning;
+use crate::gateway::world::directory::Entry;
 use crate::policy::dispatch::Outcome;
 use crate::telemetry::event;
 use bytes::Bytes;
@@ -95,8 +98,13 @@
                     }
                     StreamItem::Broken("stalled")
                 },
-                () = chunks.closed() => { end = Some(StreamEnd::CallerLeft); break },
+                () = chunks.closed() => {
+                    self.check_silent_server(waiting_since);
+                    end = Some(StreamEnd::CallerLeft);
+                    break
+                },
                 () = tokio::time::sleep_until(self.job.deadline) => {
+                    self.check_silent_server(waiting_since);
                     end = Some(StreamEnd::DeadlinePassed);
                     break
                 },
@@ -108,6 +116,9 @@
                     self.continue_elsewhere(reason).await
                 }
                 StreamItem::Broken(reason) if resumes >= MAX_RESUMES => {
+                    if let Some(server) = self.server() {
+                        self.job.check_server(&server).await;
+                    }
                     Some(StreamEnd::Broken(reason))
                 }
                 StreamItem::Broken(reason) => {
@@ -119,6 +130,20 @@
         self.finish(end.unwrap_or(StreamEnd::Complete)).await;
     }
 
+    /// The server of the stream; `None` if it is unknown.
+    fn server(&self) -> Option<Arc<Entry>> {
+        match &self.permit {
+            Some(permit) => Some(Arc::clone(&permit.server)),
+            None => continuation::current_server(&self.job),
+        }
+    }
+
+    fn check_silent_server(&self, since: Instant) {
+        if let Some(server) = self.server() {
+            self.job.check_silent_server(&server, since);
+        }
+    }
+
     /// Sends a batch of events to the caller; returns `Some` if that ended the stream.
     async fn forward(&mut self, batch: EventBatch) -> Option<StreamEnd> {
         let batch = match self.sequence.accept(batch) {
@@ -175,9 +200,15 @@
             continuation::note_broken(&self.job);
             Outcome::Failed
         };
+        if let Some(server) = self.server().filter(|_| handle.is_none()) {
+            self.job.check_server(&server).await;
+        }
         if let Some(permit) = self.permit.take() {
             permit.release(outcome);
         }
+        if self.job.check_ended_servers().await.is_err() {
+            return Some(StreamEnd::Broken("servers_ended"));
+        }
         let chunks = self.chunks.clone();
         let job = Rc::clone(&self.job);
         let continued = async {
@@ -216,7 +247,18 @@
             &resume_result,
             self.last_event,
         );
+        let has_ended = match resume_result {
+            AttemptResult::Unreachable => true,
+            AttemptResult::NotRun(reason) => reason == OTHER_INSTANCE,
+            _ => false,
+        };
+        if has_ended {
+            self.job.record_end_of(&permit.server).await;
+        }
         if matches!(resume_result, AttemptResult::Unreachable) {
+            if self.job.check_ended_servers().await.is_err() {
+                return Some(StreamEnd::Broken("servers_ended"));
+            }
             let avoid = [Arc::clone(&permit.server.id)];
             match acquire_permit(&self.job, &avoid).await {
                 Ok(other) => {
@@ -234,6 +276,9 @@
                 self.last_event,
             );
         }
+        if matches!(resume_result, AttemptResult::OutcomeUnknown(_)) {
+            self.job.check_server(&permit.server).await;
+        }
         let AttemptResult::Stream(stream) = resume_result else {
             return Some(StreamEnd::Broken(reason));
         };
@@ -265,6 +310,7 @@
             }
             pinning::turn_ended(&job);
             continuation::run_ended(&job);
+            job.record_success().await;
             let saved = save_turn(&job, transcript).await;
             job.record_end(if saved { "200" } else { "cut:not_kept" }, saved);
             if !saved {
--- a/src/gateway/server/attempt.rs
+++ b/src/gateway/server/attempt.rs
@@ -30,6 +30,9 @@
 /// Maximum size of a buffered response body.
 const MAX_BODY_BYTES: usize = 8 << 20;
 
+/// Reason of a refusal by another instance than the one that the request was for.
+pub(crate) const OTHER_INSTANCE: &str = "other_instance";
+
 /// Result of sending a request to one server.
 #[derive(Debug)]
 pub(crate) enum AttemptResult {
@@ -157,7 +160,9 @@
     server: &Arc<Entry>,
     run: &RunHeaders<'_>,
 ) -> AttemptResult {
+    let silence = job.watch_silence(server);
     let result = send(job, server, run).await;
+    silence.end();
     continuation::note_attempt(job, server, &result);
     result
 }
@@ -242,7 +247,7 @@
         reuse_after_body(job, connection, response.into_body(), &response_headers).await;
         return Ok(AttemptResult::NotRun(
             if status == StatusCode::MISDIRECTED_REQUEST {
-                "other_instance"
+                OTHER_INSTANCE
             } else {
                 "server_full"
             },
--- a/src/gateway/server/continuation.rs
+++ b/src/gateway/server/continuation.rs
@@ -246,6 +246,12 @@
     }
 }
 
+/// The engine of a run that is counted by the planner.
+pub(crate) fn current_server(job: &Job) -> Option<Arc<Entry>> {
+    let run = job.run.counted.borrow();
+    run.as_ref().map(|run| Arc::clone(&run.server))
+}
+
 /// Records that the engine of a run broke its stream off.
 pub(crate) fn note_broken(job: &Job) {
     if let Some(run) = &*job.run.counted.borrow() {
--- a/src/gateway/tokens/owner.rs
+++ b/src/gateway/tokens/owner.rs
@@ -133,6 +133,7 @@
             Question::Heard => Reply::Heard {
                 ago_ms: self.store_contact_age_ms(),
             },
+            Question::Ends => self.newest_ends(),
             Question::Locate { turn, lost } => self.locate(&turn, lost).await,
             Question::Copies { part } => {
                 let partition = self.partitions.partition(part);
@@ -184,6 +185,7 @@
                 }
             }
             Note::Copied(replica) => self.partitions.merge_replica(replica),
+            Note::Ended(ends) => self.merge_ends(&ends),
             Note::Loads(note) => self.handle_loads(from, note),
             Note::Holds { turn } => self.conversations.set_holder(turn, from),
         }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -34,6 +34,7 @@
 pub mod relay;
 pub mod request;
 mod server;
+pub mod server_ends;
 mod service_pool;
 pub mod share;
 mod slack;
--- a/tests/server_failures.rs
+++ b/tests/server_failures.rs
@@ -4,13 +4,16 @@
 mod platform;
 
 use platform::program::wait_until_joined;
-use platform::{Reply, Request, Store, Vm, call, events, stream_head, unused_address};
-use serde_json::{Value, json};
+use platform::{Reply, Request, Store, Vm, call, events, stream_head, until, unused_address};
+use serde_json::json;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio::time::Instant;
+use vanillatrail::id::ContentHash;
+use vanillatrail::policy::server_ends::{End, Ledger};
 
 /// Servers that may end under one request.
 const MAX_ENDED: usize = 3;
@@ -129,20 +132,16 @@
 
 /// Starts a store, servers and VMs that know each other.
 fn start(vms: usize, fatal: Fatal, fatal_requests: usize) -> (Store, Arc<Servers>, Vec<Vm>) {
-    start_with(vms, fatal, fatal_requests, &json!({ "attempts": 1 }))
-}
-
-fn start_with(
-    vms: usize,
-    fatal: Fatal,
-    fatal_requests: usize,
-    route: &Value,
-) -> (Store, Arc<Servers>, Vec<Vm>) {
     let store = Store::start();
     let servers = Servers::start(&store, 9, fatal, fatal_requests);
-    store.configure(1, &[("/a/", "stream", route.clone())]);
+    store.configure(1, &[("/a/", "stream", json!({ "attempts": 1 }))]);
     let vms: Vec<Vm> = (0..vms).map(|_| Vm::start(&store)).collect();
     wait_until_joined(&vms);
+    for vm in &vms {
+        until("the VM knows which servers ended", || {
+            vm.state()["server_ends"]["informed"] == true
+        });
+    }
     (store, servers, vms)
 }
 
@@ -188,3 +187,142 @@
         (MAX_ENDED, MAX_ENDED)
     );
 }
+
+/// Guards against failing a request that merely met two servers that ended.
+#[test]
+fn a_request_that_met_two_ended_servers_is_answered() {
+    for fatal in [Fatal::BeforeResponse, Fatal::MidStream] {
+        let (_store, servers, vms) = start(1, fatal, 2);
+        let reply = turn(&vms[0], "/a/fatal", "r");
+        assert!(reply.status == 200 && reply.whole, "{fatal:?}: {reply:?}");
+        assert_eq!(servers.ended(), 2);
+    }
+}
+
+/// Guards against failing streams that could go on: servers that only close connections have not ended.
+#[test]
+fn servers_that_only_break_streams_off_do_not_count_as_ended() {
+    let (_store, servers, vms) = start(3, Fatal::CloseOnly, 4);
+    for number in 0..4 {
+        let reply = turn(&vms[number % 3], "/a/fatal", &format!("r{number}"));
+        assert!(reply.status == 200 && reply.whole, "{reply:?}");
+    }
+    assert_eq!((servers.ended(), servers.received()), (0, 8));
+}
+
+/// Guards against a VM that forgets with its restart which requests ended servers.
+#[test]
+fn a_restarted_vm_learns_which_requests_ended_servers() {
+    let (_store, servers, mut vms) = start(3, Fatal::BeforeResponse, usize::MAX);
+    assert!(turn(&vms[0], "/a/fatal", "r0").status >= 500);
+    assert_eq!(servers.ended(), MAX_ENDED);
+    for vm in &mut vms[..2] {
+        vm.kill();
+        vm.restart();
+        vm.wait_ready();
+        until("the VM knows which servers ended", || {
+            vm.state()["server_ends"]["informed"] == true
+        });
+    }
+    for (number, vm) in vms.iter().enumerate() {
+        assert!(turn(vm, "/a/fatal", &format!("s{number}")).status >= 500);
+    }
+    assert_eq!(servers.received(), MAX_ENDED);
+}
+
+/// Guards against VMs that all restart at once and end as many servers again.
+#[test]
+fn vms_that_all_restart_end_one_more_server() {
+    let (_store, servers, mut vms) = start(2, Fatal::BeforeResponse, usize::MAX);
+    assert!(turn(&vms[0], "/a/fatal", "r0").status >= 500);
+    vms.iter_mut().for_each(Vm::kill);
+    vms.iter_mut().for_each(Vm::restart);
+    wait_until_joined(&vms);
+    for number in 0..6 {
+        turn(&vms[number % 2], "/a/fatal", &format!("s{number}"));
+    }
+    assert!(servers.ended() <= MAX_ENDED + 1, "{}", servers.ended());
+}
+
+/// Guards against a VM that is cut off from most others, and can't learn how many servers ended before.
+#[test]
+fn a_vm_that_reaches_few_others_ends_one_more_server() {
+    let (_store, servers, vms) = start(3, Fatal::BeforeResponse, usize::MAX);
+    vms[1].signal("-STOP");
+    vms[2].signal("-STOP");
+    for number in 0..4 {
+        assert!(turn(&vms[0], "/a/fatal", &format!("r{number}")).status >= 500);
+    }
+    let ended = servers.ended();
+    vms[1].signal("-CONT");
+    vms[2].signal("-CONT");
+    assert_eq!(ended, 1);
+}
+
+fn end(content: u64, server: u64) -> End {
+    End {
+        content: ContentHash(content),
+        server: Some(server),
+        age_ms: 0,
+    }
+}
+
+/// Guards against unbounded memory, and against a mass failure of servers that displaces the request which ends them.
+#[test]
+fn the_ledger_is_bounded_and_keeps_the_worst_request() {
+    let (mut ledger, now) = (Ledger::default(), Instant::now());
+    for server in 0..3 {
+        assert!(ledger.record(now, end(0, server)));
+    }
+    for content in 1..100_000 {
+        ledger.record(now, end(content, 9));
+    }
+    assert!(ledger.counts().0 <= 4096);
+    assert!(ledger.refusal(now, ContentHash(0), true).is_some());
+    assert!(ledger.refusal(now, ContentHash(99_999), true).is_none());
+    assert!(ledger.refusal(now, ContentHash(99_999), false).is_some());
+}
+
+/// Guards against refusing a request for good, and against a wrong time to come back.
+#[test]
+fn a_request_may_be_sent_again_after_the_time_that_its_refusal_gives() {
+    let (mut ledger, now) = (Ledger::default(), Instant::now());
+    for server in 0..3 {
+        ledger.record(now, end(1, server));
+    }
+    let retry_after = ledger.refusal(now, ContentHash(1), true).expect("refused");
+    assert!(
+        ledger
+            .refusal(now + retry_after / 2, ContentHash(1), true)
+            .is_some()
+    );
+    assert!(
+        ledger
+            .refusal(now + retry_after, ContentHash(1), true)
+            .is_none()
+    );
+    ledger.drop_expired(now + retry_after);
+    assert!(ledger.is_empty());
+}
+
+/// Guards against refusing a content that many callers send, after servers ended for another reason.
+#[test]
+fn a_success_shows_that_a_request_did_not_end_the_servers() {
+    let (mut ledger, now) = (Ledger::default(), Instant::now());
+    for server in 0..3 {
+        ledger.record(now, end(1, server));
+    }
+    let success = End {
+        server: None,
+        ..end(1, 0)
+    };
+    assert!(ledger.record(now, success));
+    ledger.record(now, end(1, 8));
+    assert!(ledger.refusal(now, ContentHash(1), true).is_none());
+    // Other VMs learn both.
+    let mut other = Ledger::default();
+    for end in ledger.newest(now, 8) {
+        other.record(now, end);
+    }
+    assert!(other.refusal(now, ContentHash(1), true).is_none() && !other.is_empty());
+}
