Read and show the software version of servers, and log which stream a request takes up

Cause of the change: after streams held events of two versions, logs could not tell whether a request takes up a stream, and at which version an engine runs. The version of a registration is passed on between VMs (absent in what VMs of the version before send), shown in /state and in stream_resumed; stream_taken_up names the try that got the first event. No decision reads them.

--- a/src/gateway/front/operators.rs
+++ b/src/gateway/front/operators.rs
@@ -74,6 +74,7 @@
                 "service": entry.service,
                 "address": entry.address,
                 "zone": entry.zone,
+                "version": &*entry.version,
                 "draining": entry.draining,
             })
         });
--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -105,6 +105,16 @@
     job.gateway.wait_for_store(job).await?;
     // Concurrent to save latency; both must finish before the request is sent.
     tokio::try_join!(reserve_tokens(job), prepend_history(job))?;
+    if let Some(last_event) = job.meta.last_event {
+        event!(
+            info,
+            "stream_taken_up",
+            id = job.meta.id,
+            resumes = job.meta.resumes.as_deref().unwrap_or_default(),
+            last = last_event,
+            content = job.content()
+        );
+    }
     let mut avoid = Vec::new();
     let mut possible_runs = 0;
     for _ in 0..MAX_SERVER_TRIES {
--- a/src/gateway/request/stream.rs
+++ b/src/gateway/request/stream.rs
@@ -242,7 +242,7 @@
         let mut resume_result = attempt(&self.job, permit, self.last_event).await;
         log_resume(
             &self.job,
-            &permit.server.id,
+            &permit.server,
             reason,
             &resume_result,
             self.last_event,
@@ -270,7 +270,7 @@
             resume_result = attempt(&self.job, permit, self.last_event).await;
             log_resume(
                 &self.job,
-                &permit.server.id,
+                &permit.server,
                 reason,
                 &resume_result,
                 self.last_event,
@@ -348,7 +348,7 @@
 
 fn log_resume(
     job: &Job,
-    server: &str,
+    server: &Entry,
     reason: &str,
     resume_result: &AttemptResult,
     last_event: Option<u64>,
@@ -363,7 +363,8 @@
         info,
         "stream_resumed",
         id = job.meta.id,
-        server = server,
+        server = server.id,
+        version = server.version,
         after = reason,
         last = last_event.unwrap_or_default(),
         outcome = outcome,
--- a/src/gateway/world/directory.rs
+++ b/src/gateway/world/directory.rs
@@ -29,6 +29,8 @@
     pub address: SocketAddr,
     /// Availability zone of the server.
     pub zone: String,
+    /// Version of the server's software; empty if unknown.
+    pub version: Arc<str>,
     /// Number of requests that the server processes concurrently.
     pub slots: usize,
     /// Whether the server is shutting down and must get no new requests.
@@ -37,11 +39,22 @@
 
 /// The encoding of an [`Entry`] between VMs: without the identity, which is derived.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-struct Registration(Arc<str>, u64, String, SocketAddr, String, usize, bool);
+struct Registration(
+    Arc<str>,
+    u64,
+    String,
+    SocketAddr,
+    String,
+    usize,
+    bool,
+    // Absent in what VMs of the version before encode.
+    #[serde(default)] Arc<str>,
+);
 
 impl From<Registration> for Entry {
     fn from(registration: Registration) -> Self {
-        let Registration(name, born_ms, service, address, zone, slots, draining) = registration;
+        let Registration(name, born_ms, service, address, zone, slots, draining, version) =
+            registration;
         Self {
             id: instance_id(&name, born_ms),
             name,
@@ -51,6 +64,7 @@
             zone,
             slots,
             draining,
+            version,
         }
     }
 }
@@ -65,6 +79,7 @@
             entry.zone,
             entry.slots,
             entry.draining,
+            entry.version,
         )
     }
 }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -34,6 +34,8 @@
 const PROMPT_PARTS: HeaderName = HeaderName::from_static("x-prompt-prefix");
 /// Request ID of the turn that this request continues.
 const PREV_TURN: HeaderName = HeaderName::from_static("x-prev-turn");
+/// Request ID of the caller's try that got the first event of the stream that this request takes up.
+const RESUMES: HeaderName = HeaderName::from_static("resumes");
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 /// The caller's estimate of the number of output tokens.
 const LENGTH_HINT: HeaderName = HeaderName::from_static("x-length-hint");
@@ -109,6 +111,8 @@
     pub(crate) prompt_parts: Vec<Part>,
     /// The last event that the caller has received, when it resumes a stream.
     pub(crate) last_event: Option<u64>,
+    /// Request ID of the try that got the first event of the stream that this request resumes.
+    pub(crate) resumes: Option<String>,
     /// The turn that this request continues.
     pub(crate) prev_turn: Option<String>,
     /// Name under which this request's turn is stored: the request ID, scoped to the team if any.
@@ -171,6 +175,7 @@
             affinity: affinity_key(headers),
             prompt_parts: prompt_parts(headers),
             last_event: header_number(headers, &LAST_EVENT_ID),
+            resumes: header_text(headers, &RESUMES).filter(|id| !id.is_empty()),
             prev_turn: headers.get(&PREV_TURN).map(|value| {
                 let text = value.to_str().unwrap_or_default();
                 text.trim().to_owned()
--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -159,11 +159,11 @@
     /// Start time in milliseconds since the Unix epoch; zero if the server does not send it.
     #[serde(default)]
     born: u64,
+    /// Version of the server's software, not of the weights that it serves.
+    version: String,
     // Unused, but required: a record without these fields does not come from a server.
     #[serde(rename = "coldLeftMs")]
     _cold_left_ms: f64,
-    #[serde(rename = "version")]
-    _version: String,
     #[serde(rename = "seq")]
     _seq: u64,
 }
@@ -326,5 +326,6 @@
         zone: body.zone,
         slots: body.slots.get(),
         draining: body.state == StateBody::Draining,
+        version: body.version.into(),
     })))
 }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -116,6 +116,7 @@
             service: "pool".to_owned(),
             address: ([10, 0, 0, 1], 80).into(),
             zone: "z".to_owned(),
+            version: "v1".into(),
             slots: 4,
             draining,
         }
