--- a/tests/server_failures.rs
+++ b/tests/server_failures.rs
@@ -4,13 +4,10 @@
 mod platform;
 
 use platform::program::wait_until_joined;
-use platform::{Reply, Request, Store, Vm, call, events, stream_head, until, unused_address};
+use platform::{Act, Backend, Reply, Request, Store, Vm, call, events, stream_head, until};
 use serde_json::json;
-use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use tokio::time::Instant;
 use vanillatrail::id::ContentHash;
 use vanillatrail::policy::server_ends::{End, Ledger};
@@ -29,111 +26,62 @@
     CloseOnly,
 }
 
-/// Servers of the service `pool`, each of which listens until a request ends it.
-struct Servers {
-    fatal: Fatal,
-    /// Fatal requests that end a server; further ones are answered.
-    fatal_left: AtomicUsize,
-    ended: AtomicUsize,
-    /// Fatal requests that reached a server, by their request ID.
-    received: Arc<Mutex<Vec<String>>>,
-}
+/// Servers of the service `pool`.
+struct Servers(Vec<Backend>);
 
 impl Servers {
-    fn start(store: &Store, count: usize, fatal: Fatal, fatal_requests: usize) -> Arc<Self> {
-        let servers = Arc::new(Self {
-            fatal,
-            fatal_left: AtomicUsize::new(fatal_requests),
-            ended: AtomicUsize::new(0),
-            received: Arc::default(),
-        });
-        for number in 0..count {
-            let address = Arc::clone(&servers).listen();
-            store.register(&format!("s{number}"), "pool", address, "ready");
-        }
-        servers
-    }
-
-    fn listen(self: Arc<Self>) -> SocketAddr {
-        let address = SocketAddr::new(unused_address(), 0);
-        let listener = TcpListener::bind(address).expect("the address is free");
-        listener.set_nonblocking(true).expect("the mode is set");
-        let address = listener.local_addr().expect("the listener is bound");
-        std::thread::spawn(move || {
-            let ends = Arc::new(AtomicBool::new(false));
-            let listens = Arc::new(AtomicBool::new(true));
-            while !ends.load(Ordering::SeqCst) {
-                let Ok((stream, _)) = listener.accept() else {
-                    std::thread::sleep(Duration::from_millis(1));
-                    continue;
-                };
-                stream.set_nonblocking(false).expect("the mode is set");
-                let (servers, ends, listens) =
-                    (Arc::clone(&self), Arc::clone(&ends), Arc::clone(&listens));
-                std::thread::spawn(move || {
-                    if !servers.serve(&stream) {
-                        return;
-                    }
-                    ends.store(true, Ordering::SeqCst);
-                    // The connection closes after the listener, as when a process ends.
-                    while listens.load(Ordering::SeqCst) {
-                        std::thread::sleep(Duration::from_millis(1));
-                    }
-                });
-            }
-            drop(listener);
-            self.ended.fetch_add(1, Ordering::SeqCst);
-            listens.store(false, Ordering::SeqCst);
+    /// Starts servers that treat this many requests as fatal, and answer further ones.
+    fn start(store: &Store, fatal: Fatal, fatal_requests: usize) -> Self {
+        let left = Arc::new(AtomicUsize::new(fatal_requests));
+        let servers = (0..9).map(|number| {
+            let left = Arc::clone(&left);
+            let server = Backend::start(move |request, _| answer(request, fatal, &left));
+            store.register(&format!("s{number}"), "pool", server.address, "ready");
+            server
         });
-        address
-    }
-
-    /// Serves a connection to its end; returns whether a request ends the server.
-    fn serve(&self, mut stream: &TcpStream) -> bool {
-        let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
-        while let Some(request) = Request::read(&mut reader) {
-            let first = request.header("last-event-id").parse().unwrap_or(0) + 1;
-            let is_fatal = request.target.contains("fatal") && self.takes_fatal(&request);
-            if is_fatal && self.fatal == Fatal::BeforeResponse {
-                return true;
-            }
-            let bytes = if is_fatal {
-                stream_head(&request) + &events(first..=first)
-            } else {
-                stream_head(&request) + &events(first..=first + 1) + "0\r\n\r\n"
-            };
-            if stream.write_all(bytes.as_bytes()).is_err() {
-                return false;
-            }
-            if is_fatal {
-                return self.fatal == Fatal::MidStream;
-            }
-        }
-        false
-    }
-
-    /// Counts a fatal request; returns whether it takes effect.
-    fn takes_fatal(&self, request: &Request) -> bool {
-        let id = request.header("x-request-id").to_owned();
-        self.received.lock().expect("not poisoned").push(id);
-        let take = |left: usize| left.checked_sub(1);
-        let order = Ordering::SeqCst;
-        self.fatal_left.fetch_update(order, order, take).is_ok()
+        Self(servers.collect())
     }
 
     fn ended(&self) -> usize {
-        self.ended.load(Ordering::SeqCst)
+        self.0.iter().filter(|server| server.has_ended()).count()
     }
 
+    /// Fatal requests that reached a server.
     fn received(&self) -> usize {
-        self.received.lock().expect("not poisoned").len()
+        let requests = self.0.iter().map(|server| {
+            let requests = server.requests.lock().expect("not poisoned");
+            let fatal = requests
+                .iter()
+                .filter(|request| request.target.contains("fatal"));
+            fatal.count()
+        });
+        requests.sum()
+    }
+}
+
+fn answer(request: &Request, fatal: Fatal, fatal_left: &AtomicUsize) -> Act {
+    let first = request.header("last-event-id").parse().unwrap_or(0) + 1;
+    let take = |left: usize| left.checked_sub(1);
+    let is_fatal = request.target.contains("fatal")
+        && fatal_left
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, take)
+            .is_ok();
+    let one_event = || (stream_head(request) + &events(first..=first)).into_bytes();
+    match fatal {
+        _ if !is_fatal => {
+            let text = stream_head(request) + &events(first..=first + 1) + "0\r\n\r\n";
+            Act::Keep(text.into_bytes())
+        }
+        Fatal::BeforeResponse => Act::End(Vec::new()),
+        Fatal::MidStream => Act::End(one_event()),
+        Fatal::CloseOnly => Act::Close(one_event()),
     }
 }
 
 /// Starts a store, servers and VMs that know each other.
-fn start(vms: usize, fatal: Fatal, fatal_requests: usize) -> (Store, Arc<Servers>, Vec<Vm>) {
+fn start(vms: usize, fatal: Fatal, fatal_requests: usize) -> (Store, Servers, Vec<Vm>) {
     let store = Store::start();
-    let servers = Servers::start(&store, 9, fatal, fatal_requests);
+    let servers = Servers::start(&store, fatal, fatal_requests);
     store.configure(1, &[("/a/", "stream", json!({ "attempts": 1 }))]);
     let vms: Vec<Vm> = (0..vms).map(|_| Vm::start(&store)).collect();
     wait_until_joined(&vms);
