--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -272,9 +272,21 @@
 
     /// Registers a backend server.
     pub fn register(&self, id: &str, service: &str, address: SocketAddr, state: &str) {
+        self.register_version(id, service, address, state, "v1");
+    }
+
+    /// Registers a backend server with a version of its software.
+    pub fn register_version(
+        &self,
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+        state: &str,
+        version: &str,
+    ) {
         let entry = json!({
             "service": service, "addr": address.to_string(), "zone": "z", "slots": 4,
-            "version": "v1", "state": state, "coldLeftMs": 0, "seq": 1,
+            "version": version, "state": state, "coldLeftMs": 0, "seq": 1,
         });
         self.put("keyed.servers", id, Some(&entry));
     }
