Let a VM that has just started send a request on after one server ended under it

Cause: for 5 s after the start of all VMs, one end refused a request everywhere, so a request that merely met a server that died failed with all its retries. Change: such a VM allows two ends; one that is cut off still allows one, as its callers' retries reach VMs that know more.

--- a/src/gateway/server/ends.rs
+++ b/src/gateway/server/ends.rs
@@ -9,7 +9,7 @@
 use crate::gateway::request::reply;
 use crate::gateway::world::directory::Entry;
 use crate::id::ContentHash;
-use crate::policy::server_ends::{End, Ledger};
+use crate::policy::server_ends::{End, Knowledge, Ledger};
 use crate::telemetry::event;
 use rand::seq::IteratorRandom;
 use std::cell::{Cell, RefCell};
@@ -69,8 +69,15 @@
         }
         let now = Instant::now();
         let is_suspect = ends.ledger.borrow().ended(now, self.content()) > 0;
-        let informed = ends.informed.get() && (!is_suspect || gateway.reaches_majority().await);
-        let refusal = ends.ledger.borrow().refusal(now, self.content(), informed);
+        let knowledge = if is_suspect && !gateway.reaches_majority().await {
+            Knowledge::CutOff
+        } else if ends.informed.get() {
+            Knowledge::Complete
+        } else {
+            Knowledge::SinceStart
+        };
+        let refusal = ends.ledger.borrow();
+        let refusal = refusal.refusal(now, self.content(), knowledge);
         let Some(retry_after) = refusal else {
             return Ok(());
         };
@@ -185,7 +192,7 @@
     }
 
     /// Whether another instance of the server has registered since.
-    fn was_replaced(&self, server: &Entry) -> bool {
+    pub(crate) fn was_replaced(&self, server: &Entry) -> bool {
         let routing = self.routing.borrow();
         let current = routing.directory.by_name(&server.name);
         current.is_some_and(|current| current.id != server.id)
--- a/src/policy/server_ends.rs
+++ b/src/policy/server_ends.rs
@@ -13,13 +13,37 @@
 /// Servers that may end under one request. Two are likely to end under an innocent request that was repeated beside a
 /// harmful one; more are not.
 pub const MAX_ENDED_SERVERS: usize = 3;
-/// The same at a VM that may not know of all ends, since it has just started or reaches few other VMs.
-pub const MAX_ENDED_SERVERS_UNINFORMED: usize = 1;
+/// The same at a VM that has just started and found no VM that knows of earlier ends. A request that met one server that
+/// ended is still sent on, as its caller would find no VM that knows more.
+const MAX_ENDED_SERVERS_AFTER_START: usize = 2;
+/// The same at a VM that reaches few other VMs. Its callers find VMs that know more.
+const MAX_ENDED_SERVERS_CUT_OFF: usize = 1;
 /// How long ends count after the last one. Longer than a caller and its program go on to repeat a request.
 pub const LIFETIME: Duration = Duration::from_mins(1);
 /// Requests that are remembered, at about 200 bytes each.
 const MAX_REQUESTS: usize = 4096;
 
+/// What a VM knows of the ends that other VMs noticed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Knowledge {
+    /// All of them.
+    Complete,
+    /// None from before its start.
+    SinceStart,
+    /// Perhaps none, since it reaches few other VMs.
+    CutOff,
+}
+
+impl Knowledge {
+    const fn max_ended(self) -> usize {
+        match self {
+            Self::Complete => MAX_ENDED_SERVERS,
+            Self::SinceStart => MAX_ENDED_SERVERS_AFTER_START,
+            Self::CutOff => MAX_ENDED_SERVERS_CUT_OFF,
+        }
+    }
+}
+
 /// The end of a server under a request, as VMs tell it to each other.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct End {
@@ -130,16 +154,15 @@
         record.map_or(0, Record::ended)
     }
 
-    /// How long a request may not be sent to another server; `None` if it may be. `informed` tells whether this VM
-    /// knows of the ends that other VMs noticed.
+    /// How long a request may not be sent to another server; `None` if it may be.
     #[must_use]
-    pub fn refusal(&self, now: Instant, content: ContentHash, informed: bool) -> Option<Duration> {
-        let max_ended = if informed {
-            MAX_ENDED_SERVERS
-        } else {
-            MAX_ENDED_SERVERS_UNINFORMED
-        };
-        if self.ended(now, content) < max_ended {
+    pub fn refusal(
+        &self,
+        now: Instant,
+        content: ContentHash,
+        knowledge: Knowledge,
+    ) -> Option<Duration> {
+        if self.ended(now, content) < knowledge.max_ended() {
             return None;
         }
         let record = self.records.get(&content)?;
