Let a stream go on only at the software version that began it

What callers saw: streams held events of two versions of the model engines' software, which don't fit together, while versions were rolled out side by side.

Cause: the version of a registration was not read, so no choice of a server knew it: the resumption within an answer, copies and moves of runs, and the placement of a request that takes a stream up at another VM, which also did not know where it began.

Change: the version at which a stream began is kept by its VM and two others before its first event goes out; the queue grants a resumed stream only servers of that version; copies and moves stay within it. A VM that can't find the version lets the stream go on only where all servers had one version for twice the route's time limit, and refuses it as not run otherwise (VT3013), at once.

Why it works: a stream has one version from its first event on, whichever VM goes on with it, and no VM guesses. The holders are found by a hash of the request ID that the caller names, so nothing has to be agreed on.

--- a/src/gateway/front/mod.rs
+++ b/src/gateway/front/mod.rs
@@ -22,6 +22,7 @@
 use crate::gateway::server::ends::Ends;
 use crate::gateway::server::moving::Moves;
 use crate::gateway::server::pinning::Pins;
+use crate::gateway::server::stream_version::StreamVersions;
 use crate::gateway::tokens::handover::Reason;
 use crate::gateway::tokens::partitions;
 use crate::gateway::tokens::partitions::Partitions;
@@ -221,6 +222,7 @@
         pins: Pins::default(),
         moves: Moves::default(),
         ends: Ends::default(),
+        stream_versions: StreamVersions::default(),
         queue: Queue::default(),
         leases: Leases::default(),
         metrics: Metrics::new(),
--- a/src/gateway/front/operators.rs
+++ b/src/gateway/front/operators.rs
@@ -101,6 +101,7 @@
             "pins": self.pins.state(),
             "moves": self.moves.state(),
             "server_ends": self.ends.state(),
+            "streams_known": self.stream_versions.count(),
             "leases": json!({ "waiting": waiting, "places": leased }),
             "counted": json!({ "partitions": partitions, "programs": programs }),
             "teams": routing.table.as_ref().and_then(|table| table.teams.as_ref()).map(Teams::len),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -45,6 +45,7 @@
 use server::ends::Ends;
 use server::moving::Moves;
 use server::pinning::Pins;
+use server::stream_version::StreamVersions;
 use std::cell::Cell;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -80,6 +81,7 @@
     pins: Pins,
     moves: Moves,
     ends: Ends,
+    stream_versions: StreamVersions,
     queue: Queue,
     leases: Leases,
     metrics: Metrics,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -11,6 +11,7 @@
 use crate::policy::allowance::{Reservation, Snapshot};
 use crate::policy::dispatch::{Load, Outcome, Request};
 use crate::policy::server_ends::End;
+use crate::policy::stream_versions::StreamHash;
 use crate::telemetry::event;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
@@ -83,6 +84,15 @@
         /// VM that an earlier reply named, but that did not have the turn.
         lost: Option<SocketAddr>,
     },
+    /// As [`Question::Place`], at a server of this software version.
+    #[serde(rename = "v")]
+    PlaceAtVersion { request: Request, version: Arc<str> },
+    /// Asks for the software version at which a stream began.
+    #[serde(rename = "b")]
+    StreamVersion { stream: StreamHash },
+    /// Asks for the only software version that the servers of a service had for this time.
+    #[serde(rename = "n")]
+    OnlyVersion { service: Arc<str>, time: Duration },
     /// Asks for the servers that ended under requests.
     #[serde(rename = "e")]
     Ends,
@@ -177,6 +187,9 @@
     /// The request can't be served in time; the caller may retry after `retry_ms`.
     #[serde(rename = "f")]
     Full { retry_ms: u64 },
+    /// The software version that was asked for; `None` if the VM does not know it.
+    #[serde(rename = "i")]
+    Version(Option<Arc<str>>),
     /// Servers that ended under requests, and whether the VM knows of those from before its start.
     #[serde(rename = "d")]
     Ends { ends: Vec<End>, informed: bool },
@@ -210,6 +223,12 @@
     /// Loads that servers of a service reported.
     #[serde(rename = "o")]
     Loads(LoadNote),
+    /// A stream began at a server of this software version.
+    #[serde(rename = "b")]
+    StreamBegan {
+        stream: StreamHash,
+        version: Arc<str>,
+    },
     /// Servers ended under requests.
     #[serde(rename = "d")]
     Ended(Vec<End>),
--- a/src/gateway/queue/lease.rs
+++ b/src/gateway/queue/lease.rs
@@ -8,6 +8,7 @@
 use crate::gateway::queue::permit::{
     Permit, SlotGuard, SlotOwner, no_server, overloaded, too_large,
 };
+use crate::gateway::world::directory::Entry;
 use crate::gateway::{Gateway, peers};
 use crate::id::{self, rendezvous_score};
 use crate::policy::dispatch::{Load, Outcome, Request};
@@ -140,7 +141,13 @@
     ) -> Option<Result<Permit, AcquireError>> {
         let question_number = self.peers.next_number();
         let slot = SlotGuard::new(Rc::clone(self), SlotOwner::Remote(peer, question_number));
-        let question = Question::Place(request.clone());
+        let question = match &request.version {
+            Some(version) => Question::PlaceAtVersion {
+                request: request.clone(),
+                version: Arc::clone(version),
+            },
+            None => Question::Place(request.clone()),
+        };
         let reply = self
             .peers
             .ask_numbered(question_number, peer, &question)
@@ -157,7 +164,8 @@
         };
         // The directory here may differ from that of the queue owner.
         let entry = self.routing.borrow().server(&server);
-        Some(match entry.filter(|entry| !entry.draining) {
+        let is_usable = |entry: &Arc<Entry>| !entry.draining && request.accepts(&entry.version);
+        Some(match entry.filter(is_usable) {
             Some(entry) => Ok(Permit::new(slot, entry)),
             None => Err(AcquireError::UnusableServer(server)),
         })
--- a/src/gateway/queue/permit.rs
+++ b/src/gateway/queue/permit.rs
@@ -12,6 +12,7 @@
 use crate::policy::dispatch::{
     Description, Dispatcher, LATE_REQUEST_RETRY_AFTER, Load, Outcome, Placement, Request, Tick,
 };
+use crate::policy::stream_versions::Rollouts;
 use crate::policy::{affinity, load_share};
 use crate::telemetry::event;
 use std::cell::{Cell, RefCell};
@@ -39,6 +40,8 @@
     pace_logged_at: Cell<Option<Instant>>,
     /// Exchange of load reports with other VMs.
     pub(crate) exchange: Exchange,
+    /// Software versions of the servers that the dispatcher has.
+    pub(crate) rollouts: RefCell<Rollouts>,
     /// Directory entries of the servers that the dispatcher has, by server name.
     entries: RefCell<HashMap<Arc<str>, Arc<Entry>>>,
     /// Requests of services without an engine that are already counted in the metrics.
@@ -52,6 +55,7 @@
         id: Instance::clone(&entry.id),
         service: entry.service.as_str().into(),
         zone: entry.zone.as_str().into(),
+        version: Arc::clone(&entry.version),
         slots: entry.slots,
         cache_tokens: engine.map_or(0, |engine| engine.cache_tokens),
         draining: entry.draining,
@@ -77,6 +81,10 @@
         dispatcher.set_tokens_per_event(tokens_per_event);
         dispatcher.set_plain_services(plain);
         drop(dispatcher);
+        let versions = directory
+            .iter()
+            .map(|entry| (entry.service.as_str(), &entry.version));
+        self.rollouts.borrow_mut().replace(Instant::now(), versions);
         let entries = directory
             .iter()
             .map(|entry| (Arc::clone(&entry.name), Arc::clone(entry)));
@@ -88,8 +96,17 @@
     pub(crate) fn apply_changes(&self, changes: &[Change], table: Option<&Table>) {
         let mut entries = self.entries.borrow_mut();
         let mut dispatcher = self.dispatcher.borrow_mut();
+        let mut rollouts = self.rollouts.borrow_mut();
+        let now = Instant::now();
         for change in changes {
             let previous = entries.remove(change.name());
+            // Added before the previous one is removed, so that an update does not look like a change of version.
+            if let Change::Set(entry) = change {
+                rollouts.add(now, &entry.service, &entry.version);
+            }
+            if let Some(previous) = &previous {
+                rollouts.remove(now, &previous.service, &previous.version);
+            }
             let Change::Set(entry) = change else {
                 if let Some(previous) = previous {
                     dispatcher.remove_server(&previous.service, &previous.id);
@@ -105,7 +122,7 @@
             dispatcher.update_server(describe(entry, table));
             entries.insert(Arc::clone(&entry.name), Arc::clone(entry));
         }
-        drop((entries, dispatcher));
+        drop((entries, dispatcher, rollouts));
         self.grant_waiting();
     }
 
--- a/src/gateway/request/admit.rs
+++ b/src/gateway/request/admit.rs
@@ -122,6 +122,7 @@
         may_have_run: Cell::new(false),
         end_recorded: Cell::new(false),
         events_relayed: Cell::new(0),
+        stream_version: RefCell::default(),
         run: RunState::default(),
     })
 }
--- a/src/gateway/request/job.rs
+++ b/src/gateway/request/job.rs
@@ -64,6 +64,8 @@
     pub(crate) end_recorded: Cell<bool>,
     /// Events of the response passed to the caller.
     pub(crate) events_relayed: Cell<u64>,
+    /// Software version of the server that began the stream, once that is known.
+    pub(crate) stream_version: RefCell<Option<Arc<str>>>,
     /// Copies, moves and pins of its run.
     pub(crate) run: RunState,
 }
--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -15,6 +15,7 @@
 use crate::gateway::server::attempt::{AttemptResult, BufferedResponse, attempt};
 use crate::gateway::server::continuation::continue_run;
 use crate::gateway::server::pinning;
+use crate::gateway::server::stream_version::stream_version_lost;
 use crate::platform::headers::Meta;
 use crate::policy::dispatch::{self, Outcome};
 use crate::policy::quota;
@@ -99,22 +100,13 @@
 async fn dispatch(job: &Rc<Job>) -> Result<Response<Body>, Failure> {
     // A request that is refused here must count against no limit.
     job.check_ended_servers().await?;
+    job.find_stream_version().await?;
     // The rate limit goes first: a turn that it refuses must not leave a token reservation behind.
     sleep(check_limit(job).await?).await;
     // Before the token reservation, since a turn that is refused here must not leave one behind.
     job.gateway.wait_for_store(job).await?;
     // Concurrent to save latency; both must finish before the request is sent.
     tokio::try_join!(reserve_tokens(job), prepend_history(job))?;
-    if let Some(last_event) = job.meta.last_event {
-        event!(
-            info,
-            "stream_taken_up",
-            id = job.meta.id,
-            resumes = job.meta.resumes.as_deref().unwrap_or_default(),
-            last = last_event,
-            content = job.content()
-        );
-    }
     let mut avoid = Vec::new();
     let mut possible_runs = 0;
     for _ in 0..MAX_SERVER_TRIES {
@@ -143,7 +135,10 @@
                 }
                 return Ok(complete(job, permit, response));
             }
-            AttemptResult::Stream(stream) => return Ok(relay(job, Some(permit), *stream)),
+            AttemptResult::Stream(stream) => {
+                job.record_stream_version(&permit.server.version).await;
+                return Ok(relay(job, Some(permit), *stream));
+            }
             AttemptResult::OutcomeUnknown(reason) if !job.route.idempotent() => {
                 permit.release(Outcome::Failed);
                 if job.check_ended_servers().await.is_ok()
@@ -185,7 +180,14 @@
     if let Ok(permit) = &permit {
         job.servers.borrow_mut().push(Arc::clone(&permit.server.id));
     }
-    permit
+    permit.map_err(|failure| {
+        let is_bound = job.stream_version.borrow().is_some();
+        if is_bound && failure.code == Code::NoServer {
+            stream_version_lost()
+        } else {
+            failure
+        }
+    })
 }
 
 /// Prepends the stored conversation history to the caller's input.
@@ -264,6 +266,7 @@
         avoid: avoid.to_vec(),
         demand: demand(job),
         object: job.meta.affinity.filter(|_| keeps_objects),
+        version: job.stream_version.borrow().clone(),
     }
 }
 
--- a/src/gateway/request/stream.rs
+++ b/src/gateway/request/stream.rs
@@ -239,7 +239,12 @@
         let Some(permit) = &mut self.permit else {
             return Some(StreamEnd::Broken(reason));
         };
-        let mut resume_result = attempt(&self.job, permit, self.last_event).await;
+        // A server that started again under its name may have another version.
+        let mut resume_result = if self.job.gateway.was_replaced(&permit.server) {
+            AttemptResult::Unreachable
+        } else {
+            attempt(&self.job, permit, self.last_event).await
+        };
         log_resume(
             &self.job,
             &permit.server,
--- a/src/gateway/server/continuation.rs
+++ b/src/gateway/server/continuation.rs
@@ -144,7 +144,7 @@
     stage: Stage,
 ) -> Result<(Copy, Arc<Entry>), Skip> {
     let directory = Arc::clone(&job.gateway.routing.borrow().directory);
-    let candidates = candidates(&directory, &job.service);
+    let candidates = candidates(&directory, &job.service, &server.version);
     let run = describe(job, server, engine_tokens);
     let now = Instant::now();
     let mut planner = job.gateway.copies.planner.borrow_mut();
@@ -176,11 +176,15 @@
     Ok((copy, Arc::clone(entry)))
 }
 
+/// The engines that a run may continue at: its memory fits only the software version that wrote it.
 fn candidates<'a>(
     directory: &'a Directory,
     service: &'a str,
+    version: &'a str,
 ) -> impl Iterator<Item = Candidate<'a>> {
-    directory.of_service(service).map(|entry| Candidate {
+    let servers = directory.of_service(service);
+    let same_version = servers.filter(move |entry| *entry.version == *version);
+    same_version.map(|entry| Candidate {
         id: &entry.id,
         address: entry.address,
         zone: &entry.zone,
@@ -221,7 +225,8 @@
 pub(crate) fn move_target(job: &Job, server: &Entry, directory: &Directory) -> Option<Arc<Entry>> {
     let run = describe(job, server, 0);
     let planner = job.gateway.copies.planner.borrow();
-    let target = planner.target(Instant::now(), &run, candidates(directory, &job.service))?;
+    let candidates = candidates(directory, &job.service, &server.version);
+    let target = planner.target(Instant::now(), &run, candidates)?;
     directory.get(&target).cloned()
 }
 
--- a/src/gateway/server/mod.rs
+++ b/src/gateway/server/mod.rs
@@ -8,3 +8,4 @@
 pub(crate) mod event;
 pub(crate) mod moving;
 pub(crate) mod pinning;
+pub(crate) mod stream_version;
--- a/src/gateway/tokens/owner.rs
+++ b/src/gateway/tokens/owner.rs
@@ -80,6 +80,17 @@
     ) -> Reply {
         match question {
             Question::Place(ask) => self.lease_slot(asked, ask).await,
+            Question::PlaceAtVersion {
+                mut request,
+                version,
+            } => {
+                request.version = Some(version);
+                self.lease_slot(asked, request).await
+            }
+            Question::StreamVersion { stream } => Reply::Version(self.stream_versions.get(stream)),
+            Question::OnlyVersion { service, time } => {
+                Reply::Version(self.only_version(&service, time).await)
+            }
             Question::Take {
                 part,
                 take,
@@ -185,6 +196,9 @@
                 }
             }
             Note::Copied(replica) => self.partitions.merge_replica(replica),
+            Note::StreamBegan { stream, version } => {
+                self.stream_versions.insert(stream, version);
+            }
             Note::Ended(ends) => self.merge_ends(&ends),
             Note::Loads(note) => self.handle_loads(from, note),
             Note::Holds { turn } => self.conversations.set_holder(turn, from),
--- a/src/policy/dispatch/mod.rs
+++ b/src/policy/dispatch/mod.rs
@@ -119,7 +119,7 @@
     /// # let request = Request {
     /// #     service: "pool".into(), zone: "a".into(), vm: 1, rank: 0, program: None, turns: 0,
     /// #     left_ms: 0, max_wait_ms: 0, session: None, prompt: vec![], avoid: vec![], demand: None,
-    /// #     object: None,
+    /// #     object: None, version: None,
     /// # };
     /// // Nothing is known of its service.
     /// assert!(!Dispatcher::default().is_too_large(Instant::now(), &request));
@@ -136,7 +136,7 @@
         let Some(pool) = self.pools.get_mut(&request.service) else {
             return Placement::NoServer;
         };
-        if pool.servers.iter().all(|server| server.info.draining) {
+        if !pool.has_server_for(&request) {
             return Placement::NoServer;
         }
         let capacity = pool.capacity(now);
@@ -184,7 +184,8 @@
     /// Grants queued requests that fit, and drops late ones that have exceeded their maximum wait.
     pub fn tick(&mut self, now: Instant) -> Tick {
         let now_ms = self.now_ms(now);
-        if self.last_sweep.is_none_or(|at| at + SWEEP_INTERVAL <= now) {
+        let sweeps = self.last_sweep.is_none_or(|at| at + SWEEP_INTERVAL <= now);
+        if sweeps {
             self.last_sweep = Some(now);
             for pool in self.pools.values_mut() {
                 pool.sweep(now, now_ms);
@@ -202,10 +203,11 @@
         let granted = self.grant(now);
         let mut timed_out = Vec::new();
         for pool in self.pools.values_mut() {
-            for permit in pool
+            let late = pool
                 .queue
-                .late_matching(|queued| queued.late_wait_expired(now_ms))
-            {
+                .late_matching(|queued| queued.late_wait_expired(now_ms));
+            let stranded = if sweeps { pool.stranded() } else { Vec::new() };
+            for permit in late.into_iter().chain(stranded) {
                 if let Some(queued) = pool.dequeue(permit) {
                     pool.request_ended(now, queued.request.program, Duration::ZERO);
                     self.queued.remove(&permit);
--- a/src/policy/dispatch/types.rs
+++ b/src/policy/dispatch/types.rs
@@ -21,6 +21,8 @@
     pub service: Arc<str>,
     /// Availability zone that it runs in.
     pub zone: Arc<str>,
+    /// Version of its software.
+    pub version: Arc<str>,
     /// Requests that it runs concurrently.
     pub slots: usize,
     /// Capacity of its prefix cache in tokens; 0 if it has none or it is unknown.
@@ -67,6 +69,11 @@
     /// Not encoded: only engines are shared through the queue of another VM, and they keep none.
     #[serde(skip)]
     pub object: Option<u64>,
+    /// Software version at which its stream began, and must go on.
+    ///
+    /// Not encoded, so that requests are encoded as before; a message of its own carries it.
+    #[serde(skip)]
+    pub version: Option<Arc<str>>,
 }
 
 /// What a request is expected to use, and whom it belongs to.
@@ -86,6 +93,23 @@
 }
 
 impl Request {
+    /// Whether it may be sent to a server of this software version.
+    ///
+    /// ```
+    /// use vanillatrail::policy::dispatch::Request;
+    /// # let request = Request {
+    /// #     service: "pool".into(), zone: "a".into(), vm: 1, rank: 0, program: None, turns: 0,
+    /// #     left_ms: 0, max_wait_ms: 0, session: None, prompt: vec![], avoid: vec![], demand: None,
+    /// #     object: None, version: None,
+    /// # };
+    /// let resumed = Request { version: Some("v1".into()), ..request };
+    /// assert!(resumed.accepts("v1") && !resumed.accepts("v2"));
+    /// ```
+    #[must_use]
+    pub fn accepts(&self, version: &str) -> bool {
+        self.version.as_deref().is_none_or(|only| only == version)
+    }
+
     pub(in crate::policy) fn max_wait(&self) -> Duration {
         Duration::from_millis(self.max_wait_ms)
     }
--- a/src/policy/load_share.rs
+++ b/src/policy/load_share.rs
@@ -313,7 +313,9 @@
         usual_ms: f64,
     ) -> Option<affinity::Choice> {
         let usable = pool.servers.iter().enumerate();
-        let usable = usable.filter(|(_, server)| server.accepts(query.now, query.permit));
+        let usable = usable.filter(|(_, server)| {
+            server.accepts(query.now, query.permit) && query.request.accepts(&server.info.version)
+        });
         let (indices, candidates): (Vec<usize>, Vec<affinity::Candidate<'_>>) = usable
             .map(|(index, server)| {
                 let candidate = affinity::Candidate {
@@ -353,6 +355,7 @@
             server.has_room(now, band)
                 && (server.accepts(now, permit) || self.has_fresh_report(now, server))
                 && !request.avoid.contains(&server.info.id)
+                && request.accepts(&server.info.version)
         });
         let usable = usable.map(|index| {
             let server = &servers[index];
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -39,6 +39,7 @@
 pub mod share;
 mod slack;
 pub mod store_health;
+pub mod stream_versions;
 mod window;
 
 pub use pool::Pool;
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -120,6 +120,13 @@
         [self.on_time.len(), self.late.len(), self.backfill.len()]
     }
 
+    /// Calls that match the predicate.
+    pub(super) fn matching(&self, matches: impl Fn(&W) -> bool) -> Vec<Permit> {
+        let entries = self.entries.iter();
+        let matching = entries.filter(|(_, entry)| matches(&entry.item));
+        matching.map(|(permit, _)| *permit).collect()
+    }
+
     /// Late and backfill calls that match the predicate.
     pub(super) fn late_matching(&self, matches: impl Fn(&W) -> bool) -> Vec<Permit> {
         let candidates = self.late.iter().chain(&self.backfill);
--- a/src/policy/service_pool.rs
+++ b/src/policy/service_pool.rs
@@ -112,14 +112,28 @@
         self.servers.swap_remove(index);
     }
 
+    /// Whether any server takes new requests of the software version that this one needs.
+    pub(super) fn has_server_for(&self, request: &Request) -> bool {
+        let mut servers = self.servers.iter();
+        servers.any(|server| !server.info.draining && request.accepts(&server.info.version))
+    }
+
+    /// Queued requests that wait for a software version of which no server is left.
+    pub(super) fn stranded(&self) -> Vec<Permit> {
+        self.queue.matching(|queued| {
+            queued.request.version.is_some() && !self.has_server_for(&queued.request)
+        })
+    }
+
     /// The best server with room for a request. Falls back to all servers if no candidate has room.
     ///
     /// `ahead` requests wait for a server without room although others have some.
     pub(super) fn choose(&self, query: &Query<'_>, ahead: usize) -> Choice {
         let (now, request) = (query.now, query.request);
-        let candidates = self
+        let mut candidates = self
             .candidates
             .select(query.permit, request, query.session_server);
+        let accepts = |index: &usize| request.accepts(&self.servers[*index].info.version);
         let is_subset = candidates.len() < self.servers.len();
         let servers = &self.servers;
         let need = Need::of(request, &self.profile.outputs);
@@ -137,8 +151,11 @@
                 None => Choice::Full,
             }
         };
+        candidates.retain(accepts);
         match choose(candidates) {
-            Choice::Full | Choice::NoMemory if is_subset => choose((0..servers.len()).collect()),
+            Choice::Full | Choice::NoMemory if is_subset => {
+                choose((0..servers.len()).filter(accepts).collect())
+            }
             chosen => chosen,
         }
     }
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -294,3 +294,40 @@
     assert_eq!(cache.uncached_tokens(&[part(1), part(3)]), 0);
     assert_eq!(cache.uncached_tokens(&[part(2), part(3)]), 800);
 }
+
+/// Guards against a stream that goes on at another software version, and against waiting for one that is gone.
+#[test]
+fn a_request_bound_to_a_version_is_granted_at_that_version_only() {
+    let (now, mut dispatcher) = (Instant::now(), Dispatcher::default());
+    let of_version = |id, version: &str| Description {
+        version: version.into(),
+        ..server(id, "a", 1)
+    };
+    let bound = || Request {
+        version: Some("v1".into()),
+        ..request(0)
+    };
+    dispatcher.set_servers([
+        of_version("old", "v1"),
+        of_version("new", "v2"),
+        of_version("newer", "v2"),
+    ]);
+    assert_eq!(
+        &*granted(dispatcher.request(now, Permit(1), bound())),
+        "old"
+    );
+    // The others have room.
+    for permit in [2, 3] {
+        let placement = dispatcher.request(now, Permit(permit), bound());
+        assert_eq!(placement, Placement::Waiting);
+    }
+    dispatcher.finish(now, Permit(1), Outcome::Void);
+    let next = dispatcher.grant(now);
+    assert_eq!(next.len(), 1);
+    assert_eq!((next[0].0, &*next[0].1), (Permit(2), "old"));
+    dispatcher.remove_server("pool", "old");
+    assert_eq!(dispatcher.tick(now).timed_out, [Permit(3)]);
+    let placement = dispatcher.request(now, Permit(4), bound());
+    assert_eq!(placement, Placement::NoServer);
+    granted(dispatcher.request(now, Permit(5), request(0)));
+}
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -14,6 +14,7 @@
         slots,
         cache_tokens: 100_000,
         draining: false,
+        version: "v1".into(),
     }
 }
 
@@ -33,6 +34,7 @@
         avoid: Vec::new(),
         demand: None,
         object: None,
+        version: None,
     }
 }
 
--- a/tests/runs.rs
+++ b/tests/runs.rs
@@ -282,6 +282,74 @@
     assert!(!targets.contains(&address.to_string()));
 }
 
+/// A run must not continue at an engine of another software version, which can't read its memory.
+#[test]
+fn an_engine_of_another_version_gets_no_copy_and_no_moved_run() {
+    let site = start::<4>(&json!({}), &json!({ "backups": true }));
+    let (old, new) = site.engines.split_at(2);
+    for (number, engine) in new.iter().enumerate() {
+        let name = format!("s{}", number + 2);
+        site.store
+            .register_version(&name, "pool", engine.address, "ready", "v2");
+    }
+    until("the VM knows the versions", || {
+        let servers = site.vm.state()["servers"].clone();
+        let servers = servers.as_array().into_iter().flatten();
+        servers.filter(|server| server["version"] == "v2").count() == 2
+    });
+    for number in 0..16 {
+        site.turn(&format!("r{number}"), &[], "");
+    }
+    let mut copies = 0;
+    for same_version in [old, new] {
+        let addresses = same_version.iter().map(|engine| engine.address.to_string());
+        let addresses: Vec<String> = addresses.collect();
+        for engine in same_version {
+            let targets = engine.header_values("x-kv-backup").into_iter();
+            for target in targets.filter(|target| !target.is_empty()) {
+                assert!(addresses.contains(&target), "{target}");
+                copies += 1;
+            }
+        }
+    }
+    assert!(copies > 0, "some runs were copied");
+
+    let site = start::<2>(&json!({}), &json!({ "moves": true }));
+    for (number, version) in ["v1", "v2"].into_iter().enumerate() {
+        let engine = &site.engines[number];
+        engine.step_ms.store(100, Ordering::Relaxed);
+        let name = format!("s{number}");
+        site.store
+            .register_version(&name, "pool", engine.address, "ready", version);
+    }
+    until("the VM knows the versions", || {
+        site.vm.state()["servers"][0]["version"] != site.vm.state()["servers"][1]["version"]
+    });
+    let headers = [("X-Token-Count", "100,20000"), ("X-Length-Hint", "10000")];
+    std::thread::scope(|scope| {
+        let turn = scope.spawn(|| site.turn("r", &headers, ""));
+        let began = |engine: &Engine| !engine.header_values("x-request-id").is_empty();
+        until("the run began", || site.engines.iter().any(began));
+        for (number, version) in ["v1", "v2"].into_iter().enumerate() {
+            let engine = &site.engines[number];
+            if began(engine) {
+                let name = format!("s{number}");
+                site.store
+                    .register_version(&name, "pool", engine.address, "draining", version);
+            }
+        }
+        assert_whole(&turn.join().expect("the call returns"));
+    });
+    let moves = |engine: &Engine| {
+        let requests = engine.requests.lock().expect("not poisoned");
+        let moves = requests
+            .iter()
+            .filter(|request| request.target == "/kv-move");
+        moves.count()
+    };
+    assert_eq!(site.engines.iter().map(moves).sum::<usize>(), 0);
+}
+
 /// Lets a run begin, marks its engine as draining, and returns the reply and the engine. That engine takes runs back.
 fn drain_under_run(site: &Site<2>) -> (Reply, Engine) {
     // 10,000 expected tokens outlast the time that a draining engine has.
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -9,6 +9,9 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tokio::time::Instant;
+use vanillatrail::policy::stream_versions::{ORIGIN_LIFETIME, Origins, Rollouts};
 
 const EVENTS: u64 = 8;
 
@@ -79,7 +82,7 @@
             .expect("the timeout is set");
         let head = format!(
             "POST /a/x HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: {id}\r\n\
-             X-Deadline-Ms: 4000\r\nContent-Length: 0\r\n\r\n"
+             X-Deadline-Ms: 4000\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
         );
         stream
             .write_all(head.as_bytes())
@@ -222,3 +225,85 @@
         assert_one_version(&(stream.text + &reply.text()));
     }
 }
+
+/// Guards against refusing streams of callers that name no earlier try, although all servers have one version.
+#[test]
+fn a_stream_goes_on_at_the_only_version() {
+    let mut site = Site::start(2, &["v1", "v1"]);
+    site.holds.store(false, Ordering::SeqCst);
+    until("there was one version for long enough", || {
+        site.take_up(0, "t", None).status == 200
+    });
+    // A VM that has just started learns that from another one.
+    site.vms[1].kill();
+    site.vms[1].restart();
+    wait_until_joined(&site.vms);
+    site.wait_until_known();
+    assert_eq!(site.take_up(1, "u", None).status, 200);
+    site.add_server("v2");
+    site.wait_until_known();
+    assert_eq!(site.take_up(0, "w", None).status, 503);
+}
+
+/// Guards against a server that starts again under its name with another version, and is taken for the one that began the
+/// stream.
+#[test]
+fn a_stream_is_not_resumed_at_a_server_replaced_under_its_name() {
+    let mut site = Site::start(1, &["v1"]);
+    let stream = site.begin(0, "r");
+    site.add_server("v2");
+    let next = site.servers[1].0.address;
+    site.store
+        .register_version("s0", "pool", next, "ready", "v2");
+    site.store.put("keyed.servers", "s1", None);
+    until("the VM knows the new instance", || {
+        let servers = site.vms[0].state()["servers"].clone();
+        servers
+            .as_array()
+            .is_some_and(|servers| servers.len() == 1 && servers[0]["version"] == "v2")
+    });
+    site.holds.store(false, Ordering::SeqCst);
+    site.servers[0].0.end();
+    let (text, is_complete) = stream.finish();
+    assert_one_version(&text);
+    assert!(!is_complete, "{text}");
+}
+
+/// Guards against a rollout whose end makes a VM sure of the new version while streams of the previous one are taken up,
+/// and against an update of a server that looks like a rollout.
+#[test]
+fn a_version_counts_as_the_only_one_some_time_after_the_rollout() {
+    let (second, start) = (Duration::from_secs(1), Instant::now());
+    let (old, new): (Arc<str>, Arc<str>) = ("v1".into(), "v2".into());
+    let mut rollouts = Rollouts::default();
+    let only = |rollouts: &Rollouts, at| rollouts.only_version(at, "pool", second);
+    rollouts.add(start, "pool", &old);
+    assert_eq!(only(&rollouts, start + second), Some(Arc::clone(&old)));
+    rollouts.add(start + second * 2, "pool", &new);
+    assert_eq!(only(&rollouts, start + second * 9), None);
+    rollouts.remove(start + second * 10, "pool", &old);
+    assert_eq!(only(&rollouts, start + second * 10), None);
+    assert_eq!(only(&rollouts, start + second * 11), Some(Arc::clone(&new)));
+    let servers = [("pool", &new), ("pool", &new)];
+    rollouts.replace(start + second * 12, servers.into_iter());
+    rollouts.add(start + second * 12, "pool", &new);
+    rollouts.remove(start + second * 12, "pool", &new);
+    assert_eq!(only(&rollouts, start + second * 12), Some(new));
+}
+
+/// Guards against unbounded memory for the versions of streams, and against a late record that changes one.
+#[test]
+fn origins_of_streams_are_bounded_and_kept() {
+    let (mut origins, now) = (Origins::default(), Instant::now());
+    for stream in 0..50_000 {
+        origins.insert(now, stream, "v1".into());
+    }
+    assert_eq!(origins.len(), 20_000);
+    origins.insert(now, 49_999, "v2".into());
+    assert_eq!(origins.get(now, 49_999).as_deref(), Some("v1"));
+    assert_eq!(origins.get(now, 0), None);
+    let later = now + ORIGIN_LIFETIME;
+    assert_eq!(origins.get(later, 49_999), None);
+    origins.insert(later, 1, "v2".into());
+    assert_eq!(origins.len(), 1);
+}
