Don't refuse a content that many callers send, after a mass failure of servers

Cause: a request is known by its content. Requests without a program may be sent alike by many callers, so that a failure of several servers meets some of them, and the content was refused for a minute, for all. Change: a VM remembers the successes of such contents; one that succeeded in the last minute is not refused there. Programs' requests are told apart by their program and session and are not affected.

--- a/src/gateway/server/ends.rs
+++ b/src/gateway/server/ends.rs
@@ -136,13 +136,18 @@
     }
 
     /// Records that this request has succeeded: then it did not cause the ends under it.
+    ///
+    /// Of requests without a program, many callers may send the same content, so that each failure of several servers
+    /// meets some. A content that succeeded before such a failure is not refused after it.
     pub(crate) async fn record_success(&self) {
         let ends = &self.gateway.ends;
-        if ends.ledger.borrow().is_empty() {
+        let may_be_shared = self.meta.program.is_none();
+        if !may_be_shared && ends.ledger.borrow().is_empty() {
             return;
         }
         let now = Instant::now();
-        if ends.ledger.borrow().ended(now, self.content()) == 0 {
+        let is_suspect = ends.ledger.borrow().ended(now, self.content()) > 0;
+        if !is_suspect && !may_be_shared {
             return;
         }
         let success = End {
@@ -150,8 +155,8 @@
             server: None,
             age_ms: 0,
         };
-        let is_news = ends.ledger.borrow_mut().record(now, success);
-        if is_news {
+        ends.ledger.borrow_mut().record(now, success);
+        if is_suspect {
             self.gateway.tell_end(success).await;
         }
     }
--- a/src/policy/server_ends.rs
+++ b/src/policy/server_ends.rs
@@ -123,7 +123,10 @@
             succeeded: false,
         });
         let is_news = match end.server {
-            None => !std::mem::replace(&mut record.succeeded, true),
+            None => {
+                record.last = record.last.max(at);
+                !std::mem::replace(&mut record.succeeded, true)
+            }
             Some(server) => {
                 let is_new =
                     record.servers.len() < MAX_ENDED_SERVERS && !record.servers.contains(&server);
@@ -172,9 +175,11 @@
     /// The newest ends, of at most `max_requests` requests; those with most ends first.
     #[must_use]
     pub fn newest(&self, now: Instant, max_requests: usize) -> Vec<End> {
-        let newest = self.drop_order.iter().rev().take(max_requests);
-        let records =
-            newest.filter_map(|(_, _, content)| Some((*content, self.records.get(content)?)));
+        let with_ends = self.drop_order.iter().rev();
+        let with_ends = with_ends.take_while(|(servers, ..)| *servers > 0);
+        let records = with_ends
+            .take(max_requests)
+            .filter_map(|(_, _, content)| Some((*content, self.records.get(content)?)));
         let ends = records.flat_map(|(content, record)| {
             let age = now.saturating_duration_since(record.last).as_millis();
             let age_ms = u32::try_from(age).unwrap_or(u32::MAX);
--- a/tests/server_failures.rs
+++ b/tests/server_failures.rs
@@ -28,28 +28,37 @@
 }
 
 /// Servers of the service `pool`.
-struct Servers(Vec<Backend>);
+struct Servers {
+    servers: Vec<Backend>,
+    fatal_left: Arc<AtomicUsize>,
+}
 
 impl Servers {
     /// Starts servers that treat this many requests as fatal, and answer further ones.
     fn start(store: &Store, fatal: Fatal, fatal_requests: usize) -> Self {
-        let left = Arc::new(AtomicUsize::new(fatal_requests));
+        let fatal_left = Arc::new(AtomicUsize::new(fatal_requests));
         let servers = (0..9).map(|number| {
-            let left = Arc::clone(&left);
+            let left = Arc::clone(&fatal_left);
             let server = Backend::start(move |request, _| answer(request, fatal, &left));
             store.register(&format!("s{number}"), "pool", server.address, "ready");
             server
         });
-        Self(servers.collect())
+        Self {
+            servers: servers.collect(),
+            fatal_left,
+        }
     }
 
     fn ended(&self) -> usize {
-        self.0.iter().filter(|server| server.has_ended()).count()
+        self.servers
+            .iter()
+            .filter(|server| server.has_ended())
+            .count()
     }
 
     /// Fatal requests that reached a server.
     fn received(&self) -> usize {
-        let requests = self.0.iter().map(|server| {
+        let requests = self.servers.iter().map(|server| {
             let requests = server.requests.lock().expect("not poisoned");
             let fatal = requests
                 .iter()
@@ -171,6 +180,26 @@
     assert_eq!((servers.ended(), servers.received()), (0, 8));
 }
 
+/// Guards against refusing what many callers send, after several servers ended for another reason.
+#[test]
+fn a_content_that_succeeded_before_servers_ended_is_not_refused() {
+    let (_store, servers, vms) = start(1, Fatal::BeforeResponse, 0);
+    let send = |id| {
+        call(
+            vms[0].callers,
+            "POST",
+            "/a/fatal",
+            &[("X-Request-Id", id)],
+            b"",
+        )
+    };
+    assert_eq!(send("r0").status, 200);
+    servers.fatal_left.store(MAX_ENDED + 1, Ordering::SeqCst);
+    assert_eq!(send("r1").status, 200);
+    assert_eq!(servers.ended(), MAX_ENDED + 1);
+    assert_eq!(send("r2").status, 200);
+}
+
 /// Guards against a VM that forgets with its restart which requests ended servers.
 #[test]
 fn a_restarted_vm_learns_which_requests_ended_servers() {
