Go on with streams of callers that name no try where there is one version

Change: such a caller is of before services had several versions; its stream goes on where all servers have one version at that moment. A named try that nobody knows needs the whole time, as before.

--- a/src/gateway/server/stream_version.rs
+++ b/src/gateway/server/stream_version.rs
@@ -125,15 +125,18 @@
 
     async fn stream_version_source(&self) -> Option<(Arc<str>, Source)> {
         let gateway = &self.gateway;
-        if let Some(resumes) = &self.meta.resumes {
-            let stream = self.stream_hash(resumes);
-            if let Some(version) = gateway.stream_versions.get(stream) {
-                return Some((version, Source::Own));
-            }
-            if let Some(version) = gateway.ask_holders(stream).await {
-                gateway.stream_versions.insert(stream, Arc::clone(&version));
-                return Some((version, Source::Holder));
-            }
+        let Some(resumes) = &self.meta.resumes else {
+            // Callers that name no earlier try are of before services had several versions.
+            let version = gateway.only_version(&self.service, Duration::ZERO).await?;
+            return Some((version, Source::OnlyVersion));
+        };
+        let stream = self.stream_hash(resumes);
+        if let Some(version) = gateway.stream_versions.get(stream) {
+            return Some((version, Source::Own));
+        }
+        if let Some(version) = gateway.ask_holders(stream).await {
+            gateway.stream_versions.insert(stream, Arc::clone(&version));
+            return Some((version, Source::Holder));
         }
         let time = self.route.timeout * ONE_VERSION_TIMEOUTS;
         let version = gateway.agreed_version(&self.service, time).await?;
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -226,23 +226,29 @@
     }
 }
 
-/// Guards against refusing streams of callers that name no earlier try, although all servers have one version.
+/// Guards against refusing streams that no VM knows, or whose callers name no earlier try, although all servers have one
+/// version.
 #[test]
 fn a_stream_goes_on_at_the_only_version() {
     let mut site = Site::start(2, &["v1", "v1"]);
     site.holds.store(false, Ordering::SeqCst);
+    assert_eq!(site.take_up(0, "s", None).status, 200);
     until("there was one version for long enough", || {
-        site.take_up(0, "t", None).status == 200
+        site.take_up(0, "t", Some("unknown")).status == 200
     });
     // A VM that has just started learns that from another one.
     site.vms[1].kill();
     site.vms[1].restart();
     wait_until_joined(&site.vms);
     site.wait_until_known();
-    assert_eq!(site.take_up(1, "u", None).status, 200);
+    for resumes in [None, Some("unknown")] {
+        assert_eq!(site.take_up(1, "u", resumes).status, 200);
+    }
     site.add_server("v2");
     site.wait_until_known();
-    assert_eq!(site.take_up(0, "w", None).status, 503);
+    for resumes in [None, Some("unknown")] {
+        assert_eq!(site.take_up(0, "w", resumes).status, 503);
+    }
 }
 
 /// Guards against a server that starts again under its name with another version, and is taken for the one that began the
