Close the fake server's listener for certain before its connections

a_request_that_met_two_ended_servers_is_answered failed once beside a load of 19: a server that had ended still accepted a connection, and was taken for one that lives. Cause: a process that another test starts in parallel holds a copy of the listener until it runs its program. The fake now waits until connections are refused. No check is changed.

--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -160,6 +160,10 @@
         while !self.listener_closed.load(Ordering::SeqCst) {
             std::thread::sleep(Duration::from_millis(1));
         }
+        // A process that another test is starting has a copy of the listener until it runs its program.
+        while TcpStream::connect(address).is_ok() {
+            std::thread::sleep(Duration::from_millis(1));
+        }
         for connection in self.connections.lock().expect("not poisoned").drain(..) {
             // Fails if the client has closed it.
             let _ = connection.shutdown(std::net::Shutdown::Both);
