Keep what VMs tell each other of ended servers within a datagram

Cause: up to 16 requests with four entries each, 64 of up to 24 bytes, went into one answer to a VM that starts, and up to 50 into a note; a datagram holds 1,200 bytes, and larger ones are dropped there, so a VM would have learned nothing after many ends. Found on reading. Change: at most 40 entries in a message.

--- a/src/gateway/server/ends.rs
+++ b/src/gateway/server/ends.rs
@@ -32,10 +32,6 @@
 const RESEND_DELAY: Duration = Duration::from_millis(40);
 /// Silence of a server from which a request that is given up may have met its end. Servers pause for less even under load.
 const MIN_SILENCE: Duration = Duration::from_secs(1);
-/// Requests whose ends are repeated to another VM at a time. They fit into one datagram.
-const MAX_REQUESTS_REPEATED: usize = 16;
-/// Ends in one datagram.
-const MAX_ENDS_PER_DATAGRAM: usize = 50;
 
 /// What this VM knows of servers that ended under requests.
 #[derive(Debug, Default)]
@@ -76,9 +72,8 @@
         } else {
             Knowledge::SinceStart
         };
-        let refusal = ends.ledger.borrow();
-        let refusal = refusal.refusal(now, self.content(), knowledge);
-        let Some(retry_after) = refusal else {
+        let ledger = ends.ledger.borrow();
+        let Some(retry_after) = ledger.refusal(now, self.content(), knowledge) else {
             return Ok(());
         };
         gateway.metrics.count_server_end("refused");
@@ -237,13 +232,7 @@
 
     async fn broadcast_end(&self, end: End) {
         for peer in self.other_vms() {
-            self.send_ends(peer, &[end]).await;
-        }
-    }
-
-    async fn send_ends(&self, peer: SocketAddr, ends: &[End]) {
-        for ends in ends.chunks(MAX_ENDS_PER_DATAGRAM) {
-            self.peers.notify(peer, Note::Ended(ends.to_vec())).await;
+            self.peers.notify(peer, Note::Ended(vec![end])).await;
         }
     }
 
@@ -263,11 +252,11 @@
         }
     }
 
-    /// The newest ends, and whether this VM knows those from before its start.
-    pub(crate) fn newest_ends(&self) -> Reply {
+    /// The ends of the worst requests, and whether this VM knows those from before its start.
+    pub(crate) fn worst_ends(&self) -> Reply {
         let ledger = self.ends.ledger.borrow();
         Reply::Ends {
-            ends: ledger.newest(Instant::now(), MAX_REQUESTS_REPEATED),
+            ends: ledger.worst(Instant::now()),
             informed: self.ends.informed.get(),
         }
     }
@@ -281,11 +270,11 @@
         let ends = {
             let mut ledger = self.ends.ledger.borrow_mut();
             ledger.drop_expired(now);
-            ledger.newest(now, MAX_REQUESTS_REPEATED)
+            ledger.worst(now)
         };
         let peer = self.other_vms().into_iter().choose(&mut rand::rng());
         if let Some(peer) = peer {
-            self.send_ends(peer, &ends).await;
+            self.peers.notify(peer, Note::Ended(ends)).await;
         }
     }
 
--- a/src/gateway/tokens/owner.rs
+++ b/src/gateway/tokens/owner.rs
@@ -144,7 +144,7 @@
             Question::Heard => Reply::Heard {
                 ago_ms: self.store_contact_age_ms(),
             },
-            Question::Ends => self.newest_ends(),
+            Question::Ends => self.worst_ends(),
             Question::Locate { turn, lost } => self.locate(&turn, lost).await,
             Question::Copies { part } => {
                 let partition = self.partitions.partition(part);
--- a/src/policy/server_ends.rs
+++ b/src/policy/server_ends.rs
@@ -20,6 +20,8 @@
 const MAX_ENDED_SERVERS_CUT_OFF: usize = 1;
 /// How long ends count after the last one. Longer than a caller and its program go on to repeat a request.
 pub const LIFETIME: Duration = Duration::from_mins(1);
+/// Most ends in one message between VMs, at up to 24 bytes each: a datagram has 1,200 bytes.
+pub const MAX_ENDS_PER_MESSAGE: usize = 40;
 /// Requests that are remembered, at about 200 bytes each.
 const MAX_REQUESTS: usize = 4096;
 
@@ -172,14 +174,13 @@
         Some((record.last + LIFETIME).saturating_duration_since(now))
     }
 
-    /// The newest ends, of at most `max_requests` requests; those with most ends first.
+    /// The ends to tell another VM, at most [`MAX_ENDS_PER_MESSAGE`]: of the requests with most ends, the newest first.
     #[must_use]
-    pub fn newest(&self, now: Instant, max_requests: usize) -> Vec<End> {
+    pub fn worst(&self, now: Instant) -> Vec<End> {
         let with_ends = self.drop_order.iter().rev();
         let with_ends = with_ends.take_while(|(servers, ..)| *servers > 0);
-        let records = with_ends
-            .take(max_requests)
-            .filter_map(|(_, _, content)| Some((*content, self.records.get(content)?)));
+        let records =
+            with_ends.filter_map(|(_, _, content)| Some((*content, self.records.get(content)?)));
         let ends = records.flat_map(|(content, record)| {
             let age = now.saturating_duration_since(record.last).as_millis();
             let age_ms = u32::try_from(age).unwrap_or(u32::MAX);
@@ -191,7 +192,7 @@
                 age_ms,
             })
         });
-        ends.collect()
+        ends.take(MAX_ENDS_PER_MESSAGE).collect()
     }
 
     /// Number of requests on record, and of those that are refused.
--- a/tests/server_failures.rs
+++ b/tests/server_failures.rs
@@ -10,8 +10,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use tokio::time::Instant;
 use vanillatrail::id::ContentHash;
+use vanillatrail::member::MAX_DATAGRAM_BYTES;
 use vanillatrail::policy::server_ends::Knowledge::{Complete, CutOff};
-use vanillatrail::policy::server_ends::{End, Ledger};
+use vanillatrail::policy::server_ends::{End, LIFETIME, Ledger};
 
 /// Servers that may end under one request.
 const MAX_ENDED: usize = 3;
@@ -313,8 +314,31 @@
     assert!(ledger.refusal(now, ContentHash(1), Complete).is_none());
     // Other VMs learn both.
     let mut other = Ledger::default();
-    for end in ledger.newest(now, 8) {
+    for end in ledger.worst(now) {
         other.record(now, end);
     }
     assert!(other.refusal(now, ContentHash(1), Complete).is_none() && !other.is_empty());
 }
+
+/// Guards against a message to another VM that is larger than a datagram, and is dropped there.
+#[test]
+fn what_vms_tell_each_other_of_ended_servers_fits_into_a_datagram() {
+    let (mut ledger, now) = (Ledger::default(), Instant::now());
+    for content in 0..1000 {
+        for server in 0..=content % 3 {
+            ledger.record(now, end(u64::MAX - content, u64::MAX - server));
+        }
+    }
+    let ends = ledger.worst(now + LIFETIME / 2);
+    let encoded = rmp_serde::to_vec(&ends).expect("ends can be encoded");
+    assert!(
+        encoded.len() + 100 < MAX_DATAGRAM_BYTES,
+        "{}",
+        encoded.len()
+    );
+    let mut other = Ledger::default();
+    for end in ends {
+        other.record(now, end);
+    }
+    assert!(other.counts().1 >= 10, "{:?}", other.counts());
+}
