--- a/src/gateway/server/ends.rs
+++ b/src/gateway/server/ends.rs
@@ -92,6 +92,7 @@
             self.gateway.has_ended(server),
             self.gateway.reaches_majority()
         );
+        log_check(&self.meta.id, self.content(), server, has_ended);
         if has_ended {
             self.record_end_of(server).await;
         }
@@ -124,7 +125,9 @@
         let (gateway, server) = (Rc::clone(&self.gateway), Arc::clone(server));
         let (id, content) = (self.meta.id.clone(), self.content());
         spawn_local(async move {
-            if gateway.has_ended(&server).await {
+            let has_ended = gateway.has_ended(&server).await;
+            log_check(&id, content, &server, has_ended);
+            if has_ended {
                 gateway.record_end(&id, content, &server).await;
             }
         });
@@ -157,6 +160,17 @@
     }
 }
 
+fn log_check(id: &str, content: ContentHash, server: &Entry, has_ended: bool) {
+    event!(
+        info,
+        "server_checked",
+        id = id,
+        server = server.id,
+        content = content,
+        ended = has_ended
+    );
+}
+
 /// Calls [`Job::check_silent_server`] unless the attempt ends first.
 #[derive(Debug)]
 pub(crate) struct SilenceWatch<'a> {
