--- a/tests/platform/backend.rs
+++ b/tests/platform/backend.rs
@@ -17,6 +17,10 @@
     Hang(Vec<u8>),
     /// Sends these bytes, and ends the server: it listens no longer, and its connections are closed.
     End(Vec<u8>),
+    /// Sends these bytes and closes the connection, and ends the server after this time.
+    CloseThenEnd(Vec<u8>, Duration),
+    /// Sends nothing, and ends the server after this time.
+    SilentThenEnd(Duration),
 }
 
 /// A fake backend server.
@@ -73,7 +77,8 @@
         let address = listener.local_addr().expect("the listener is bound");
         let serve = Arc::new(move |mut stream: TcpStream| {
             let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
-            while let Some(request) = Request::read(&mut reader) {
+            while let Some(mut request) = Request::read(&mut reader) {
+                request.local_address = Some(address);
                 let number = {
                     let mut seen = seen.lock().expect("not poisoned");
                     seen.push(request.clone());
@@ -86,6 +91,18 @@
                         drop(stream.write_all(&bytes));
                         return serving.end(address);
                     }
+                    Act::CloseThenEnd(bytes, delay) => {
+                        let serving = Arc::clone(&serving);
+                        std::thread::spawn(move || {
+                            std::thread::sleep(delay);
+                            serving.end(address);
+                        });
+                        (bytes, false)
+                    }
+                    Act::SilentThenEnd(delay) => {
+                        std::thread::sleep(delay);
+                        return serving.end(address);
+                    }
                     Act::Hang(bytes) => {
                         drop(stream.write_all(&bytes));
                         let end = reader.read(&mut [0; 1]);
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod backend;
 pub mod engine;
+pub mod fatal;
 pub mod program;
 pub mod store;
 pub mod team;
@@ -40,6 +41,8 @@
     pub target: String,
     pub headers: BTreeMap<String, String>,
     pub body: Vec<u8>,
+    /// Address of the backend server that received it.
+    pub local_address: Option<SocketAddr>,
 }
 
 impl Request {
@@ -60,6 +63,7 @@
             target,
             headers,
             body,
+            local_address: None,
         })
     }
 
@@ -210,6 +214,10 @@
         self.child.wait().expect("the process ends");
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Requests a graceful shutdown with SIGTERM.
     pub fn terminate(&mut self) {
         self.signal("-TERM");
--- /dev/null
+++ b/tests/server_ends.rs
@@ -0,0 +1,148 @@
+//! Ends of backend servers that show late, elsewhere or not at all to the VM that sent the request, through the binary.
+
+mod platform;
+
+use platform::fatal::{Fatal, MAX_ENDED, Site, turn, turn_within};
+use platform::{call, until};
+use std::time::{Duration, Instant};
+
+/// Time in which every server of these tests has ended that is going to.
+const ENDS_LATEST: Duration = Duration::from_millis(400);
+
+/// Sends a fatal turn several times, each at the next VM.
+fn repeat_turn(site: &Site, times: usize) {
+    for number in 0..times {
+        let vm = &site.vms[number % site.vms.len()];
+        let reply = turn(vm, "/a/fatal", &format!("r{number}"));
+        assert!(!reply.whole || reply.status >= 500, "{reply:?}");
+    }
+    std::thread::sleep(ENDS_LATEST);
+}
+
+/// Guards against a server that passes for alive as its process ends a little after it broke off.
+#[test]
+fn servers_that_end_after_they_broke_off_count() {
+    for delay in [5, 50, 150].map(Duration::from_millis) {
+        for fatal in [Fatal::CloseThenEnd(delay), Fatal::GarbageThenEnd(delay)] {
+            let site = Site::start(3, fatal, usize::MAX);
+            repeat_turn(&site, 8);
+            assert_eq!(site.ended(), MAX_ENDED, "{fatal:?}");
+        }
+    }
+}
+
+/// Guards against not looking at a server after the repeat at it.
+#[test]
+fn a_server_that_ends_at_the_repeat_counts() {
+    let site = Site::start(3, Fatal::EndAtRepeat, usize::MAX);
+    repeat_turn(&site, 8);
+    assert_eq!(site.ended(), MAX_ENDED);
+}
+
+/// Guards against taking a new process at the address of a server for that server.
+#[test]
+fn a_server_that_is_replaced_at_its_address_counts() {
+    let site = Site::start(3, Fatal::Replaced, usize::MAX);
+    repeat_turn(&site, 16);
+    assert_eq!(site.ended(), MAX_ENDED);
+}
+
+/// Guards against ends that show only by the registration, after the connection broke.
+#[test]
+fn a_server_whose_registration_lapses_counts() {
+    let site = Site::start(
+        3,
+        Fatal::CloseThenLapse(Duration::from_millis(100)),
+        usize::MAX,
+    );
+    repeat_turn(&site, 8);
+    assert_eq!(site.ended(), MAX_ENDED);
+    for vm in &site.vms {
+        until("the VM knows the ends", || {
+            vm.state()["server_ends"]["refused"] == 1
+        });
+    }
+}
+
+/// Guards against a success that excuses the ends which come after it.
+#[test]
+fn ends_after_a_success_count() {
+    let site = Site::start(1, Fatal::BeforeResponse, 0);
+    let send = |id| {
+        let headers = [("X-Request-Id", id)];
+        call(site.vms[0].callers, "POST", "/a/fatal", &headers, b"")
+    };
+    assert_eq!(send("r0").status, 200);
+    site.set_fatal_requests(usize::MAX);
+    for id in ["r1", "r2", "r3"] {
+        assert!(send(id).status >= 500);
+    }
+    assert_eq!(site.ended(), MAX_ENDED);
+}
+
+/// Guards against ends that nobody notices, since the VM that sent the request is killed too.
+#[test]
+fn ends_count_though_the_vm_is_killed_with_the_server() {
+    let mut site = Site::start(4, Fatal::EndWithVm, usize::MAX);
+    for number in 0..8 {
+        let vm = number % 4;
+        site.doom(vm);
+        let ended = site.ended();
+        turn(&site.vms[vm], "/a/fatal", &format!("r{number}"));
+        if site.ended() > ended {
+            site.restart(vm);
+            site.vms[vm].wait_ready();
+        }
+    }
+    assert_eq!(site.ended(), MAX_ENDED);
+}
+
+/// Guards against callers that send one content side by side, each to servers of its own.
+#[test]
+fn a_content_that_is_sent_side_by_side_ends_three_servers() {
+    let site = Site::start(4, Fatal::BeforeResponse, usize::MAX);
+    std::thread::scope(|scope| {
+        for (caller, vm) in site.vms.iter().enumerate() {
+            scope.spawn(move || {
+                for number in 0..3 {
+                    turn(vm, "/a/fatal", &format!("c{caller}r{number}"));
+                }
+            });
+        }
+    });
+    assert_eq!(site.ended(), MAX_ENDED);
+}
+
+/// Guards against ends that come after the caller has given up.
+#[test]
+fn a_server_that_ends_after_its_caller_left_counts() {
+    let site = Site::start(
+        3,
+        Fatal::SilentThenEnd(Duration::from_millis(1200)),
+        usize::MAX,
+    );
+    for number in 0..8 {
+        turn_within(
+            &site.vms[number % 3],
+            "/a/fatal",
+            &format!("r{number}"),
+            800,
+        );
+    }
+    std::thread::sleep(Duration::from_millis(1300));
+    assert_eq!(site.ended(), MAX_ENDED);
+}
+
+/// Guards against refusing for good what three servers broke off that live on.
+#[test]
+fn a_request_that_three_living_servers_broke_off_is_answered_soon() {
+    let site = Site::start(3, Fatal::CloseBeforeResponse, 6);
+    let started = Instant::now();
+    let mut number = 0;
+    until("the request is answered", || {
+        number += 1;
+        turn(&site.vms[number % 3], "/a/fatal", &format!("r{number}")).status == 200
+    });
+    assert!(started.elapsed() < Duration::from_secs(8));
+    assert_eq!(site.ended(), 0);
+}
--- a/tests/server_failures.rs
+++ b/tests/server_failures.rs
@@ -3,132 +3,25 @@
 
 mod platform;
 
+use platform::fatal::{Fatal, MAX_ENDED, Site, turn, wait_until_informed};
 use platform::program::wait_until_joined;
-use platform::{Act, Backend, Reply, Request, Store, Vm, call, events, stream_head, until};
-use serde_json::json;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use platform::{Vm, call};
 use tokio::time::Instant;
 use vanillatrail::id::ContentHash;
 use vanillatrail::member::MAX_DATAGRAM_BYTES;
 use vanillatrail::policy::server_ends::Knowledge::{Complete, CutOff};
 use vanillatrail::policy::server_ends::{End, LIFETIME, Ledger};
 
-/// Servers that may end under one request.
-const MAX_ENDED: usize = 3;
-
-/// How a server treats the requests whose path contains `fatal`.
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum Fatal {
-    /// It ends before it answers.
-    BeforeResponse,
-    /// It ends after the next event.
-    MidStream,
-    /// It only closes the connection after the next event.
-    CloseOnly,
-}
-
-/// Servers of the service `pool`.
-struct Servers {
-    servers: Vec<Backend>,
-    fatal_left: Arc<AtomicUsize>,
-}
-
-impl Servers {
-    /// Starts servers that treat this many requests as fatal, and answer further ones.
-    fn start(store: &Store, fatal: Fatal, fatal_requests: usize) -> Self {
-        let fatal_left = Arc::new(AtomicUsize::new(fatal_requests));
-        let servers = (0..9).map(|number| {
-            let left = Arc::clone(&fatal_left);
-            let server = Backend::start(move |request, _| answer(request, fatal, &left));
-            store.register(&format!("s{number}"), "pool", server.address, "ready");
-            server
-        });
-        Self {
-            servers: servers.collect(),
-            fatal_left,
-        }
-    }
-
-    fn ended(&self) -> usize {
-        self.servers
-            .iter()
-            .filter(|server| server.has_ended())
-            .count()
-    }
-
-    /// Fatal requests that reached a server.
-    fn received(&self) -> usize {
-        let requests = self.servers.iter().map(|server| {
-            let requests = server.requests.lock().expect("not poisoned");
-            let fatal = requests
-                .iter()
-                .filter(|request| request.target.contains("fatal"));
-            fatal.count()
-        });
-        requests.sum()
-    }
-}
-
-fn answer(request: &Request, fatal: Fatal, fatal_left: &AtomicUsize) -> Act {
-    let first = request.header("last-event-id").parse().unwrap_or(0) + 1;
-    let take = |left: usize| left.checked_sub(1);
-    let is_fatal = request.target.contains("fatal")
-        && fatal_left
-            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, take)
-            .is_ok();
-    let one_event = || (stream_head(request) + &events(first..=first)).into_bytes();
-    match fatal {
-        _ if !is_fatal => {
-            let text = stream_head(request) + &events(first..=first + 1) + "0\r\n\r\n";
-            Act::Keep(text.into_bytes())
-        }
-        Fatal::BeforeResponse => Act::End(Vec::new()),
-        Fatal::MidStream => Act::End(one_event()),
-        Fatal::CloseOnly => Act::Close(one_event()),
-    }
-}
-
-/// Starts a store, servers and VMs that know each other.
-fn start(vms: usize, fatal: Fatal, fatal_requests: usize) -> (Store, Servers, Vec<Vm>) {
-    let store = Store::start();
-    let servers = Servers::start(&store, fatal, fatal_requests);
-    store.configure(1, &[("/a/", "stream", json!({ "attempts": 1 }))]);
-    let vms: Vec<Vm> = (0..vms).map(|_| Vm::start(&store)).collect();
-    wait_until_joined(&vms);
-    for vm in &vms {
-        until("the VM knows which servers ended", || {
-            vm.state()["server_ends"]["informed"] == true
-        });
-    }
-    (store, servers, vms)
-}
-
-/// Sends a turn; its content depends on `path` alone.
-fn turn(vm: &Vm, path: &str, id: &str) -> Reply {
-    let headers = [
-        ("X-Request-Id", id),
-        ("X-Program", "p"),
-        ("X-Session", "p"),
-        ("X-Token-Count", "100,290"),
-        ("X-Deadline-Ms", "4000"),
-    ];
-    call(vm.callers, "POST", path, &headers, b"a prompt")
-}
-
 /// Guards against a request that ends a server in each of its caller's retries, at any VM.
 #[test]
 fn a_request_that_ended_three_servers_is_not_sent_again_by_any_vm() {
-    let (_store, servers, vms) = start(3, Fatal::BeforeResponse, usize::MAX);
+    let site = Site::start(3, Fatal::BeforeResponse, usize::MAX);
     for number in 0..6 {
-        let reply = turn(&vms[number % 3], "/a/fatal", &format!("r{number}"));
+        let reply = turn(&site.vms[number % 3], "/a/fatal", &format!("r{number}"));
         assert!(reply.status >= 500, "{reply:?}");
     }
-    assert_eq!(
-        (servers.ended(), servers.received()),
-        (MAX_ENDED, MAX_ENDED)
-    );
-    for vm in &vms {
+    assert_eq!((site.ended(), site.received()), (MAX_ENDED, MAX_ENDED));
+    for vm in &site.vms {
         assert_eq!(turn(vm, "/a/other", "o").status, 200);
     }
 }
@@ -136,58 +29,55 @@
 /// Guards against a stream that is resumed at one server after another, and ends each of them.
 #[test]
 fn a_stream_that_ended_three_servers_is_not_resumed() {
-    let (_store, servers, vms) = start(3, Fatal::MidStream, usize::MAX);
-    for (number, vm) in vms.iter().enumerate() {
+    let site = Site::start(3, Fatal::MidStream, usize::MAX);
+    for (number, vm) in site.vms.iter().enumerate() {
         let reply = turn(vm, "/a/fatal", &format!("r{number}"));
         assert!(!reply.whole || reply.status >= 500, "{reply:?}");
     }
-    assert_eq!(
-        (servers.ended(), servers.received()),
-        (MAX_ENDED, MAX_ENDED)
-    );
+    assert_eq!((site.ended(), site.received()), (MAX_ENDED, MAX_ENDED));
 }
 
 /// Guards against failing a request that merely met two servers that ended.
 #[test]
 fn a_request_that_met_two_ended_servers_is_answered() {
     for fatal in [Fatal::BeforeResponse, Fatal::MidStream] {
-        let (_store, servers, vms) = start(1, fatal, 2);
-        let reply = turn(&vms[0], "/a/fatal", "r");
+        let site = Site::start(1, fatal, 2);
+        let reply = turn(&site.vms[0], "/a/fatal", "r");
         assert!(reply.status == 200 && reply.whole, "{fatal:?}: {reply:?}");
-        assert_eq!(servers.ended(), 2);
+        assert_eq!(site.ended(), 2);
     }
 }
 
 /// Guards against failing a request that met one server that ended, at a VM that has just started.
 #[test]
 fn a_request_that_met_an_ended_server_is_answered_by_a_vm_that_has_just_started() {
-    let (_store, servers, mut vms) = start(1, Fatal::BeforeResponse, 1);
-    vms[0].kill();
-    vms[0].restart();
-    vms[0].wait_ready();
-    let reply = turn(&vms[0], "/a/fatal", "r");
+    let mut site = Site::start(1, Fatal::BeforeResponse, 1);
+    site.vms[0].kill();
+    site.vms[0].restart();
+    site.vms[0].wait_ready();
+    let reply = turn(&site.vms[0], "/a/fatal", "r");
     assert!(reply.status == 200 && reply.whole, "{reply:?}");
-    assert_eq!(servers.ended(), 1);
+    assert_eq!(site.ended(), 1);
 }
 
 /// Guards against failing streams that could go on: servers that only close connections have not ended.
 #[test]
 fn servers_that_only_break_streams_off_do_not_count_as_ended() {
-    let (_store, servers, vms) = start(3, Fatal::CloseOnly, 4);
+    let site = Site::start(3, Fatal::CloseOnly, 4);
     for number in 0..4 {
-        let reply = turn(&vms[number % 3], "/a/fatal", &format!("r{number}"));
+        let reply = turn(&site.vms[number % 3], "/a/fatal", &format!("r{number}"));
         assert!(reply.status == 200 && reply.whole, "{reply:?}");
     }
-    assert_eq!((servers.ended(), servers.received()), (0, 8));
+    assert_eq!((site.ended(), site.received()), (0, 8));
 }
 
 /// Guards against refusing what many callers send, after several servers ended for another reason.
 #[test]
 fn a_content_that_succeeded_before_servers_ended_is_not_refused() {
-    let (_store, servers, vms) = start(1, Fatal::BeforeResponse, 0);
+    let site = Site::start(1, Fatal::BeforeResponse, 0);
     let send = |id| {
         call(
-            vms[0].callers,
+            site.vms[0].callers,
             "POST",
             "/a/fatal",
             &[("X-Request-Id", id)],
@@ -195,58 +85,55 @@
         )
     };
     assert_eq!(send("r0").status, 200);
-    servers.fatal_left.store(MAX_ENDED + 1, Ordering::SeqCst);
+    site.set_fatal_requests(MAX_ENDED + 1);
     assert_eq!(send("r1").status, 200);
-    assert_eq!(servers.ended(), MAX_ENDED + 1);
+    assert_eq!(site.ended(), MAX_ENDED + 1);
     assert_eq!(send("r2").status, 200);
 }
 
 /// Guards against a VM that forgets with its restart which requests ended servers.
 #[test]
 fn a_restarted_vm_learns_which_requests_ended_servers() {
-    let (_store, servers, mut vms) = start(3, Fatal::BeforeResponse, usize::MAX);
-    assert!(turn(&vms[0], "/a/fatal", "r0").status >= 500);
-    assert_eq!(servers.ended(), MAX_ENDED);
-    for vm in &mut vms[..2] {
+    let mut site = Site::start(3, Fatal::BeforeResponse, usize::MAX);
+    assert!(turn(&site.vms[0], "/a/fatal", "r0").status >= 500);
+    assert_eq!(site.ended(), MAX_ENDED);
+    for vm in &mut site.vms[..2] {
         vm.kill();
         vm.restart();
-        vm.wait_ready();
-        until("the VM knows which servers ended", || {
-            vm.state()["server_ends"]["informed"] == true
-        });
+        wait_until_informed(vm);
     }
-    for (number, vm) in vms.iter().enumerate() {
+    for (number, vm) in site.vms.iter().enumerate() {
         assert!(turn(vm, "/a/fatal", &format!("s{number}")).status >= 500);
     }
-    assert_eq!(servers.received(), MAX_ENDED);
+    assert_eq!(site.received(), MAX_ENDED);
 }
 
 /// Guards against VMs that all restart at once and end as many servers again.
 #[test]
 fn vms_that_all_restart_end_two_more_servers() {
-    let (_store, servers, mut vms) = start(2, Fatal::BeforeResponse, usize::MAX);
-    assert!(turn(&vms[0], "/a/fatal", "r0").status >= 500);
-    vms.iter_mut().for_each(Vm::kill);
-    vms.iter_mut().for_each(Vm::restart);
-    wait_until_joined(&vms);
+    let mut site = Site::start(2, Fatal::BeforeResponse, usize::MAX);
+    assert!(turn(&site.vms[0], "/a/fatal", "r0").status >= 500);
+    site.vms.iter_mut().for_each(Vm::kill);
+    site.vms.iter_mut().for_each(Vm::restart);
+    wait_until_joined(&site.vms);
     for number in 0..6 {
-        turn(&vms[number % 2], "/a/fatal", &format!("s{number}"));
+        turn(&site.vms[number % 2], "/a/fatal", &format!("s{number}"));
     }
-    assert!(servers.ended() <= MAX_ENDED + 2, "{}", servers.ended());
+    assert!(site.ended() <= MAX_ENDED + 2, "{}", site.ended());
 }
 
 /// Guards against a VM that is cut off from most others, and can't learn how many servers ended before.
 #[test]
 fn a_vm_that_reaches_few_others_ends_one_more_server() {
-    let (_store, servers, vms) = start(3, Fatal::BeforeResponse, usize::MAX);
-    vms[1].signal("-STOP");
-    vms[2].signal("-STOP");
+    let site = Site::start(3, Fatal::BeforeResponse, usize::MAX);
+    site.vms[1].signal("-STOP");
+    site.vms[2].signal("-STOP");
     for number in 0..4 {
-        assert!(turn(&vms[0], "/a/fatal", &format!("r{number}")).status >= 500);
+        assert!(turn(&site.vms[0], "/a/fatal", &format!("r{number}")).status >= 500);
     }
-    let ended = servers.ended();
-    vms[1].signal("-CONT");
-    vms[2].signal("-CONT");
+    let ended = site.ended();
+    site.vms[1].signal("-CONT");
+    site.vms[2].signal("-CONT");
     assert_eq!(ended, 1);
 }
 
