--- a/src/gateway/front/housekeeping.rs
+++ b/src/gateway/front/housekeeping.rs
@@ -61,9 +61,11 @@
         let changes = same_config.and_then(|(_, revision)| routing.changes.since(revision));
         if let Some(changes) = changes {
             let changes: Vec<Change> = changes.cloned().collect();
-            self.queue.apply_changes(&changes, table);
+            let turnover = self.queue.apply_changes(&changes, table);
+            self.servers_left(&turnover);
         } else {
-            self.queue.configure(&routing.directory, table);
+            let turnover = self.queue.configure(&routing.directory, table);
+            self.servers_left(&turnover);
         }
         *applied = Some((version, routing.changes.revision()));
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -6,11 +6,12 @@
 use crate::gateway::Gateway;
 use crate::gateway::limits::count::Acquisition;
 use crate::gateway::queue::reports::LoadNote;
+use crate::id::ContentHash;
 use crate::id::Vm;
 use crate::member::{MAX_DATAGRAM_BYTES, Sealer};
 use crate::policy::allowance::{Reservation, Snapshot};
 use crate::policy::dispatch::{Load, Outcome, Request};
-use crate::policy::server_ends::End;
+use crate::policy::server_ends::{News, Run};
 use crate::policy::stream_versions::StreamHash;
 use crate::telemetry::event;
 use serde::{Deserialize, Serialize};
@@ -93,7 +94,16 @@
     /// Asks for the only software version that the servers of a service had for this time.
     #[serde(rename = "n")]
     OnlyVersion { service: Arc<str>, time: Duration },
-    /// Asks for the servers that ended under requests.
+    /// As [`Question::Place`], for a request of this content, of which the asking VM knows this.
+    #[serde(rename = "w")]
+    PlaceContent {
+        request: Box<Request>,
+        /// The only software version that will do.
+        version: Option<Arc<str>>,
+        attempt: (ContentHash, Run),
+        known: Vec<News>,
+    },
+    /// Asks for what is known of requests under which servers end.
     #[serde(rename = "e")]
     Ends,
     /// Hands a partition over to the receiver, in one or more messages.
@@ -190,9 +200,12 @@
     /// The software version that was asked for; `None` if the VM does not know it.
     #[serde(rename = "i")]
     Version(Option<Arc<str>>),
-    /// Servers that ended under requests, and whether the VM knows of those from before its start.
+    /// What is known of requests under which servers end, and whether the VM knows what was before its start.
     #[serde(rename = "d")]
-    Ends { ends: Vec<End>, informed: bool },
+    Attempts { news: Vec<News>, informed: bool },
+    /// Servers ended under the request, or may yet; it may be sent to another one after `retry_ms`.
+    #[serde(rename = "z")]
+    ServersEnded { retry_ms: u64 },
     /// The request needs more memory than any engine of the service has.
     #[serde(rename = "b")]
     TooLarge,
@@ -229,9 +242,9 @@
         stream: StreamHash,
         version: Arc<str>,
     },
-    /// Servers ended under requests.
+    /// What happened to requests at servers.
     #[serde(rename = "d")]
-    Ended(Vec<End>),
+    Attempts(Vec<News>),
 }
 
 /// Content of a datagram; questions and replies carry the number of the question.
--- a/src/gateway/queue/lease.rs
+++ b/src/gateway/queue/lease.rs
@@ -8,10 +8,13 @@
 use crate::gateway::queue::permit::{
     Permit, SlotGuard, SlotOwner, no_server, overloaded, too_large,
 };
+use crate::gateway::server::ends::news;
+use crate::gateway::server::exposure::servers_ended;
 use crate::gateway::world::directory::Entry;
 use crate::gateway::{Gateway, peers};
-use crate::id::{self, rendezvous_score};
+use crate::id::{self, ContentHash, rendezvous_score};
 use crate::policy::dispatch::{Load, Outcome, Request};
+use crate::policy::server_ends::{Run, What};
 use crate::telemetry::event;
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
@@ -29,6 +32,8 @@
 /// Maximum slots rejected because their server is draining or unknown here, before the next VM is
 /// asked. Directories of two VMs are at most half a second apart.
 const MAX_REJECTED_SLOTS: usize = 3;
+/// VMs that are told of attempts at the servers of a service: the owner of its queue, and those that may follow it.
+const QUEUE_CANDIDATES: usize = 3;
 /// A VM may own a queue if it has at least the processor time of the largest VM divided by this, since
 /// the owner handles the datagrams of all VMs.
 pub(super) const MIN_CORES_DIVISOR: u64 = 2;
@@ -39,6 +44,8 @@
 #[derive(Debug)]
 struct Lease {
     permit: Permit,
+    /// The attempt, if its VM told it.
+    attempt: Option<(ContentHash, Run)>,
     expires: Instant,
 }
 
@@ -51,19 +58,6 @@
 }
 
 impl Leases {
-    /// Cancels the wait of a request of another VM, or releases its slot.
-    pub(crate) fn release(&self, asked: &ReplyAddress, outcome: Outcome) {
-        let cancel = self.waiting.borrow_mut().remove(asked);
-        if let Some(cancel) = cancel {
-            // Fails if the slot was granted meanwhile; then the lease is released below.
-            let _ = cancel.send(());
-        }
-        let lease = self.granted.borrow_mut().remove(asked);
-        if let Some(lease) = lease {
-            lease.permit.release(outcome);
-        }
-    }
-
     /// Records the load that the server of a leased slot reported.
     pub(crate) fn report_load(&self, asked: &ReplyAddress, load: Load) {
         if let Some(lease) = self.granted.borrow().get(asked) {
@@ -84,8 +78,25 @@
 }
 
 impl Gateway {
-    /// VMs to ask for a slot of a service, best first; empty if this VM owns the queue or none of them answers.
-    fn queue_owners(&self, service: &str) -> Vec<Peer> {
+    /// Cancels the wait of a request of another VM, or releases its slot.
+    pub(crate) fn release_lease(&self, asked: &ReplyAddress, outcome: Outcome) {
+        let cancel = self.leases.waiting.borrow_mut().remove(asked);
+        if let Some(cancel) = cancel {
+            // Fails if the slot was granted meanwhile; then the lease is released below.
+            let _ = cancel.send(());
+        }
+        let lease = self.leases.granted.borrow_mut().remove(asked);
+        let Some(lease) = lease else {
+            return;
+        };
+        if let Some(attempt) = lease.attempt {
+            self.record_outcome(attempt, &lease.permit.server, outcome);
+        }
+        lease.permit.release(outcome);
+    }
+
+    /// The VMs that may own the queue of a service, the owner first, including this one.
+    fn ranked_owners(&self, service: &str) -> Vec<Peer> {
         let view = self.view.borrow();
         let key = format!("dispatch/{service}");
         let ready = view.members.values().filter(|member| member.ready);
@@ -96,33 +107,48 @@
             .map(|member| (rendezvous_score(&key, member.vm.as_str()), member))
             .collect();
         ranked.sort_by_key(|(rank, _)| std::cmp::Reverse(*rank));
-        let preferred = ranked
-            .into_iter()
-            .take_while(|(_, member)| member.vm != self.settings.vm);
-        let peers = preferred.map(|(_, member)| Peer {
+        let peers = ranked.into_iter().map(|(_, member)| Peer {
             vm: member.vm.clone(),
             address: peers::peer_address(member.address),
             ready: member.ready,
         });
-        peers
+        peers.collect()
+    }
+
+    /// VMs to ask for a slot of a service, best first; empty if this VM owns the queue or none of them answers.
+    fn queue_owners(&self, service: &str) -> Vec<Peer> {
+        let owners = self.ranked_owners(service).into_iter();
+        owners
+            .take_while(|peer| peer.vm != self.settings.vm)
             .filter(|peer| !self.peers.is_unresponsive(peer.address))
             .take(MAX_OWNERS_ASKED)
             .collect()
     }
 
+    /// The VM that owns the queue of a service and those that come after it, without this one.
+    pub(crate) fn queue_candidates(&self, service: &str) -> Vec<SocketAddr> {
+        let owners = self.ranked_owners(service).into_iter();
+        owners
+            .take(QUEUE_CANDIDATES)
+            .filter(|peer| peer.vm != self.settings.vm)
+            .map(|peer| peer.address)
+            .collect()
+    }
+
     /// Waits for a permit from the VM that owns the queue of the service, or from this VM if no owner
     /// answers.
     ///
     /// # Errors
     /// [`Code::NoServer`] if the service has no server, [`Code::Overloaded`] if none will be free in
-    /// time.
+    /// time, [`Code::ServersEnded`] if servers ended under this content.
     pub(crate) async fn acquire_shared_permit(
         self: &Rc<Self>,
         request: &mut Request,
+        attempt: (ContentHash, Run),
     ) -> Result<Permit, Failure> {
         for peer in self.queue_owners(&request.service) {
             for _ in 0..MAX_REJECTED_SLOTS {
-                match self.acquire_from_peer(peer.address, request).await {
+                match self.acquire_from_peer(peer.address, request, attempt).await {
                     None => break,
                     Some(Ok(permit)) => return Ok(permit),
                     Some(Err(AcquireError::Failure(failure))) => return Err(failure),
@@ -130,7 +156,7 @@
                 }
             }
         }
-        self.acquire_local_permit(request.clone()).await
+        self.acquire_exposed_permit(request.clone(), attempt).await
     }
 
     /// Asks one VM for a slot; `None` if it does not answer or does not own the queue.
@@ -138,15 +164,15 @@
         self: &Rc<Self>,
         peer: SocketAddr,
         request: &Request,
+        attempt: (ContentHash, Run),
     ) -> Option<Result<Permit, AcquireError>> {
         let question_number = self.peers.next_number();
         let slot = SlotGuard::new(Rc::clone(self), SlotOwner::Remote(peer, question_number));
-        let question = match &request.version {
-            Some(version) => Question::PlaceAtVersion {
-                request: request.clone(),
-                version: Arc::clone(version),
-            },
-            None => Question::Place(request.clone()),
+        let question = Question::PlaceContent {
+            request: Box::new(request.clone()),
+            version: request.version.clone(),
+            attempt,
+            known: self.ends.known(attempt.0),
         };
         let reply = self
             .peers
@@ -160,15 +186,22 @@
                 let failure = overloaded(Duration::from_millis(retry_ms));
                 return Some(Err(AcquireError::Failure(failure)));
             }
+            Reply::ServersEnded { retry_ms } => {
+                let failure = servers_ended(Duration::from_millis(retry_ms));
+                return Some(Err(AcquireError::Failure(failure)));
+            }
             _ => return None,
         };
         // The directory here may differ from that of the queue owner.
         let entry = self.routing.borrow().server(&server);
-        let is_usable = |entry: &Arc<Entry>| !entry.draining && request.accepts(&entry.version);
-        Some(match entry.filter(is_usable) {
-            Some(entry) => Ok(Permit::new(slot, entry)),
-            None => Err(AcquireError::UnusableServer(server)),
-        })
+        let is_usable =
+            |entry: &Arc<Entry>| !entry.draining && request.accepts(&entry.id, &entry.version);
+        if let Some(entry) = entry.filter(is_usable) {
+            return Some(Ok(Permit::new(slot, entry)));
+        }
+        let unused = news(attempt, &server, What::NotRun);
+        self.tell(&[peer], &[unused]).await;
+        Some(Err(AcquireError::UnusableServer(server)))
     }
 
     /// Leases a slot to another VM, as soon as one is free.
@@ -176,6 +209,7 @@
         self: &Rc<Self>,
         asked: ReplyAddress,
         request: Request,
+        attempt: Option<(ContentHash, Run)>,
     ) -> Reply {
         if let Some(server) = self.leases.leased_server(&asked) {
             // A repeated question, since the reply was lost.
@@ -189,7 +223,12 @@
         let expires = Instant::now() + max_wait + LEASE_GRACE;
         let (cancel, cancelled) = oneshot::channel();
         self.leases.waiting.borrow_mut().insert(asked, cancel);
-        let mut permit = pin!(self.acquire_local_permit(request));
+        let mut permit = pin!(async {
+            match attempt {
+                Some(attempt) => self.acquire_exposed_permit(request, attempt).await,
+                None => self.acquire_local_permit(request).await,
+            }
+        });
         let immediate = tokio::select! {
             biased;
             permit = &mut permit => Some(permit),
@@ -212,15 +251,24 @@
         match permit {
             Ok(permit) => {
                 let server = Arc::clone(&permit.server.id);
-                let lease = Lease { permit, expires };
+                let lease = Lease {
+                    permit,
+                    attempt,
+                    expires,
+                };
                 self.leases.granted.borrow_mut().insert(asked, lease);
                 Reply::Placed(server)
             }
             Err(failure) if failure.code == Code::NoServer => Reply::NoServer,
             Err(failure) if failure.code == Code::RequestTooLarge => Reply::TooLarge,
-            Err(failure) => Reply::Full {
-                retry_ms: failure.retry_after_ms.unwrap_or_default(),
-            },
+            Err(failure) => {
+                let retry_ms = failure.retry_after_ms.unwrap_or_default();
+                if failure.code == Code::ServersEnded {
+                    Reply::ServersEnded { retry_ms }
+                } else {
+                    Reply::Full { retry_ms }
+                }
+            }
         }
     }
 
@@ -246,7 +294,15 @@
             event!(info, "places_taken_back", places = expired.len());
         }
         for asked in expired {
-            self.leases.release(&asked, Outcome::Void);
+            let lost = {
+                let granted = self.leases.granted.borrow();
+                let lease = granted.get(&asked);
+                lease.and_then(|lease| Some((lease.attempt?, Arc::clone(&lease.permit.server))))
+            };
+            if let Some((attempt, server)) = lost {
+                self.record_lost_attempt(attempt, &server);
+            }
+            self.release_lease(&asked, Outcome::Void);
         }
     }
 }
--- a/src/gateway/queue/permit.rs
+++ b/src/gateway/queue/permit.rs
@@ -48,6 +48,40 @@
     reported_plain: RefCell<HashMap<String, (affinity::Counts, load_share::Counts)>>,
 }
 
+/// Instances of servers that changes of the directory removed and added.
+#[derive(Debug, Default)]
+pub(crate) struct Turnover {
+    /// Those that left unannounced: removed, replaced under their name or at their address, and not draining.
+    pub(crate) left: Vec<Instance>,
+    pub(crate) joined: Vec<Instance>,
+}
+
+impl Turnover {
+    /// Adds a change to a directory of `others` and, before the change, `previous`.
+    fn add(
+        &mut self,
+        others: &HashMap<Arc<str>, Arc<Entry>>,
+        previous: Option<&Entry>,
+        change: &Change,
+    ) {
+        let new = match change {
+            Change::Set(entry) => Some(entry),
+            Change::Removed(_) => None,
+        };
+        let is_same = previous.zip(new).is_some_and(|(old, new)| old.id == new.id);
+        if is_same {
+            return;
+        }
+        let at_its_address = others
+            .values()
+            .filter(|other| new.is_some_and(|new| new.address == other.address));
+        let left = at_its_address.map(Arc::as_ref).chain(previous);
+        let left = left.filter(|entry| !entry.draining);
+        self.left.extend(left.map(|entry| Arc::clone(&entry.id)));
+        self.joined.extend(new.map(|entry| Arc::clone(&entry.id)));
+    }
+}
+
 fn describe(entry: &Entry, table: Option<&Table>) -> Description {
     let service = table.and_then(|table| table.services.get(&entry.service));
     let engine = service.and_then(|service| service.engine.as_ref());
@@ -64,7 +98,9 @@
 
 impl Queue {
     /// Replaces the servers by those of a directory, with the service settings of `table`.
-    pub(crate) fn configure(&self, directory: &Directory, table: Option<&Table>) {
+    ///
+    /// Returns what that changed.
+    pub(crate) fn configure(&self, directory: &Directory, table: Option<&Table>) -> Turnover {
         let descriptions = directory.iter().map(|entry| describe(entry, table));
         let plain = table.into_iter().flat_map(|table| {
             let services = table.services.iter();
@@ -88,18 +124,26 @@
         let entries = directory
             .iter()
             .map(|entry| (Arc::clone(&entry.name), Arc::clone(entry)));
-        *self.entries.borrow_mut() = entries.collect();
+        let previous = self.entries.replace(entries.collect());
         self.grant_waiting();
+        let is_left = |entry: &&Arc<Entry>| directory.get(&entry.id).is_none() && !entry.draining;
+        let left = previous.values().filter(is_left);
+        Turnover {
+            left: left.map(|entry| Arc::clone(&entry.id)).collect(),
+            joined: Vec::new(),
+        }
     }
 
-    /// Applies changes of the directory under an unchanged configuration.
-    pub(crate) fn apply_changes(&self, changes: &[Change], table: Option<&Table>) {
+    /// Applies changes of the directory under an unchanged configuration. Returns which servers left and joined by them.
+    pub(crate) fn apply_changes(&self, changes: &[Change], table: Option<&Table>) -> Turnover {
+        let mut turnover = Turnover::default();
         let mut entries = self.entries.borrow_mut();
         let mut dispatcher = self.dispatcher.borrow_mut();
         let mut rollouts = self.rollouts.borrow_mut();
         let now = Instant::now();
         for change in changes {
             let previous = entries.remove(change.name());
+            turnover.add(&entries, previous.as_deref(), change);
             // Added before the previous one is removed, so that an update does not look like a change of version.
             if let Change::Set(entry) = change {
                 rollouts.add(now, &entry.service, &entry.version);
@@ -124,6 +168,7 @@
         }
         drop((entries, dispatcher, rollouts));
         self.grant_waiting();
+        turnover
     }
 
     /// Waiting requests and requests in flight at each server, by service.
@@ -325,6 +370,14 @@
         }
     }
 
+    /// The other VM whose queue granted the slot.
+    pub(crate) const fn lessor(&self) -> Option<SocketAddr> {
+        match self.slot.owner {
+            SlotOwner::Local(_) => None,
+            SlotOwner::Remote(vm, _) => Some(vm),
+        }
+    }
+
     /// Releases the slot and reports the outcome, from which the dispatcher learns.
     pub(crate) fn release(self, outcome: Outcome) {
         self.slot.outcome.set(outcome);
--- a/src/gateway/request/admit.rs
+++ b/src/gateway/request/admit.rs
@@ -123,6 +123,9 @@
         end_recorded: Cell::new(false),
         events_relayed: Cell::new(0),
         stream_version: RefCell::default(),
+        run_number: rand::random(),
+        attempted: RefCell::default(),
+        granted: Cell::new(None),
         run: RunState::default(),
     })
 }
--- a/src/gateway/request/job.rs
+++ b/src/gateway/request/job.rs
@@ -3,16 +3,19 @@
 use crate::conversation;
 use crate::gateway::Gateway;
 use crate::gateway::server::continuation::RunState;
+use crate::gateway::server::exposure::Attempted;
 use crate::gateway::tokens::partitions::Grant;
 use crate::gateway::world::directory::Instance;
 use crate::gateway::world::table::{Engine, Kind, Route};
 use crate::gateway::world::team::Team;
 use crate::id::ContentHash;
 use crate::platform::headers::Meta;
+use crate::policy::server_ends::{Run, ServerHash};
 use crate::telemetry::event;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use std::cell::{Cell, OnceCell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -66,6 +69,12 @@
     pub(crate) events_relayed: Cell<u64>,
     /// Software version of the server that began the stream, once that is known.
     pub(crate) stream_version: RefCell<Option<Arc<str>>>,
+    /// Identifies this try of its caller in the ledger of attempts.
+    pub(crate) run_number: Run,
+    /// The attempt under way, which has no whole answer yet.
+    pub(crate) attempted: RefCell<Option<Attempted>>,
+    /// VM whose queue granted the last slot, unless that is this one, and the server.
+    pub(crate) granted: Cell<Option<(SocketAddr, ServerHash)>>,
     /// Copies, moves and pins of its run.
     pub(crate) run: RunState,
 }
@@ -160,6 +169,7 @@
         if !self.end_recorded.get() {
             self.record_end("caller_left", false);
         }
+        self.drop_attempt();
         let Some(grant) = self.allowance.take() else {
             return;
         };
--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -14,6 +14,7 @@
 use crate::gateway::queue::permit::Permit;
 use crate::gateway::server::attempt::{AttemptResult, BufferedResponse, attempt};
 use crate::gateway::server::continuation::continue_run;
+use crate::gateway::server::ends::server_hash;
 use crate::gateway::server::pinning;
 use crate::gateway::server::stream_version::stream_version_lost;
 use crate::platform::headers::Meta;
@@ -47,9 +48,11 @@
     let mut response = match admit(&gateway, request, arrived).await {
         Ok(job) => {
             let job = Rc::new(job);
-            let reply = match timeout_at(job.deadline, dispatch(&job)).await {
-                Ok(reply) => reply,
-                Err(_) => Err(deadline_failure(&job)),
+            let reply = if let Ok(reply) = timeout_at(job.deadline, dispatch(&job)).await {
+                reply
+            } else {
+                job.attempt_failed().await;
+                Err(deadline_failure(&job))
             };
             reply.unwrap_or_else(|failure| {
                 job.record_end(&failure.code.to_string(), false);
@@ -130,9 +133,6 @@
         log_failed_attempt(job, &server, &outcome);
         match outcome {
             AttemptResult::Response(response) => {
-                if response.status.is_success() {
-                    job.record_success().await;
-                }
                 return Ok(complete(job, permit, response));
             }
             AttemptResult::Stream(stream) => {
@@ -141,7 +141,7 @@
             }
             AttemptResult::OutcomeUnknown(reason) if !job.route.idempotent() => {
                 permit.release(Outcome::Failed);
-                if job.check_ended_servers().await.is_ok()
+                if job.may_expose_server().await
                     && let Some(stream) = continue_run(job, reason, job.meta.last_event).await
                 {
                     return Ok(relay(job, None, stream));
@@ -171,16 +171,27 @@
     let started = Instant::now();
     let mut request = dispatch_request(job, avoid);
     // Only services that generate tokens share one queue across all VMs.
-    let permit = if job.tokens_per_event > 0 {
-        job.gateway.acquire_shared_permit(&mut request).await
+    let permit = if job.is_shared() {
+        let key = job.attempt_key();
+        let shared = job.gateway.acquire_shared_permit(&mut request, key);
+        shared.await
     } else {
-        job.gateway.acquire_local_permit(request).await
+        let permit = job
+            .gateway
+            .acquire_exposed_permit(request, job.attempt_key());
+        permit.await
     };
     job.queue_time.set(job.queue_time.get() + started.elapsed());
     if let Ok(permit) = &permit {
+        let server = server_hash(&permit.server.id);
+        job.granted.set(permit.lessor().map(|vm| (vm, server)));
         job.servers.borrow_mut().push(Arc::clone(&permit.server.id));
     }
     permit.map_err(|failure| {
+        if failure.code == Code::ServersEnded {
+            let retry_after = Duration::from_millis(failure.retry_after_ms.unwrap_or_default());
+            return job.servers_ended(retry_after);
+        }
         let is_bound = job.stream_version.borrow().is_some();
         if is_bound && failure.code == Code::NoServer {
             stream_version_lost()
@@ -267,6 +278,7 @@
         demand: demand(job),
         object: job.meta.affinity.filter(|_| keeps_objects),
         version: job.stream_version.borrow().clone(),
+        only: Vec::new(),
     }
 }
 
--- a/src/gateway/request/stream.rs
+++ b/src/gateway/request/stream.rs
@@ -116,6 +116,7 @@
                     self.continue_elsewhere(reason).await
                 }
                 StreamItem::Broken(reason) if resumes >= MAX_RESUMES => {
+                    self.job.attempt_failed().await;
                     if let Some(server) = self.server() {
                         self.job.check_server(&server).await;
                     }
@@ -195,8 +196,10 @@
         // The run must not be at work twice: the server stops it when its connection is closed.
         self.source.close().await;
         let outcome = if handle.is_some() {
+            self.job.attempt_stopped();
             Outcome::Void
         } else {
+            self.job.attempt_failed().await;
             continuation::note_broken(&self.job);
             Outcome::Failed
         };
@@ -206,7 +209,7 @@
         if let Some(permit) = self.permit.take() {
             permit.release(outcome);
         }
-        if self.job.check_ended_servers().await.is_err() {
+        if !self.job.may_expose_server().await {
             return Some(StreamEnd::Broken("servers_ended"));
         }
         let chunks = self.chunks.clone();
@@ -239,6 +242,7 @@
         let Some(permit) = &mut self.permit else {
             return Some(StreamEnd::Broken(reason));
         };
+        self.job.attempt_failed().await;
         // A server that started again under its name may have another version.
         let mut resume_result = if self.job.gateway.was_replaced(&permit.server) {
             AttemptResult::Unreachable
--- a/src/gateway/server/attempt.rs
+++ b/src/gateway/server/attempt.rs
@@ -160,9 +160,25 @@
     server: &Arc<Entry>,
     run: &RunHeaders<'_>,
 ) -> AttemptResult {
+    job.attempt_began(server).await;
     let silence = job.watch_silence(server);
     let result = send(job, server, run).await;
     silence.end();
+    match &result {
+        AttemptResult::NotRun(reason) => {
+            job.attempt_not_run(server).await;
+            if *reason == OTHER_INSTANCE {
+                job.gateway.server_is_gone(server).await;
+            }
+        }
+        AttemptResult::OutcomeUnknown(_) => job.attempt_failed().await,
+        AttemptResult::Response(response) if response.status.is_success() => {
+            job.record_success().await;
+        }
+        AttemptResult::Response(_) => job.attempt_answered(server),
+        // A stream is answered once it is complete.
+        AttemptResult::Stream(_) | AttemptResult::Unreachable => {}
+    }
     continuation::note_attempt(job, server, &result);
     result
 }
@@ -181,8 +197,13 @@
         let connection = match pooled.take() {
             Some(connection) => connection,
             None => match job.gateway.connect(server).await {
-                Some(connection) => connection,
-                None => return AttemptResult::Unreachable,
+                Ok(connection) => connection,
+                Err(unreachable) => {
+                    // First, as the end does not count for a request that was not sent.
+                    job.attempt_not_run(server).await;
+                    job.gateway.note_unreachable(server, unreachable).await;
+                    return AttemptResult::Unreachable;
+                }
             },
         };
         let closing = connection.closing();
@@ -199,7 +220,10 @@
         match result {
             // The server closed a pooled connection before the request was sent: try a new one.
             Err(SendError::NotSent) if reused => {}
-            Err(SendError::NotSent) => return AttemptResult::Unreachable,
+            Err(SendError::NotSent) => {
+                job.attempt_not_run(server).await;
+                return AttemptResult::Unreachable;
+            }
             Err(SendError::OutcomeUnknown) => return AttemptResult::OutcomeUnknown("no_answer"),
             Ok(result) => return result,
         }
--- a/src/gateway/server/call.rs
+++ b/src/gateway/server/call.rs
@@ -1,7 +1,7 @@
 //! New connections to backend servers, and calls to engines other than the requests of callers.
 
 use crate::gateway::Gateway;
-use crate::gateway::server::connection::Connection;
+use crate::gateway::server::connection::{Connection, Unreachable};
 use crate::gateway::world::directory::Entry;
 use crate::platform::headers;
 use bytes::Bytes;
@@ -13,11 +13,11 @@
 const MAX_ANSWER_BYTES: usize = 4096;
 
 impl Gateway {
-    /// Opens a connection to a server; `None` if it is unreachable.
-    pub(crate) async fn connect(&self, server: &Entry) -> Option<Connection> {
-        let connection = Connection::open(server).await.ok()?;
+    /// Opens a connection to a server.
+    pub(crate) async fn connect(&self, server: &Entry) -> Result<Connection, Unreachable> {
+        let connection = Connection::open(server).await?;
         self.metrics.connections.add(1, &[]);
-        Some(connection)
+        Ok(connection)
     }
 
     /// Sends a call to an engine and reads the whole answer; `None` if the engine is unreachable or the answer is
@@ -30,7 +30,7 @@
     ) -> Option<(StatusCode, Bytes)> {
         let mut connection = match self.connections.get(&server.id, max_idle) {
             Some(connection) => connection,
-            None => self.connect(server).await?,
+            None => self.connect(server).await.ok()?,
         };
         let response = connection.send(request).await.ok()?;
         let headers = headers::Response::of(response.headers());
--- a/src/gateway/server/connection.rs
+++ b/src/gateway/server/connection.rs
@@ -52,13 +52,32 @@
     OutcomeUnknown,
 }
 
+/// Why no connection to a server opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Unreachable {
+    /// Nothing listens at its address.
+    Refused,
+    /// There was no answer in time, or another error.
+    Unknown,
+}
+
+impl From<std::io::Error> for Unreachable {
+    fn from(error: std::io::Error) -> Self {
+        match error.kind() {
+            std::io::ErrorKind::ConnectionRefused => Self::Refused,
+            _ => Self::Unknown,
+        }
+    }
+}
+
 impl Connection {
-    pub(crate) async fn open(entry: &Entry) -> Result<Self, std::io::Error> {
+    pub(crate) async fn open(entry: &Entry) -> Result<Self, Unreachable> {
         let connect = timeout(CONNECT_TIMEOUT, TcpStream::connect(entry.address));
         let stream = connect.await.map_err(std::io::Error::from)??;
         socket::set_options(&stream)?;
         let io = TokioIo::new(stream);
-        let (sender, connection) = http1::handshake(io).await.map_err(std::io::Error::other)?;
+        let handshake = http1::handshake(io).await;
+        let (sender, connection) = handshake.map_err(std::io::Error::other)?;
         let driver = tokio::task::spawn_local(async move {
             // Errors are reported to the request in flight.
             drop(connection.await);
--- a/src/gateway/server/ends.rs
+++ b/src/gateway/server/ends.rs
@@ -1,21 +1,19 @@
-//! Servers that ended under a request: notices them, and tells the other VMs.
+//! Servers that end under requests: what this VM knows of them, and what VMs tell each other.
 //!
 //! Without that, each VM and each retry of a caller would send a request that ends servers to further ones.
 
-use crate::code::{Code, Failure};
 use crate::gateway::Gateway;
 use crate::gateway::peers::{Note, Question, Reply, peer_address};
-use crate::gateway::request::job::Job;
-use crate::gateway::request::reply;
-use crate::gateway::world::directory::Entry;
+use crate::gateway::queue::permit::Turnover;
+use crate::gateway::server::connection::Unreachable;
+use crate::gateway::world::directory::{Entry, Instance};
 use crate::id::ContentHash;
-use crate::policy::server_ends::{End, Knowledge, Ledger};
+use crate::policy::server_ends::{Knowledge, Ledger, News, Run, ServerHash, What};
 use crate::telemetry::event;
 use rand::seq::IteratorRandom;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
@@ -30,13 +28,13 @@
 const QUESTION_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time after which an end is sent once more, in case a datagram was lost.
 const RESEND_DELAY: Duration = Duration::from_millis(40);
-/// Silence of a server from which a request that is given up may have met its end. Servers pause for less even under load.
-const MIN_SILENCE: Duration = Duration::from_secs(1);
+/// Most VMs that are told of a failed attempt at a service that has no shared queue.
+const MAX_TOLD_OF_FAILURE: usize = 32;
 
-/// What this VM knows of servers that ended under requests.
+/// What this VM knows of requests under which servers end.
 #[derive(Debug, Default)]
 pub(crate) struct Ends {
-    ledger: RefCell<Ledger>,
+    pub(super) ledger: RefCell<Ledger>,
     /// Whether this VM knows what was noticed before it started.
     informed: Cell<bool>,
 }
@@ -50,159 +48,58 @@
             "informed": self.informed.get(),
         })
     }
-}
-
-impl Job {
-    /// Fails if too many servers ended under this request, in this attempt of its caller or in earlier ones.
-    ///
-    /// # Errors
-    /// [`Code::ServersEnded`]
-    pub(crate) async fn check_ended_servers(&self) -> Result<(), Failure> {
-        let gateway = &self.gateway;
-        let ends = &gateway.ends;
-        if ends.ledger.borrow().is_empty() {
-            return Ok(());
-        }
-        let now = Instant::now();
-        let is_suspect = ends.ledger.borrow().ended(now, self.content()) > 0;
-        let knowledge = if is_suspect && !gateway.reaches_majority().await {
-            Knowledge::CutOff
-        } else if ends.informed.get() {
-            Knowledge::Complete
-        } else {
-            Knowledge::SinceStart
-        };
-        let ledger = ends.ledger.borrow();
-        let Some(retry_after) = ledger.refusal(now, self.content(), knowledge) else {
-            return Ok(());
-        };
-        gateway.metrics.count_server_end("refused");
-        let message = "servers ended under the request";
-        Err(if self.may_have_run.get() {
-            reply::outcome_unknown(Code::ServersEnded, message)
-        } else {
-            Failure::refused(Code::ServersEnded, message).retry_after(retry_after)
-        })
-    }
 
-    /// Finds out whether a server that broke off has ended, and records that. Returns whether it has.
-    pub(crate) async fn check_server(&self, server: &Arc<Entry>) -> bool {
-        // The sample of other VMs is needed next, and is kept for a while.
-        let (has_ended, _) = tokio::join!(
-            self.gateway.has_ended(server),
-            self.gateway.reaches_majority()
-        );
-        log_check(&self.meta.id, self.content(), server, has_ended);
-        if has_ended {
-            self.record_end_of(server).await;
-        }
-        has_ended
+    /// Records what another VM knows, or what happened here; returns what to tell others of it.
+    pub(crate) fn record(&self, news: News) -> Option<News> {
+        self.ledger.borrow_mut().record(Instant::now(), news)
     }
 
-    /// Records that a server ended while it ran this request, and tells the other VMs.
-    pub(crate) async fn record_end_of(&self, server: &Entry) {
-        self.gateway
-            .record_end(&self.meta.id, self.content(), server)
-            .await;
+    /// What is known of a request, to be told with it.
+    pub(crate) fn known(&self, content: ContentHash) -> Vec<News> {
+        self.ledger.borrow().known(Instant::now(), content)
     }
-
-    /// Watches an attempt at a server for the case that the request is given up while the server is silent.
-    pub(crate) fn watch_silence<'a>(&'a self, server: &'a Arc<Entry>) -> SilenceWatch<'a> {
-        SilenceWatch {
-            job: self,
-            server,
-            since: Instant::now(),
-            is_over: false,
-        }
-    }
-
-    /// Finds out whether a server that sent nothing `since` has ended, now that the request is given up. A host that
-    /// loses power closes no connection.
-    pub(crate) fn check_silent_server(&self, server: &Arc<Entry>, since: Instant) {
-        if since.elapsed() < MIN_SILENCE {
-            return;
-        }
-        let (gateway, server) = (Rc::clone(&self.gateway), Arc::clone(server));
-        let (id, content) = (self.meta.id.clone(), self.content());
-        spawn_local(async move {
-            let has_ended = gateway.has_ended(&server).await;
-            log_check(&id, content, &server, has_ended);
-            if has_ended {
-                gateway.record_end(&id, content, &server).await;
-            }
-        });
-    }
-
-    /// Records that this request has succeeded: then it did not cause the ends under it.
-    ///
-    /// Of requests without a program, many callers may send the same content, so that each failure of several servers
-    /// meets some. A content that succeeded before such a failure is not refused after it.
-    pub(crate) async fn record_success(&self) {
-        let ends = &self.gateway.ends;
-        let may_be_shared = self.meta.program.is_none();
-        if !may_be_shared && ends.ledger.borrow().is_empty() {
-            return;
-        }
-        let now = Instant::now();
-        let is_suspect = ends.ledger.borrow().ended(now, self.content()) > 0;
-        if !is_suspect && !may_be_shared {
-            return;
-        }
-        let success = End {
-            content: self.content(),
-            server: None,
-            age_ms: 0,
-        };
-        ends.ledger.borrow_mut().record(now, success);
-        if is_suspect {
-            self.gateway.tell_end(success).await;
-        }
-    }
-}
-
-fn log_check(id: &str, content: ContentHash, server: &Entry, has_ended: bool) {
-    event!(
-        info,
-        "server_checked",
-        id = id,
-        server = server.id,
-        content = content,
-        ended = has_ended
-    );
 }
 
-/// Calls [`Job::check_silent_server`] unless the attempt ends first.
-#[derive(Debug)]
-pub(crate) struct SilenceWatch<'a> {
-    job: &'a Job,
-    server: &'a Arc<Entry>,
-    since: Instant,
-    is_over: bool,
+/// Identifies an instance of a server in the ledger.
+pub(crate) fn server_hash(server: &Instance) -> ServerHash {
+    xxh3_64(server.as_bytes())
 }
 
-impl SilenceWatch<'_> {
-    pub(crate) fn end(mut self) {
-        self.is_over = true;
+/// What has just happened to a request at a server.
+pub(crate) fn news((content, run): (ContentHash, Run), server: &Instance, what: What) -> News {
+    News {
+        content,
+        server: server_hash(server),
+        run,
+        what,
+        age_ms: 0,
     }
 }
 
-impl Drop for SilenceWatch<'_> {
-    fn drop(&mut self) {
-        if !self.is_over {
-            self.job.check_silent_server(self.server, self.since);
+impl Gateway {
+    /// How much this VM knows of the servers that ended under a request.
+    pub(super) async fn knowledge_of(&self, content: ContentHash) -> Knowledge {
+        let is_suspect = self.ends.ledger.borrow().ended(Instant::now(), content) > 0;
+        if is_suspect && !self.reaches_majority().await {
+            Knowledge::CutOff
+        } else if self.ends.informed.get() {
+            Knowledge::Complete
+        } else {
+            Knowledge::SinceStart
         }
     }
-}
 
-impl Gateway {
     /// Whether a server is unreachable, or another instance of it has registered.
-    async fn has_ended(&self, server: &Entry) -> bool {
-        let connection = self.connect(server).await;
-        let is_reachable = connection.is_some();
-        if let Some(connection) = connection {
-            self.connections.put(connection, None);
+    pub(super) async fn has_ended(self: &Rc<Self>, server: &Entry) -> bool {
+        match self.connect(server).await {
+            Ok(connection) => self.connections.put(connection, None),
+            Err(unreachable) => {
+                self.note_unreachable(server, unreachable).await;
+                return true;
+            }
         }
-        !is_reachable || self.was_replaced(server)
+        let is_gone = self.ends.ledger.borrow().is_gone(server_hash(&server.id));
+        is_gone || self.was_replaced(server)
     }
 
     /// Whether another instance of the server has registered since.
@@ -212,41 +109,95 @@
         current.is_some_and(|current| current.id != server.id)
     }
 
-    async fn record_end(self: &Rc<Self>, id: &str, content: ContentHash, server: &Entry) {
-        let end = End {
-            content,
-            server: Some(xxh3_64(server.id.as_bytes())),
-            age_ms: 0,
+    /// Records that a server ended under a request, and tells the other VMs.
+    pub(super) async fn record_end(
+        self: &Rc<Self>,
+        id: &str,
+        content: ContentHash,
+        server: &Entry,
+    ) {
+        let told = {
+            let mut ledger = self.ends.ledger.borrow_mut();
+            ledger.server_ended_under(Instant::now(), content, server_hash(&server.id))
         };
+        if let Some(told) = told {
+            self.metrics.count_server_end("noticed");
+            log_end(self, id, content, &server.id);
+            self.tell_all(vec![told]).await;
+        }
+    }
+
+    /// Records that a server refuses connections, or that another instance is at its address: that counts for all requests
+    /// that it did not answer.
+    pub(super) async fn server_is_gone(self: &Rc<Self>, server: &Entry) {
+        let ended = self.count_end(&server.id);
+        if !ended.is_empty() {
+            self.tell_all(ended).await;
+        }
+    }
+
+    /// Records that no connection to a server opened. One that accepts none in time may live.
+    pub(super) async fn note_unreachable(
+        self: &Rc<Self>,
+        server: &Entry,
+        unreachable: Unreachable,
+    ) {
+        if unreachable == Unreachable::Refused {
+            self.server_is_gone(server).await;
+        }
+    }
+
+    /// Records which servers left the directory, unannounced. Each VM has it from its own directory, so nobody is told.
+    pub(crate) fn servers_left(&self, turnover: &Turnover) {
+        for server in &turnover.left {
+            self.count_end(server);
+        }
+        let mut ledger = self.ends.ledger.borrow_mut();
+        for server in &turnover.joined {
+            ledger.server_registered(server_hash(server));
+        }
+    }
+
+    fn count_end(&self, server: &Instance) -> Vec<News> {
         let now = Instant::now();
-        let is_news = self.ends.ledger.borrow_mut().record(now, end);
-        self.metrics.count_server_end("noticed");
-        event!(
-            info,
-            "server_ended",
-            id = id,
-            server = server.id,
-            content = content,
-            ended = self.ends.ledger.borrow().ended(now, content)
-        );
-        if is_news {
-            self.tell_end(end).await;
+        let ended = {
+            let mut ledger = self.ends.ledger.borrow_mut();
+            ledger.server_ended(now, server_hash(server))
+        };
+        for end in &ended {
+            self.metrics.count_server_end("noticed");
+            log_end(self, "", end.content, server);
         }
+        ended
     }
 
-    /// Tells all other VMs of an end, before the caller learns of it and may ask one of them.
-    async fn tell_end(self: &Rc<Self>, end: End) {
-        self.broadcast_end(end).await;
+    /// Tells all other VMs, before the caller learns of it and may ask one of them.
+    pub(super) async fn tell_all(self: &Rc<Self>, news: Vec<News>) {
+        let others = self.other_vms();
+        self.tell(&others, &news).await;
         let gateway = Rc::clone(self);
         spawn_local(async move {
             sleep(RESEND_DELAY).await;
-            gateway.broadcast_end(end).await;
+            gateway.tell(&others, &news).await;
         });
     }
 
-    async fn broadcast_end(&self, end: End) {
-        for peer in self.other_vms() {
-            self.peers.notify(peer, Note::Ended(vec![end])).await;
+    /// The VMs that decide on the next attempt at a service: those that may own its queue or, where each VM has a queue of
+    /// its own, all others as long as they are few.
+    pub(super) fn deciders(&self, service: &str, is_shared: bool) -> Vec<SocketAddr> {
+        if is_shared {
+            return self.queue_candidates(service);
+        }
+        let mut others = self.other_vms();
+        if others.len() > MAX_TOLD_OF_FAILURE {
+            others.clear();
+        }
+        others
+    }
+
+    pub(crate) async fn tell(&self, vms: &[SocketAddr], news: &[News]) {
+        for vm in vms {
+            self.peers.notify(*vm, Note::Attempts(news.to_vec())).await;
         }
     }
 
@@ -258,37 +209,35 @@
     }
 
     /// Merges what another VM tells.
-    pub(crate) fn merge_ends(&self, ends: &[End]) {
-        let now = Instant::now();
-        let mut ledger = self.ends.ledger.borrow_mut();
-        for end in ends {
-            ledger.record(now, *end);
+    pub(crate) fn merge_news(&self, news: &[News]) {
+        for news in news {
+            self.ends.record(*news);
         }
     }
 
-    /// The ends of the worst requests, and whether this VM knows those from before its start.
+    /// What is known of the worst requests, and whether this VM knows those from before its start.
     pub(crate) fn worst_ends(&self) -> Reply {
         let ledger = self.ends.ledger.borrow();
-        Reply::Ends {
-            ends: ledger.worst(Instant::now()),
+        Reply::Attempts {
+            news: ledger.worst(Instant::now()),
             informed: self.ends.informed.get(),
         }
     }
 
     /// Drops expired records, and repeats the others to one other VM, which may have been cut off when they were new.
     pub(crate) async fn repeat_ends(&self) {
-        if self.ends.ledger.borrow().is_empty() {
-            return;
-        }
         let now = Instant::now();
-        let ends = {
+        let news = {
             let mut ledger = self.ends.ledger.borrow_mut();
             ledger.drop_expired(now);
-            ledger.worst(now)
+            ledger.worst_failures(now)
         };
+        if news.is_empty() {
+            return;
+        }
         let peer = self.other_vms().into_iter().choose(&mut rand::rng());
         if let Some(peer) = peer {
-            self.peers.notify(peer, Note::Ended(ends)).await;
+            self.tell(&[peer], &news).await;
         }
     }
 
@@ -303,8 +252,8 @@
             };
             let question = self.peers.ask(peer, &Question::Ends);
             let reply = timeout(QUESTION_TIMEOUT, question).await;
-            if let Ok(Some(Reply::Ends { ends, informed })) = reply {
-                self.merge_ends(&ends);
+            if let Ok(Some(Reply::Attempts { news, informed })) = reply {
+                self.merge_news(&news);
                 if informed {
                     break;
                 }
@@ -321,3 +270,15 @@
         );
     }
 }
+
+fn log_end(gateway: &Gateway, id: &str, content: ContentHash, server: &Instance) {
+    let ledger = gateway.ends.ledger.borrow();
+    event!(
+        info,
+        "server_ended",
+        id = id,
+        server = server,
+        content = content,
+        ended = ledger.ended(Instant::now(), content)
+    );
+}
--- a/src/gateway/server/mod.rs
+++ b/src/gateway/server/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod continuation;
 pub(crate) mod ends;
 pub(crate) mod event;
+pub(crate) mod exposure;
 pub(crate) mod moving;
 pub(crate) mod pinning;
 pub(crate) mod stream_version;
--- a/src/gateway/tokens/owner.rs
+++ b/src/gateway/tokens/owner.rs
@@ -79,13 +79,23 @@
         question: Question,
     ) -> Reply {
         match question {
-            Question::Place(ask) => self.lease_slot(asked, ask).await,
+            Question::Place(ask) => self.lease_slot(asked, ask, None).await,
             Question::PlaceAtVersion {
                 mut request,
                 version,
             } => {
                 request.version = Some(version);
-                self.lease_slot(asked, request).await
+                self.lease_slot(asked, request, None).await
+            }
+            Question::PlaceContent {
+                mut request,
+                version,
+                attempt,
+                known,
+            } => {
+                self.merge_news(&known);
+                request.version = version;
+                self.lease_slot(asked, *request, Some(attempt)).await
             }
             Question::StreamVersion { stream } => Reply::Version(self.stream_versions.get(stream)),
             Question::OnlyVersion { service, time } => {
@@ -146,16 +156,7 @@
             },
             Question::Ends => self.worst_ends(),
             Question::Locate { turn, lost } => self.locate(&turn, lost).await,
-            Question::Copies { part } => {
-                let partition = self.partitions.partition(part);
-                let unrecorded_replicas = partition.unrecorded_replicas.borrow();
-                let allowances = unrecorded_replicas.iter().take(REPLICAS_PER_DATAGRAM);
-                let allowances = allowances.map(|(program, allowed)| (program.clone(), *allowed));
-                Reply::Copies {
-                    allowed: allowances.collect(),
-                    up_ms: self.partitions.uptime_ms(),
-                }
-            }
+            Question::Copies { part } => self.unrecorded_copies(part),
             Question::Adopt {
                 part,
                 epoch,
@@ -178,10 +179,21 @@
         }
     }
 
+    fn unrecorded_copies(&self, part: u64) -> Reply {
+        let partition = self.partitions.partition(part);
+        let unrecorded_replicas = partition.unrecorded_replicas.borrow();
+        let allowances = unrecorded_replicas.iter().take(REPLICAS_PER_DATAGRAM);
+        let allowances = allowances.map(|(program, allowed)| (program.clone(), *allowed));
+        Reply::Copies {
+            allowed: allowances.collect(),
+            up_ms: self.partitions.uptime_ms(),
+        }
+    }
+
     /// Handles a message that needs no answer.
     pub(crate) async fn handle_note(&self, from: SocketAddr, note: Note) {
         match note {
-            Note::Left { number, outcome } => self.leases.release(&(from, number), outcome),
+            Note::Left { number, outcome } => self.release_lease(&(from, number), outcome),
             Note::Load { number, load } => self.leases.report_load(&(from, number), load),
             Note::Settled {
                 part,
@@ -199,7 +211,7 @@
             Note::StreamBegan { stream, version } => {
                 self.stream_versions.insert(stream, version);
             }
-            Note::Ended(ends) => self.merge_ends(&ends),
+            Note::Attempts(news) => self.merge_news(&news),
             Note::Loads(note) => self.handle_loads(from, note),
             Note::Holds { turn } => self.conversations.set_holder(turn, from),
         }
--- a/src/policy/dispatch/mod.rs
+++ b/src/policy/dispatch/mod.rs
@@ -119,7 +119,7 @@
     /// # let request = Request {
     /// #     service: "pool".into(), zone: "a".into(), vm: 1, rank: 0, program: None, turns: 0,
     /// #     left_ms: 0, max_wait_ms: 0, session: None, prompt: vec![], avoid: vec![], demand: None,
-    /// #     object: None, version: None,
+    /// #     object: None, version: None, only: vec![],
     /// # };
     /// // Nothing is known of its service.
     /// assert!(!Dispatcher::default().is_too_large(Instant::now(), &request));
--- a/src/policy/dispatch/types.rs
+++ b/src/policy/dispatch/types.rs
@@ -74,6 +74,9 @@
     /// Not encoded, so that requests are encoded as before; a message of its own carries it.
     #[serde(skip)]
     pub version: Option<Arc<str>>,
+    /// The only servers that may get it; empty if all may.
+    #[serde(skip)]
+    pub only: Vec<Arc<str>>,
 }
 
 /// What a request is expected to use, and whom it belongs to.
@@ -93,21 +96,28 @@
 }
 
 impl Request {
-    /// Whether it may be sent to a server of this software version.
+    /// Whether it may be sent to this server.
     ///
     /// ```
     /// use vanillatrail::policy::dispatch::Request;
     /// # let request = Request {
     /// #     service: "pool".into(), zone: "a".into(), vm: 1, rank: 0, program: None, turns: 0,
     /// #     left_ms: 0, max_wait_ms: 0, session: None, prompt: vec![], avoid: vec![], demand: None,
-    /// #     object: None, version: None,
+    /// #     object: None, version: None, only: vec![],
     /// # };
     /// let resumed = Request { version: Some("v1".into()), ..request };
-    /// assert!(resumed.accepts("v1") && !resumed.accepts("v2"));
+    /// assert!(resumed.accepts("s0", "v1") && !resumed.accepts("s0", "v2"));
+    /// let exposed = Request { only: vec!["s0".into()], ..resumed };
+    /// assert!(exposed.accepts("s0", "v1") && !exposed.accepts("s1", "v1"));
     /// ```
     #[must_use]
-    pub fn accepts(&self, version: &str) -> bool {
-        self.version.as_deref().is_none_or(|only| only == version)
+    pub fn accepts(&self, server: &str, version: &str) -> bool {
+        let is_allowed = self.only.is_empty() || self.only.iter().any(|only| **only == *server);
+        is_allowed && self.version.as_deref().is_none_or(|only| only == version)
+    }
+
+    pub(in crate::policy) fn accepts_server(&self, server: &Description) -> bool {
+        self.accepts(&server.id, &server.version)
     }
 
     pub(in crate::policy) fn max_wait(&self) -> Duration {
--- a/src/policy/load_share.rs
+++ b/src/policy/load_share.rs
@@ -314,7 +314,7 @@
     ) -> Option<affinity::Choice> {
         let usable = pool.servers.iter().enumerate();
         let usable = usable.filter(|(_, server)| {
-            server.accepts(query.now, query.permit) && query.request.accepts(&server.info.version)
+            server.accepts(query.now, query.permit) && query.request.accepts_server(&server.info)
         });
         let (indices, candidates): (Vec<usize>, Vec<affinity::Candidate<'_>>) = usable
             .map(|(index, server)| {
@@ -355,7 +355,7 @@
             server.has_room(now, band)
                 && (server.accepts(now, permit) || self.has_fresh_report(now, server))
                 && !request.avoid.contains(&server.info.id)
-                && request.accepts(&server.info.version)
+                && request.accepts_server(&server.info)
         });
         let usable = usable.map(|index| {
             let server = &servers[index];
--- a/src/policy/service_pool.rs
+++ b/src/policy/service_pool.rs
@@ -112,16 +112,18 @@
         self.servers.swap_remove(index);
     }
 
-    /// Whether any server takes new requests of the software version that this one needs.
+    /// Whether any server that the request may be sent to takes new ones.
     pub(super) fn has_server_for(&self, request: &Request) -> bool {
         let mut servers = self.servers.iter();
-        servers.any(|server| !server.info.draining && request.accepts(&server.info.version))
+        servers.any(|server| !server.info.draining && request.accepts_server(&server.info))
     }
 
-    /// Queued requests that wait for a software version of which no server is left.
+    /// Queued requests that wait for certain servers of which none is left.
     pub(super) fn stranded(&self) -> Vec<Permit> {
         self.queue.matching(|queued| {
-            queued.request.version.is_some() && !self.has_server_for(&queued.request)
+            let request = &queued.request;
+            let is_bound = request.version.is_some() || !request.only.is_empty();
+            is_bound && !self.has_server_for(request)
         })
     }
 
@@ -133,7 +135,7 @@
         let mut candidates = self
             .candidates
             .select(query.permit, request, query.session_server);
-        let accepts = |index: &usize| request.accepts(&self.servers[*index].info.version);
+        let accepts = |index: &usize| request.accepts_server(&self.servers[*index].info);
         let is_subset = candidates.len() < self.servers.len();
         let servers = &self.servers;
         let need = Need::of(request, &self.profile.outputs);
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -35,6 +35,7 @@
         demand: None,
         object: None,
         version: None,
+        only: Vec::new(),
     }
 }
 
--- a/tests/platform/backend.rs
+++ b/tests/platform/backend.rs
@@ -3,7 +3,7 @@
 use super::{Request, unused_address};
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -21,6 +21,8 @@
     CloseThenEnd(Vec<u8>, Duration),
     /// Sends nothing, and ends the server after this time.
     SilentThenEnd(Duration),
+    /// Sends the first bytes, and then the others again and again with this pause until the client closes the connection.
+    Endless(Vec<u8>, Vec<u8>, Duration),
 }
 
 /// A fake backend server.
@@ -29,8 +31,10 @@
     pub address: SocketAddr,
     /// Received requests, in order of arrival.
     pub requests: Arc<Mutex<Vec<Request>>>,
-    /// Whether the client closed a connection during [`Act::Hang`].
+    /// Whether the client closed a connection during [`Act::Hang`] or [`Act::Endless`].
     pub client_closed: Arc<AtomicBool>,
+    /// Bytes sent again and again by [`Act::Endless`].
+    pub endless_bytes: Arc<AtomicUsize>,
     life: Arc<Life>,
 }
 
@@ -70,6 +74,8 @@
         let requests: Arc<Mutex<Vec<Request>>> = Arc::default();
         let client_closed = Arc::new(AtomicBool::new(false));
         let (seen, closed) = (Arc::clone(&requests), Arc::clone(&client_closed));
+        let endless_bytes = Arc::new(AtomicUsize::new(0));
+        let sending = Arc::clone(&endless_bytes);
         let life = Arc::<Life>::default();
         let (serving, accepting) = (Arc::clone(&life), Arc::clone(&life));
         let listener = TcpListener::bind(SocketAddr::new(unused_address(), 0));
@@ -103,6 +109,16 @@
                         std::thread::sleep(delay);
                         return serving.end(address);
                     }
+                    Act::Endless(first, repeated, pause) => {
+                        let mut sent = stream.write_all(&first);
+                        while sent.is_ok() {
+                            std::thread::sleep(pause);
+                            sent = stream.write_all(&repeated);
+                            sending.fetch_add(repeated.len(), Ordering::Relaxed);
+                        }
+                        closed.store(true, Ordering::Relaxed);
+                        return;
+                    }
                     Act::Hang(bytes) => {
                         drop(stream.write_all(&bytes));
                         let end = reader.read(&mut [0; 1]);
@@ -138,6 +154,7 @@
             address,
             requests,
             client_closed,
+            endless_bytes,
             life,
         }
     }
--- a/tests/platform/fatal.rs
+++ b/tests/platform/fatal.rs
@@ -29,6 +29,8 @@
     GarbageThenEnd(Duration),
     /// It closes the connection at the first of them, and ends at the second.
     EndAtRepeat,
+    /// It is silent.
+    Hang,
     /// It is silent, and ends later.
     SilentThenEnd(Duration),
     /// Another process, under another name, is at its address at once.
@@ -96,6 +98,7 @@
                 0 => Act::Close(Vec::new()),
                 _ => Act::End(Vec::new()),
             },
+            Fatal::Hang => Act::Hang(Vec::new()),
             Fatal::SilentThenEnd(delay) => Act::SilentThenEnd(delay),
             Fatal::Replaced => {
                 self.replace(request);
@@ -188,6 +191,18 @@
         requests.sum()
     }
 
+    /// Ends the first servers.
+    pub fn end_first(&self, count: usize) {
+        self.servers.iter().take(count).for_each(Backend::end);
+    }
+
+    /// Ends all servers that received a request.
+    pub fn end_receivers(&self) {
+        let servers = self.servers.iter();
+        let receivers: Vec<_> = servers.filter(|server| server.count() > 0).collect();
+        receivers.into_iter().for_each(Backend::end);
+    }
+
     pub fn set_fatal_requests(&self, count: usize) {
         self.fatal_left.store(count, Ordering::SeqCst);
     }
--- a/tests/server_ends.rs
+++ b/tests/server_ends.rs
@@ -146,3 +146,18 @@
     assert!(started.elapsed() < Duration::from_secs(8));
     assert_eq!(site.ended(), 0);
 }
+
+/// Guards against counting servers that were gone before the request was sent to them.
+#[test]
+fn a_request_that_finds_servers_gone_is_answered() {
+    let site = Site::start(3, Fatal::CloseOnly, 0);
+    site.end_first(5);
+    for number in 0..9 {
+        let path = format!("/a/{}", number / 3);
+        let reply = turn(&site.vms[number % 3], &path, &format!("r{number}"));
+        assert_eq!(reply.status, 200, "{reply:?}");
+    }
+    for vm in &site.vms {
+        assert_eq!(vm.state()["server_ends"]["refused"], 0);
+    }
+}
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -242,7 +242,8 @@
     wait_until_joined(&site.vms);
     site.wait_until_known();
     for resumes in [None, Some("unknown")] {
-        assert_eq!(site.take_up(1, "u", resumes).status, 200);
+        let reply = site.take_up(1, "u", resumes);
+        assert_eq!(reply.status, 200, "{reply:?}");
     }
     site.add_server("v2");
     site.wait_until_known();
