Bound the head and the interim responses that are read of a server

Cause: the HTTP client parses interim responses in a loop as long as they come, and nothing bounded them, so a server that sends 100 Continue without end kept the only request thread of its VM busy: other callers waited, and their own was answered with 504 after its deadline. Class: input that is bounded by its end alone.

--- a/src/gateway/server/connection.rs
+++ b/src/gateway/server/connection.rs
@@ -1,15 +1,18 @@
 //! Connections to backend servers, and the pool of idle ones.
 
 use crate::gateway::front::socket;
+use crate::gateway::server::read_limit::{LimitedStream, ReadLimit};
 use crate::gateway::world::directory::{Entry, Instance};
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::ext::on_informational;
 use hyper_util::rt::TokioIo;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -24,12 +27,15 @@
 /// the connection.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 const MAX_IDLE_PER_SERVER: usize = 24;
+/// Interim responses to one request. None are asked for.
+const MAX_INTERIM_RESPONSES: usize = 16;
 
 /// A connection to a backend server. Dropping it closes it, which cancels the request in flight.
 #[derive(Debug)]
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    limit: ReadLimit,
     server: Instance,
     /// Requests sent on this connection so far.
     requests: u32,
@@ -75,7 +81,8 @@
         let connect = timeout(CONNECT_TIMEOUT, TcpStream::connect(entry.address));
         let stream = connect.await.map_err(std::io::Error::from)??;
         socket::set_options(&stream)?;
-        let io = TokioIo::new(stream);
+        let limit = ReadLimit::default();
+        let io = TokioIo::new(LimitedStream::new(stream, limit.clone()));
         let handshake = http1::handshake(io).await;
         let (sender, connection) = handshake.map_err(std::io::Error::other)?;
         let driver = tokio::task::spawn_local(async move {
@@ -85,6 +92,7 @@
         Ok(Self {
             sender,
             driver: driver.abort_handle(),
+            limit,
             server: Instance::clone(&entry.id),
             requests: 0,
             idle_since: Instant::now(),
@@ -100,12 +108,20 @@
     /// Sends a request and waits for the head of the response.
     pub(crate) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
         if self.sender.ready().await.is_err() {
             return Err(SendError::NotSent);
         }
+        let (driver, interim_responses) = (self.driver.clone(), AtomicUsize::new(0));
+        on_informational(&mut request, move |_| {
+            if interim_responses.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_RESPONSES {
+                driver.abort();
+            }
+        });
+        self.limit.expect_head();
         let response = self.sender.try_send_request(request).await;
+        self.limit.head_received();
         let response = response.map_err(|mut error| match error.take_message() {
             Some(_) => SendError::NotSent,
             None => SendError::OutcomeUnknown,
--- a/src/gateway/server/mod.rs
+++ b/src/gateway/server/mod.rs
@@ -9,4 +9,5 @@
 pub(crate) mod exposure;
 pub(crate) mod moving;
 pub(crate) mod pinning;
+pub(crate) mod read_limit;
 pub(crate) mod stream_version;
