Send a request on as soon as a server has refused it

Cause: the body of a refusal (X-Not-Run) was read to its end before the refusal was acted on, so one with an endless body held the request until its deadline. Class: waiting for what is not needed. Change: the head decides; the body is read in the background, up to 4 KiB and 250 ms, only to use the connection again. Measured: a_refusal_with_an_endless_body_is_passed_over_at_once (fast and trickling) was red, 503 at the deadline, and is green.

--- a/src/gateway/server/attempt.rs
+++ b/src/gateway/server/attempt.rs
@@ -12,11 +12,12 @@
 use crate::policy::dispatch::{Load, Outcome};
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 /// Maximum idle time of a connection that is reused for a non-idempotent request. Short, since the
 /// server may have dropped an idle connection, and a reset leaves open whether the request ran.
@@ -29,6 +30,10 @@
 const MAX_IDLE_IDEMPOTENT: Duration = Duration::from_secs(30);
 /// Maximum size of a buffered response body.
 const MAX_BODY_BYTES: usize = 8 << 20;
+/// Maximum size of the body of a refusal. It is read only to use the connection again.
+const MAX_REFUSAL_BYTES: usize = 4096;
+/// Maximum time for it.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Reason of a refusal by another instance than the one that the request was for.
 pub(crate) const OTHER_INSTANCE: &str = "other_instance";
@@ -268,7 +273,7 @@
     }
     if refused {
         job.may_have_run.set(earlier_attempt_may_have_run);
-        reuse_after_body(job, connection, response.into_body(), &response_headers).await;
+        reuse_after_body(job, connection, response.into_body(), &response_headers);
         return Ok(AttemptResult::NotRun(
             if status == StatusCode::MISDIRECTED_REQUEST {
                 OTHER_INSTANCE
@@ -317,18 +322,23 @@
     }))
 }
 
-/// Reads the rest of a refusal and returns the connection to the pool.
-async fn reuse_after_body(
+/// Reads the rest of a refusal and returns the connection to the pool. The request is sent on meanwhile.
+fn reuse_after_body(
     job: &Job,
     connection: Connection,
-    mut body: Incoming,
+    body: Incoming,
     response_headers: &Response,
 ) {
-    if !response_headers.closes && read_body(&mut body).await.is_some() {
-        job.gateway
-            .connections
-            .put(connection, response_headers.keep_alive);
+    if response_headers.closes {
+        return;
     }
+    let (gateway, keep_alive) = (Rc::clone(&job.gateway), response_headers.keep_alive);
+    tokio::task::spawn_local(async move {
+        let body = Limited::new(body, MAX_REFUSAL_BYTES).collect();
+        if let Ok(Ok(_)) = timeout(REFUSAL_TIMEOUT, body).await {
+            gateway.connections.put(connection, keep_alive);
+        }
+    });
 }
 
 /// Reads a body to its end; `None` if it is cut short or larger than `MAX_BODY_BYTES`.
