Bound what is read of a server between two frames of a body

Cause: the digits of a chunk's size, and what else surrounds frames, were read till the deadline as long as they came; other callers of the VM were refused meanwhile in the test. Change: at most 1 MiB is read between two frames; then the connection is closed and the attempt counts as failed. Measured: a_chunk_size_without_end_is_given_up was red, and is green.

--- a/src/gateway/server/attempt.rs
+++ b/src/gateway/server/attempt.rs
@@ -109,6 +109,7 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
+            self.connection.expect_frame();
             match self.splitter.push(&data) {
                 Ok(Some(batch)) => return StreamItem::Events(batch),
                 Ok(None) => {}
@@ -310,7 +311,7 @@
             source,
         })));
     }
-    let Some(body) = read_body(&mut source.body).await else {
+    let Some(body) = read_body(&source.connection, &mut source.body).await else {
         return Ok(AttemptResult::OutcomeUnknown("cut"));
     };
     source.finish(job);
@@ -342,11 +343,12 @@
 }
 
 /// Reads a body to its end; `None` if it is cut short or larger than `MAX_BODY_BYTES`.
-async fn read_body(body: &mut Incoming) -> Option<Bytes> {
+async fn read_body(connection: &Connection, body: &mut Incoming) -> Option<Bytes> {
     let mut bytes = BytesMut::new();
     while let Some(frame) = body.frame().await {
         if let Ok(data) = frame.ok()?.into_data() {
             bytes.extend_from_slice(&data);
+            connection.expect_frame();
         }
         if bytes.len() > MAX_BODY_BYTES {
             return None;
--- a/src/gateway/server/connection.rs
+++ b/src/gateway/server/connection.rs
@@ -121,7 +121,7 @@
         });
         self.limit.expect_head();
         let response = self.sender.try_send_request(request).await;
-        self.limit.head_received();
+        self.limit.expect_frame();
         let response = response.map_err(|mut error| match error.take_message() {
             Some(_) => SendError::NotSent,
             None => SendError::OutcomeUnknown,
@@ -130,6 +130,11 @@
         response
     }
 
+    /// Allows the server to send the next frame of a body, which has made progress.
+    pub(crate) fn expect_frame(&self) {
+        self.limit.expect_frame();
+    }
+
     /// Closes the connection and waits until it is closed.
     pub(crate) async fn close(&mut self) {
         self.driver.abort();
--- a/src/gateway/server/read_limit.rs
+++ b/src/gateway/server/read_limit.rs
@@ -9,20 +9,29 @@
 
 /// Bytes of the head of a response, with all interim responses before it.
 const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Bytes between two frames of a body: room for what is read ahead, and for chunk sizes and trailers.
+const MAX_FRAME_BYTES: usize = 1 << 20;
 
-/// How many bytes may be read from a connection; `None` without a limit.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct ReadLimit(Rc<Cell<Option<usize>>>);
+/// How many bytes may be read from a connection.
+#[derive(Debug, Clone)]
+pub(crate) struct ReadLimit(Rc<Cell<usize>>);
+
+impl Default for ReadLimit {
+    /// That of a connection on which nothing has been sent yet.
+    fn default() -> Self {
+        Self(Rc::new(Cell::new(MAX_HEAD_BYTES)))
+    }
+}
 
 impl ReadLimit {
     /// Allows the head of a response.
     pub(crate) fn expect_head(&self) {
-        self.0.set(Some(MAX_HEAD_BYTES));
+        self.0.set(MAX_HEAD_BYTES);
     }
 
-    /// Allows what follows the head.
-    pub(crate) fn head_received(&self) {
-        self.0.set(None);
+    /// Allows the next frame of a body.
+    pub(crate) fn expect_frame(&self) {
+        self.0.set(MAX_FRAME_BYTES);
     }
 }
 
@@ -46,14 +55,13 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
         let left = self.limit.0.get();
-        if left == Some(0) {
+        if left == 0 {
             return Poll::Ready(Err(Error::other("the server sends without end")));
         }
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
         let read = buf.filled().len() - before;
-        let left = left.map(|left| left.saturating_sub(read));
-        self.limit.0.set(left);
+        self.limit.0.set(left.saturating_sub(read));
         Poll::Ready(Ok(()))
     }
 }
