Give a stream up whose server sends comments without end

Cause: comments were read and passed on till the deadline, as if they were events, and each restarted the clock of a stalled run. Change: at most 64 KiB of comments between two events; comments before the first event are held until it comes, so that the request can still be sent to another server; comments don't count against a stall. A stream is resumed at another server then, if its route allows one, instead of at the same.

--- a/src/gateway/request/stream.rs
+++ b/src/gateway/request/stream.rs
@@ -6,7 +6,7 @@
 use crate::conversation::Transcript;
 use crate::gateway::queue::permit::Permit;
 use crate::gateway::server::attempt::{
-    AttemptResult, EventSource, OTHER_INSTANCE, Stream, StreamItem, attempt,
+    AttemptResult, ENDLESS, EventSource, OTHER_INSTANCE, Stream, StreamItem, attempt,
 };
 use crate::gateway::server::continuation::{self, Gap, Sequence, continue_run};
 use crate::gateway::server::event::EventBatch;
@@ -84,16 +84,17 @@
         };
         let mut resumes = 0;
         let chunks = self.chunks.clone();
+        let mut waiting_since = Instant::now();
         while end.is_none() {
-            let waiting_since = Instant::now();
             let stall_limit = continuation::stall_limit(&self.job, self.last_event);
-            let stalled = tokio::time::sleep(stall_limit.unwrap_or_default());
+            let stalled = tokio::time::sleep_until(waiting_since + stall_limit.unwrap_or_default());
             let next = tokio::select! {
                 next = self.source.next() => next,
                 () = stalled, if stall_limit.is_some() => {
                     let limit = stall_limit.unwrap_or_default() + MAX_TIMER_DELAY;
                     if waiting_since.elapsed() > limit {
                         // Events may have arrived while this VM was paused, and are read first.
+                        waiting_since = Instant::now();
                         continue;
                     }
                     StreamItem::Broken("stalled")
@@ -109,6 +110,7 @@
                     break
                 },
             };
+            let is_comment = matches!(&next, StreamItem::Events(batch) if !batch.has_event);
             end = match next {
                 StreamItem::Events(batch) => self.forward(batch).await,
                 StreamItem::End => Some(StreamEnd::Complete),
@@ -127,6 +129,9 @@
                     self.resume(reason).await
                 }
             };
+            if !is_comment {
+                waiting_since = Instant::now();
+            }
         }
         self.finish(end.unwrap_or(StreamEnd::Complete)).await;
     }
@@ -244,7 +249,11 @@
         };
         self.job.attempt_failed().await;
         // A server that started again under its name may have another version.
-        let mut resume_result = if self.job.gateway.was_replaced(&permit.server) {
+        let is_replaced = self.job.gateway.was_replaced(&permit.server);
+        let servers = self.job.servers.borrow().len();
+        let may_leave = servers < self.job.route.attempts as usize;
+        let leaves = reason == ENDLESS && may_leave && !is_replaced;
+        let mut resume_result = if is_replaced || leaves {
             AttemptResult::Unreachable
         } else {
             attempt(&self.job, permit, self.last_event).await
@@ -257,7 +266,7 @@
             self.last_event,
         );
         let has_ended = match resume_result {
-            AttemptResult::Unreachable => true,
+            AttemptResult::Unreachable => !leaves,
             AttemptResult::NotRun(reason) => reason == OTHER_INSTANCE,
             _ => false,
         };
--- a/src/gateway/server/attempt.rs
+++ b/src/gateway/server/attempt.rs
@@ -35,6 +35,11 @@
 /// Maximum time for it.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Most bytes of comments between two events of a stream. Servers send comments to keep connections open.
+const MAX_COMMENT_BYTES: usize = 64 << 10;
+
+/// Reason for which a stream broke whose server sends bytes without end that are no event.
+pub(crate) const ENDLESS: &str = "endless";
 /// Reason of a refusal by another instance than the one that the request was for.
 pub(crate) const OTHER_INSTANCE: &str = "other_instance";
 
@@ -78,6 +83,8 @@
     connection: Connection,
     body: Incoming,
     splitter: EventSplitter,
+    /// Bytes of comments since the last event.
+    comment_bytes: usize,
     /// Keep-alive time announced by the server.
     keep_alive: Option<Duration>,
     /// Whether the server closes the connection after this response.
@@ -111,9 +118,51 @@
             };
             self.connection.expect_frame();
             match self.splitter.push(&data) {
-                Ok(Some(batch)) => return StreamItem::Events(batch),
+                Ok(Some(batch)) => {
+                    self.comment_bytes += batch.bytes.len();
+                    if batch.has_event {
+                        self.comment_bytes = 0;
+                    }
+                    if self.comment_bytes > MAX_COMMENT_BYTES {
+                        return StreamItem::Broken(ENDLESS);
+                    }
+                    return StreamItem::Events(batch);
+                }
                 Ok(None) => {}
-                Err(_) => return StreamItem::Broken("endless_event"),
+                Err(_) => return StreamItem::Broken(ENDLESS),
+            }
+        }
+    }
+
+    /// The first batch with an event, and the comments before it: until then the request can be sent to another server.
+    async fn first(&mut self) -> StreamItem {
+        let (mut comments, mut events) = (BytesMut::new(), 0);
+        loop {
+            match self.next().await {
+                StreamItem::Events(batch) if batch.has_event && comments.is_empty() => {
+                    return StreamItem::Events(batch);
+                }
+                StreamItem::Events(batch) => {
+                    comments.extend_from_slice(&batch.bytes);
+                    events += batch.events;
+                    if batch.has_event {
+                        let bytes = comments.freeze();
+                        return StreamItem::Events(EventBatch {
+                            bytes,
+                            events,
+                            ..batch
+                        });
+                    }
+                }
+                StreamItem::End if !comments.is_empty() => {
+                    return StreamItem::Events(EventBatch {
+                        bytes: comments.freeze(),
+                        events,
+                        last_id: None,
+                        has_event: false,
+                    });
+                }
+                end => return end,
             }
         }
     }
@@ -292,6 +341,7 @@
         connection,
         body,
         splitter: EventSplitter::default(),
+        comment_bytes: 0,
         keep_alive: response_headers.keep_alive,
         closes: response_headers.closes,
         load: response_headers.load,
@@ -299,7 +349,7 @@
     };
     let headers = headers::caller_response_headers(&parts.headers);
     if is_stream {
-        let first_batch = match source.next().await {
+        let first_batch = match source.first().await {
             StreamItem::Events(batch) => Some(batch),
             StreamItem::End => None,
             StreamItem::Broken(reason) => return Ok(AttemptResult::OutcomeUnknown(reason)),
--- a/src/gateway/server/event.rs
+++ b/src/gateway/server/event.rs
@@ -24,6 +24,8 @@
     pub(crate) events: u64,
     /// ID of the last event that has one.
     pub(crate) last_id: Option<u64>,
+    /// Whether there is more than comments.
+    pub(crate) has_event: bool,
 }
 
 impl EventBatch {
@@ -97,6 +99,7 @@
         let bytes = self.buffer.split_to(end).freeze();
         let last_id = last_id(&bytes);
         Ok(Some(EventBatch {
+            has_event: has_event(&bytes),
             bytes,
             events,
             last_id,
@@ -109,6 +112,11 @@
     }
 }
 
+fn has_event(bytes: &[u8]) -> bool {
+    let mut lines = bytes.split(|byte| *byte == b'\n');
+    lines.any(|line| !matches!(line, [] | b"\r" | [b':', ..]))
+}
+
 fn last_id(bytes: &[u8]) -> Option<u64> {
     let mut lines = bytes.rsplit(|byte| *byte == b'\n');
     lines.find_map(|line| {
--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -46,7 +46,8 @@
                     return Act::Endless(head.into_bytes(), repeated, pause);
                 }
                 if request.target.starts_with("/a/") {
-                    let text = stream_head(request) + &events(1..=2) + "0\r\n\r\n";
+                    let first = request.header("last-event-id").parse().unwrap_or(0) + 1;
+                    let text = stream_head(request) + &events(first..=2) + "0\r\n\r\n";
                     return Act::Keep(text.into_bytes());
                 }
                 Act::Keep(full_response(request, "whole"))
@@ -191,6 +192,28 @@
     Site::start(endless, Duration::ZERO).check("/a/endless", MIB);
 }
 
+/// Guards against comments without end after an event, at the same server again and again.
+#[test]
+fn a_stream_leaves_a_server_whose_comments_have_no_end() {
+    let endless: Endless = |request| {
+        let comment = ":no event\n\n".repeat(100);
+        let chunk = format!("{:x}\r\n{comment}\r\n", comment.len());
+        (stream_head(request) + &events(1..=1), chunk.into_bytes())
+    };
+    let site = Site::start(endless, Duration::ZERO);
+    let (reply, took, longest) = site.call_beside_others("/a/endless");
+    assert!(reply.status == 200 && reply.whole, "{reply:?}");
+    let text = reply.text();
+    let data: Vec<_> = text
+        .lines()
+        .filter(|line| line.starts_with("data:"))
+        .collect();
+    assert_eq!(data, ["data: e1", "data: e2"]);
+    assert!(took < 2 * PROMPT, "answered after {took:?}");
+    assert!(longest < PROMPT, "others waited {longest:?}");
+    until("the connection is closed", || site.sent().1);
+}
+
 /// Guards against an event without end in a stream.
 #[test]
 fn an_event_without_end_is_given_up() {
