Tell the VMs that keep attempts of others which of them have a whole answer

A VM that may not send a request on, as it has just started or is cut off, says so with a Retry-After of 1 s, not of the whole period. Measured: servers_that_end_after_they_answered_do_not_count, red without the change.

--- a/src/gateway/front/housekeeping.rs
+++ b/src/gateway/front/housekeeping.rs
@@ -119,6 +119,7 @@
             gateway.queue.record_pace(&gateway.metrics);
             gateway.sweep_pins();
             gateway.repeat_ends().await;
+            gateway.tell_answered().await;
             let programs = gateway.queue.waiting_programs();
             gateway.metrics.programs_waiting(programs);
             gateway.report_store_state(&mut store_state);
--- a/src/gateway/request/stream.rs
+++ b/src/gateway/request/stream.rs
@@ -201,7 +201,7 @@
         // The run must not be at work twice: the server stops it when its connection is closed.
         self.source.close().await;
         let outcome = if handle.is_some() {
-            self.job.attempt_stopped();
+            self.job.attempt_answered();
             Outcome::Void
         } else {
             self.job.attempt_failed().await;
--- a/src/gateway/server/attempt.rs
+++ b/src/gateway/server/attempt.rs
@@ -230,7 +230,7 @@
         AttemptResult::Response(response) if response.status.is_success() => {
             job.record_success().await;
         }
-        AttemptResult::Response(_) => job.attempt_answered(server),
+        AttemptResult::Response(_) => job.attempt_answered(),
         // A stream is answered once it is complete.
         AttemptResult::Stream(_) | AttemptResult::Unreachable => {}
     }
--- a/src/gateway/server/ends.rs
+++ b/src/gateway/server/ends.rs
@@ -8,12 +8,16 @@
 use crate::gateway::server::connection::Unreachable;
 use crate::gateway::world::directory::{Entry, Instance};
 use crate::id::ContentHash;
-use crate::policy::server_ends::{Knowledge, Ledger, News, Run, ServerHash, What};
+use crate::policy::server_ends::{
+    Knowledge, Ledger, MAX_NEWS_PER_MESSAGE, News, Run, ServerHash, What,
+};
 use crate::telemetry::event;
 use rand::seq::IteratorRandom;
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
@@ -28,6 +32,8 @@
 const QUESTION_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time after which an end is sent once more, in case a datagram was lost.
 const RESEND_DELAY: Duration = Duration::from_millis(40);
+/// Most answers that are kept to be told together.
+const MAX_ANSWERED: usize = 1024;
 /// Most VMs that are told of a failed attempt at a service that has no shared queue.
 const MAX_TOLD_OF_FAILURE: usize = 32;
 
@@ -37,6 +43,8 @@
     pub(super) ledger: RefCell<Ledger>,
     /// Whether this VM knows what was noticed before it started.
     informed: Cell<bool>,
+    /// Whole answers of attempts that other VMs have on record, by service, to be told together.
+    answered: RefCell<HashMap<Arc<str>, Vec<News>>>,
 }
 
 impl Ends {
@@ -54,6 +62,18 @@
         self.ledger.borrow_mut().record(Instant::now(), news)
     }
 
+    /// Records a whole answer of an attempt that other VMs have on record.
+    pub(super) fn answered(&self, service: &Arc<str>, news: News) {
+        let mut answered = self.answered.borrow_mut();
+        let answered = answered.entry(Arc::clone(service)).or_default();
+        if answered.len() < MAX_ANSWERED {
+            answered.push(News {
+                what: What::Answered,
+                ..news
+            });
+        }
+    }
+
     /// What is known of a request, to be told with it.
     pub(crate) fn known(&self, content: ContentHash) -> Vec<News> {
         self.ledger.borrow().known(Instant::now(), content)
@@ -121,8 +141,7 @@
             ledger.server_ended_under(Instant::now(), content, server_hash(&server.id))
         };
         if let Some(told) = told {
-            self.metrics.count_server_end("noticed");
-            log_end(self, id, content, &server.id);
+            self.note_end(id, content, &server.id);
             self.tell_all(vec![told]).await;
         }
     }
@@ -165,12 +184,25 @@
             ledger.server_ended(now, server_hash(server))
         };
         for end in &ended {
-            self.metrics.count_server_end("noticed");
-            log_end(self, "", end.content, server);
+            self.note_end("", end.content, server);
         }
         ended
     }
 
+    /// Counts and logs an end; `id` is empty where it was not noticed by the request.
+    pub(super) fn note_end(&self, id: &str, content: ContentHash, server: &str) {
+        self.metrics.count_server_end("noticed");
+        let ledger = self.ends.ledger.borrow();
+        event!(
+            info,
+            "server_ended",
+            id = id,
+            server = server,
+            content = content,
+            ended = ledger.ended(Instant::now(), content)
+        );
+    }
+
     /// Tells all other VMs, before the caller learns of it and may ask one of them.
     pub(super) async fn tell_all(self: &Rc<Self>, news: Vec<News>) {
         let others = self.other_vms();
@@ -241,6 +273,17 @@
         }
     }
 
+    /// Tells the VMs that keep the attempts of this one which of them have a whole answer.
+    pub(crate) async fn tell_answered(&self) {
+        let answered = self.ends.answered.take();
+        for (service, news) in answered {
+            let keepers = self.queue_candidates(&service);
+            for news in news.chunks(MAX_NEWS_PER_MESSAGE) {
+                self.tell(&keepers, news).await;
+            }
+        }
+    }
+
     /// Asks other VMs what was noticed before this one started.
     pub(crate) async fn learn_ends(self: Rc<Self>) {
         let started = Instant::now();
@@ -270,15 +313,3 @@
         );
     }
 }
-
-fn log_end(gateway: &Gateway, id: &str, content: ContentHash, server: &Instance) {
-    let ledger = gateway.ends.ledger.borrow();
-    event!(
-        info,
-        "server_ended",
-        id = id,
-        server = server,
-        content = content,
-        ended = ledger.ended(Instant::now(), content)
-    );
-}
--- a/src/gateway/server/exposure.rs
+++ b/src/gateway/server/exposure.rs
@@ -136,16 +136,14 @@
         ledger.excuses(Instant::now(), self.content(), began)
     }
 
-    /// Records a whole answer that is no success.
-    pub(crate) fn attempt_answered(&self, server: &Arc<Entry>) {
-        self.attempted.take();
-        self.record_attempt(server, What::Answered);
-    }
-
-    /// Records that this VM stopped the attempt under way, whose server was to leave.
-    pub(crate) fn attempt_stopped(&self) {
-        if let Some(attempt) = self.attempted.take() {
-            self.record_attempt(&attempt.server, What::Answered);
+    /// Records a whole answer that is no success, or that this VM stopped a run whose server was to leave.
+    pub(crate) fn attempt_answered(&self) {
+        let Some(attempt) = self.attempted.take() else {
+            return;
+        };
+        let answered = self.record_attempt(&attempt.server, What::Answered);
+        if let Some(answered) = answered.filter(|_| self.is_shared()) {
+            self.gateway.ends.answered(&self.service, answered);
         }
     }
 
@@ -230,6 +228,8 @@
         ends.record(success);
         if is_suspect {
             self.gateway.tell_all(vec![success]).await;
+        } else if self.is_shared() {
+            ends.answered(&self.service, success);
         }
     }
 
@@ -333,20 +333,11 @@
             let mut ledger = self.ends.ledger.borrow_mut();
             ledger.server_ended_under(now, content, server)
         };
-        let Some(told) = told else {
-            return;
-        };
-        self.metrics.count_server_end("noticed");
-        let ended = self.ends.ledger.borrow().ended(now, content);
-        event!(
-            info,
-            "server_ended",
-            id = "",
-            server = entry.as_ref().map_or("", |entry| &*entry.id),
-            content = content,
-            ended = ended
-        );
-        self.tell_all(vec![told]).await;
+        if let Some(told) = told {
+            let name = entry.as_ref().map_or("", |entry| &*entry.id);
+            self.note_end("", content, name);
+            self.tell_all(vec![told]).await;
+        }
     }
 
     /// Waits for a permit from this VM's own dispatcher, at a server that may be exposed to the request, and records the
--- a/src/policy/server_ends/mod.rs
+++ b/src/policy/server_ends/mod.rs
@@ -23,6 +23,8 @@
 const MAX_ENDED_SERVERS_AFTER_START: usize = 2;
 /// The same at a VM that reaches few other VMs. Its callers find VMs that know more.
 const MAX_ENDED_SERVERS_CUT_OFF: usize = 1;
+/// `Retry-After` where this VM alone may not send a request on. Others may know more by then.
+const INCOMPLETE_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// How long a server is exposed after an attempt failed. Longer than the registration of a server that ended takes to
 /// lapse, so that a new process at its address is known for one by then.
 pub const EXPOSURE: Duration = Duration::from_secs(5);
@@ -378,9 +380,12 @@
         let Some(record) = self.current(now, content) else {
             return Verdict::Send;
         };
-        if record.count_ended() >= knowledge.max_ended() {
+        if record.count_ended() >= MAX_ENDED_SERVERS {
             return Verdict::Refuse(record.expires().saturating_duration_since(now));
         }
+        if record.count_ended() >= knowledge.max_ended() {
+            return Verdict::Refuse(INCOMPLETE_RETRY_AFTER);
+        }
         if record.is_proven() {
             return Verdict::Send;
         }
--- a/tests/server_ends.rs
+++ b/tests/server_ends.rs
@@ -161,3 +161,23 @@
         assert_eq!(vm.state()["server_ends"]["refused"], 0);
     }
 }
+
+/// Guards against counting the end of a server for requests that it had answered, at VMs that keep the attempts of others.
+#[test]
+fn servers_that_end_after_they_answered_do_not_count() {
+    let site = Site::start(3, Fatal::CloseOnly, 0);
+    for number in 0..12 {
+        let path = format!("/a/{number}");
+        let reply = turn(&site.vms[number % 3], &path, &format!("r{number}"));
+        assert_eq!(reply.status, 200, "{reply:?}");
+    }
+    // VMs tell each other of answers twice a second.
+    std::thread::sleep(Duration::from_millis(1200));
+    site.end_first(9);
+    for vm in &site.vms {
+        assert!(turn(vm, "/a/x", "x").status >= 500);
+    }
+    for vm in &site.vms {
+        assert_eq!(vm.lines("event=server_ended "), [""; 0]);
+    }
+}
