--- a/tests/outage.rs
+++ b/tests/outage.rs
@@ -273,5 +273,8 @@
     until("the new configuration is applied", || {
         vms[0].state()["config"] == 2
     });
-    assert_eq!(vms[0].lines("event=config_applied version=2").len(), 1);
+    let applied = || vms[0].lines("event=config_applied version=2").len();
+    // The log is written by another thread.
+    until("the new configuration is logged", || applied() > 0);
+    assert_eq!(applied(), 1);
 }
