Tell all VMs of the attempts of a request that is sent to a second server

Cause, from reading: attempts are kept by three VMs, and the VM that sends the request next may be another one, while the owner of the queue has just started and has not learned of them. Change: a VM that notices that a request goes to a second server, by its own knowledge or as one that keeps attempts, tells all others what it knows, up to 33 VMs. What goes with a question is bounded to 8 facts, as a datagram is.

--- a/src/gateway/server/ends.rs
+++ b/src/gateway/server/ends.rs
@@ -34,8 +34,9 @@
 const RESEND_DELAY: Duration = Duration::from_millis(40);
 /// Most answers that are kept to be told together.
 const MAX_ANSWERED: usize = 1024;
-/// Most VMs that are told of a failed attempt at a service that has no shared queue.
-const MAX_TOLD_OF_FAILURE: usize = 32;
+/// Most VMs that are told of attempts which concern few of them: failed ones at a service that has no shared queue, and
+/// those of a request that was sent to a second server.
+const MAX_TOLD_OF_ATTEMPTS: usize = 32;
 
 /// What this VM knows of requests under which servers end.
 #[derive(Debug, Default)]
@@ -74,6 +75,12 @@
         }
     }
 
+    /// Whether a request was sent to several servers and has not succeeded.
+    pub(super) fn is_repeated(&self, content: ContentHash) -> bool {
+        let ledger = self.ledger.borrow();
+        ledger.is_repeated(Instant::now(), content)
+    }
+
     /// What is known of a request, to be told with it.
     pub(crate) fn known(&self, content: ContentHash) -> Vec<News> {
         self.ledger.borrow().known(Instant::now(), content)
@@ -220,8 +227,13 @@
         if is_shared {
             return self.queue_candidates(service);
         }
+        self.few_others()
+    }
+
+    /// All other VMs; none if they are many.
+    pub(super) fn few_others(&self) -> Vec<SocketAddr> {
         let mut others = self.other_vms();
-        if others.len() > MAX_TOLD_OF_FAILURE {
+        if others.len() > MAX_TOLD_OF_ATTEMPTS {
             others.clear();
         }
         others
@@ -241,9 +253,22 @@
     }
 
     /// Merges what another VM tells.
-    pub(crate) fn merge_news(&self, news: &[News]) {
+    pub(crate) fn merge_news(self: &Rc<Self>, news: &[News]) {
+        // VMs that know of several attempts tell them together, and to all others.
+        let is_single = news.len() == 1;
         for news in news {
-            self.ends.record(*news);
+            let now = Instant::now();
+            let knows_server = {
+                let ledger = self.ends.ledger.borrow();
+                ledger.knows_attempt(now, news.content, news.server)
+            };
+            let told = self.ends.record(*news);
+            // Whoever sends it next may not be among those that keep its attempts.
+            let is_begun = news.what == What::Began && told.is_some() && !knows_server;
+            if is_single && is_begun && self.ends.is_repeated(news.content) {
+                let (gateway, known) = (Rc::clone(self), self.ends.known(news.content));
+                spawn_local(async move { gateway.tell(&gateway.few_others(), &known).await });
+            }
         }
     }
 
--- a/src/gateway/server/exposure.rs
+++ b/src/gateway/server/exposure.rs
@@ -95,6 +95,11 @@
         if !self.is_shared() || is_repeat {
             return;
         }
+        let others = self.gateway.few_others();
+        if !others.is_empty() && self.gateway.ends.is_repeated(self.content()) {
+            let known = self.gateway.ends.known(self.content());
+            return self.gateway.tell(&others, &known).await;
+        }
         let mut deciders = self.gateway.queue_candidates(&self.service);
         if let Some((vm, granted)) = self.granted.get()
             && granted == began.server
--- a/src/gateway/tokens/owner.rs
+++ b/src/gateway/tokens/owner.rs
@@ -191,7 +191,7 @@
     }
 
     /// Handles a message that needs no answer.
-    pub(crate) async fn handle_note(&self, from: SocketAddr, note: Note) {
+    pub(crate) async fn handle_note(self: &Rc<Self>, from: SocketAddr, note: Note) {
         match note {
             Note::Left { number, outcome } => self.release_lease(&(from, number), outcome),
             Note::Load { number, load } => self.leases.report_load(&(from, number), load),
--- a/src/policy/server_ends/mod.rs
+++ b/src/policy/server_ends/mod.rs
@@ -34,6 +34,8 @@
 pub const END_LIFETIME: Duration = Duration::from_mins(10);
 /// Most news in one message between VMs, at up to 31 bytes each: a datagram has 1,200 bytes.
 pub const MAX_NEWS_PER_MESSAGE: usize = 34;
+/// Most news that go with a question about one request.
+pub const MAX_KNOWN: usize = 8;
 /// Requests that are remembered, at about 300 bytes each.
 const MAX_REQUESTS: usize = 4096;
 /// Servers that ended lately and are remembered, at about 50 bytes each.
@@ -179,6 +181,22 @@
         record.is_some_and(Record::is_suspect)
     }
 
+    /// Whether a request without a success was sent to more than one server.
+    #[must_use]
+    pub fn is_repeated(&self, now: Instant, content: ContentHash) -> bool {
+        let record = self.current(now, content);
+        record.is_some_and(|record| {
+            !record.is_proven() && record.attempts.len() + record.ended.len() > 1
+        })
+    }
+
+    /// Whether an attempt at this server is on record.
+    #[must_use]
+    pub fn knows_attempt(&self, now: Instant, content: ContentHash, server: ServerHash) -> bool {
+        let record = self.current(now, content);
+        record.is_some_and(|record| record.has_attempt(server))
+    }
+
     /// Records what happened. Returns what other VMs have to be told of it; `None` if it was no news.
     ///
     /// ```
@@ -412,11 +430,12 @@
         }
     }
 
-    /// What is known of one request, for another VM.
+    /// What is known of one request, for another VM; at most [`MAX_KNOWN`], the ends first.
     #[must_use]
     pub fn known(&self, now: Instant, content: ContentHash) -> Vec<News> {
         let record = self.current(now, content);
-        record.map_or_else(Vec::new, |record| record.describe(now, content).collect())
+        let known = record.map(|record| record.describe(now, content));
+        known.into_iter().flatten().take(MAX_KNOWN).collect()
     }
 
     /// What to tell another VM, at most [`MAX_NEWS_PER_MESSAGE`]: of the requests with most ends, the newest first.
