Ask what other VMs know before the first request after a start

A VM that had started again sent a request that had ended three servers to a fourth. Cause: it is ready as soon as it knows its configuration and servers, and asked others for ends only 100 ms later. Evidence: the logs of a failed run have no line server_ends_known before that request. Change: it asks as soon as it knows another VM, and holds requests for half a second after its start at most until it has an answer.

ends_count_though_the_vm_is_killed_with_the_server asked for the number of ended servers before the last one had ended, so it left the killed VM dead and later restarted another.

--- a/src/gateway/front/mod.rs
+++ b/src/gateway/front/mod.rs
@@ -221,7 +221,7 @@
         copies: Copies::default(),
         pins: Pins::default(),
         moves: Moves::default(),
-        ends: Ends::default(),
+        ends: Ends::new(),
         stream_versions: StreamVersions::default(),
         queue: Queue::default(),
         leases: Leases::default(),
--- a/src/gateway/server/ends.rs
+++ b/src/gateway/server/ends.rs
@@ -26,6 +26,10 @@
 /// Time after which a starting VM that found no informed VM counts as informed: callers have given up the requests of
 /// before.
 const UNINFORMED_PERIOD: Duration = Duration::from_secs(5);
+/// Time after its start in which a VM sends no request on before it is informed.
+const START_PERIOD: Duration = Duration::from_millis(500);
+/// Pause between two looks whether this VM is informed.
+const INFORMED_INTERVAL: Duration = Duration::from_millis(10);
 /// Pause between two questions of a starting VM.
 const QUESTION_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest wait for the answer to such a question.
@@ -39,8 +43,9 @@
 const MAX_TOLD_OF_ATTEMPTS: usize = 32;
 
 /// What this VM knows of requests under which servers end.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Ends {
+    started: Instant,
     pub(super) ledger: RefCell<Ledger>,
     /// Whether this VM knows what was noticed before it started.
     informed: Cell<bool>,
@@ -49,6 +54,22 @@
 }
 
 impl Ends {
+    pub(crate) fn new() -> Self {
+        Self {
+            started: Instant::now(),
+            ledger: RefCell::default(),
+            informed: Cell::default(),
+            answered: RefCell::default(),
+        }
+    }
+
+    /// Waits until this VM knows what was noticed before it started, in the first moments after its start.
+    async fn wait_until_informed(&self) {
+        while !self.informed.get() && self.started.elapsed() < START_PERIOD {
+            sleep(INFORMED_INTERVAL).await;
+        }
+    }
+
     pub(crate) fn state(&self) -> serde_json::Value {
         let (requests, refused) = self.ledger.borrow().counts();
         serde_json::json!({
@@ -106,6 +127,7 @@
 impl Gateway {
     /// How much this VM knows of the servers that ended under a request.
     pub(super) async fn knowledge_of(&self, content: ContentHash) -> Knowledge {
+        self.ends.wait_until_informed().await;
         let is_suspect = self.ends.ledger.borrow().ended(Instant::now(), content) > 0;
         if is_suspect && !self.reaches_majority().await {
             Knowledge::CutOff
@@ -311,11 +333,11 @@
 
     /// Asks other VMs what was noticed before this one started.
     pub(crate) async fn learn_ends(self: Rc<Self>) {
-        let started = Instant::now();
+        let started = self.ends.started;
         while started.elapsed() < UNINFORMED_PERIOD {
-            sleep(QUESTION_INTERVAL).await;
             let peer = self.other_vms().into_iter().choose(&mut rand::rng());
             let Some(peer) = peer else {
+                sleep(INFORMED_INTERVAL).await;
                 continue;
             };
             let question = self.peers.ask(peer, &Question::Ends);
@@ -326,6 +348,7 @@
                     break;
                 }
             }
+            sleep(QUESTION_INTERVAL).await;
         }
         self.ends.informed.set(true);
         let after_ms = started.elapsed().as_millis();
--- a/tests/server_ends.rs
+++ b/tests/server_ends.rs
@@ -87,13 +87,14 @@
     for number in 0..8 {
         let vm = number % 4;
         site.doom(vm);
-        let ended = site.ended();
-        turn(&site.vms[vm], "/a/fatal", &format!("r{number}"));
-        if site.ended() > ended {
+        let reply = turn(&site.vms[vm], "/a/fatal", &format!("r{number}"));
+        // No answer: it was killed.
+        if reply.status == 0 {
             site.restart(vm);
             site.vms[vm].wait_ready();
         }
     }
+    std::thread::sleep(ENDS_LATEST);
     assert_eq!(site.ended(), MAX_ENDED);
 }
 
@@ -181,3 +182,18 @@
         assert_eq!(vm.lines("event=server_ended "), [""; 0]);
     }
 }
+
+/// Guards against a VM that has just started again, and sends a request on before it has asked what the others know.
+#[test]
+fn a_vm_that_has_just_started_asks_before_it_sends() {
+    let mut site = Site::start(3, Fatal::BeforeResponse, usize::MAX);
+    assert!(turn(&site.vms[0], "/a/fatal", "r").status >= 500);
+    assert_eq!(site.ended(), MAX_ENDED);
+    for number in 0..8 {
+        let vm = 1 + number % 2;
+        site.restart(vm);
+        site.vms[vm].wait_ready();
+        assert!(turn(&site.vms[vm], "/a/fatal", &format!("s{number}")).status >= 500);
+    }
+    assert_eq!(site.received(), MAX_ENDED);
+}
