--- a/src/gateway/server/ends.rs
+++ b/src/gateway/server/ends.rs
@@ -26,8 +26,9 @@
 /// Time after which a starting VM that found no informed VM counts as informed: callers have given up the requests of
 /// before.
 const UNINFORMED_PERIOD: Duration = Duration::from_secs(5);
-/// Time after its start in which a VM sends no request on before it is informed.
-const START_PERIOD: Duration = Duration::from_millis(500);
+/// Time after its start in which a VM sends no request on before it is informed. It joins the others within a few round
+/// trips; one that is alone, or starts with all others, finds nobody who could inform it.
+const START_PERIOD: Duration = Duration::from_millis(200);
 /// Pause between two looks whether this VM is informed.
 const INFORMED_INTERVAL: Duration = Duration::from_millis(10);
 /// Pause between two questions of a starting VM.
