Read-through: one flag for excused attempts, a type for a try, and no looks that the ledger makes needless

A success excuses an attempt by a flag of the news instead of two further variants of what happened. The content and the run that identify a try are a type instead of a tuple. The looks at a server whose caller left, after the last resumption, and after the second failure of one, decided nothing more: the server stays exposed, and its end counts as it becomes known.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -6,12 +6,11 @@
 use crate::gateway::Gateway;
 use crate::gateway::limits::count::Acquisition;
 use crate::gateway::queue::reports::LoadNote;
-use crate::id::ContentHash;
 use crate::id::Vm;
 use crate::member::{MAX_DATAGRAM_BYTES, Sealer};
 use crate::policy::allowance::{Reservation, Snapshot};
 use crate::policy::dispatch::{Load, Outcome, Request};
-use crate::policy::server_ends::{News, Run};
+use crate::policy::server_ends::{News, Try};
 use crate::policy::stream_versions::StreamHash;
 use crate::telemetry::event;
 use serde::{Deserialize, Serialize};
@@ -100,7 +99,7 @@
         request: Box<Request>,
         /// The only software version that will do.
         version: Option<Arc<str>>,
-        attempt: (ContentHash, Run),
+        attempt: Try,
         known: Vec<News>,
     },
     /// Asks for what is known of requests under which servers end.
--- a/src/gateway/queue/lease.rs
+++ b/src/gateway/queue/lease.rs
@@ -12,9 +12,9 @@
 use crate::gateway::server::exposure::servers_ended;
 use crate::gateway::world::directory::Entry;
 use crate::gateway::{Gateway, peers};
-use crate::id::{self, ContentHash, rendezvous_score};
+use crate::id::{self, rendezvous_score};
 use crate::policy::dispatch::{Load, Outcome, Request};
-use crate::policy::server_ends::{Run, What};
+use crate::policy::server_ends::{Try, What};
 use crate::telemetry::event;
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
@@ -45,7 +45,7 @@
 struct Lease {
     permit: Permit,
     /// The attempt, if its VM told it.
-    attempt: Option<(ContentHash, Run)>,
+    attempt: Option<Try>,
     expires: Instant,
 }
 
@@ -144,7 +144,7 @@
     pub(crate) async fn acquire_shared_permit(
         self: &Rc<Self>,
         request: &mut Request,
-        attempt: (ContentHash, Run),
+        attempt: Try,
     ) -> Result<Permit, Failure> {
         for peer in self.queue_owners(&request.service) {
             for _ in 0..MAX_REJECTED_SLOTS {
@@ -164,7 +164,7 @@
         self: &Rc<Self>,
         peer: SocketAddr,
         request: &Request,
-        attempt: (ContentHash, Run),
+        attempt: Try,
     ) -> Option<Result<Permit, AcquireError>> {
         let question_number = self.peers.next_number();
         let slot = SlotGuard::new(Rc::clone(self), SlotOwner::Remote(peer, question_number));
@@ -172,7 +172,7 @@
             request: Box::new(request.clone()),
             version: request.version.clone(),
             attempt,
-            known: self.ends.known(attempt.0),
+            known: self.ends.known(attempt.content),
         };
         let reply = self
             .peers
@@ -209,7 +209,7 @@
         self: &Rc<Self>,
         asked: ReplyAddress,
         request: Request,
-        attempt: Option<(ContentHash, Run)>,
+        attempt: Option<Try>,
     ) -> Reply {
         if let Some(server) = self.leases.leased_server(&asked) {
             // A repeated question, since the reply was lost.
--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -172,13 +172,11 @@
     let mut request = dispatch_request(job, avoid);
     // Only services that generate tokens share one queue across all VMs.
     let permit = if job.is_shared() {
-        let key = job.attempt_key();
+        let key = job.as_try();
         let shared = job.gateway.acquire_shared_permit(&mut request, key);
         shared.await
     } else {
-        let permit = job
-            .gateway
-            .acquire_exposed_permit(request, job.attempt_key());
+        let permit = job.gateway.acquire_exposed_permit(request, job.as_try());
         permit.await
     };
     job.queue_time.set(job.queue_time.get() + started.elapsed());
--- a/src/gateway/request/stream.rs
+++ b/src/gateway/request/stream.rs
@@ -100,12 +100,10 @@
                     StreamItem::Broken("stalled")
                 },
                 () = chunks.closed() => {
-                    self.check_silent_server(waiting_since);
                     end = Some(StreamEnd::CallerLeft);
                     break
                 },
                 () = tokio::time::sleep_until(self.job.deadline) => {
-                    self.check_silent_server(waiting_since);
                     end = Some(StreamEnd::DeadlinePassed);
                     break
                 },
@@ -119,9 +117,6 @@
                 }
                 StreamItem::Broken(reason) if resumes >= MAX_RESUMES => {
                     self.job.attempt_failed().await;
-                    if let Some(server) = self.server() {
-                        self.job.check_server(&server).await;
-                    }
                     Some(StreamEnd::Broken(reason))
                 }
                 StreamItem::Broken(reason) => {
@@ -144,12 +139,6 @@
         }
     }
 
-    fn check_silent_server(&self, since: Instant) {
-        if let Some(server) = self.server() {
-            self.job.check_silent_server(&server, since);
-        }
-    }
-
     /// Sends a batch of events to the caller; returns `Some` if that ended the stream.
     async fn forward(&mut self, batch: EventBatch) -> Option<StreamEnd> {
         let batch = match self.sequence.accept(batch) {
@@ -294,9 +283,6 @@
                 self.last_event,
             );
         }
-        if matches!(resume_result, AttemptResult::OutcomeUnknown(_)) {
-            self.job.check_server(&permit.server).await;
-        }
         let AttemptResult::Stream(stream) = resume_result else {
             return Some(StreamEnd::Broken(reason));
         };
--- a/src/gateway/server/attempt.rs
+++ b/src/gateway/server/attempt.rs
@@ -216,9 +216,7 @@
     run: &RunHeaders<'_>,
 ) -> AttemptResult {
     job.attempt_began(server).await;
-    let silence = job.watch_silence(server);
     let result = send(job, server, run).await;
-    silence.end();
     match &result {
         AttemptResult::NotRun(reason) => {
             job.attempt_not_run(server).await;
--- a/src/gateway/server/ends.rs
+++ b/src/gateway/server/ends.rs
@@ -9,7 +9,7 @@
 use crate::gateway::world::directory::{Entry, Instance};
 use crate::id::ContentHash;
 use crate::policy::server_ends::{
-    Knowledge, Ledger, MAX_NEWS_PER_MESSAGE, News, Run, ServerHash, What,
+    Knowledge, Ledger, MAX_NEWS_PER_MESSAGE, News, ServerHash, Try, What,
 };
 use crate::telemetry::event;
 use rand::seq::IteratorRandom;
@@ -115,12 +115,13 @@
 }
 
 /// What has just happened to a request at a server.
-pub(crate) fn news((content, run): (ContentHash, Run), server: &Instance, what: What) -> News {
+pub(crate) fn news(request: Try, server: &Instance, what: What) -> News {
     News {
-        content,
+        content: request.content,
         server: server_hash(server),
-        run,
+        run: request.run,
         what,
+        excused: false,
         age_ms: 0,
     }
 }
@@ -139,7 +140,8 @@
         }
     }
 
-    /// Whether a server is unreachable, or another instance of it has registered.
+    /// Whether a server is unreachable, or another instance of it has registered. Records what that shows for all
+    /// requests.
     pub(super) async fn has_ended(self: &Rc<Self>, server: &Entry) -> bool {
         match self.connect(server).await {
             Ok(connection) => self.connections.put(connection, None),
--- a/src/gateway/server/exposure.rs
+++ b/src/gateway/server/exposure.rs
@@ -9,7 +9,7 @@
 use crate::gateway::world::directory::Entry;
 use crate::id::ContentHash;
 use crate::policy::dispatch::{Outcome, Request};
-use crate::policy::server_ends::{News, Run, ServerHash, Verdict, What};
+use crate::policy::server_ends::{News, ServerHash, Try, Verdict, What};
 use crate::telemetry::event;
 use futures::future::join_all;
 use std::rc::Rc;
@@ -18,8 +18,6 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-/// Silence of a server from which a request that is given up may have met its end. Servers pause for less even under load.
-const MIN_SILENCE: Duration = Duration::from_secs(1);
 /// Longest wait for servers that may yet end, before a request is refused.
 const MAX_VERDICT_WAIT: Duration = Duration::from_secs(1);
 /// Pause before the second look at such servers. It doubles up to [`MAX_LOOK_INTERVAL`].
@@ -48,8 +46,12 @@
         self.tokens_per_event > 0
     }
 
-    pub(crate) fn attempt_key(&self) -> (ContentHash, Run) {
-        (self.content(), self.run_number)
+    /// Identifies this try of its caller in the ledger.
+    pub(crate) fn as_try(&self) -> Try {
+        Try {
+            content: self.content(),
+            run: self.run_number,
+        }
     }
 
     /// Fails if too many servers ended under this request, in this attempt of its caller or in earlier ones.
@@ -83,13 +85,15 @@
     /// be lost together with the server.
     pub(crate) async fn attempt_began(&self, server: &Arc<Entry>) {
         let now = Instant::now();
+        let excused = self.is_excused(now);
         let attempt = Attempted {
             server: Arc::clone(server),
             began: now,
-            excused: self.is_excused(now),
+            excused,
         };
         let previous = self.attempted.replace(Some(attempt));
-        let began = news(self.attempt_key(), &server.id, What::Began);
+        let began = news(self.as_try(), &server.id, What::Began);
+        let began = News { excused, ..began };
         self.gateway.ends.record(began);
         let is_repeat = previous.is_some_and(|previous| previous.server.id == server.id);
         if !self.is_shared() || is_repeat {
@@ -128,12 +132,9 @@
 
     fn record_failure(&self) -> Option<News> {
         let attempt = self.attempted.take()?;
-        let what = if attempt.excused || self.is_excused(attempt.began) {
-            What::FailedExcused
-        } else {
-            What::Failed
-        };
-        self.record_attempt(&attempt.server, what)
+        let excused = attempt.excused || self.is_excused(attempt.began);
+        let failed = news(self.as_try(), &attempt.server.id, What::Failed);
+        self.gateway.ends.record(News { excused, ..failed })
     }
 
     fn is_excused(&self, began: Instant) -> bool {
@@ -153,13 +154,13 @@
     }
 
     fn record_attempt(&self, server: &Entry, what: What) -> Option<News> {
-        let news = news(self.attempt_key(), &server.id, what);
+        let news = news(self.as_try(), &server.id, what);
         self.gateway.ends.record(news)
     }
 
     async fn tell_attempt(&self, told: News) {
         let gateway = &self.gateway;
-        if matches!(told.what, What::Ended | What::EndedExcused) {
+        if told.what == What::Ended {
             return gateway.tell_all(vec![told]).await;
         }
         let deciders = gateway.deciders(&self.service, self.is_shared());
@@ -187,33 +188,6 @@
             .await;
     }
 
-    /// Watches an attempt at a server for the case that the request is given up while the server is silent.
-    pub(crate) fn watch_silence<'a>(&'a self, server: &'a Arc<Entry>) -> SilenceWatch<'a> {
-        SilenceWatch {
-            job: self,
-            server,
-            since: Instant::now(),
-            is_over: false,
-        }
-    }
-
-    /// Finds out whether a server that sent nothing `since` has ended, now that the request is given up. A host that
-    /// loses power closes no connection.
-    pub(crate) fn check_silent_server(&self, server: &Arc<Entry>, since: Instant) {
-        if since.elapsed() < MIN_SILENCE {
-            return;
-        }
-        let (gateway, server) = (Rc::clone(&self.gateway), Arc::clone(server));
-        let (id, content) = (self.meta.id.clone(), self.content());
-        spawn_local(async move {
-            let has_ended = gateway.has_ended(&server).await;
-            log_check(&id, content, &server, has_ended);
-            if has_ended {
-                gateway.record_end(&id, content, &server).await;
-            }
-        });
-    }
-
     /// Records that this request has succeeded: then it did not cause the ends under it so far.
     pub(crate) async fn record_success(&self) {
         let server = self.attempted.take();
@@ -223,6 +197,7 @@
             server,
             run: self.run_number,
             what: What::Succeeded,
+            excused: false,
             age_ms: 0,
         };
         let ends = &self.gateway.ends;
@@ -260,29 +235,6 @@
     );
 }
 
-/// Calls [`Job::check_silent_server`] unless the attempt ends first.
-#[derive(Debug)]
-pub(crate) struct SilenceWatch<'a> {
-    job: &'a Job,
-    server: &'a Arc<Entry>,
-    since: Instant,
-    is_over: bool,
-}
-
-impl SilenceWatch<'_> {
-    pub(crate) fn end(mut self) {
-        self.is_over = true;
-    }
-}
-
-impl Drop for SilenceWatch<'_> {
-    fn drop(&mut self) {
-        if !self.is_over {
-            self.job.check_silent_server(self.server, self.since);
-        }
-    }
-}
-
 impl Gateway {
     async fn verdict(&self, content: ContentHash) -> Verdict {
         let knowledge = self.knowledge_of(content).await;
@@ -354,8 +306,9 @@
     pub(crate) async fn acquire_exposed_permit(
         self: &Rc<Self>,
         mut request: Request,
-        (content, run): (ContentHash, Run),
+        attempt: Try,
     ) -> Result<Permit, Failure> {
+        let content = attempt.content;
         let started = Instant::now();
         let max_wait = Duration::from_millis(request.max_wait_ms);
         let is_suspect = self.ends.ledger.borrow().is_suspect(started, content);
@@ -400,7 +353,7 @@
             };
             if verdict == Verdict::Send {
                 self.ends
-                    .record(news((content, run), &permit.server.id, What::Began));
+                    .record(news(attempt, &permit.server.id, What::Began));
                 return Ok(permit);
             }
             permit.release(Outcome::Void);
@@ -431,12 +384,7 @@
     }
 
     /// Records how the attempt of another VM ended, for which this one had granted the server.
-    pub(crate) fn record_outcome(
-        &self,
-        attempt: (ContentHash, Run),
-        server: &Entry,
-        outcome: Outcome,
-    ) {
+    pub(crate) fn record_outcome(&self, request: Try, server: &Entry, outcome: Outcome) {
         let what = match outcome {
             Outcome::Done { .. } => What::Succeeded,
             Outcome::Error => What::Answered,
@@ -444,11 +392,11 @@
             // The VM has told what happened to the attempt.
             Outcome::Failed | Outcome::Void => return,
         };
-        self.ends.record(news(attempt, &server.id, what));
+        self.ends.record(news(request, &server.id, what));
     }
 
     /// Records that another VM was lost with its attempt, or did not tell how it ended.
-    pub(crate) fn record_lost_attempt(&self, attempt: (ContentHash, Run), server: &Entry) {
-        self.ends.record(news(attempt, &server.id, What::Failed));
+    pub(crate) fn record_lost_attempt(&self, request: Try, server: &Entry) {
+        self.ends.record(news(request, &server.id, What::Failed));
     }
 }
--- a/src/policy/server_ends/mod.rs
+++ b/src/policy/server_ends/mod.rs
@@ -32,7 +32,7 @@
 pub const ATTEMPT_LIFETIME: Duration = Duration::from_mins(1);
 /// How long ends count after the last one. Longer than a caller and its program go on to repeat a request.
 pub const END_LIFETIME: Duration = Duration::from_mins(10);
-/// Most news in one message between VMs, at up to 31 bytes each: a datagram has 1,200 bytes.
+/// Most news in one message between VMs, at up to 32 bytes each: a datagram has 1,200 bytes.
 pub const MAX_NEWS_PER_MESSAGE: usize = 34;
 /// Most news that go with a question about one request.
 pub const MAX_KNOWN: usize = 8;
@@ -49,6 +49,15 @@
 /// Number of one try of a caller at one VM, which runs at one server at a time.
 pub type Run = u32;
 
+/// A request, and the try of its caller that an attempt belongs to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Try {
+    /// The request.
+    pub content: ContentHash,
+    /// The try.
+    pub run: Run,
+}
+
 /// What a VM knows of the ends that other VMs noticed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Knowledge {
@@ -82,15 +91,9 @@
     /// The attempt ended without a whole answer.
     #[serde(rename = "f")]
     Failed,
-    /// The same, for an attempt that a success excuses: all ends under such attempts count as one.
-    #[serde(rename = "x")]
-    FailedExcused,
     /// The server ended after that.
     #[serde(rename = "e")]
     Ended,
-    /// The same, under an attempt that a success excuses.
-    #[serde(rename = "y")]
-    EndedExcused,
     /// The server gave a whole answer that is no success.
     #[serde(rename = "a")]
     Answered,
@@ -99,24 +102,6 @@
     Succeeded,
 }
 
-impl What {
-    const fn failed(excused: bool) -> Self {
-        if excused {
-            Self::FailedExcused
-        } else {
-            Self::Failed
-        }
-    }
-
-    const fn ended(excused: bool) -> Self {
-        if excused {
-            Self::EndedExcused
-        } else {
-            Self::Ended
-        }
-    }
-}
-
 /// What happened to a request at a server, as VMs tell it to each other.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct News {
@@ -128,6 +113,9 @@
     pub run: Run,
     /// What happened.
     pub what: What,
+    /// Whether a success excuses the attempt that failed, or under which the server ended. All ends under such attempts of
+    /// a request count as one.
+    pub excused: bool,
     /// How long ago.
     pub age_ms: u32,
 }
@@ -204,7 +192,7 @@
     /// use vanillatrail::id::ContentHash;
     /// use vanillatrail::policy::server_ends::{Ledger, News, What};
     /// let (mut ledger, now) = (Ledger::default(), Instant::now());
-    /// let news = |what| News { content: ContentHash(1), server: 7, run: 1, what, age_ms: 0 };
+    /// let news = |what| News { content: ContentHash(1), server: 7, run: 1, what, excused: false, age_ms: 0 };
     /// assert!(ledger.record(now, news(What::Began)).is_some());
     /// assert_eq!(ledger.record(now, news(What::Ended)), Some(news(What::Ended)));
     /// assert_eq!(ledger.record(now, news(What::Ended)), None);
@@ -213,7 +201,7 @@
     pub fn record(&mut self, now: Instant, news: News) -> Option<News> {
         let age = Duration::from_millis(news.age_ms.into());
         let lifetime = match news.what {
-            What::Ended | What::EndedExcused => END_LIFETIME,
+            What::Ended => END_LIFETIME,
             _ => ATTEMPT_LIFETIME,
         };
         if age >= lifetime {
@@ -230,7 +218,6 @@
         let mut record = record.unwrap_or_else(|| Record::new(at));
         let what = match news.what {
             What::Failed if self.is_gone(server) => What::Ended,
-            What::FailedExcused if self.is_gone(server) => What::EndedExcused,
             what => what,
         };
         // Old news is repeated, and each repetition seems a little younger.
@@ -247,28 +234,25 @@
             }
             _ if is_excused || record.has_ended(server) => None,
             What::Began => {
-                let is_new = record.attempt_or_new(server).begin(at, run);
+                let attempt = record.attempt_or_new(server);
+                attempt.excused |= news.excused;
+                let is_new = attempt.begin(at, run);
                 is_new.then_some(news)
             }
             What::NotRun => {
                 let was_known = record.end_run(server, run, false);
                 was_known.then_some(news)
             }
-            What::Failed | What::FailedExcused if is_repeated && record.has_failed(server) => None,
+            What::Failed if is_repeated && record.has_failed(server) => None,
             What::Failed => {
-                let excused = record.fail(at, server, run);
-                let what = What::failed(excused);
-                Some(News { what, ..news })
-            }
-            What::FailedExcused => {
-                record.attempt_or_new(server).excused = true;
-                record.fail(at, server, run);
-                Some(news)
+                let excused = record.fail(at, server, run, news.excused);
+                Some(News { excused, ..news })
             }
-            What::Ended | What::EndedExcused => {
-                let excused = record.add_end(at, server, what == What::EndedExcused);
+            What::Ended => {
+                let excused = record.add_end(at, server, news.excused);
                 excused.map(|excused| News {
-                    what: What::ended(excused),
+                    what,
+                    excused,
                     ..news
                 })
             }
@@ -309,7 +293,8 @@
     /// use vanillatrail::id::ContentHash;
     /// use vanillatrail::policy::server_ends::{Ledger, News, What};
     /// let (mut ledger, now) = (Ledger::default(), Instant::now());
-    /// ledger.record(now, News { content: ContentHash(1), server: 7, run: 1, what: What::Failed, age_ms: 0 });
+    /// let what = What::Failed;
+    /// ledger.record(now, News { content: ContentHash(1), server: 7, run: 1, what, excused: false, age_ms: 0 });
     /// assert_eq!(ledger.server_ended(now, 7).len(), 1);
     /// assert_eq!(ledger.ended(now, ContentHash(1)), 1);
     /// ```
@@ -344,6 +329,7 @@
             server,
             run: 0,
             what: What::Ended,
+            excused: false,
             age_ms: 0,
         };
         record.has_attempt(server).then(|| self.record(now, end))?
--- a/src/policy/server_ends/record.rs
+++ b/src/policy/server_ends/record.rs
@@ -186,8 +186,15 @@
     }
 
     /// Records a failed run; returns whether it is excused.
-    pub(super) fn fail(&mut self, at: Instant, server: ServerHash, run: Run) -> bool {
+    pub(super) fn fail(
+        &mut self,
+        at: Instant,
+        server: ServerHash,
+        run: Run,
+        excused: bool,
+    ) -> bool {
         let attempt = self.attempt_or_new(server);
+        attempt.excused |= excused;
         attempt.end(run);
         attempt.failed = attempt.failed.max(Some(at));
         attempt.survived = false;
@@ -245,24 +252,29 @@
         content: ContentHash,
     ) -> impl Iterator<Item = News> {
         let excusing = self.succeeded.filter(|_| self.has_excused);
-        let succeeded = excusing.map(|at| (0, 0, What::Succeeded, at));
+        let succeeded = excusing.map(|at| (0, 0, What::Succeeded, false, at));
         let ended = self.ended.iter();
-        let ended = ended.map(|end| (end.server, 0, What::ended(end.excused), end.noticed));
+        let ended = ended.map(|end| (end.server, 0, What::Ended, end.excused, end.noticed));
         let attempts = self.attempts.iter().flat_map(|attempt| {
-            let what = What::failed(attempt.excused);
-            let failed = attempt.failed.map(|at| (attempt.server, 0, what, at));
+            let Attempt {
+                server, excused, ..
+            } = *attempt;
+            let failed = attempt
+                .failed
+                .map(|at| (server, 0, What::Failed, excused, at));
             let runs = attempt.runs.iter();
-            let began = runs.map(|(run, at)| (attempt.server, *run, What::Began, *at));
+            let began = runs.map(move |(run, at)| (server, *run, What::Began, excused, *at));
             failed.into_iter().chain(began)
         });
         let all = succeeded.into_iter().chain(ended).chain(attempts);
-        all.map(move |(server, run, what, at)| {
+        all.map(move |(server, run, what, excused, at)| {
             let age = now.saturating_duration_since(at).as_millis();
             News {
                 content,
                 server,
                 run,
                 what,
+                excused,
                 age_ms: u32::try_from(age).unwrap_or(u32::MAX),
             }
         })
--- a/tests/server_failures.rs
+++ b/tests/server_failures.rs
@@ -152,6 +152,7 @@
         server,
         run: 1,
         what,
+        excused: false,
         age_ms: 0,
     }
 }
@@ -335,7 +336,9 @@
     }
     for server in 1..6 {
         let told = ledger.record(now, news(1, server, What::Failed));
-        assert_eq!(told, Some(news(1, server, What::FailedExcused)));
+        let failed = news(1, server, What::Failed);
+        let excused = true;
+        assert_eq!(told, Some(News { excused, ..failed }));
         assert_eq!(ledger.server_ended(now, server).len(), 1);
     }
     assert_eq!(ledger.ended(now, ContentHash(1)), 1);
