Tell of many ends in as many messages as they take

Cause: when a server is found to be gone, the ends of all requests that it did not answer go to the other VMs in one message; more than 34 don't fit into a datagram, and the receiver drops it. Change: messages of up to 34.

--- a/src/gateway/server/ends.rs
+++ b/src/gateway/server/ends.rs
@@ -264,9 +264,12 @@
         others
     }
 
+    /// Tells these VMs, in as many messages as that takes.
     pub(crate) async fn tell(&self, vms: &[SocketAddr], news: &[News]) {
         for vm in vms {
-            self.peers.notify(*vm, Note::Attempts(news.to_vec())).await;
+            for news in news.chunks(MAX_NEWS_PER_MESSAGE) {
+                self.peers.notify(*vm, Note::Attempts(news.to_vec())).await;
+            }
         }
     }
 
@@ -328,9 +331,7 @@
         let answered = self.ends.answered.take();
         for (service, news) in answered {
             let keepers = self.queue_candidates(&service);
-            for news in news.chunks(MAX_NEWS_PER_MESSAGE) {
-                self.tell(&keepers, news).await;
-            }
+            self.tell(&keepers, &news).await;
         }
     }
 
