--- a/src/gateway/world/snapshot.rs
+++ b/src/gateway/world/snapshot.rs
@@ -77,7 +77,8 @@
             let routing = gateway.routing.borrow();
             let version = routing.table.as_ref().map(|table| table.version);
             let current = Some((version, routing.directory.digest()));
-            if current == written {
+            // A VM that has just started must not replace the snapshot that it may need.
+            if current == written || !routing.is_complete() {
                 continue;
             }
             let fits = routing.directory.len() <= MAX_SERVERS;
