--- a/src/gateway/world/state.rs
+++ b/src/gateway/world/state.rs
@@ -86,6 +86,8 @@
                 from = from
             );
             changed |= !replace_directory(self, entries).is_empty();
+            // These changes have no offsets: whoever follows them has to take the whole directory.
+            self.changes.restart(self.directory_offset);
         }
         changed
     }
--- a/tests/outage.rs
+++ b/tests/outage.rs
@@ -278,3 +278,20 @@
     until("the new configuration is logged", || applied() > 0);
     assert_eq!(applied(), 1);
 }
+
+/// Guards against a VM whose queue stays empty after it has read its servers from a snapshot, later than its
+/// configuration.
+#[test]
+fn a_directory_from_a_snapshot_reaches_the_queue() {
+    let backend = engine(2);
+    let (store, mut vms) = start_site(&backend, 1);
+    until("a snapshot is written", || {
+        !store.values("keyed.snapshot").is_empty()
+    });
+    vms[0].kill();
+    store.set_unavailable_topic(Some("keyed.servers"));
+    vms[0].restart();
+    vms[0].wait_ready();
+    let reply = turn(&vms[0], "p", BUDGET_TOKENS, "r");
+    assert_eq!(reply.0, 200);
+}
