--- a/review/support.rs
+++ b/review/support.rs
@@ -204,6 +204,8 @@
     pub address: SocketAddr,
     parts: Arc<Mutex<HashMap<(String, u64), Arc<Mutex<Partition>>>>>,
     pub mode: Arc<AtomicU8>,
+    /// Milliseconds until a call is carried out and answered.
+    pub answer_ms: Arc<AtomicU64>,
     /// Whether an address of a caller's machine is turned away.
     refused_hosts: Arc<Mutex<Vec<std::net::IpAddr>>>,
 }
@@ -216,6 +218,7 @@
             address: SocketAddr::new(host(1), 0),
             parts,
             mode,
+            answer_ms: Arc::new(AtomicU64::new(2)),
             refused_hosts: Arc::default(),
         };
         let served = store.clone();
@@ -250,7 +253,7 @@
             let answer = if mode == REFUSING || refused.load(Ordering::SeqCst) {
                 response("503 Service Unavailable", "", b"{}")
             } else {
-                sleep(Duration::from_millis(2));
+                sleep(Duration::from_millis(self.answer_ms.load(Ordering::SeqCst)));
                 self.answer(&request)
             };
             if stream.write_all(&answer).is_err() {
