Review: case 2, turns of before unreachable after the loss of all VMs

After a final fault (all VMs killed), turns that were answered whole reach no server within recoverS, while first turns are served. All VMs read the buckets of turns at once, without a bound, and each read is given up after 800 ms. Takes the place of the cases of an earlier review.

--- a/review/1/run.sh
+++ /dev/null
@@ -1,9 +0,0 @@
-#!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the
-# disruption out.
-cd "$(dirname "$0")/../.." || exit 2
-[ -x target/review/case1 ] && [ -x target/release/vanillatrail ] || exit 2
-target/review/case1 review/1/record.txt
-status=$?
-[ "$status" -le 1 ] || status=2
-exit "$status"
--- a/review/support.rs
+++ b/review/support.rs
@@ -206,8 +206,13 @@
     pub mode: Arc<AtomicU8>,
     /// Milliseconds until a call is carried out and answered.
     pub answer_ms: Arc<AtomicU64>,
+    /// The third of the partitions of the system's own topics whose calls are answered 503.
+    pub third_down: Arc<AtomicU8>,
 }
 
+/// All partitions are served.
+pub const NO_THIRD: u8 = 255;
+
 impl Store {
     pub fn start() -> Self {
         let parts = Arc::default();
@@ -217,6 +222,7 @@
             parts,
             mode,
             answer_ms: Arc::new(AtomicU64::new(2)),
+            third_down: Arc::new(AtomicU8::new(NO_THIRD)),
         };
         let served = store.clone();
         store.address = listen(store.address, move |stream| served.serve(stream));
@@ -246,18 +252,43 @@
                 }
                 return;
             }
-            let answer = if mode == REFUSING || refused.load(Ordering::SeqCst) {
+            let answer = if mode == REFUSING || refused.load(Ordering::SeqCst) || self.is_part_down(&request) {
                 response("503 Service Unavailable", "", b"{}")
             } else {
                 sleep(Duration::from_millis(self.answer_ms.load(Ordering::SeqCst)));
                 self.answer(&request)
             };
-            if stream.write_all(&answer).is_err() {
+            if !send_shared(&mut stream, &answer) {
                 return;
             }
         }
     }
 
+    /// Whether the call is for a partition that is down. The operator's and the servers' records stay up.
+    fn is_part_down(&self, request: &Message) -> bool {
+        let topic = request.query("topic").unwrap_or_default();
+        let is_system = !matches!(&*topic, "keyed.op" | "keyed.servers" | "keyed.status");
+        is_system && request.number("part") % 3 == u64::from(self.third_down.load(Ordering::SeqCst))
+    }
+
+    /// The partitions of a topic that have a value of this key, and the values.
+    pub fn find(&self, topic: &str, key: &str) -> Vec<(u64, String)> {
+        let parts = self.parts.lock().unwrap();
+        let parts = parts.iter().filter(|((name, _), _)| name == topic);
+        let found = parts.filter_map(|((_, number), part)| {
+            let part = part.lock().unwrap();
+            let (value, _) = part.newest.get(key)?;
+            Some((*number, String::from_utf8_lossy(value).into_owned()))
+        });
+        found.collect()
+    }
+
+    /// The newest value of a key in one partition.
+    pub fn value(&self, topic: &str, number: u64, key: &str) -> Option<String> {
+        let found = self.find(topic, key).into_iter();
+        found.filter(|(part, _)| *part == number).map(|(_, value)| value).next()
+    }
+
     fn part(&self, topic: &str, number: u64) -> Arc<Mutex<Partition>> {
         let mut parts = self.parts.lock().unwrap();
         Arc::clone(parts.entry((topic.to_owned(), number)).or_default())
@@ -394,6 +425,28 @@
     }
 }
 
+/// Bytes a second that all reads of the store share (`readBwS`).
+const READ_BYTES_PER_SECOND: f64 = 80e6;
+/// Reads take turns after so many bytes.
+const SLICE_BYTES: usize = 16 << 10;
+
+/// Sends the answer to a read; all reads under way get an equal share of the store's bandwidth.
+fn send_shared(stream: &mut TcpStream, bytes: &[u8]) -> bool {
+    static BUSY_UNTIL: Mutex<Option<Instant>> = Mutex::new(None);
+    for slice in bytes.chunks(SLICE_BYTES) {
+        let done = {
+            let mut busy = BUSY_UNTIL.lock().unwrap();
+            let begin = busy.filter(|at| *at > Instant::now()).unwrap_or_else(Instant::now);
+            *busy.insert(begin + Duration::from_secs_f64(slice.len() as f64 / READ_BYTES_PER_SECOND))
+        };
+        sleep(done.saturating_duration_since(Instant::now()));
+        if stream.write_all(slice).is_err() {
+            return false;
+        }
+    }
+    true
+}
+
 fn newest(part: &Mutex<Partition>, request: &Message) -> Vec<u8> {
     let after = request.query("after");
     let (mut items, mut bytes, mut truncated) = (Vec::new(), 0, false);
