--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -9,17 +9,17 @@
 use std::time::{Duration, Instant};
 use support::*;
 
-const CONVERSATIONS: usize = 12;
+const CONVERSATIONS: usize = 30;
 /// Turns that follow each other at once at the beginning of a conversation.
-const FIRST_TURNS: usize = 6;
+const FIRST_TURNS: usize = 12;
 const RETAIN: Duration = Duration::from_secs(20);
-/// Pause before the seventh turn, and between its end and SIGTERM.
+/// Pause before the turn after these, the thirteenth, and between its end and SIGTERM.
 const PAUSES: [Duration; 2] = [Duration::from_millis(18_500), Duration::from_millis(16_000)];
-/// From SIGTERM to the eighth turn. The balancer takes a VM out after two probes, one a second.
+/// From SIGTERM to the fourteenth turn. The balancer takes a VM out after two probes, one a second.
 const AFTER_SIGTERM: Duration = Duration::from_millis(1500);
-/// How long a server works on the eighth turn.
+/// How long a server works on the fourteenth turn.
 const LONG_TURN: Duration = Duration::from_millis(2500);
-/// From the end of the eighth turn to the ninth.
+/// From the end of the fourteenth turn to the fifteenth.
 const LAST_PAUSE: Duration = Duration::from_millis(18_500);
 /// From the start of the VMs to the first turns.
 const WARM_UP: Duration = Duration::from_secs(5);
@@ -28,13 +28,22 @@
 
 const CONFIG: &str = r#"{"version":1,"routes":[{"name":"chat","host":"site.example","pathPrefix":"/chat/","kind":"stream","timeoutMs":4000,"sloMs":250,"gapTargetMs":200,"attempts":1,"priority":0,"service":"llm","canResume":false,"retain":true,"retainS":20,"sticky":true}],"services":[{"name":"llm","maxConns":150,"engine":{"slots":12,"kvCapTokens":108518,"chunkTokens":11,"moves":false,"backups":false,"pinMs":0}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":5000,"idleTimeoutMs":15000}}"#;
 
-fn run(mut work: Work<'_>) -> bool {
-    let time = if work.request.path() == "/chat/long" { LONG_TURN } else { Duration::from_millis(20) };
+/// The engines work in steps: all long turns under way get their events in the same ones.
+static LONG_TURNS_BEGAN: Mutex<Option<Instant>> = Mutex::new(None);
+
+fn run(record: &Record, mut work: Work<'_>) -> bool {
+    record_run(record, work.request);
+    let (began, time) = if work.request.path() == "/chat/long" {
+        (*LONG_TURNS_BEGAN.lock().unwrap().get_or_insert_with(Instant::now), LONG_TURN)
+    } else {
+        (Instant::now(), Duration::from_millis(20))
+    };
     if !work.begin_stream() {
         return false;
     }
     for number in 1..=EVENTS {
-        sleep(time / EVENTS as u32);
+        let step = began + time * number as u32 / EVENTS as u32;
+        sleep(step.saturating_duration_since(Instant::now()));
         if !work.event(number, "word") {
             return false;
         }
@@ -115,7 +124,8 @@
     store.put("keyed.op", "config", CONFIG);
     for number in 0..3u8 {
         let id = format!("i-{number}");
-        let address = start_server(&id, 101 + number, run);
+        let served = record.clone();
+        let address = start_server(&id, 101 + number, move |work| run(&served, work));
         register(&store, &id, "llm", &format!("z-{number}"), 12, address);
     }
     let seeds = [11, 12, 13];
@@ -136,7 +146,7 @@
     record.tell("the first turns are over");
     sleep(PAUSES[0]);
     turns(&record, &mut all, &[&vms[0]], "/chat/turn");
-    record.tell("the seventh turns are over");
+    record.tell("the thirteenth turns are over");
     sleep(PAUSES[1]);
     if has_trouble() {
         vms[0].terminate();
@@ -144,7 +154,7 @@
     }
     sleep(AFTER_SIGTERM);
     turns(&record, &mut all, &[&vms[0], &vms[1]], "/chat/long");
-    record.tell("the eighth turns are over");
+    record.tell("the fourteenth turns are over");
     if has_trouble() {
         let until = Instant::now() + Duration::from_secs(8);
         while !vms[0].has_ended() && Instant::now() < until {
@@ -163,7 +173,7 @@
     turns(&record, &mut all, &[&vms[1], &vms[2]], "/chat/turn");
     let lost = all.iter().filter(|one| one.lost).count();
     record.tell(&format!(
-        "of {begun} conversations with eight turns, {lost} were answered 404 at the ninth, though the eighth was answered whole less than {} s before",
+        "of {begun} conversations with fourteen turns, {lost} were answered 404 at the fifteenth, though the fourteenth was answered whole less than {} s before",
         RETAIN.as_secs()
     ));
     drop(vms);
--- a/review/support.rs
+++ b/review/support.rs
@@ -716,6 +716,16 @@
     }
 }
 
+/// Records that a server runs a request.
+pub fn record_run(record: &Record, request: &Message) {
+    record.line(&format!(
+        "server: runs {} of program {}, X-Prev-Turn {}, with a body of {} bytes",
+        request.header("x-request-id"), request.header("x-program"),
+        if request.header("x-prev-turn").is_empty() { "none" } else { request.header("x-prev-turn") },
+        request.body.len()
+    ));
+}
+
 /// Starts a backend server that answers probes and the wrong instance by itself and passes all else
 /// to `work`, which returns whether the channel is kept.
 pub fn start_server(
