--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -26,7 +26,8 @@
 
 const CONFIG: &str = r#"{"version":1,"routes":[{"name":"chat","host":"site.example","pathPrefix":"/chat/","kind":"stream","timeoutMs":3000,"sloMs":250,"gapTargetMs":200,"attempts":1,"priority":0,"service":"llm","canResume":false,"retain":false,"retainS":60,"sticky":true}],"services":[{"name":"llm","maxConns":150,"engine":{"slots":12,"kvCapTokens":108518,"chunkTokens":11,"moves":false,"backups":false,"pinMs":0}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":5000,"idleTimeoutMs":15000}}"#;
 
-fn run(mut work: Work<'_>) -> bool {
+fn run(record: &Record, mut work: Work<'_>) -> bool {
+    record_run(record, work.request);
     if !work.begin_stream() {
         return false;
     }
@@ -108,7 +109,8 @@
     store.put("keyed.op", "config", CONFIG);
     for number in 0..3u8 {
         let id = format!("i-{number}");
-        let address = start_server(&id, 101 + number, run);
+        let served = record.clone();
+        let address = start_server(&id, 101 + number, move |work| run(&served, work));
         register(&store, &id, "llm", &format!("z-{number}"), 12, address);
     }
     let seeds = [11, 12, 13];
