End an answer only after the retention of all earlier turns is durable

Callers saw a turn answered 404 (VT1013) although the turn that it named had been answered whole less than retainS before: the first turns of the conversation had been deleted.

Cause: records are by turn, the promise is about a conversation. When a turn ended, the earlier ones were put into the queues of their partitions with a longer retention, and the answer ended without waiting for these writes. A VM that stopped, was killed, or was turned away by the store lost them; so did a chain whose earlier turn had left the cache, since the walk ended there. The cache also took the longer retention before it was recorded, so that the next turn did not repeat it.

Change: the history that a request loads tells which turns would expire too soon if the answer took until its deadline. Their records are written again from the first byte of the response on, beside the run, in their own partitions, in fallback partitions or through another VM, and the answer ends after they are durable, before the record of its own turn is written; if they can't be, it is cut. Waiters learn of the write itself in place of the absence of the turn from the queue.

--- a/src/conversation/outbox.rs
+++ b/src/conversation/outbox.rs
@@ -45,16 +45,16 @@
     /// Removes turns whose write was acknowledged, unless a longer retention was queued since.
     pub fn mark_recorded(&mut self, batch: &[Rc<Turn>]) {
         for turn in batch {
-            let queued = self.turns.get(&turn.id);
-            if queued.is_some_and(|queued| queued.until_ms <= turn.until_ms) {
-                self.turns.remove(&turn.id);
-            }
+            self.remove(turn);
         }
     }
 
-    /// Removes a turn whose response did not reach the caller completely.
-    pub fn remove(&mut self, id: &Id) {
-        self.turns.remove(id);
+    /// Removes a turn that need not be written any more, unless a longer retention was queued since.
+    pub fn remove(&mut self, turn: &Turn) {
+        let queued = self.turns.get(&turn.id);
+        if queued.is_some_and(|queued| queued.until_ms <= turn.until_ms) {
+            self.turns.remove(&turn.id);
+        }
     }
 
     /// Removes expired turns.
--- a/src/gateway/conversation/mod.rs
+++ b/src/gateway/conversation/mod.rs
@@ -11,16 +11,17 @@
 mod load;
 mod record;
 mod relay;
+mod retention;
 mod silence;
 mod sweep;
 mod writer;
 
 pub(super) use exchange::{TURNS_PATH, serve};
+pub(crate) use retention::{Extension, expiring_turns};
 pub(super) use sweep::run as run_maintenance;
 
 use super::Gateway;
 use super::peers::Peer;
-use crate::clock;
 use crate::conversation::{Bucket, Cache, Id, Layout, Locations, Turn};
 use crate::platform::records::TURN_TOPICS;
 use crate::platform::store::Store;
@@ -45,11 +46,6 @@
 pub(super) const MAX_INPUT_BYTES: usize = 160_000;
 /// Limit on input and answer of one turn; the store takes records of up to 256 KB.
 const MAX_TURN_BYTES: usize = 250_000;
-/// How long a turn is kept if its route sets no time.
-const DEFAULT_RETENTION: Duration = Duration::from_mins(1);
-/// Factor by which records outlive the time asked for, so that continuing a conversation does not
-/// rewrite its earlier turns each time.
-const RETENTION_FACTOR: u32 = 2;
 /// Largest expected difference between the clocks of two VMs.
 const MAX_CLOCK_SKEW: Duration = Duration::from_secs(6);
 /// Consecutive failures, over all buckets, after which the store counts as unavailable.
@@ -150,12 +146,6 @@
     held_buckets: usize,
 }
 
-/// Unix time in milliseconds until which a record is kept whose turn may be continued for
-/// `retention` from now on.
-fn retention_end_ms(retention: Duration) -> u64 {
-    clock::wall_ms() + millis(retention * RETENTION_FACTOR + MAX_CLOCK_SKEW)
-}
-
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/src/gateway/conversation/record.rs
+++ b/src/gateway/conversation/record.rs
@@ -1,8 +1,8 @@
 //! Records a finished turn at the store before its answer ends.
 
-use super::{Conversations, MAX_TURN_BYTES, retention_end_ms};
-use super::{DEFAULT_RETENTION, Gateway, millis};
-use crate::clock;
+use super::retention::extended_until_ms;
+use super::writer::QueuedTurn;
+use super::{Gateway, MAX_TURN_BYTES};
 use crate::conversation::{Bucket, Id, Transcript, Turn};
 use crate::gateway::peers::Note;
 use crate::gateway::request::job::Job;
@@ -34,7 +34,7 @@
 
 /// How a turn reached the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum RecordedVia {
+pub(super) enum RecordedVia {
     Store,
     /// Through a fallback partition.
     FallbackPartition,
@@ -65,12 +65,11 @@
             return true;
         };
         let began = Instant::now();
-        let retention = job.route.program_idle_timeout.unwrap_or(DEFAULT_RETENTION);
         // Copied, since a slice would keep the whole buffer alive.
         let turn = Rc::new(Turn {
             id,
             prev: job.prev_turn.clone(),
-            until_ms: retention_end_ms(retention),
+            until_ms: extended_until_ms(&job.route, Duration::ZERO),
             input: Bytes::copy_from_slice(&job.input),
             output: Bytes::copy_from_slice(&transcript.finish()),
         });
@@ -79,7 +78,16 @@
             return false;
         }
         let cutoff = job.deadline.checked_sub(WRITE_CUTOFF).unwrap_or(began);
-        let recorded = timeout_at(cutoff, self.record_turn(&turn)).await.ok();
+        let recorded = timeout_at(cutoff, async {
+            // Earlier turns first: if they can't be kept, the answer is cut, and there must be no record of the turn.
+            let extension = job.extension.borrow().clone();
+            if let Some(extension) = extension {
+                extension.wait(&job.route).await;
+            }
+            let queued = self.conversations.enqueue(Rc::clone(&turn));
+            self.record_queued(queued).await
+        });
+        let recorded = recorded.await.ok();
         job.turn_save_time.set(began.elapsed());
         let at = recorded.map_or("nowhere", RecordedVia::label);
         self.metrics.record_turn_save(began.elapsed(), at);
@@ -94,33 +102,23 @@
                 took_ms = began.elapsed().as_millis()
             );
         }
-        let conversations = &self.conversations;
-        if recorded != Some(RecordedVia::Store) {
-            let writer = conversations.writer(conversations.layout.bucket(&turn.id));
-            writer.outbox.borrow_mut().remove(&turn.id);
-        }
         if recorded.is_none() {
             // Let writes in progress finish before the answer is cut.
             sleep_until(job.deadline).await;
             return false;
         }
-        let now = Instant::now();
-        conversations
-            .cache
-            .borrow_mut()
-            .insert(now, Rc::clone(&turn));
-        self.announce_holder(&turn.id).await;
-        conversations.extend_retention(&turn, retention);
+        let (id, now) = (turn.id.clone(), Instant::now());
+        self.conversations.cache.borrow_mut().insert(now, turn);
+        self.announce_holder(&id).await;
         true
     }
 
-    /// Waits until the store has a turn: in its own partition, in a fallback partition, or written
-    /// by another VM.
-    async fn record_turn(self: &Rc<Self>, turn: &Rc<Turn>) -> RecordedVia {
+    /// Waits until the store has a queued turn: in its own partition, in a fallback partition, or written by another VM.
+    pub(super) async fn record_queued(self: &Rc<Self>, mut queued: QueuedTurn) -> RecordedVia {
         let conversations = &self.conversations;
+        let turn = Rc::clone(&queued.turn);
         let bucket = conversations.layout.bucket(&turn.id);
-        let writer = conversations.enqueue(bucket, Rc::clone(turn));
-        let store_timeout = if writer.failing.get() || conversations.is_store_down() {
+        let store_timeout = if queued.is_failing() || conversations.is_store_down() {
             STORE_DOWN_TIMEOUT
         } else {
             conversations
@@ -129,7 +127,7 @@
                 .observer()
                 .scaled_timeout(STORE_TIMEOUT)
         };
-        if timeout(store_timeout, writer.wait_until_recorded(&turn.id))
+        if timeout(store_timeout, queued.wait_until_recorded())
             .await
             .is_ok()
         {
@@ -143,9 +141,9 @@
             loop {
                 let recorded_in_fallback = timeout(
                     FALLBACK_TIMEOUT,
-                    self.record_in_fallback_partition(bucket, turn),
+                    self.record_in_fallback_partition(bucket, &turn),
                 );
-                let relayed = self.record_through_peer(bucket, turn, round);
+                let relayed = self.record_through_peer(bucket, &turn, round);
                 let (recorded_in_fallback, relayed) = tokio::join!(recorded_in_fallback, relayed);
                 if relayed {
                     return RecordedVia::OtherVm;
@@ -158,7 +156,7 @@
             }
         };
         tokio::select! {
-            () = writer.wait_until_recorded(&turn.id) => RecordedVia::Store,
+            () = queued.wait_until_recorded() => RecordedVia::Store,
             recorded = fallback => recorded,
         }
     }
@@ -207,27 +205,3 @@
         }
     }
 }
-
-impl Conversations {
-    /// Extends the retention of the turns before this one to match its own. A turn is rewritten at
-    /// most once per retention time.
-    fn extend_retention(self: &Rc<Self>, turn: &Turn, retention: Duration) {
-        let needed = clock::wall_ms() + millis(retention + super::MAX_CLOCK_SKEW);
-        let mut next_id = turn.prev.clone();
-        while let Some(earlier) = next_id.as_ref().and_then(|id| self.find_cached(id)) {
-            next_id.clone_from(&earlier.prev);
-            if earlier.until_ms >= needed {
-                continue;
-            }
-            let extended = Rc::new(Turn {
-                until_ms: retention_end_ms(retention),
-                ..(*earlier).clone()
-            });
-            let bucket = self.layout.bucket(&extended.id);
-            self.cache
-                .borrow_mut()
-                .insert(Instant::now(), Rc::clone(&extended));
-            self.enqueue(bucket, extended);
-        }
-    }
-}
--- a/src/gateway/conversation/relay.rs
+++ b/src/gateway/conversation/relay.rs
@@ -54,11 +54,8 @@
         if self.is_store_down() {
             return false;
         }
-        let turn = Rc::new(turn);
-        let writer = self.enqueue(self.layout.bucket(&turn.id), Rc::clone(&turn));
-        // On timeout the turn stays queued. Removing it could make a repeated request for the same
-        // turn look recorded.
-        timeout(RECORD_TIMEOUT, writer.wait_until_recorded(&turn.id))
+        let mut queued = self.enqueue(Rc::new(turn));
+        timeout(RECORD_TIMEOUT, queued.wait_until_recorded())
             .await
             .is_ok()
     }
--- a/src/gateway/conversation/writer.rs
+++ b/src/gateway/conversation/writer.rs
@@ -6,14 +6,14 @@
 
 use super::Conversations;
 use crate::clock;
-use crate::conversation::{Bucket, Id, Outbox, Turn};
+use crate::conversation::{Bucket, Outbox, Turn};
 use crate::platform::records::turn_topic;
 use crate::platform::store::{Error, Record};
 use crate::telemetry::event;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::{MutexGuard, Notify};
+use tokio::sync::{MutexGuard, oneshot};
 use tokio::time::sleep;
 
 /// Size limit of one write; the store accepts 2 MB.
@@ -27,32 +27,87 @@
 pub(super) struct BucketWriter {
     pub(super) outbox: RefCell<Outbox>,
     running: Cell<bool>,
-    pub(super) failing: Cell<bool>,
-    written: Notify,
+    failing: Cell<bool>,
+    waiters: RefCell<Vec<Waiter>>,
+}
+
+/// Waits for the store to have a turn with at least this retention.
+#[derive(Debug)]
+struct Waiter {
+    turn: Rc<Turn>,
+    recorded: oneshot::Sender<()>,
 }
 
 impl BucketWriter {
-    /// Waits until a turn is recorded at the store.
-    pub(super) async fn wait_until_recorded(&self, id: &Id) {
-        loop {
-            let written = self.written.notified();
-            if !self.outbox.borrow().contains(id) {
-                return;
-            }
-            written.await;
+    /// Applies a batch that the store has acknowledged.
+    fn mark_recorded(&self, batch: &[Rc<Turn>]) {
+        self.outbox.borrow_mut().mark_recorded(batch);
+        let covers = |waiter: &Waiter| {
+            batch
+                .iter()
+                .any(|turn| turn.id == waiter.turn.id && turn.until_ms >= waiter.turn.until_ms)
+        };
+        let waiters = self.waiters.take().into_iter();
+        let (covered, others): (Vec<_>, Vec<_>) = waiters.partition(covers);
+        let others = others.into_iter();
+        let others = others.filter(|waiter| !waiter.recorded.is_closed());
+        self.waiters.borrow_mut().extend(others);
+        for waiter in covered {
+            // Fails if nobody waits any longer.
+            let _ = waiter.recorded.send(());
         }
     }
 }
 
+/// A turn that was queued to be recorded. Dropping it takes the turn out of the queue: a write that is late could shorten
+/// a retention that was extended since, or record a turn whose answer was cut.
+#[derive(Debug)]
+pub(super) struct QueuedTurn {
+    pub(super) turn: Rc<Turn>,
+    writer: Rc<BucketWriter>,
+    recorded: oneshot::Receiver<()>,
+}
+
+impl QueuedTurn {
+    /// Whether the last write of the turn's bucket failed.
+    pub(super) fn is_failing(&self) -> bool {
+        self.writer.failing.get()
+    }
+
+    /// Waits until the turn's own partition has it.
+    pub(super) async fn wait_until_recorded(&mut self) {
+        if (&mut self.recorded).await.is_err() {
+            // Only a removed waiter drops the sender, and that is removed after this one.
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+impl Drop for QueuedTurn {
+    fn drop(&mut self) {
+        self.writer.outbox.borrow_mut().remove(&self.turn);
+    }
+}
+
 impl Conversations {
     /// Queues a turn to be recorded, and starts the writer of its bucket if it is idle.
-    pub(super) fn enqueue(self: &Rc<Self>, bucket: Bucket, turn: Rc<Turn>) -> Rc<BucketWriter> {
+    pub(super) fn enqueue(self: &Rc<Self>, turn: Rc<Turn>) -> QueuedTurn {
+        let bucket = self.layout.bucket(&turn.id);
         let writer = self.writer(bucket);
-        writer.outbox.borrow_mut().push(turn);
+        let (sender, recorded) = oneshot::channel();
+        writer.waiters.borrow_mut().push(Waiter {
+            turn: Rc::clone(&turn),
+            recorded: sender,
+        });
+        writer.outbox.borrow_mut().push(Rc::clone(&turn));
         if !writer.running.replace(true) {
             tokio::task::spawn_local(Rc::clone(self).write_pending(bucket, Rc::clone(&writer)));
         }
-        writer
+        QueuedTurn {
+            turn,
+            writer,
+            recorded,
+        }
     }
 
     /// Writes queued turns until none are left.
@@ -70,8 +125,7 @@
             }
             match self.append_batch(bucket, &batch).await {
                 Ok(()) => {
-                    writer.outbox.borrow_mut().mark_recorded(&batch);
-                    writer.written.notify_waiters();
+                    writer.mark_recorded(&batch);
                     writer.failing.set(false);
                     self.record_store_success();
                     self.record_flow(bucket);
--- a/src/gateway/request/admit.rs
+++ b/src/gateway/request/admit.rs
@@ -110,6 +110,8 @@
         content: OnceCell::new(),
         body: RefCell::new(body),
         prev_turn,
+        expiring_turns: RefCell::default(),
+        extension: RefCell::default(),
         arrived,
         deadline,
         allowance: RefCell::new(None),
--- a/src/gateway/request/job.rs
+++ b/src/gateway/request/job.rs
@@ -1,7 +1,8 @@
 //! State of one in-flight request: its input, deadline, timings and result.
 
-use crate::conversation;
+use crate::conversation::{self, Turn};
 use crate::gateway::Gateway;
+use crate::gateway::conversation::Extension;
 use crate::gateway::server::continuation::RunState;
 use crate::gateway::server::exposure::Attempted;
 use crate::gateway::tokens::partitions::Grant;
@@ -43,6 +44,10 @@
     pub(crate) body: RefCell<Bytes>,
     /// Previous turn of the conversation, where the route stores turns.
     pub(crate) prev_turn: Option<conversation::Id>,
+    /// Earlier turns of the conversation whose retention may be too short when this one ends.
+    pub(crate) expiring_turns: RefCell<Vec<Rc<Turn>>>,
+    /// The extension of their retention, once the response has begun.
+    pub(crate) extension: RefCell<Option<Rc<Extension>>>,
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
     /// Tokens in one event of the response; 0 where the service generates none.
--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -11,6 +11,7 @@
 use crate::code::{Code, Failure};
 use crate::conversation::build_prompt;
 use crate::gateway::Gateway;
+use crate::gateway::conversation::expiring_turns;
 use crate::gateway::queue::permit::Permit;
 use crate::gateway::server::attempt::{AttemptResult, BufferedResponse, attempt};
 use crate::gateway::server::continuation::continue_run;
@@ -208,7 +209,9 @@
     let turns = job.gateway.load_history(prev_turn).await;
     job.history_time.set(started.elapsed());
     job.gateway.metrics.record_history_wait(started.elapsed());
-    job.body.replace(build_prompt(&turns?, &job.input));
+    let turns = turns?;
+    job.expiring_turns.replace(expiring_turns(job, &turns));
+    job.body.replace(build_prompt(&turns, &job.input));
     Ok(())
 }
 
--- a/src/gateway/request/stream.rs
+++ b/src/gateway/request/stream.rs
@@ -33,6 +33,7 @@
 /// continued at another server.
 pub(super) fn relay(job: &Rc<Job>, permit: Option<Permit>, stream: Stream) -> Response<Body> {
     pinning::turn_began(job);
+    job.gateway.extend_retention(job);
     let (chunks, body) = Body::streamed();
     let mut response = Response::new(body);
     *response.status_mut() = stream.status;
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -40,6 +40,8 @@
     request_counts: Arc<Mutex<HashMap<(String, String), usize>>>,
     /// Topic whose reads and appends are refused.
     unavailable_topic: Arc<Mutex<Option<String>>>,
+    /// Partitions whose reads and appends are refused.
+    unavailable_partitions: Arc<Mutex<HashSet<(String, u64)>>>,
     /// Bytes of all responses by topic.
     sent_bytes: Arc<Mutex<HashMap<String, u64>>>,
 }
@@ -76,6 +78,8 @@
         let byte_counts = Arc::clone(&sent_bytes);
         let unavailable_topic: Arc<Mutex<Option<String>>> = Arc::default();
         let unavailable = Arc::clone(&unavailable_topic);
+        let unavailable_partitions: Arc<Mutex<HashSet<(String, u64)>>> = Arc::default();
+        let lost_partitions = Arc::clone(&unavailable_partitions);
         let local_address = listen(SocketAddr::new(unused_address(), 0), move |mut stream| {
             let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
             while let Some(request) = Request::read(&mut reader) {
@@ -103,7 +107,12 @@
                         .is_ok();
                 let is_unavailable =
                     unavailable.lock().expect("not poisoned").as_deref() == Some(topic_name);
-                let is_refused = is_refused && !passes || is_unavailable;
+                let partition = (topic_name.to_owned(), request.query_number("part"));
+                let is_lost = lost_partitions
+                    .lock()
+                    .expect("not poisoned")
+                    .contains(&partition);
+                let is_refused = is_refused && !passes || is_unavailable || is_lost;
                 if is_silent.load(Ordering::Relaxed) {
                     // Keeps the connection open for a while, then closes it without an answer.
                     std::thread::sleep(Duration::from_secs(5));
@@ -134,10 +143,18 @@
             latency_ms,
             request_counts,
             unavailable_topic,
+            unavailable_partitions,
             sent_bytes,
         }
     }
 
+    /// Refuses reads and appends of these partitions, given by topic and number, and serves all others.
+    pub fn set_unavailable_partitions(&self, partitions: &[(&str, u64)]) {
+        let partitions = partitions.iter();
+        let partitions = partitions.map(|(topic, part)| ((*topic).to_owned(), *part));
+        *self.unavailable_partitions.lock().expect("not poisoned") = partitions.collect();
+    }
+
     /// Refuses reads and appends of this topic; `None` serves all.
     pub fn set_unavailable_topic(&self, topic: Option<&str>) {
         *self.unavailable_topic.lock().expect("not poisoned") = topic.map(ToOwned::to_owned);
@@ -223,6 +240,16 @@
         partition.expired.remove(key);
     }
 
+    /// Appends a record of a key to a partition.
+    pub fn put_record(&self, topic: &str, part: u64, key: &str, value: &[u8]) {
+        let mut record = vec![u8::try_from(key.len()).expect("a short key")];
+        record.extend_from_slice(key.as_bytes());
+        record.extend_from_slice(value);
+        let mut partitions = self.partitions.lock().expect("not poisoned");
+        let partition = partitions.entry((topic.to_owned(), part)).or_default();
+        partition.records.push(record);
+    }
+
     /// Newest values of a topic by key.
     pub fn values(&self, topic: &str) -> BTreeMap<String, String> {
         let partitions = self.partitions.lock().expect("not poisoned");
@@ -233,6 +260,16 @@
             .collect()
     }
 
+    /// Newest values of all topics whose names start with this prefix.
+    pub fn newest_values(&self, topics: &str) -> Vec<Vec<u8>> {
+        let partitions = self.partitions.lock().expect("not poisoned");
+        let parts = partitions
+            .iter()
+            .filter(|((name, _), _)| name.starts_with(topics));
+        let newest = parts.flat_map(|(_, partition)| newest_records(&partition.records));
+        newest.map(|(_, (value, _))| value).collect()
+    }
+
     /// Publishes a configuration. Each route is a prefix, a kind and further fields.
     pub fn configure(&self, version: u64, routes: &[(&str, &str, Value)]) {
         self.configure_teams(version, routes, None);
