Delete expired turns only where nothing was written since they were read

A turn whose retention was extended in between was deleted with the others, and its conversation ended with 404. Found by reading, on the way of the longer retention.

The append now has the condition that the partition still ends where it did.

--- a/src/gateway/conversation/sweep.rs
+++ b/src/gateway/conversation/sweep.rs
@@ -81,7 +81,10 @@
         if deletions.is_empty() {
             return;
         }
-        let result = store.append(topic, partition, &deletions, None).await;
+        // A turn whose retention was extended since the read must stay. The next sweep deletes the others.
+        let result = store
+            .append_if_unchanged(topic, partition, &deletions, newest.end)
+            .await;
         let fault = result
             .err()
             .map_or_else(String::new, |fault| fault.to_string());
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -379,6 +379,18 @@
         Err(Error::OutcomeUnknown("all calls failed".to_owned()))
     }
 
+    /// Appends records atomically, unless the partition was written to since it ended at `end`.
+    pub(crate) async fn append_if_unchanged(
+        &self,
+        topic: &str,
+        partition: u64,
+        records: &[Record],
+        end: Offset,
+    ) -> Result<(), Error> {
+        let url = format!("{}&asOf={end}", self.append_url(topic, partition));
+        self.append_to(url, records).await
+    }
+
     /// Appends records atomically; an empty list only sets the epoch of the writer.
     pub(crate) async fn append(
         &self,
@@ -387,10 +399,7 @@
         records: &[Record],
         writer: Option<&Writer>,
     ) -> Result<(), Error> {
-        let mut url = format!(
-            "{}/log-append?topic={topic}&part={partition}",
-            self.base_url
-        );
+        let mut url = self.append_url(topic, partition);
         if let Some(Writer {
             name,
             epoch,
@@ -403,6 +412,17 @@
                 url = format!("{url}&asOf={end}");
             }
         }
+        self.append_to(url, records).await
+    }
+
+    fn append_url(&self, topic: &str, partition: u64) -> String {
+        format!(
+            "{}/log-append?topic={topic}&part={partition}",
+            self.base_url
+        )
+    }
+
+    async fn append_to(&self, url: String, records: &[Record]) -> Result<(), Error> {
         let mut body = BytesMut::new();
         for record in records {
             record.encode(&mut body);
--- a/tests/conversation_retention.rs
+++ b/tests/conversation_retention.rs
@@ -214,3 +214,38 @@
     std::thread::sleep(Duration::from_millis(500));
     assert_eq!(site.until_ms(EARLIER_TURNS), None);
 }
+
+/// Guards against a sweep that deletes a turn whose retention was extended after the sweep had read it.
+#[test]
+fn a_sweep_keeps_a_turn_that_is_extended_meanwhile() {
+    let site = Site::start();
+    assert!(site.turn(0, 0).whole);
+    let id: Id = "t0".parse().expect("an ID");
+    let bucket = LAYOUT.bucket(&id);
+    let (topic, part) = (
+        format!("keyed.turns{}", LAYOUT.topic(bucket)),
+        LAYOUT.partition(bucket),
+    );
+    let records = site.store.newest_values(&topic);
+    let turn = records.iter().find_map(|record| Turn::decode(record));
+    let extended = Turn {
+        until_ms: now_ms() + 600_000,
+        ..turn.expect("the turn is recorded")
+    };
+    // The turn has expired when the first sweep comes, a minute after the start.
+    std::thread::sleep(Duration::from_secs(50));
+    let appends = || {
+        let stores = [&site.store, &site.endpoint].into_iter();
+        let counts = stores.map(|store| store.request_count("/log-append", &topic));
+        counts.sum::<usize>()
+    };
+    let before = appends();
+    for store in [&site.store, &site.endpoint] {
+        store.set_append_delay(Duration::from_millis(500));
+    }
+    until("a VM deletes the turn", || appends() > before);
+    site.store
+        .put_record(&topic, part, id.as_str(), &extended.encode());
+    std::thread::sleep(Duration::from_secs(1));
+    assert_eq!(site.until_ms(0), Some(extended.until_ms));
+}
