Take a partition of programs over only with all of its records

Callers got 4,004 tokens of a budget of 2,320 with turns of 286 (2,606 are allowed) after a restart of the store by thirds in which one VM was killed.

Cause: the absence of an answer was read as the absence of records. While its partition refuses records, an allowance was recorded in one of three fallback partitions; who took the partition over left out those that could not be read, and granted the same tokens again.

Change: a fallback record counts as durable once a majority of up to eleven fallback partitions has it, and a takeover needs to read a majority, so that it finds the record wherever the store is away then. It checks that before it fences off the previous owner, and is refused otherwise (503 with Retry-After). No VM takes a partition over from replicas while the store answers it for others. The successor also gets a replica of what goes to fallback partitions. A record that can't be decoded counts as a spent budget, and not as none.

--- a/src/gateway/front/mod.rs
+++ b/src/gateway/front/mod.rs
@@ -354,6 +354,11 @@
 
     /// Whether the store recently answered this VM and accepts its records.
     pub(crate) fn has_store(&self) -> bool {
+        self.store_answers() && self.partitions.has_store()
+    }
+
+    /// Whether the store recently answered this VM, though perhaps not for all partitions.
+    pub(crate) fn store_answers(&self) -> bool {
         let last_read = self.routing.borrow().last_store_read;
         // At a slow store the answer to the read after that one is still on its way.
         let slow_answer = match self.partitions.store.observer().health() {
@@ -361,7 +366,6 @@
             _ => Duration::ZERO,
         };
         last_read.is_some_and(|at| at.elapsed() < STORE_SILENCE_TIMEOUT + slow_answer)
-            && self.partitions.has_store()
     }
 
     /// Milliseconds since the start of the newest read that the store answered; `None` without one, or if
--- a/src/gateway/tokens/failover.rs
+++ b/src/gateway/tokens/failover.rs
@@ -5,9 +5,11 @@
 use crate::gateway::tokens::owner::TAKEOVER_TIMEOUT;
 use crate::gateway::tokens::partition::Partition;
 use crate::gateway::tokens::partitions::STORE_TIMEOUT;
+use crate::gateway::tokens::takeover::TakeoverError;
 use crate::id::{Offset, Shard, rendezvous_score};
 use crate::platform::store::Error;
 use crate::policy::share::Origin;
+use crate::telemetry::event;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -30,6 +32,8 @@
     OwnedBy(SocketAddr),
     /// The store did not answer in time, or rejected the write.
     Failed,
+    /// Too few of the fallback partitions can be read.
+    Incomplete,
 }
 
 impl Gateway {
@@ -69,6 +73,7 @@
         match self.take_over_at_store(partition_id, partition).await {
             TakeoverResult::Done => None,
             TakeoverResult::OwnedBy(other) => Some(Reply::Taken(other)),
+            TakeoverResult::Incomplete => Some(Reply::Away),
             TakeoverResult::Failed => {
                 self.partitions.record_store_result(false);
                 self.take_over_without_store(partition_id, partition).await
@@ -123,7 +128,16 @@
             match timeout(store_timeout, takeover).await {
                 Ok(Ok(Ok(()))) => return TakeoverResult::Done,
                 // Another VM was faster; the next attempt asks it.
-                Ok(Ok(Err(Error::Conflict))) => {}
+                Ok(Ok(Err(TakeoverError::Store(Error::Conflict)))) => {}
+                Ok(Ok(Err(TakeoverError::FallbackUnreadable(fault)))) => {
+                    event!(
+                        warn,
+                        "takeover_incomplete",
+                        part = partition_id,
+                        reason = fault
+                    );
+                    return TakeoverResult::Incomplete;
+                }
                 _ => return TakeoverResult::Failed,
             }
         }
@@ -137,7 +151,7 @@
         partition: Rc<Partition>,
         end: Offset,
         origin: Origin,
-    ) -> Result<(), Error> {
+    ) -> Result<(), TakeoverError> {
         let oldest_uptime_ms = self.collect_replicas(partition_id).await;
         partition.oldest_uptime_ms.set(oldest_uptime_ms);
         let result = self
@@ -165,7 +179,8 @@
     /// Returns none on success, else the reply to send.
     ///
     /// Refuses while another VM reaches the store: that VM takes the partition over there, and both
-    /// would grant the same tokens.
+    /// would grant the same tokens. Refuses also while the store answers this VM, but not for the partition: the replicas
+    /// lack what the previous owner recorded meanwhile.
     async fn take_over_without_store(
         &self,
         partition_id: u64,
@@ -174,7 +189,8 @@
         if partition.ownership.get().is_some() {
             return None;
         }
-        if !self.reaches_majority().await
+        if self.store_answers()
+            || !self.reaches_majority().await
             || !self
                 .peers_reaching_store(partition_id, STORE_CONTACT_MAX_AGE)
                 .await
--- a/src/gateway/tokens/fallback.rs
+++ b/src/gateway/tokens/fallback.rs
@@ -4,10 +4,17 @@
 use crate::gateway::tokens::partition::Partition;
 use crate::gateway::tokens::partitions::{Partitions, STORE_TIMEOUT, encode_record};
 use crate::platform::records::FALLBACK_ALLOWANCE_TOPIC;
-use crate::platform::store::Record;
+use crate::platform::store::{Error, Record};
+use crate::policy::fallback::{self, majority};
 use crate::telemetry::event;
-use futures::future::select_ok;
-use tokio::time::{Instant, timeout};
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use std::pin::pin;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, timeout};
+
+/// Delay after which all fallback partitions are written to, if the first ones have not all answered.
+const HEDGE_DELAY: Duration = Duration::from_millis(60);
 
 impl Partitions {
     /// Records an allowance in a fallback partition while its own partition is unavailable.
@@ -25,40 +32,113 @@
         }
         let began = Instant::now();
         let record = [encode_record(&replica.program, replica.allowed)];
-        // Written to all at once, so that a turn does not wait for one timeout after another.
-        let writes = self.fallback_partitions(partition_id).map(|fallback| {
-            let write = self
-                .store
-                .append(FALLBACK_ALLOWANCE_TOPIC, fallback, &record, None);
-            Box::pin(async move { write.await.map(|()| fallback) })
-        });
         let limit = self.store.observer().scaled_timeout(STORE_TIMEOUT);
-        let written = timeout(limit, select_ok(writes)).await;
-        let Ok(Ok((fallback, _))) = written else {
+        let write = self.append_to_majority(partition_id, &record);
+        let written = timeout(limit, write).await;
+        // Writes without an answer may take effect as well.
+        let possible = self.fallback_partitions(partition_id).into_iter();
+        let possible = possible.map(|fallback| (fallback, replica.program.clone()));
+        partition.fallback_records.borrow_mut().extend(possible);
+        if written != Ok(true) {
             // If the store took another record meanwhile, it is slow and not lost.
             let is_slow = written.is_err() && self.last_success.get() >= Some(began);
             if !is_slow {
                 self.record_store_result(false);
             }
             return false;
-        };
+        }
         self.record_store_result(true);
-        // The other writes may take effect as well.
-        let possible = self
-            .fallback_partitions(partition_id)
-            .map(|fallback| (fallback, replica.program.clone()));
-        partition.fallback_records.borrow_mut().extend(possible);
         event!(
             info,
             "allowance_detoured",
             program = replica.program,
             part = partition_id,
-            through = fallback,
             allowed = replica.allowed
         );
         true
     }
 
+    /// Appends records to a majority of the fallback partitions of a partition; returns whether that many took them.
+    ///
+    /// Whoever takes the partition over reads a majority too, so that it finds them wherever the store is then
+    /// unavailable.
+    async fn append_to_majority(&self, partition_id: u64, records: &[Record]) -> bool {
+        let fallbacks = self.fallback_partitions(partition_id);
+        let needed = majority(fallbacks.len());
+        // Those that failed last come last.
+        let failed = self.failed_fallbacks.borrow().clone();
+        let (failed, well): (Vec<_>, Vec<_>) = fallbacks
+            .into_iter()
+            .partition(|fallback| failed.contains(fallback));
+        let mut remaining = well.into_iter().chain(failed);
+        let append = |fallback| async move {
+            let append = self
+                .store
+                .append(FALLBACK_ALLOWANCE_TOPIC, fallback, records, None);
+            (fallback, append.await.is_ok())
+        };
+        let mut appends: FuturesUnordered<_> =
+            remaining.by_ref().take(needed).map(append).collect();
+        let hedge_delay = self.store.observer().scaled_timeout(HEDGE_DELAY);
+        let mut hedge_timer = pin!(sleep(hedge_delay));
+        let mut is_hedged = false;
+        let mut taken = 0;
+        while taken < needed {
+            tokio::select! {
+                Some((fallback, is_taken)) = appends.next() => {
+                    taken += usize::from(is_taken);
+                    let mut failed = self.failed_fallbacks.borrow_mut();
+                    if is_taken {
+                        failed.remove(&fallback);
+                    } else {
+                        failed.insert(fallback);
+                        appends.extend(remaining.next().map(append));
+                    }
+                }
+                () = &mut hedge_timer, if !is_hedged => {
+                    is_hedged = true;
+                    appends.extend(remaining.by_ref().map(append));
+                }
+                else => return false,
+            }
+        }
+        true
+    }
+
+    /// Reads the records in a majority of the fallback partitions of a partition, including those of other partitions.
+    ///
+    /// # Errors
+    /// The failure of a read if fewer can be read: a record may be in the others only.
+    pub(crate) async fn read_fallback_records(
+        &self,
+        partition_id: u64,
+    ) -> Result<Vec<Record>, Error> {
+        let fallbacks = self.fallback_partitions(partition_id);
+        let needed = majority(fallbacks.len());
+        let reads = fallbacks.into_iter();
+        let mut reads: FuturesUnordered<_> = reads
+            .map(|fallback| self.store.read_latest(FALLBACK_ALLOWANCE_TOPIC, fallback))
+            .collect();
+        let (mut read_count, mut records) = (0, Vec::new());
+        let mut fault = Error::OutcomeUnknown("no read was attempted".to_owned());
+        while let Some(read) = reads.next().await {
+            match read {
+                Ok(latest) => records.extend(latest.records),
+                // The topic does not exist until its first write.
+                Err(Error::Refused(404)) => {}
+                Err(error) => {
+                    fault = error;
+                    continue;
+                }
+            }
+            read_count += 1;
+            if read_count == needed {
+                return Ok(records);
+            }
+        }
+        Err(fault)
+    }
+
     /// Drops the fallback records of programs that have expired.
     ///
     /// They are not dropped as soon as the partition itself has taken the allowance: the delete may
@@ -92,8 +172,7 @@
     }
 
     /// The fallback partitions of a partition.
-    pub(crate) fn fallback_partitions(&self, partition_id: u64) -> [u64; 3] {
-        [self.partition_count / 2, self.partition_count / 3, 1]
-            .map(|offset| (partition_id + offset) % self.partition_count)
+    pub(crate) fn fallback_partitions(&self, partition_id: u64) -> Vec<u64> {
+        fallback::partitions(partition_id, self.partition_count)
     }
 }
--- a/src/gateway/tokens/owner.rs
+++ b/src/gateway/tokens/owner.rs
@@ -374,6 +374,7 @@
                     .record_in_fallback_partition(partition_id, partition, &replica)
                     .await =>
             {
+                self.send_replica_to_successor(replica).await;
                 true
             }
             Err(_)
--- a/src/gateway/tokens/partitions.rs
+++ b/src/gateway/tokens/partitions.rs
@@ -17,7 +17,7 @@
 use crate::telemetry::event;
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -64,6 +64,8 @@
     pub(crate) orphaned_replicas: RefCell<Vec<Replica>>,
     /// The VM that last answered as owner of each partition.
     pub(crate) last_owners: RefCell<HashMap<u64, SocketAddr>>,
+    /// Fallback partitions that did not take the last record.
+    pub(crate) failed_fallbacks: RefCell<HashSet<u64>>,
     consecutive_failures: Cell<u32>,
     last_failure: Cell<Option<Instant>>,
     /// When the store last took a record of this VM.
@@ -94,6 +96,7 @@
             reported_totals: RefCell::default(),
             last_owners: RefCell::default(),
             orphaned_replicas: RefCell::default(),
+            failed_fallbacks: RefCell::default(),
             consecutive_failures: Cell::new(0),
             last_failure: Cell::new(None),
             last_success: Cell::new(None),
--- a/src/gateway/tokens/takeover.rs
+++ b/src/gateway/tokens/takeover.rs
@@ -6,7 +6,7 @@
     HEARTBEAT_KEY, INTERNAL_KEY_PREFIX, PROGRAM_IDLE_TIMEOUT, Partitions, decode_value, writer,
 };
 use crate::id::Offset;
-use crate::platform::records::{ALLOWANCE_TOPIC, FALLBACK_ALLOWANCE_TOPIC};
+use crate::platform::records::ALLOWANCE_TOPIC;
 use crate::platform::store::{Error, Latest, Record, Writer};
 use crate::policy::allowance::Ledger;
 use crate::policy::share::Origin;
@@ -33,6 +33,24 @@
 /// the store was unavailable in between. Exceeds the restart time after a power loss of all VMs.
 const MIN_OUTAGE: Duration = Duration::from_millis(2500);
 
+/// Tokens that a record counts for which can't be read; more than any budget.
+const UNREADABLE_ALLOWANCE: u64 = u32::MAX as u64;
+
+/// Why a partition could not be taken over.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum TakeoverError {
+    /// A call for the partition itself failed.
+    Store(Error),
+    /// Too few of its fallback partitions can be read.
+    FallbackUnreadable(Error),
+}
+
+impl From<Error> for TakeoverError {
+    fn from(error: Error) -> Self {
+        Self::Store(error)
+    }
+}
+
 /// The owner record of a partition.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct OwnerRecord {
@@ -73,7 +91,7 @@
 
     /// Takes a partition over: fences off the previous writer, then reads its records.
     ///
-    /// With `as_of`, fails with [`Fault::Moved`] if anything was written to the partition after
+    /// With `as_of`, fails with [`Error::Conflict`] if anything was written to the partition after
     /// that offset. VMs that start at the same time all read that there is no owner; the condition
     /// lets only one of them win.
     pub(crate) async fn take_over(
@@ -82,7 +100,7 @@
         partition: &Partition,
         as_of: Option<Offset>,
         origin: Origin,
-    ) -> Result<(), Error> {
+    ) -> Result<(), TakeoverError> {
         let _guard = partition.takeover_lock.lock().await;
         if partition
             .ownership
@@ -91,6 +109,9 @@
         {
             return Ok(());
         }
+        // Checked before the previous owner is fenced off: it may be well, and can't be replaced without these.
+        let readable = self.read_fallback_records(partition_id).await;
+        readable.map_err(TakeoverError::FallbackUnreadable)?;
         let began = (Instant::now(), clock::wall_ms());
         let ownership = self
             .fence_previous_owner(partition_id, as_of, origin)
@@ -182,41 +203,29 @@
         &self,
         partition_id: u64,
         partition: &Partition,
-    ) -> Result<Latest, Error> {
-        let fallback_reads = self
-            .fallback_partitions(partition_id)
-            .map(|fallback| self.store.read_latest(FALLBACK_ALLOWANCE_TOPIC, fallback));
-        let (newest, fallback_reads) = tokio::join!(
+    ) -> Result<Latest, TakeoverError> {
+        let (newest, fallback_records) = tokio::join!(
             self.store.read_latest(ALLOWANCE_TOPIC, partition_id),
-            futures::future::join_all(fallback_reads),
+            self.read_fallback_records(partition_id),
         );
         self.record_store_result(newest.is_ok());
         let newest = newest?;
-        let fallback_reads = self
-            .fallback_partitions(partition_id)
-            .into_iter()
-            .zip(&fallback_reads);
-        let fallback_reads =
-            fallback_reads.filter_map(|(fallback, newest)| Some((fallback, newest.as_ref().ok()?)));
-        let fallback_reads = fallback_reads.flat_map(|(fallback, newest)| {
-            let records = newest.records.iter();
-            records.map(move |record| (fallback, record))
-        });
-        for (fallback, record) in fallback_reads {
-            let (Some(value), true) = (
-                &record.value,
+        let fallback_records = fallback_records.map_err(TakeoverError::FallbackUnreadable)?;
+        for record in fallback_records {
+            let (Some(allowed), true) = (
+                record_value(&record),
                 self.partition_of(&record.key) == partition_id,
             ) else {
                 continue;
             };
-            partition
-                .fallback_records
-                .borrow_mut()
-                .insert((fallback, record.key.clone()));
+            // Fallback partitions that were not read may have it as well.
+            let possible = self.fallback_partitions(partition_id).into_iter();
+            let possible = possible.map(|fallback| (fallback, record.key.clone()));
+            partition.fallback_records.borrow_mut().extend(possible);
             let mut replicas = partition.replicas.borrow_mut();
-            let known = replicas.entry(record.key.clone());
+            let known = replicas.entry(record.key);
             let known = known.or_insert((0, Instant::now()));
-            known.0 = decode_value(value).unwrap_or_default().max(known.0);
+            known.0 = allowed.max(known.0);
         }
         Ok(newest)
     }
@@ -240,8 +249,9 @@
         }
         let programs = records.iter();
         for record in programs.filter(|record| !record.key.starts_with(INTERNAL_KEY_PREFIX)) {
-            let allowed = record.value.as_ref().and_then(decode_value);
-            ledger.restore(now, &record.key, allowed.unwrap_or_default());
+            if let Some(allowed) = record_value(record) {
+                ledger.restore(now, &record.key, allowed);
+            }
         }
         for (program, (allowed, _)) in replicas {
             ledger.restore(now, program, *allowed);
@@ -295,6 +305,17 @@
     }
 }
 
+/// The allowance in a program's record; `None` for a tombstone. A record that can't be read counts as the highest
+/// allowance.
+fn record_value(record: &Record) -> Option<u64> {
+    let value = record.value.as_ref()?;
+    let allowed = decode_value(value);
+    if allowed.is_none() {
+        event!(warn, "allowance_unreadable", program = record.key);
+    }
+    Some(allowed.unwrap_or(UNREADABLE_ALLOWANCE))
+}
+
 /// Whether the previous owner may have granted tokens that neither a record nor a running VM knows
 /// of: it could not write for a while, and then all VMs were lost.
 fn may_lack_grants(records: &[Record], oldest_uptime_ms: u64) -> bool {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -14,6 +14,7 @@
 pub mod dispatch;
 pub mod estimate;
 mod fairness;
+pub mod fallback;
 pub mod forecast;
 mod grant_rate;
 pub mod latency;
