Count allowances as spent after a handover without an answer

Two VMs granted the same tokens: a stopping VM hands a partition over to one that is suspended, gets no answer and counts on; the other wakes up, reads the message and takes the partition over with the accounts of then. The store rejects new records of the first, but it needed none for the rest of its allowances.

Change: without an answer to the last message of a handover, the rest of all allowances counts as spent. What is granted then needs a new record, which the store rejects or the other VM finds.

--- a/src/gateway/tokens/handover.rs
+++ b/src/gateway/tokens/handover.rs
@@ -27,6 +27,17 @@
     StoreLost(Instant),
 }
 
+/// Result of sending the accounts of a partition to another VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SendResult {
+    /// The other VM owns the partition.
+    Adopted,
+    /// It does not, and will not on account of this handover.
+    Refused,
+    /// It has not answered the last message: it may own the partition, or take it over later.
+    Unknown,
+}
+
 fn log_kept(partition_id: u64, reason: &'static str) {
     event!(
         info,
@@ -105,7 +116,7 @@
         partition.record_written.notify_waiters();
         let entries = partition.export_entries();
         partition.successor.set(Some(successor.address));
-        let complete = self
+        let result = self
             .send_entries(
                 partition_id,
                 partition,
@@ -114,13 +125,18 @@
                 reason,
             )
             .await;
+        let complete = result == SendResult::Adopted;
+        let unanswered = result == SendResult::Unknown;
         if complete {
             partition.ledger.take();
             partition.pending.take();
             partition.ownership_ended.set(Some(Instant::now()));
         } else {
-            // The handover failed. If the other VM owns the partition all the same, the store
-            // rejects this VM's writes.
+            if unanswered {
+                // What is granted from now on needs a new record: the store rejects it if the other VM owns the
+                // partition, and the other VM finds it if it takes the partition over later.
+                partition.ledger.borrow_mut().forfeit_allowances();
+            }
             // An append that was in progress may have used the sequence number. The store would take
             // the next one with the same number for a repetition and drop it; a number that is too
             // high is only corrected.
@@ -138,12 +154,12 @@
             part = partition_id,
             to = successor.vm,
             programs = entries.len(),
-            whole = complete
+            whole = complete,
+            unanswered = unanswered
         );
     }
 
-    /// Sends the accounts of a partition to its new owner; returns whether it acknowledged all of
-    /// them.
+    /// Sends the accounts of a partition to its new owner.
     async fn send_entries(
         &self,
         partition_id: u64,
@@ -151,7 +167,7 @@
         (next, ownership): (&Peer, Ownership),
         entries: &[(Snapshot, u64)],
         reason: Reason,
-    ) -> bool {
+    ) -> SendResult {
         let doubtful = partition.ledger.borrow().is_incomplete();
         let chunks = entries.len().div_ceil(ENTRIES_PER_DATAGRAM).max(1);
         for index in 0..chunks {
@@ -168,11 +184,13 @@
                 last: index + 1 == chunks,
                 ending: reason == Reason::Stopping,
             };
-            if self.peers.ask(next.address, &question).await != Some(Reply::Kept) {
-                return false;
+            match self.peers.ask(next.address, &question).await {
+                Some(Reply::Kept) => {}
+                None if index + 1 == chunks => return SendResult::Unknown,
+                _ => return SendResult::Refused,
             }
         }
-        true
+        SendResult::Adopted
     }
 
     /// Receives one chunk of a handover, and takes the partition over after the last one.
--- a/src/policy/allowance.rs
+++ b/src/policy/allowance.rs
@@ -140,6 +140,25 @@
         self.is_incomplete = true;
     }
 
+    /// Counts the rest of all allowances as spent, since another VM may have received the accounts and grant it.
+    ///
+    /// ```
+    /// use tokio::time::Instant;
+    /// use vanillatrail::policy::allowance::{Ledger, Request, Reservation, Verdict};
+    /// let (now, mut ledger) = (Instant::now(), Ledger::default());
+    /// let request = Request { budget: 2000, most: 290, seen: 0 };
+    /// ledger.reserve(now, "p", Reservation { vm: 1, number: 1 }, request);
+    /// ledger.mark_recorded("p", 580);
+    /// ledger.forfeit_allowances();
+    /// assert_eq!(ledger.reserve(now, "p", Reservation { vm: 1, number: 2 }, request), Verdict::Record(1160));
+    /// ```
+    pub fn forfeit_allowances(&mut self) {
+        for account in self.accounts.values_mut() {
+            let unreserved = account.allowed.saturating_sub(account.reserved);
+            account.spent = account.spent.max(unreserved);
+        }
+    }
+
     /// Drops all accounts, since another VM owns the partition.
     ///
     /// Accounts that stayed would count turns of an earlier ownership as turns of the next one, and a handover
--- a/tests/budget_fallback.rs
+++ b/tests/budget_fallback.rs
@@ -140,3 +140,30 @@
         turn(other, &program, BUDGET, "again").0 == 200
     });
 }
+
+/// Guards against two VMs that grant the same allowance: the handover of a stopping VM gets no answer, since the other VM
+/// is suspended, and the other VM takes the partition over when it wakes up.
+#[test]
+fn an_unanswered_handover_grants_no_allowance_twice() {
+    for partition in 0..2 {
+        let backend = engine(TURN_TOKENS / 10);
+        let (_store, mut vms) = start_site(&backend, 2);
+        let program = program_of(partition);
+        let mut tokens = turn(&vms[0], &program, BUDGET, "first").1;
+        let owner = owner_of(&vms);
+        let other = 1 - owner;
+        vms[other].signal("-STOP");
+        vms[owner].terminate();
+        until("the handover has failed", || {
+            !vms[owner].lines("event=allowances_handed_over").is_empty()
+        });
+        tokens += turn(&vms[owner], &program, BUDGET, "second").1;
+        vms[other].signal("-CONT");
+        until("the other VM has taken the partition over", || {
+            !vms[other].lines("event=allowances_adopted").is_empty()
+        });
+        vms[owner].wait();
+        tokens += spend(&[&vms[other]], &program);
+        assert!(tokens <= BUDGET + TURN_TOKENS, "{tokens} tokens");
+    }
+}
