Record at which versions streams began, for the loss of all VMs

After the loss of all VMs around a rollout, callers that name no try got streams joined from two versions: the first part from servers that had left meanwhile, the rest from the only version that was there then. Callers that name the try were refused without exception (VT3013), also where all servers had one version all the time.

Cause: the version of a stream was kept in the memory of three VMs. Without that, the present state of the directory stood in for the past one: a caller without a try went on wherever there was one version at that moment.

Evidence: streams_go_on_at_their_version_after_the_loss_of_all_vms varies when the old version leaves, what of the records can be read, whether a try is named and whether names are used again.

While there is one mark for a service, all its streams have that version; while there are several, each stream is also recorded, in batches of 50 ms and without delaying it. A VM that finds no holder of a stream reads the records. It goes by the directory only where there are no marks or they can't be read, and then only if there was one version for twice the time limit of the route, also for callers that name no try. Marks are deleted some time after the last server of their version has left.

--- a/src/gateway/front/mod.rs
+++ b/src/gateway/front/mod.rs
@@ -22,6 +22,7 @@
 use crate::gateway::server::ends::Ends;
 use crate::gateway::server::moving::Moves;
 use crate::gateway::server::pinning::Pins;
+use crate::gateway::server::stream_records::{self, StreamRecords};
 use crate::gateway::server::stream_version::StreamVersions;
 use crate::gateway::tokens::handover::Reason;
 use crate::gateway::tokens::partitions;
@@ -223,6 +224,11 @@
         moves: Moves::default(),
         ends: Ends::new(),
         stream_versions: StreamVersions::default(),
+        stream_records: Rc::new(StreamRecords::new(
+            channels.store.separate(),
+            settings.store.partitions,
+            peers::vm_number(peer_address),
+        )),
         queue: Queue::default(),
         leases: Leases::default(),
         metrics: Metrics::new(),
@@ -262,6 +268,7 @@
     spawn_local(Rc::clone(&gateway).learn_ends());
     spawn_local(partitions::run_maintenance(Rc::clone(&gateway)));
     spawn_local(conversation::run_maintenance(Rc::clone(&gateway)));
+    spawn_local(stream_records::run_maintenance(Rc::clone(&gateway)));
     let discovery = Rc::clone(&gateway.discovery);
     spawn_local(async move {
         let (introduction, vm_lists) = (channels.introduction, channels.vm_lists);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -45,6 +45,7 @@
 use server::ends::Ends;
 use server::moving::Moves;
 use server::pinning::Pins;
+use server::stream_records::StreamRecords;
 use server::stream_version::StreamVersions;
 use std::cell::Cell;
 use std::path::PathBuf;
@@ -82,6 +83,7 @@
     moves: Moves,
     ends: Ends,
     stream_versions: StreamVersions,
+    stream_records: Rc<StreamRecords>,
     queue: Queue,
     leases: Leases,
     metrics: Metrics,
--- a/src/gateway/server/mod.rs
+++ b/src/gateway/server/mod.rs
@@ -10,4 +10,5 @@
 pub(crate) mod moving;
 pub(crate) mod pinning;
 pub(crate) mod read_limit;
+pub(crate) mod stream_records;
 pub(crate) mod stream_version;
--- a/src/gateway/server/stream_version.rs
+++ b/src/gateway/server/stream_version.rs
@@ -4,6 +4,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::peers::{Note, Question, Reply, peer_address};
 use crate::gateway::request::job::Job;
+use crate::gateway::server::stream_records::Recorded;
 use crate::gateway::world::table::Kind;
 use crate::id::rendezvous_score;
 use crate::policy::stream_versions::{Origins, StreamHash};
@@ -57,6 +58,10 @@
 enum Source {
     Own,
     Holder,
+    /// It was recorded at the store.
+    Record,
+    /// All streams of the service have it, by the records at the store.
+    OnlyMark,
     /// All servers of the service have it.
     OnlyVersion,
 }
@@ -66,6 +71,8 @@
         match self {
             Self::Own => "own",
             Self::Holder => "holder",
+            Self::Record => "record",
+            Self::OnlyMark => "only_mark",
             Self::OnlyVersion => "only_version",
         }
     }
@@ -94,6 +101,8 @@
             let note = Note::StreamBegan { stream, version };
             gateway.peers.notify(holder, note).await;
         }
+        gateway.record_stream(&self.service, stream, version, self.route.timeout);
+        gateway.mark_version(&self.service, version).await;
     }
 
     /// Finds the version of the stream that this request takes up, if it takes one up.
@@ -125,9 +134,19 @@
 
     async fn stream_version_source(&self) -> Option<(Arc<str>, Source)> {
         let gateway = &self.gateway;
+        let time = self.route.timeout * ONE_VERSION_TIMEOUTS;
         let Some(resumes) = &self.meta.resumes else {
-            // Callers that name no earlier try are of before services had several versions.
-            let version = gateway.only_version(&self.service, Duration::ZERO).await?;
+            let version = match gateway.recorded_version(&self.service, None).await {
+                Recorded::OnlyVersion(version) => return Some((version, Source::OnlyMark)),
+                Recorded::Version(_) | Recorded::Several => return None,
+                // No stream has begun here since VMs write marks.
+                Recorded::Nothing => {
+                    gateway
+                        .agreed_version(&self.service, Duration::ZERO)
+                        .await?
+                }
+                Recorded::Unreadable => gateway.agreed_version(&self.service, time).await?,
+            };
             return Some((version, Source::OnlyVersion));
         };
         let stream = self.stream_hash(resumes);
@@ -138,9 +157,15 @@
             gateway.stream_versions.insert(stream, Arc::clone(&version));
             return Some((version, Source::Holder));
         }
-        let time = self.route.timeout * ONE_VERSION_TIMEOUTS;
-        let version = gateway.agreed_version(&self.service, time).await?;
-        Some((version, Source::OnlyVersion))
+        match gateway.recorded_version(&self.service, Some(stream)).await {
+            Recorded::OnlyVersion(version) => Some((version, Source::OnlyMark)),
+            Recorded::Version(version) => Some((version, Source::Record)),
+            Recorded::Several => None,
+            Recorded::Nothing | Recorded::Unreadable => {
+                let version = gateway.agreed_version(&self.service, time).await?;
+                Some((version, Source::OnlyVersion))
+            }
+        }
     }
 }
 
@@ -192,11 +217,14 @@
 
     /// The version of all servers of a service, if this VM or another one is sure that there was no other for this time.
     async fn agreed_version(&self, service: &str, time: Duration) -> Option<Arc<str>> {
-        let version = self.only_version(service, Duration::ZERO).await?;
-        if self.only_version(service, time).await.is_some() {
+        if let Some(version) = self.only_version(service, time).await {
             return Some(version);
         }
-        // This VM may have started only now.
+        let version = {
+            let rollouts = self.queue.rollouts.borrow();
+            rollouts.only_version(Instant::now(), service, Duration::ZERO)?
+        };
+        // This VM may have started only now, and have its directory from a copy.
         let question = Question::OnlyVersion {
             service: service.into(),
             time,
--- a/src/gateway/world/table.rs
+++ b/src/gateway/world/table.rs
@@ -220,6 +220,16 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// Longest time limit of the routes with streams that callers may resume; zero if there are none.
+    #[must_use]
+    pub fn longest_resumable_timeout(&self) -> Duration {
+        let routes = self.routes.values().flatten();
+        let timeouts = routes
+            .filter(|route| route.resumable)
+            .map(|route| route.timeout);
+        timeouts.max().unwrap_or_default()
+    }
+
     /// Number of routes.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -31,6 +31,10 @@
 pub(crate) const FALLBACK_TURN_TOPIC: &str = "keyed.turndetour";
 /// Snapshots of the configuration and the directory.
 pub(crate) const SNAPSHOT_TOPIC: &str = "keyed.snapshot";
+/// Software versions at which streams of a service may have begun.
+pub(crate) const MARK_TOPIC: &str = "keyed.streamversions";
+/// Software versions of single streams. Not compacted: the records are of use for seconds.
+pub(crate) const STREAM_TOPIC: &str = "streams";
 /// Introductions, from which starting VMs learn each other's addresses.
 pub(crate) const CONTACT_TOPIC: &str = "keyed.contact";
 
--- a/src/policy/stream_versions.rs
+++ b/src/policy/stream_versions.rs
@@ -72,13 +72,47 @@
     }
 }
 
+/// Registered servers of one version.
+#[derive(Debug, Clone, Copy)]
+struct Registered {
+    servers: usize,
+    /// When the first of them was added.
+    since: Instant,
+}
+
 /// Registered servers of one service.
 #[derive(Debug)]
 struct Service {
-    /// Number of servers of each version.
-    servers: HashMap<Arc<str>, usize>,
+    versions: HashMap<Arc<str>, Registered>,
+    /// When the last server of a version was removed.
+    removed: HashMap<Arc<str>, Instant>,
     /// When a version was last added or removed.
     changed_at: Instant,
+    /// When there were last several versions; the present state does not count.
+    several_until: Option<Instant>,
+    /// When the first server was added.
+    known_since: Instant,
+}
+
+impl Service {
+    fn new(now: Instant) -> Self {
+        Self {
+            versions: HashMap::new(),
+            removed: HashMap::new(),
+            changed_at: now,
+            several_until: None,
+            known_since: now,
+        }
+    }
+
+    fn remove_version(&mut self, now: Instant, version: &Arc<str>) {
+        if self.versions.len() > 1 {
+            self.several_until = Some(now);
+        }
+        self.versions.remove(version);
+        self.removed.insert(Arc::clone(version), now);
+        self.changed_at = now;
+    }
 }
 
 /// The versions of the registered servers, by service.
@@ -104,20 +138,31 @@
         now: Instant,
         servers: impl Iterator<Item = (&'a str, &'a Arc<str>)>,
     ) {
-        let mut previous = std::mem::take(&mut self.services);
+        let mut counts: HashMap<&str, HashMap<&Arc<str>, usize>> = HashMap::new();
         for (service, version) in servers {
-            self.add(now, service, version);
+            *counts
+                .entry(service)
+                .or_default()
+                .entry(version)
+                .or_default() += 1;
+        }
+        for (name, versions) in &counts {
+            for version in versions.keys() {
+                // Added before others are removed, so that an unchanged version does not look new.
+                self.add(now, name, version);
+            }
         }
         for (name, service) in &mut self.services {
-            let same_versions = |known: &Service| {
-                known.servers.len() == service.servers.len()
-                    && known
-                        .servers
-                        .keys()
-                        .all(|key| service.servers.contains_key(key))
-            };
-            if let Some(known) = previous.remove(name).filter(same_versions) {
-                service.changed_at = known.changed_at;
+            let counts = counts.remove(name.as_str()).unwrap_or_default();
+            let gone = service.versions.keys().cloned();
+            let gone: Vec<_> = gone.filter(|known| !counts.contains_key(known)).collect();
+            for version in gone {
+                service.remove_version(now, &version);
+            }
+            for (version, servers) in counts {
+                if let Some(registered) = service.versions.get_mut(version) {
+                    registered.servers = servers;
+                }
             }
         }
     }
@@ -125,19 +170,22 @@
     /// Adds a server.
     pub fn add(&mut self, now: Instant, service: &str, version: &Arc<str>) {
         if !self.services.contains_key(service) {
-            let empty = Service {
-                servers: HashMap::new(),
-                changed_at: now,
-            };
-            self.services.insert(service.to_owned(), empty);
+            self.services.insert(service.to_owned(), Service::new(now));
         }
-        if let Some(service) = self.services.get_mut(service) {
-            let servers = service.servers.entry(Arc::clone(version)).or_default();
-            *servers += 1;
-            if *servers == 1 {
-                service.changed_at = now;
-            }
+        let Some(service) = self.services.get_mut(service) else {
+            return;
+        };
+        if let Some(registered) = service.versions.get_mut(version) {
+            registered.servers += 1;
+            return;
         }
+        let registered = Registered {
+            servers: 1,
+            since: now,
+        };
+        service.versions.insert(Arc::clone(version), registered);
+        service.removed.remove(version);
+        service.changed_at = now;
     }
 
     /// Removes a server.
@@ -145,13 +193,12 @@
         let Some(service) = self.services.get_mut(service) else {
             return;
         };
-        let Some(servers) = service.servers.get_mut(version) else {
+        let Some(registered) = service.versions.get_mut(version) else {
             return;
         };
-        *servers -= 1;
-        if *servers == 0 {
-            service.servers.remove(version);
-            service.changed_at = now;
+        registered.servers -= 1;
+        if registered.servers == 0 {
+            service.remove_version(now, version);
         }
     }
 
@@ -159,9 +206,56 @@
     #[must_use]
     pub fn only_version(&self, now: Instant, service: &str, time: Duration) -> Option<Arc<str>> {
         let service = self.services.get(service)?;
-        let mut versions = service.servers.keys();
+        let mut versions = service.versions.keys();
         let version = versions.next()?;
         let is_only = versions.next().is_none() && service.changed_at + time <= now;
         is_only.then(|| Arc::clone(version))
     }
+
+    /// Whether a service had servers of several versions within this time.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use tokio::time::Instant;
+    /// use vanillatrail::policy::stream_versions::Rollouts;
+    /// let (mut rollouts, now, second) = (Rollouts::default(), Instant::now(), Duration::from_secs(1));
+    /// rollouts.add(now, "pool", &"v1".into());
+    /// assert!(!rollouts.had_several(now, "pool", second));
+    /// rollouts.add(now, "pool", &"v2".into());
+    /// rollouts.remove(now, "pool", &"v1".into());
+    /// assert!(rollouts.had_several(now, "pool", second));
+    /// assert!(!rollouts.had_several(now + second, "pool", second));
+    /// ```
+    #[must_use]
+    pub fn had_several(&self, now: Instant, service: &str, time: Duration) -> bool {
+        self.services.get(service).is_some_and(|service| {
+            service.versions.len() > 1
+                || service
+                    .several_until
+                    .is_some_and(|until| until + time > now)
+        })
+    }
+
+    /// Since when a service has servers of this version; `None` if it has none.
+    #[must_use]
+    pub fn registered_since(&self, service: &str, version: &str) -> Option<Instant> {
+        let service = self.services.get(service)?;
+        Some(service.versions.get(version)?.since)
+    }
+
+    /// Since when a service has no servers of this version, as far as is known; `None` if it has some.
+    #[must_use]
+    pub fn absent_since(&self, service: &str, version: &str) -> Option<Instant> {
+        let service = self.services.get(service)?;
+        if service.versions.contains_key(version) {
+            return None;
+        }
+        let removed = service.removed.get(version).copied();
+        Some(removed.unwrap_or(service.known_since))
+    }
+
+    /// Names of the services that have or had servers.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        self.services.keys().map(String::as_str)
+    }
 }
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -226,6 +226,178 @@
     }
 }
 
+/// When the servers of the first version leave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Leaving {
+    BeforeTheKill,
+    WhileTheVmsAreDown,
+    AfterTheRestart,
+    Never,
+}
+
+/// Which of the records of streams can be read after the restart.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Records {
+    All,
+    /// Not one partition of marks, of three.
+    MostMarks,
+    /// Not those of single streams.
+    NoStreams,
+    None,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Case {
+    leaving: Leaving,
+    records: Records,
+    /// Whether servers of the second version take the names of those that have left.
+    reuses_names: bool,
+}
+
+impl Site {
+    fn withdraw_first_version(&self, case: Case) {
+        let mut successors = self.servers.iter().filter(|(_, version)| *version == "v2");
+        for (number, (server, version)) in self.servers.iter().enumerate() {
+            if *version != "v1" {
+                continue;
+            }
+            let name = format!("s{number}");
+            let successor = successors.next().filter(|_| case.reuses_names);
+            if let Some((successor, version)) = successor {
+                self.store
+                    .register_version(&name, "pool", successor.address, "ready", version);
+            } else {
+                self.store.put("keyed.servers", &name, None);
+            }
+            server.end();
+        }
+    }
+
+    fn set_unreadable(&self, records: Records) {
+        let marks = (0..4).map(|part| ("keyed.streamversions", part));
+        let streams = (0..4).map(|part| ("streams", part));
+        let partitions: Vec<_> = match records {
+            Records::All => Vec::new(),
+            Records::MostMarks => marks.take(1).collect(),
+            Records::NoStreams => streams.collect(),
+            Records::None => marks.chain(streams).collect(),
+        };
+        self.store.set_unavailable_partitions(&partitions);
+    }
+}
+
+/// Plays one loss of all VMs around a rollout. Returns how many streams were taken up by name, and how many of them went
+/// on to their end.
+fn play_loss_of_all_vms(case: Case) -> (usize, usize) {
+    const STREAMS: usize = 6;
+    let mut site = Site::start(2, &["v1", "v1"]);
+    let mut streams = Vec::new();
+    let begin = |site: &Site, streams: &mut Vec<Stream>| {
+        for number in streams.len()..streams.len() + STREAMS {
+            streams.push(site.begin(number % 2, &format!("r{number}")));
+        }
+    };
+    begin(&site, &mut streams);
+    site.add_server("v2");
+    site.add_server("v2");
+    site.wait_until_known();
+    begin(&site, &mut streams);
+    if case.leaving == Leaving::BeforeTheKill {
+        site.withdraw_first_version(case);
+        until("the VMs know that the first version has left", || {
+            site.vms.iter().all(|vm| {
+                let servers = vm.state()["servers"].clone();
+                let versions = servers.as_array().cloned().unwrap_or_default();
+                versions.iter().all(|server| server["version"] == "v2")
+            })
+        });
+    }
+    // Records of streams are collected before they are written.
+    std::thread::sleep(Duration::from_millis(300));
+    site.holds.store(false, Ordering::SeqCst);
+    site.vms.iter_mut().for_each(Vm::kill);
+    if case.leaving == Leaving::WhileTheVmsAreDown {
+        site.withdraw_first_version(case);
+    }
+    site.set_unreadable(case.records);
+    site.vms.iter_mut().for_each(Vm::restart);
+    site.vms.iter().for_each(Vm::wait_ready);
+    let (mut named, mut went_on) = (0, 0);
+    for (number, stream) in streams.into_iter().enumerate() {
+        if number == STREAMS / 2 && case.leaving == Leaving::AfterTheRestart {
+            site.withdraw_first_version(case);
+        }
+        let resumes = format!("r{number}");
+        let is_named = !number.is_multiple_of(3);
+        let reply = site.take_up(
+            number % 2,
+            &format!("t{number}"),
+            is_named.then_some(resumes.as_str()),
+        );
+        let text = stream.text + &reply.text();
+        assert_one_version(&text);
+        assert!(matches!(reply.status, 200 | 503), "{case:?}: {reply:?}");
+        named += usize::from(is_named);
+        went_on += usize::from(is_named && reply.status == 200 && reply.whole);
+    }
+    (named, went_on)
+}
+
+/// Guards against streams joined from two versions after the loss of all VMs, and against refusing them all although
+/// servers of their version are left.
+#[test]
+fn streams_go_on_at_their_version_after_the_loss_of_all_vms() {
+    let leavings = [
+        Leaving::BeforeTheKill,
+        Leaving::WhileTheVmsAreDown,
+        Leaving::AfterTheRestart,
+        Leaving::Never,
+    ];
+    let all_records = [
+        Records::All,
+        Records::MostMarks,
+        Records::NoStreams,
+        Records::None,
+    ];
+    for leaving in leavings {
+        std::thread::scope(|scope| {
+            for records in all_records {
+                scope.spawn(move || {
+                    let case = Case {
+                        leaving,
+                        records,
+                        reuses_names: matches!(records, Records::All | Records::None),
+                    };
+                    let (named, went_on) = play_loss_of_all_vms(case);
+                    let are_readable = matches!(records, Records::All | Records::MostMarks);
+                    if leaving == Leaving::Never && are_readable {
+                        assert!(went_on * 2 >= named, "{case:?}: {went_on} of {named}");
+                    }
+                });
+            }
+        });
+    }
+}
+
+/// Guards against refusing the streams of a service with one version after the loss of all VMs.
+#[test]
+fn streams_of_the_only_version_go_on_after_the_loss_of_all_vms() {
+    let mut site = Site::start(2, &["v1", "v1"]);
+    let streams: Vec<Stream> = (0..4)
+        .map(|number| site.begin(number % 2, &format!("r{number}")))
+        .collect();
+    site.holds.store(false, Ordering::SeqCst);
+    site.vms.iter_mut().for_each(Vm::kill);
+    site.vms.iter_mut().for_each(Vm::restart);
+    site.vms.iter().for_each(Vm::wait_ready);
+    for number in 0..streams.len() {
+        let resumes = format!("r{number}");
+        let resumes = Some(resumes.as_str()).filter(|_| number > 0);
+        let reply = site.take_up(number % 2, &format!("t{number}"), resumes);
+        assert!(reply.status == 200 && reply.whole, "{reply:?}");
+    }
+}
+
 /// Guards against refusing streams that no VM knows, or whose callers name no earlier try, although all servers have one
 /// version.
 #[test]
