Keep a turn that a request waits for when its bucket is read

A turn was answered 404 though the store has it: all turns of its bucket are read into the cache, which evicts the oldest beyond 12 MB, and the turn was then looked for in the cache only. Absence from the cache was read as absence at the store.

A read now tells which turns the bucket has. A turn that it has and that is in memory no longer is an error (503 with Retry-After), as is one whose record can't be decoded. Turns that no request waits for are cached as if last used 10 s before, so that they evict neither each other's wanted ones nor what is in use.

--- a/src/conversation/cache.rs
+++ b/src/conversation/cache.rs
@@ -84,6 +84,12 @@
         }
     }
 
+    /// Whether a turn is cached; does not mark it as used.
+    #[must_use]
+    pub fn contains(&self, id: &Id) -> bool {
+        self.turns.contains_key(id)
+    }
+
     /// Returns a cached turn and marks it as used.
     pub fn get(&mut self, now: Instant, id: &Id) -> Option<Rc<Turn>> {
         let entry = self.turns.get_mut(id)?;
--- a/src/gateway/conversation/load.rs
+++ b/src/gateway/conversation/load.rs
@@ -3,14 +3,14 @@
 //! After the loss of all VMs every active program asks for a turn that no VM has in memory. Each
 //! bucket is then read by one VM, once for all requests that wait for it.
 
-use super::{Conversations, Gateway};
+use super::{CACHE_IDLE_TIMEOUT, Conversations, Gateway};
 use crate::conversation::{Bucket, Id, Turn};
 use crate::gateway::peers::Reply;
 use crate::platform::records::{FALLBACK_TURN_TOPIC, turn_topic};
 use crate::platform::store::{Error, Latest, Record};
 use crate::telemetry::event;
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,18 +23,48 @@
 /// Reads of one bucket before it counts as unreadable.
 const MAX_READS: usize = 2;
 
+/// Turns that a bucket has, or why it could not be read.
+type ReadResult = Result<Rc<HashSet<Id>>, Error>;
+
 /// Start time and result of the last read of a bucket.
-type LastRead = Option<(Instant, Result<(), Error>)>;
+type LastRead = Option<(Instant, ReadResult)>;
 
 /// The last read of each bucket; locked while a read is in progress.
 #[derive(Debug, Default)]
 pub(super) struct BucketReads {
     buckets: RefCell<HashMap<Bucket, Rc<Mutex<LastRead>>>>,
+    /// Turns that requests wait for, with the number of these.
+    wanted: RefCell<HashMap<Id, usize>>,
+}
+
+/// Counts a request that waits for a turn, until it is dropped.
+struct Wanted<'a> {
+    reads: &'a BucketReads,
+    id: &'a Id,
+}
+
+impl<'a> Wanted<'a> {
+    fn new(reads: &'a BucketReads, id: &'a Id) -> Self {
+        *reads.wanted.borrow_mut().entry(id.clone()).or_default() += 1;
+        Self { reads, id }
+    }
+}
+
+impl Drop for Wanted<'_> {
+    fn drop(&mut self) {
+        let mut wanted = self.reads.wanted.borrow_mut();
+        if let Some(count) = wanted.get_mut(self.id) {
+            *count -= 1;
+            if *count == 0 {
+                wanted.remove(self.id);
+            }
+        }
+    }
 }
 
 impl Conversations {
     /// Reads a bucket into memory, unless another read of it started after this call.
-    async fn load_bucket(&self, bucket: Bucket) -> Result<(), Error> {
+    async fn load_bucket(&self, bucket: Bucket) -> ReadResult {
         let requested_at = Instant::now();
         let bucket_lock = {
             let mut buckets = self.bucket_reads.buckets.borrow_mut();
@@ -54,16 +84,16 @@
         result
     }
 
-    async fn read_into_cache(&self, began: Instant, bucket: Bucket) -> Result<(), Error> {
+    async fn read_into_cache(&self, began: Instant, bucket: Bucket) -> ReadResult {
         let turns = self.cache_records(began, bucket, &self.read_bucket(bucket).await?);
         event!(
             info,
             "turns_loaded",
             bucket = bucket,
-            turns = turns,
+            turns = turns.len(),
             took_ms = began.elapsed().as_millis()
         );
-        Ok(())
+        Ok(Rc::new(turns))
     }
 
     /// Notes which VM has a turn in memory.
@@ -72,21 +102,26 @@
         locations.set(Instant::now(), turn, holder);
     }
 
-    /// Reads the turns of a bucket that were recorded in fallback partitions.
-    async fn load_fallback_records(&self, bucket: Bucket) -> Result<(), Error> {
+    /// Reads the turns of a bucket that were recorded in fallback partitions. Returns which these are.
+    async fn load_fallback_records(&self, bucket: Bucket) -> Result<HashSet<Id>, Error> {
         let reads = self.layout.fallback_partitions(bucket).into_iter();
         let reads = reads.map(|partition| self.read_newest(FALLBACK_TURN_TOPIC, partition));
+        let mut turns = HashSet::new();
         // All have to be readable: one that is unavailable may hold the turn.
         for read in futures::future::join_all(reads).await {
             let mut records = read?.records;
             records.retain(|record| self.belongs_to(bucket, record));
-            self.cache_records(Instant::now(), bucket, &records);
+            turns.extend(self.cache_records(Instant::now(), bucket, &records));
         }
-        Ok(())
+        Ok(turns)
     }
 
     /// Looks a turn up at the store, reading all of its bucket into memory.
+    ///
+    /// # Errors
+    /// If the turn is not in memory afterwards, and can't be ruled out.
     pub(super) async fn find_in_store(&self, id: &Id) -> Result<bool, Error> {
+        let _wanted = Wanted::new(&self.bucket_reads, id);
         let bucket = self.layout.bucket(id);
         let is_slow = self.store.borrow().observer().is_slow();
         let (own_result, fallback_result) = if is_slow {
@@ -99,29 +134,42 @@
         if self.find_cached(id).is_some() {
             return Ok(true);
         }
-        match fallback_result {
+        let own_has_it = own_result.as_ref().is_ok_and(|turns| turns.contains(id));
+        let in_fallback = match fallback_result {
+            _ if own_has_it => return Err(evicted()),
             Some(result) => result?,
             // Checked last, since few turns are recorded there.
             None => self.load_fallback_records(bucket).await?,
-        }
+        };
         if self.find_cached(id).is_some() {
             return Ok(true);
         }
-        own_result.map(|()| false)
+        if in_fallback.contains(id) {
+            return Err(evicted());
+        }
+        own_result.map(|_| false)
     }
 
-    /// Adds records to the cache; returns how many were turns.
-    fn cache_records(&self, now: Instant, bucket: Bucket, records: &[Record]) -> usize {
-        let mut count = 0;
+    /// Adds records to the cache; returns the turns that they hold, those that can't be decoded included.
+    fn cache_records(&self, now: Instant, bucket: Bucket, records: &[Record]) -> HashSet<Id> {
+        let mut ids = HashSet::new();
+        // Turns that no request waits for must not evict those that were used lately.
+        let prefetched_at = now.checked_sub(CACHE_IDLE_TIMEOUT / 2).unwrap_or(now);
         for record in records {
+            ids.extend(record.key.parse::<Id>());
             let Some(turn) = record.value.as_deref().and_then(Turn::decode) else {
                 event!(warn, "turn_unreadable", bucket = bucket, key = record.key);
                 continue;
             };
-            count += 1;
-            self.cache.borrow_mut().insert(now, Rc::new(turn));
+            let is_wanted = self.bucket_reads.wanted.borrow().contains_key(&turn.id);
+            let mut cache = self.cache.borrow_mut();
+            if is_wanted {
+                cache.insert(now, Rc::new(turn));
+            } else if !cache.contains(&turn.id) {
+                cache.insert(prefetched_at, Rc::new(turn));
+            }
         }
-        count
+        ids
     }
 
     async fn read_bucket(&self, bucket: Bucket) -> Result<Vec<Record>, Error> {
@@ -156,6 +204,11 @@
     }
 }
 
+/// The failure of a lookup whose turn was read and is not in memory any more.
+fn evicted() -> Error {
+    Error::OutcomeUnknown("the turn was evicted from the cache, or can't be decoded".to_owned())
+}
+
 impl Gateway {
     /// Answers which VM has a turn. `lost` is a VM that was named before and did not return it.
     pub(crate) async fn locate(&self, id: &Id, lost: Option<SocketAddr>) -> Reply {
--- a/tests/conversation_retention.rs
+++ b/tests/conversation_retention.rs
@@ -6,7 +6,7 @@
 use platform::program::wait_until_joined;
 use platform::{Act, Backend, Reply, Store, Vm, call, chunk, stream_head, until};
 use serde_json::json;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use vanillatrail::conversation::{Id, Layout, Turn};
 
 const EARLIER_TURNS: usize = 6;
@@ -249,3 +249,43 @@
     std::thread::sleep(Duration::from_secs(1));
     assert_eq!(site.until_ms(0), Some(extended.until_ms));
 }
+
+/// Records turns of `bytes` each that conversations continue from, in all partitions.
+fn put_turns(store: &Store, ids: impl Iterator<Item = String>, bytes: usize) {
+    for id in ids {
+        let turn = Turn {
+            id: id.parse().expect("an ID"),
+            prev: None,
+            until_ms: now_ms() + 600_000,
+            input: vec![b'i'; bytes].into(),
+            output: "o\n".into(),
+        };
+        let bucket = LAYOUT.bucket(&turn.id);
+        let topic = format!("keyed.turns{}", LAYOUT.topic(bucket));
+        store.put_record(&topic, LAYOUT.partition(bucket), &id, &turn.encode());
+    }
+}
+
+fn continue_from(vm: &Vm, id: &str, prev: &str) -> Reply {
+    let headers = [
+        ("X-Request-Id", id),
+        ("X-Deadline-Ms", "3000"),
+        ("X-Prev-Turn", prev),
+    ];
+    call(vm.callers, "POST", "/chat/x", &headers, b"input")
+}
+
+/// Guards against a turn that is reported as missing, since the rest of its bucket evicted it from the cache right after
+/// it was read.
+#[test]
+fn a_turn_of_a_bucket_larger_than_the_cache_is_found() {
+    let site = Site::start();
+    let wanted = "a0";
+    let bucket = LAYOUT.bucket(&wanted.parse().expect("an ID"));
+    let in_bucket = |id: &String| LAYOUT.bucket(&id.parse().expect("an ID")) == bucket;
+    let others = (0..).map(|number| format!("b{number}")).filter(in_bucket);
+    let ids = std::iter::once(wanted.to_owned()).chain(others.take(140));
+    put_turns(&site.store, ids, 90_000);
+    let reply = continue_from(&site.vms[0], "next", wanted);
+    assert!(reply.status == 200 && reply.whole, "{reply:?}");
+}
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -44,6 +44,24 @@
     unavailable_partitions: Arc<Mutex<HashSet<(String, u64)>>>,
     /// Bytes of all responses by topic.
     sent_bytes: Arc<Mutex<HashMap<String, u64>>>,
+    /// Bytes a second that all reads of the newest records share in equal parts; 0 for no limit.
+    read_bandwidth: Arc<AtomicU64>,
+}
+
+/// Takes the time of a response that shares its bandwidth with `active` others.
+fn pace(bytes: usize, bandwidth: &AtomicU64, active: &AtomicUsize) {
+    const STEP: Duration = Duration::from_millis(5);
+    active.fetch_add(1, Ordering::Relaxed);
+    let mut left = bytes as f64;
+    while left > 0.0 {
+        let per_second = bandwidth.load(Ordering::Relaxed) as f64;
+        if per_second <= 0.0 {
+            break;
+        }
+        std::thread::sleep(STEP);
+        left -= per_second * STEP.as_secs_f64() / active.load(Ordering::Relaxed) as f64;
+    }
+    active.fetch_sub(1, Ordering::Relaxed);
 }
 
 impl Store {
@@ -77,6 +95,8 @@
         let sent_bytes: Arc<Mutex<HashMap<String, u64>>> = Arc::default();
         let byte_counts = Arc::clone(&sent_bytes);
         let unavailable_topic: Arc<Mutex<Option<String>>> = Arc::default();
+        let read_bandwidth = Arc::new(AtomicU64::new(0));
+        let (bandwidth, active_reads) = (Arc::clone(&read_bandwidth), AtomicUsize::new(0));
         let unavailable = Arc::clone(&unavailable_topic);
         let unavailable_partitions: Arc<Mutex<HashSet<(String, u64)>>> = Arc::default();
         let lost_partitions = Arc::clone(&unavailable_partitions);
@@ -123,6 +143,9 @@
                 } else {
                     serve(&served, &request)
                 };
+                if request.target.starts_with("/log-newest") {
+                    pace(reply.len(), &bandwidth, &active_reads);
+                }
                 let mut byte_counts = byte_counts.lock().expect("not poisoned");
                 *byte_counts.entry(topic_name.to_owned()).or_default() += reply.len() as u64;
                 drop(byte_counts);
@@ -145,9 +168,16 @@
             unavailable_topic,
             unavailable_partitions,
             sent_bytes,
+            read_bandwidth,
         }
     }
 
+    /// Limits the bandwidth that all reads of the newest records share, in bytes a second; 0 for no limit.
+    pub fn set_read_bandwidth(&self, bytes_per_second: u64) {
+        self.read_bandwidth
+            .store(bytes_per_second, Ordering::Relaxed);
+    }
+
     /// Refuses reads and appends of these partitions, given by topic and number, and serves all others.
     pub fn set_unavailable_partitions(&self, partitions: &[(&str, u64)]) {
         let partitions = partitions.iter();
