Read few buckets of turns at a time

After the loss of all VMs, turns that had been answered whole reached no server for 12 s while first turns were served. A VM read all buckets that were asked for at once, each with a time limit of 0.8 s; reads that share the bandwidth of the store exceeded it together, and nothing of what was read was kept. A VM that got no answer from a home VM in 0.6 s asked two more and then read the bucket itself, so that each was read up to four times.

A VM now reads three buckets at a time, in the order in which they were asked for. A home VM that is at work is given 1.5 s, and no other VM is asked then: the request is refused with a time to come back, and finds the turn in memory.

--- a/src/gateway/conversation/assemble.rs
+++ b/src/gateway/conversation/assemble.rs
@@ -14,9 +14,8 @@
 const MAX_HOMES_ASKED: usize = 3;
 /// Times one home VM is asked: the VM that it names first may just have exited.
 const MAX_ASKS_PER_HOME: usize = 2;
-/// Time limit for a home VM to answer, which may include reading the bucket from the store. Twice
-/// as long as a small VM takes to read a bucket when many ask.
-const LOCATE_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time limit for a home VM to answer, which may include waiting for other buckets and reading this one from the store.
+const LOCATE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Limit on fetches for one history, if every turn is on a different VM.
 const MAX_FETCHES: usize = 64;
 /// `Retry-After` of a request whose history can't be read at the moment. Short outages of the store
@@ -59,6 +58,8 @@
             match self.fetch_through_home(&home, id).await {
                 Lookup::Cached => return Ok(()),
                 Lookup::NotFound => return Err(unknown_turn()),
+                // Another VM would read the same bucket once more.
+                Lookup::InProgress => return Err(history_unavailable()),
                 Lookup::Unknown => {}
             }
         }
@@ -93,8 +94,10 @@
                     .store
                     .observer()
                     .scaled_timeout(LOCATE_TIMEOUT);
-                let reply = timeout(limit, self.peers.ask(home.address, &question));
-                reply.await.ok().flatten()
+                match timeout(limit, self.peers.ask(home.address, &question)).await {
+                    Ok(reply) => reply,
+                    Err(_) => return Lookup::InProgress,
+                }
             };
             let holder = match reply {
                 Some(Reply::HeldAt(holder)) => holder,
@@ -122,6 +125,8 @@
     /// The turn does not exist: every turn is at the store before its answer ends, and the store
     /// does not have it.
     NotFound,
+    /// The VM is at work on it.
+    InProgress,
     Unknown,
 }
 
--- a/src/gateway/conversation/load.rs
+++ b/src/gateway/conversation/load.rs
@@ -14,7 +14,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::Mutex;
+use tokio::sync::{Mutex, Semaphore};
 use tokio::time::{Instant, timeout};
 
 /// Time limit of one read; the next one uses a new connection. A small VM takes 40 ms for one
@@ -23,6 +23,9 @@
 /// Reads of one bucket before it counts as unreadable.
 const MAX_READS: usize = 2;
 
+/// Buckets that a VM reads at the same time; the others wait for their turn. After the loss of all VMs nearly all buckets are
+/// wanted at once, and reads that share the bandwidth of the store would all exceed their time limit.
+const MAX_CONCURRENT_READS: usize = 3;
 /// Turns that a bucket has, or why it could not be read.
 type ReadResult = Result<Rc<HashSet<Id>>, Error>;
 
@@ -30,11 +33,22 @@
 type LastRead = Option<(Instant, ReadResult)>;
 
 /// The last read of each bucket; locked while a read is in progress.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct BucketReads {
     buckets: RefCell<HashMap<Bucket, Rc<Mutex<LastRead>>>>,
     /// Turns that requests wait for, with the number of these.
     wanted: RefCell<HashMap<Id, usize>>,
+    permits: Semaphore,
+}
+
+impl Default for BucketReads {
+    fn default() -> Self {
+        Self {
+            buckets: RefCell::default(),
+            wanted: RefCell::default(),
+            permits: Semaphore::new(MAX_CONCURRENT_READS),
+        }
+    }
 }
 
 /// Counts a request that waits for a turn, until it is dropped.
@@ -78,8 +92,10 @@
         {
             return result.clone();
         }
+        let permit = self.bucket_reads.permits.acquire().await;
         let began = Instant::now();
         let result = self.read_into_cache(began, bucket).await;
+        drop(permit);
         *last_read = Some((began, result.clone()));
         result
     }
--- a/tests/conversation_retention.rs
+++ b/tests/conversation_retention.rs
@@ -289,3 +289,36 @@
     let reply = continue_from(&site.vms[0], "next", wanted);
     assert!(reply.status == 200 && reply.whole, "{reply:?}");
 }
+
+/// Guards against reads that share the bandwidth of the store and are all given up, when nearly all buckets are read after
+/// the loss of all VMs.
+#[test]
+fn many_conversations_go_on_at_a_store_with_little_bandwidth() {
+    const CONVERSATIONS: usize = 60;
+    const RECOVERY: Duration = Duration::from_secs(12);
+    let site = Site::start();
+    let ids = |prefix| (0..CONVERSATIONS * 2).map(move |number| format!("{prefix}{number}"));
+    put_turns(&site.store, ids("c"), 40_000);
+    for store in [&site.store, &site.endpoint] {
+        store.set_read_bandwidth(2_000_000);
+    }
+    let began = Instant::now();
+    std::thread::scope(|scope| {
+        for number in 0..CONVERSATIONS {
+            let vm = &site.vms[number % 2];
+            scope.spawn(move || {
+                let prev = format!("c{number}");
+                let mut tries = 0;
+                let mut is_served = false;
+                while !is_served && began.elapsed() < RECOVERY {
+                    tries += 1;
+                    let reply = continue_from(vm, &format!("d{number}-{tries}"), &prev);
+                    assert!(matches!(reply.status, 200 | 503), "{reply:?}");
+                    is_served = reply.status == 200;
+                    std::thread::sleep(Duration::from_millis(300));
+                }
+                assert!(is_served, "{prev} after {tries} tries");
+            });
+        }
+    });
+}
