Keep replicas of unrecorded grants at all VMs of a small deployment

Programs got 1,430 tokens where 1,160 may, after five of six VMs were killed in an outage of the store: an allowance that could not be recorded had replicas at four VMs, and the fifth, which was left, had none and could not know that there had been any. A VM also sent at most 40 replicas, and the rest was read as absent.

Replicas go to up to eleven VMs, and are asked of as many, in as many messages as they take.

A stopping VM also waits for its handover to end, as long as its time limit allows; before, it exited with its last connection.

--- a/src/gateway/front/mod.rs
+++ b/src/gateway/front/mod.rs
@@ -303,15 +303,18 @@
     event!(info, "stopping", limit_ms = limit.as_millis());
     gateway.stopping.set(true);
     let gateway = Rc::clone(gateway);
-    spawn_local(async move { gateway.hand_over_partitions(Reason::Stopping).await });
+    let handover = spawn_local(async move { gateway.hand_over_partitions(Reason::Stopping).await });
     sleep(SHUTDOWN_ACCEPT_PERIOD.min(limit)).await;
     stop.cancel();
     let remaining = limit.saturating_sub(began.elapsed());
     let clean = timeout(remaining, accepting).await.is_ok();
+    let remaining = limit.saturating_sub(began.elapsed());
+    let handed_over = timeout(remaining, handover).await.is_ok();
     event!(
         info,
         "stopped",
         clean = clean,
+        handed_over = handed_over,
         took_ms = began.elapsed().as_millis()
     );
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -105,6 +105,9 @@
     /// Asks for what is known of requests under which servers end.
     #[serde(rename = "e")]
     Ends,
+    /// As [`Question::Copies`], for the programs that follow this one.
+    #[serde(rename = "x")]
+    CopiesAfter { part: u64, program: String },
     /// Hands a partition over to the receiver, in one or more messages.
     #[serde(rename = "a")]
     Adopt {
--- a/src/gateway/tokens/owner.rs
+++ b/src/gateway/tokens/owner.rs
@@ -14,7 +14,7 @@
 
 /// How long a turn waits for a takeover, which takes two calls to the store.
 pub(crate) const TAKEOVER_TIMEOUT: Duration = Duration::from_secs(1);
-const REPLICAS_PER_DATAGRAM: usize = 40;
+pub(crate) const REPLICAS_PER_DATAGRAM: usize = 40;
 
 /// A request to reserve tokens, as received by the owner of the partition.
 #[derive(Debug)]
@@ -156,7 +156,8 @@
             },
             Question::Ends => self.worst_ends(),
             Question::Locate { turn, lost } => self.locate(&turn, lost).await,
-            Question::Copies { part } => self.unrecorded_copies(part),
+            Question::Copies { part } => self.unrecorded_copies(part, ""),
+            Question::CopiesAfter { part, program } => self.unrecorded_copies(part, &program),
             Question::Adopt {
                 part,
                 epoch,
@@ -179,13 +180,21 @@
         }
     }
 
-    fn unrecorded_copies(&self, part: u64) -> Reply {
+    /// The unrecorded replicas of a partition in the order of the programs, from after `program` on and as many as fit
+    /// into one datagram.
+    fn unrecorded_copies(&self, part: u64, program: &str) -> Reply {
         let partition = self.partitions.partition(part);
         let unrecorded_replicas = partition.unrecorded_replicas.borrow();
-        let allowances = unrecorded_replicas.iter().take(REPLICAS_PER_DATAGRAM);
-        let allowances = allowances.map(|(program, allowed)| (program.clone(), *allowed));
+        let following = unrecorded_replicas
+            .iter()
+            .filter(|(name, _)| name.as_str() > program);
+        let mut allowed: Vec<_> = following
+            .map(|(name, allowed)| (name.clone(), *allowed))
+            .collect();
+        allowed.sort_unstable();
+        allowed.truncate(REPLICAS_PER_DATAGRAM);
         Reply::Copies {
-            allowed: allowances.collect(),
+            allowed,
             up_ms: self.partitions.uptime_ms(),
         }
     }
--- a/src/gateway/tokens/replicas.rs
+++ b/src/gateway/tokens/replicas.rs
@@ -2,16 +2,18 @@
 
 use crate::gateway::Gateway;
 use crate::gateway::peers::{Note, Question, Replica, Reply};
+use crate::gateway::tokens::owner::REPLICAS_PER_DATAGRAM;
 use crate::gateway::tokens::partition::Partition;
 use crate::telemetry::event;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::timeout;
 
 /// Time allowed for VMs to return their replicas.
 const COLLECT_TIMEOUT: Duration = Duration::from_millis(70);
-/// Number of VMs that keep a replica of an unrecorded allowance. If more than half of all VMs are
-/// lost at once, two replicas are lost with the owner in one of six cases, four in one of twenty.
-const REPLICA_COUNT: usize = 4;
+/// Number of VMs that keep a replica of an unrecorded allowance; all others, in a deployment of up to 12 VMs. Then one
+/// that is left has it, however many are lost.
+const REPLICA_COUNT: usize = 11;
 
 impl Gateway {
     /// Merges the replicas that other VMs keep of unrecorded allowances. Returns the highest uptime
@@ -19,15 +21,11 @@
     pub(crate) async fn collect_replicas(&self, part: u64) -> u64 {
         let others = self.owner_candidates(part).into_iter();
         let others = others.filter(|peer| peer.vm != self.settings.vm);
-        let asks = others.take(REPLICA_COUNT + 1).map(|peer| async move {
-            let question = Question::Copies { part };
-            timeout(COLLECT_TIMEOUT, self.peers.ask(peer.address, &question)).await
-        });
+        let asks = others
+            .take(REPLICA_COUNT + 1)
+            .map(|peer| self.replicas_of(part, peer.address));
         let mut oldest_uptime_ms = self.partitions.uptime_ms();
-        for reply in futures::future::join_all(asks).await {
-            let Ok(Some(Reply::Copies { allowed, up_ms })) = reply else {
-                continue;
-            };
+        for (allowed, up_ms) in futures::future::join_all(asks).await {
             oldest_uptime_ms = up_ms.max(oldest_uptime_ms);
             for (program, allowed) in allowed {
                 self.partitions.merge_replica(Replica {
@@ -42,6 +40,25 @@
         oldest_uptime_ms
     }
 
+    /// All unrecorded replicas of one VM, and its uptime in milliseconds; none and zero if it does not answer.
+    async fn replicas_of(&self, part: u64, vm: SocketAddr) -> (Vec<(String, u64)>, u64) {
+        let (mut replicas, mut uptime_ms) = (Vec::new(), 0);
+        let mut question = Question::Copies { part };
+        while let Ok(Some(Reply::Copies { allowed, up_ms })) =
+            timeout(COLLECT_TIMEOUT, self.peers.ask(vm, &question)).await
+        {
+            uptime_ms = up_ms;
+            let is_last = allowed.len() < REPLICAS_PER_DATAGRAM;
+            replicas.extend(allowed);
+            let Some((program, _)) = replicas.last().filter(|_| !is_last) else {
+                break;
+            };
+            let program = program.clone();
+            question = Question::CopiesAfter { part, program };
+        }
+        (replicas, uptime_ms)
+    }
+
     /// Sends all VMs the allowances that this one granted and could not record.
     pub(crate) async fn broadcast_orphaned_allowances(&self) {
         let orphans = self.partitions.orphaned_replicas.take();
--- a/tests/budget.rs
+++ b/tests/budget.rs
@@ -5,6 +5,7 @@
 use platform::program::{TOKENS_PER_EVENT, engine, start_site, turn, wait_until_joined};
 use platform::{Store, Vm, until};
 use std::time::{Duration, Instant};
+use vanillatrail::id::rendezvous_score;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// The token budget holds for turns sent through three VMs: further turns get 402 and reach no server.
@@ -373,3 +374,31 @@
         .filter(|request| request.header("x-request-id") == "again");
     assert_eq!(again.count(), 0);
 }
+
+/// Guards against forgetting grants that could not be recorded, when all VMs are lost in an outage of the store but the one
+/// that comes last for the partition.
+#[test]
+fn the_budget_holds_when_one_vm_is_left_after_an_outage() {
+    let backend = engine(29);
+    let (store, mut vms) = start_site(&backend, 6);
+    let program = "p1";
+    let partition = xxh3_64(program.as_bytes()) % 4;
+    let key = format!("allowance/{partition}");
+    vms.sort_by_key(|vm| std::cmp::Reverse(rendezvous_score(&key, &vm.name)));
+    let mut received_tokens = turn(&vms[0], program, 2000, "first").1;
+    store.set_down(true);
+    for number in 0..6 {
+        received_tokens += turn(&vms[0], program, 2000, &format!("a{number}")).1;
+    }
+    let left = vms.pop().expect("six VMs");
+    for vm in &mut vms {
+        vm.kill();
+    }
+    store.set_down(false);
+    until("the budget is spent", || {
+        let (status, tokens) = turn(&left, program, 2000, &format!("b{received_tokens}"));
+        received_tokens += tokens;
+        status == 402
+    });
+    assert!(received_tokens <= 2000 + 290, "{received_tokens}");
+}
