--- a/src/gateway/conversation/writer.rs
+++ b/src/gateway/conversation/writer.rs
@@ -49,9 +49,7 @@
         };
         let waiters = self.waiters.take().into_iter();
         let (covered, others): (Vec<_>, Vec<_>) = waiters.partition(covers);
-        let others = others.into_iter();
-        let others = others.filter(|waiter| !waiter.recorded.is_closed());
-        self.waiters.borrow_mut().extend(others);
+        self.waiters.replace(others);
         for waiter in covered {
             // Fails if nobody waits any longer.
             let _ = waiter.recorded.send(());
@@ -95,10 +93,13 @@
         let bucket = self.layout.bucket(&turn.id);
         let writer = self.writer(bucket);
         let (sender, recorded) = oneshot::channel();
-        writer.waiters.borrow_mut().push(Waiter {
+        let mut waiters = writer.waiters.borrow_mut();
+        waiters.retain(|waiter| !waiter.recorded.is_closed());
+        waiters.push(Waiter {
             turn: Rc::clone(&turn),
             recorded: sender,
         });
+        drop(waiters);
         writer.outbox.borrow_mut().push(Rc::clone(&turn));
         if !writer.running.replace(true) {
             tokio::task::spawn_local(Rc::clone(self).write_pending(bucket, Rc::clone(&writer)));
