Check after a fallback record that nobody has taken the partition over

By reading: an owner whose partition refuses records goes on with fallback partitions, and learns only with its next retry, up to 0.4 s later, that the partition is back and another VM has taken it over; fallback partitions reject no former owner.

After a fallback record is durable, the owner sends its partition an append without records. If the store names a newer owner, the grant is refused. A partition that refuses the call as well can't have been taken over yet, and who takes it over later reads the record.

--- a/src/gateway/tokens/fallback.rs
+++ b/src/gateway/tokens/fallback.rs
@@ -1,9 +1,9 @@
 //! Records allowances in fallback partitions while their own partition of the store rejects writes.
 
 use crate::gateway::peers::Replica;
-use crate::gateway::tokens::partition::Partition;
-use crate::gateway::tokens::partitions::{Partitions, STORE_TIMEOUT, encode_record};
-use crate::platform::records::FALLBACK_ALLOWANCE_TOPIC;
+use crate::gateway::tokens::partition::{Ownership, Partition};
+use crate::gateway::tokens::partitions::{Partitions, STORE_TIMEOUT, encode_record, writer};
+use crate::platform::records::{ALLOWANCE_TOPIC, FALLBACK_ALLOWANCE_TOPIC};
 use crate::platform::store::{Error, Record};
 use crate::policy::fallback::{self, majority};
 use crate::telemetry::event;
@@ -13,6 +13,8 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout};
 
+/// Time limit of the check whether another VM has taken a partition over.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(100);
 /// Delay after which all fallback partitions are written to, if the first ones have not all answered.
 const HEDGE_DELAY: Duration = Duration::from_millis(60);
 
@@ -58,6 +60,29 @@
         true
     }
 
+    /// Whether no other VM can have taken the partition over before now, as far as the store tells.
+    ///
+    /// Asked after a fallback record is durable: who takes the partition over later reads that record. Without this check
+    /// a former owner that does not know yet that its partition is back would grant the same tokens as the new one.
+    pub(crate) async fn confirm_ownership(
+        &self,
+        partition_id: u64,
+        partition: &Partition,
+        ownership: Ownership,
+    ) -> bool {
+        let writer = writer(ownership.epoch, ownership.sequence);
+        // Appends nothing. A partition that is unavailable can't have been taken over.
+        let probe = self
+            .store
+            .append(ALLOWANCE_TOPIC, partition_id, &[], Some(&writer));
+        let limit = self.store.observer().scaled_timeout(CONFIRM_TIMEOUT);
+        if let Ok(Err(Error::Fenced)) = timeout(limit, probe).await {
+            self.lose_ownership(partition_id, partition, ownership.epoch);
+            return false;
+        }
+        partition.epoch() == Some(ownership.epoch)
+    }
+
     /// Appends records to a majority of the fallback partitions of a partition; returns whether that many took them.
     ///
     /// Whoever takes the partition over reads a majority too, so that it finds them wherever the store is then
--- a/src/gateway/tokens/owner.rs
+++ b/src/gateway/tokens/owner.rs
@@ -384,7 +384,12 @@
                     .await =>
             {
                 self.send_replica_to_successor(replica).await;
-                true
+                let Some(ownership) = ownership else {
+                    return false;
+                };
+                self.partitions
+                    .confirm_ownership(partition_id, partition, ownership)
+                    .await
             }
             Err(_)
                 if !partition.ledger.borrow().allows_unrecorded(program, turn)
