Read-through: one place for majorities and for shared reads, marks in a module of their own

No promise changes. Writing to a majority of partitions and reading from one stood twice (fallback partitions, marks of versions) and is a part of the store's client now; so is that a topic does not exist before its first write, which stood three times. The observer of the store's answers has a file of its own. A read of a bucket keeps the wanted turns that it found, not all ids. Replacing the servers of a directory goes by the same steps as single changes.

--- a/src/gateway/conversation/load.rs
+++ b/src/gateway/conversation/load.rs
@@ -6,6 +6,7 @@
 use super::{CACHE_IDLE_TIMEOUT, Conversations, Gateway};
 use crate::conversation::{Bucket, Id, Turn};
 use crate::gateway::peers::Reply;
+use crate::gateway::shared_read::SharedRead;
 use crate::platform::records::{FALLBACK_TURN_TOPIC, turn_topic};
 use crate::platform::store::{Error, Latest, Record};
 use crate::telemetry::event;
@@ -14,7 +15,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::{Mutex, Semaphore};
+use tokio::sync::Semaphore;
 use tokio::time::{Instant, timeout};
 
 /// Time limit of one read; the next one uses a new connection. A small VM takes 40 ms for one
@@ -26,16 +27,14 @@
 /// Buckets that a VM reads at the same time; the others wait for their turn. After the loss of all VMs nearly all buckets are
 /// wanted at once, and reads that share the bandwidth of the store would all exceed their time limit.
 const MAX_CONCURRENT_READS: usize = 3;
-/// Turns that a bucket has, or why it could not be read.
-type ReadResult = Result<Rc<HashSet<Id>>, Error>;
 
-/// Start time and result of the last read of a bucket.
-type LastRead = Option<(Instant, ReadResult)>;
+/// The wanted turns that a bucket has, or why it could not be read.
+type ReadResult = Result<Rc<HashSet<Id>>, Error>;
 
-/// The last read of each bucket; locked while a read is in progress.
+/// The reads of buckets, and what they are for.
 #[derive(Debug)]
 pub(super) struct BucketReads {
-    buckets: RefCell<HashMap<Bucket, Rc<Mutex<LastRead>>>>,
+    buckets: RefCell<HashMap<Bucket, Rc<SharedRead<ReadResult>>>>,
     /// Turns that requests wait for, with the number of these.
     wanted: RefCell<HashMap<Id, usize>>,
     permits: Semaphore,
@@ -51,6 +50,14 @@
     }
 }
 
+impl BucketReads {
+    /// The turn with this key in the store, if a request waits for it.
+    fn wanted(&self, key: &str) -> Option<Id> {
+        let id = key.parse::<Id>().ok()?;
+        self.wanted.borrow().contains_key(&id).then_some(id)
+    }
+}
+
 /// Counts a request that waits for a turn, until it is dropped.
 struct Wanted<'a> {
     reads: &'a BucketReads,
@@ -79,37 +86,29 @@
 impl Conversations {
     /// Reads a bucket into memory, unless another read of it started after this call.
     async fn load_bucket(&self, bucket: Bucket) -> ReadResult {
-        let requested_at = Instant::now();
-        let bucket_lock = {
+        let shared = {
             let mut buckets = self.bucket_reads.buckets.borrow_mut();
             Rc::clone(buckets.entry(bucket).or_default())
         };
-        let mut last_read = bucket_lock.lock().await;
-        // Failures are shared too, or the last waiter would wait for the retries of all others.
-        if let Some((_, result)) = last_read
-            .as_ref()
-            .filter(|(began, _)| *began > requested_at)
-        {
-            return result.clone();
-        }
-        let permit = self.bucket_reads.permits.acquire().await;
-        let began = Instant::now();
-        let result = self.read_into_cache(began, bucket).await;
-        drop(permit);
-        *last_read = Some((began, result.clone()));
-        result
+        let read = async {
+            let _permit = self.bucket_reads.permits.acquire().await;
+            let began = Instant::now();
+            (began, self.read_into_cache(began, bucket).await)
+        };
+        shared.get(read).await
     }
 
     async fn read_into_cache(&self, began: Instant, bucket: Bucket) -> ReadResult {
-        let turns = self.cache_records(began, bucket, &self.read_bucket(bucket).await?);
+        let records = self.read_bucket(bucket).await?;
+        let wanted = self.cache_records(began, bucket, &records);
         event!(
             info,
             "turns_loaded",
             bucket = bucket,
-            turns = turns.len(),
+            turns = records.len(),
             took_ms = began.elapsed().as_millis()
         );
-        Ok(Rc::new(turns))
+        Ok(Rc::new(wanted))
     }
 
     /// Notes which VM has a turn in memory.
@@ -118,7 +117,7 @@
         locations.set(Instant::now(), turn, holder);
     }
 
-    /// Reads the turns of a bucket that were recorded in fallback partitions. Returns which these are.
+    /// Reads the turns of a bucket that were recorded in fallback partitions. Returns the wanted ones.
     async fn load_fallback_records(&self, bucket: Bucket) -> Result<HashSet<Id>, Error> {
         let reads = self.layout.fallback_partitions(bucket).into_iter();
         let reads = reads.map(|partition| self.read_newest(FALLBACK_TURN_TOPIC, partition));
@@ -150,9 +149,10 @@
         if self.find_cached(id).is_some() {
             return Ok(true);
         }
-        let own_has_it = own_result.as_ref().is_ok_and(|turns| turns.contains(id));
+        if own_result.as_ref().is_ok_and(|turns| turns.contains(id)) {
+            return Err(not_in_memory());
+        }
         let in_fallback = match fallback_result {
-            _ if own_has_it => return Err(evicted()),
             Some(result) => result?,
             // Checked last, since few turns are recorded there.
             None => self.load_fallback_records(bucket).await?,
@@ -161,23 +161,24 @@
             return Ok(true);
         }
         if in_fallback.contains(id) {
-            return Err(evicted());
+            return Err(not_in_memory());
         }
         own_result.map(|_| false)
     }
 
-    /// Adds records to the cache; returns the turns that they hold, those that can't be decoded included.
+    /// Adds records to the cache; returns the wanted turns among them, those that can't be decoded included.
     fn cache_records(&self, now: Instant, bucket: Bucket, records: &[Record]) -> HashSet<Id> {
-        let mut ids = HashSet::new();
+        let mut found = HashSet::new();
         // Turns that no request waits for must not evict those that were used lately.
         let prefetched_at = now.checked_sub(CACHE_IDLE_TIMEOUT / 2).unwrap_or(now);
         for record in records {
-            ids.extend(record.key.parse::<Id>());
+            let wanted = self.bucket_reads.wanted(&record.key);
+            let is_wanted = wanted.is_some();
+            found.extend(wanted);
             let Some(turn) = record.value.as_deref().and_then(Turn::decode) else {
                 event!(warn, "turn_unreadable", bucket = bucket, key = record.key);
                 continue;
             };
-            let is_wanted = self.bucket_reads.wanted.borrow().contains_key(&turn.id);
             let mut cache = self.cache.borrow_mut();
             if is_wanted {
                 cache.insert(now, Rc::new(turn));
@@ -185,7 +186,7 @@
                 cache.insert(prefetched_at, Rc::new(turn));
             }
         }
-        ids
+        found
     }
 
     async fn read_bucket(&self, bucket: Bucket) -> Result<Vec<Record>, Error> {
@@ -206,10 +207,9 @@
         for _ in 0..max_reads {
             let store = self.store.borrow().clone();
             let read_timeout = store.observer().scaled_timeout(READ_TIMEOUT);
-            match timeout(read_timeout, store.read_latest(topic, partition)).await {
+            let read = store.read_latest_or_empty(topic, partition);
+            match timeout(read_timeout, read).await {
                 Ok(Ok(newest)) => return Ok(newest),
-                // The topic or partition does not exist until its first write.
-                Ok(Err(Error::Refused(404))) => return Ok(Latest::default()),
                 Ok(Err(error @ Error::Refused(_))) => return Err(error),
                 Ok(Err(error)) => fault = error,
                 Err(_) => fault = Error::OutcomeUnknown("the read timed out".to_owned()),
@@ -220,8 +220,8 @@
     }
 }
 
-/// The failure of a lookup whose turn was read and is not in memory any more.
-fn evicted() -> Error {
+/// The failure of a lookup whose turn the store has, and that is not in memory after the read.
+fn not_in_memory() -> Error {
     Error::OutcomeUnknown("the turn was evicted from the cache, or can't be decoded".to_owned())
 }
 
--- a/src/gateway/conversation/retention.rs
+++ b/src/gateway/conversation/retention.rs
@@ -140,8 +140,8 @@
             }
             extension.pending.borrow_mut().remove(&turn.id);
             extension.recorded.notify_waiters();
-            if conversations.find_cached(&turn.id).is_some() {
-                let mut cache = conversations.cache.borrow_mut();
+            let mut cache = conversations.cache.borrow_mut();
+            if cache.contains(&turn.id) {
                 cache.insert(Instant::now(), turn);
             }
         };
--- a/src/gateway/front/mod.rs
+++ b/src/gateway/front/mod.rs
@@ -22,8 +22,9 @@
 use crate::gateway::server::ends::Ends;
 use crate::gateway::server::moving::Moves;
 use crate::gateway::server::pinning::Pins;
-use crate::gateway::server::stream_records::{self, StreamRecords};
+use crate::gateway::server::stream_records::StreamRecords;
 use crate::gateway::server::stream_version::StreamVersions;
+use crate::gateway::server::version_marks;
 use crate::gateway::tokens::handover::Reason;
 use crate::gateway::tokens::partitions;
 use crate::gateway::tokens::partitions::Partitions;
@@ -225,7 +226,7 @@
         ends: Ends::new(),
         stream_versions: StreamVersions::default(),
         stream_records: Rc::new(StreamRecords::new(
-            channels.store.separate(),
+            &channels.store,
             settings.store.partitions,
             peers::vm_number(peer_address),
         )),
@@ -268,7 +269,7 @@
     spawn_local(Rc::clone(&gateway).learn_ends());
     spawn_local(partitions::run_maintenance(Rc::clone(&gateway)));
     spawn_local(conversation::run_maintenance(Rc::clone(&gateway)));
-    spawn_local(stream_records::run_maintenance(Rc::clone(&gateway)));
+    spawn_local(version_marks::run_maintenance(Rc::clone(&gateway)));
     let discovery = Rc::clone(&gateway.discovery);
     spawn_local(async move {
         let (introduction, vm_lists) = (channels.introduction, channels.vm_lists);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 //! | `server` | connections to backend servers, and attempts to forward a request | `request` |
 //! | `world` | follows the configuration and the server directory | all |
 //! | `peers` | messages between VMs on the path of a request | `tokens`, `conversation`, `queue` |
+//! | `shared_read` | reads that several requests wait for | `conversation`, `server` |
 
 mod conversation;
 mod front;
@@ -24,6 +25,7 @@
 mod reachability;
 mod request;
 mod server;
+mod shared_read;
 mod tokens;
 mod world;
 
--- a/src/gateway/server/mod.rs
+++ b/src/gateway/server/mod.rs
@@ -12,3 +12,4 @@
 pub(crate) mod read_limit;
 pub(crate) mod stream_records;
 pub(crate) mod stream_version;
+pub(crate) mod version_marks;
--- a/src/gateway/tokens/fallback.rs
+++ b/src/gateway/tokens/fallback.rs
@@ -5,18 +5,13 @@
 use crate::gateway::tokens::partitions::{Partitions, STORE_TIMEOUT, encode_record, writer};
 use crate::platform::records::{ALLOWANCE_TOPIC, FALLBACK_ALLOWANCE_TOPIC};
 use crate::platform::store::{Error, Record};
-use crate::policy::fallback::{self, majority};
+use crate::policy::fallback;
 use crate::telemetry::event;
-use futures::StreamExt;
-use futures::stream::FuturesUnordered;
-use std::pin::pin;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, timeout};
 
 /// Time limit of the check whether another VM has taken a partition over.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(100);
-/// Delay after which all fallback partitions are written to, if the first ones have not all answered.
-const HEDGE_DELAY: Duration = Duration::from_millis(60);
 
 impl Partitions {
     /// Records an allowance in a fallback partition while its own partition is unavailable.
@@ -88,80 +83,31 @@
     /// Whoever takes the partition over reads a majority too, so that it finds them wherever the store is then
     /// unavailable.
     async fn append_to_majority(&self, partition_id: u64, records: &[Record]) -> bool {
-        let fallbacks = self.fallback_partitions(partition_id);
-        let needed = majority(fallbacks.len());
-        // Those that failed last come last.
-        let failed = self.failed_fallbacks.borrow().clone();
-        let (failed, well): (Vec<_>, Vec<_>) = fallbacks
-            .into_iter()
-            .partition(|fallback| failed.contains(fallback));
-        let mut remaining = well.into_iter().chain(failed);
-        let append = |fallback| async move {
-            let append = self
-                .store
-                .append(FALLBACK_ALLOWANCE_TOPIC, fallback, records, None);
-            (fallback, append.await.is_ok())
-        };
-        let mut appends: FuturesUnordered<_> =
-            remaining.by_ref().take(needed).map(append).collect();
-        let hedge_delay = self.store.observer().scaled_timeout(HEDGE_DELAY);
-        let mut hedge_timer = pin!(sleep(hedge_delay));
-        let mut is_hedged = false;
-        let mut taken = 0;
-        while taken < needed {
-            tokio::select! {
-                Some((fallback, is_taken)) = appends.next() => {
-                    taken += usize::from(is_taken);
-                    let mut failed = self.failed_fallbacks.borrow_mut();
-                    if is_taken {
-                        failed.remove(&fallback);
-                    } else {
-                        failed.insert(fallback);
-                        appends.extend(remaining.next().map(append));
-                    }
-                }
-                () = &mut hedge_timer, if !is_hedged => {
-                    is_hedged = true;
-                    appends.extend(remaining.by_ref().map(append));
-                }
-                else => return false,
+        let mut fallbacks = self.fallback_partitions(partition_id);
+        fallbacks.sort_by_key(|fallback| self.failed_fallbacks.borrow().contains(fallback));
+        let note_answer = |fallback, is_taken| {
+            let mut failed = self.failed_fallbacks.borrow_mut();
+            if is_taken {
+                failed.remove(&fallback);
+            } else {
+                failed.insert(fallback);
             }
-        }
-        true
+        };
+        let topic = FALLBACK_ALLOWANCE_TOPIC;
+        self.store
+            .append_to_majority(topic, fallbacks, records, note_answer)
+            .await
     }
 
     /// Reads the records in a majority of the fallback partitions of a partition, including those of other partitions.
-    ///
-    /// # Errors
-    /// The failure of a read if fewer can be read: a record may be in the others only.
     pub(crate) async fn read_fallback_records(
         &self,
         partition_id: u64,
     ) -> Result<Vec<Record>, Error> {
         let fallbacks = self.fallback_partitions(partition_id);
-        let needed = majority(fallbacks.len());
-        let reads = fallbacks.into_iter();
-        let mut reads: FuturesUnordered<_> = reads
-            .map(|fallback| self.store.read_latest(FALLBACK_ALLOWANCE_TOPIC, fallback))
-            .collect();
-        let (mut read_count, mut records) = (0, Vec::new());
-        let mut fault = Error::OutcomeUnknown("no read was attempted".to_owned());
-        while let Some(read) = reads.next().await {
-            match read {
-                Ok(latest) => records.extend(latest.records),
-                // The topic does not exist until its first write.
-                Err(Error::Refused(404)) => {}
-                Err(error) => {
-                    fault = error;
-                    continue;
-                }
-            }
-            read_count += 1;
-            if read_count == needed {
-                return Ok(records);
-            }
-        }
-        Err(fault)
+        self.store
+            .read_majority(FALLBACK_ALLOWANCE_TOPIC, &fallbacks)
+            .await
     }
 
     /// Drops the fallback records of programs that have expired.
--- a/src/gateway/tokens/handover.rs
+++ b/src/gateway/tokens/handover.rs
@@ -125,14 +125,12 @@
                 reason,
             )
             .await;
-        let complete = result == SendResult::Adopted;
-        let unanswered = result == SendResult::Unknown;
-        if complete {
+        if result == SendResult::Adopted {
             partition.ledger.take();
             partition.pending.take();
             partition.ownership_ended.set(Some(Instant::now()));
         } else {
-            if unanswered {
+            if result == SendResult::Unknown {
                 // What is granted from now on needs a new record: the store rejects it if the other VM owns the
                 // partition, and the other VM finds it if it takes the partition over later.
                 partition.ledger.borrow_mut().forfeit_allowances();
@@ -154,8 +152,8 @@
             part = partition_id,
             to = successor.vm,
             programs = entries.len(),
-            whole = complete,
-            unanswered = unanswered
+            whole = (result == SendResult::Adopted),
+            unanswered = (result == SendResult::Unknown)
         );
     }
 
--- a/src/gateway/tokens/owner.rs
+++ b/src/gateway/tokens/owner.rs
@@ -338,7 +338,9 @@
         turn: allowance::Request,
         allowed: u64,
     ) -> bool {
-        let ownership = partition.ownership.get();
+        let Some(ownership) = partition.ownership.get() else {
+            return false;
+        };
         partition.add_pending(program, allowed);
         Rc::clone(&self.partitions).start_writer(partition_id, Rc::clone(partition));
         let durable = async {
@@ -348,9 +350,7 @@
                     return true;
                 }
                 // Ownership was lost, so the allowance will not be recorded.
-                if partition.ownership.get().map(|ownership| ownership.epoch)
-                    != ownership.map(|ownership| ownership.epoch)
-                {
+                if partition.epoch() != Some(ownership.epoch) {
                     return false;
                 }
                 record_written.await;
@@ -369,8 +369,8 @@
             part: partition_id,
             program: program.to_owned(),
             allowed,
-            epoch: ownership.map_or(0, |ownership| ownership.epoch),
-            fenced: ownership.is_some_and(|ownership| ownership.fenced),
+            epoch: ownership.epoch,
+            fenced: ownership.fenced,
         };
         match timeout(store_timeout, durable).await {
             Ok(recorded) => {
@@ -384,9 +384,6 @@
                     .await =>
             {
                 self.send_replica_to_successor(replica).await;
-                let Some(ownership) = ownership else {
-                    return false;
-                };
                 self.partitions
                     .confirm_ownership(partition_id, partition, ownership)
                     .await
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -2,6 +2,8 @@
 
 pub(crate) mod headers;
 mod http;
+mod majority;
+pub(crate) mod observer;
 pub(crate) mod records;
 pub(crate) mod store;
 
--- a/src/policy/stream_versions.rs
+++ b/src/policy/stream_versions.rs
@@ -138,43 +138,30 @@
         now: Instant,
         servers: impl Iterator<Item = (&'a str, &'a Arc<str>)>,
     ) {
-        let mut counts: HashMap<&str, HashMap<&Arc<str>, usize>> = HashMap::new();
-        for (service, version) in servers {
-            *counts
-                .entry(service)
-                .or_default()
-                .entry(version)
-                .or_default() += 1;
-        }
-        for (name, versions) in &counts {
-            for version in versions.keys() {
-                // Added before others are removed, so that an unchanged version does not look new.
-                self.add(now, name, version);
+        for service in self.services.values_mut() {
+            for registered in service.versions.values_mut() {
+                registered.servers = 0;
             }
         }
-        for (name, service) in &mut self.services {
-            let counts = counts.remove(name.as_str()).unwrap_or_default();
-            let gone = service.versions.keys().cloned();
-            let gone: Vec<_> = gone.filter(|known| !counts.contains_key(known)).collect();
+        for (service, version) in servers {
+            self.add(now, service, version);
+        }
+        for service in self.services.values_mut() {
+            let versions = service.versions.iter();
+            let gone = versions.filter(|(_, registered)| registered.servers == 0);
+            let gone: Vec<_> = gone.map(|(version, _)| Arc::clone(version)).collect();
             for version in gone {
                 service.remove_version(now, &version);
             }
-            for (version, servers) in counts {
-                if let Some(registered) = service.versions.get_mut(version) {
-                    registered.servers = servers;
-                }
-            }
         }
     }
 
     /// Adds a server.
     pub fn add(&mut self, now: Instant, service: &str, version: &Arc<str>) {
-        if !self.services.contains_key(service) {
-            self.services.insert(service.to_owned(), Service::new(now));
-        }
-        let Some(service) = self.services.get_mut(service) else {
-            return;
-        };
+        let service = self
+            .services
+            .entry(service.to_owned())
+            .or_insert_with(|| Service::new(now));
         if let Some(registered) = service.versions.get_mut(version) {
             registered.servers += 1;
             return;
@@ -253,9 +240,4 @@
         let removed = service.removed.get(version).copied();
         Some(removed.unwrap_or(service.known_since))
     }
-
-    /// Names of the services that have or had servers.
-    pub fn services(&self) -> impl Iterator<Item = &str> {
-        self.services.keys().map(String::as_str)
-    }
 }
