Let an allowance in fallback partitions cover the turns that it is for

While the store lacked some partitions, an owner recorded each turn of a program in fallback partitions although the record before covered it: only records of the program's own partition raised what the ledger takes as durable.

A fallback record that is durable and confirmed counts in the ledger, as any other. Fallback partitions are tried unless the store is silent or they failed themselves; after a failure one turn a second tries.

--- a/src/gateway/tokens/fallback.rs
+++ b/src/gateway/tokens/fallback.rs
@@ -2,7 +2,9 @@
 
 use crate::gateway::peers::Replica;
 use crate::gateway::tokens::partition::{Ownership, Partition};
-use crate::gateway::tokens::partitions::{Partitions, STORE_TIMEOUT, encode_record, writer};
+use crate::gateway::tokens::partitions::{
+    Partitions, STORE_RETRY_INTERVAL, STORE_TIMEOUT, encode_record, writer,
+};
 use crate::platform::records::{ALLOWANCE_TOPIC, FALLBACK_ALLOWANCE_TOPIC};
 use crate::platform::store::{Error, Record};
 use crate::policy::fallback;
@@ -24,7 +26,7 @@
         partition: &Partition,
         replica: &Replica,
     ) -> bool {
-        if self.should_skip_store() {
+        if !self.may_try_fallback() {
             return false;
         }
         let began = Instant::now();
@@ -37,6 +39,7 @@
         let possible = possible.map(|fallback| (fallback, replica.program.clone()));
         partition.fallback_records.borrow_mut().extend(possible);
         if written != Ok(true) {
+            self.fallback_failed_at.set(Some(Instant::now()));
             // If the store took another record meanwhile, it is slow and not lost.
             let is_slow = written.is_err() && self.last_success.get() >= Some(began);
             if !is_slow {
@@ -44,6 +47,7 @@
             }
             return false;
         }
+        self.fallback_failed_at.set(None);
         self.record_store_result(true);
         event!(
             info,
@@ -55,6 +59,21 @@
         true
     }
 
+    /// Whether the fallback partitions may be tried. That the partitions of this VM fail does not tell: the store may serve
+    /// all others. After a failure one turn a second tries, and the others do not wait for it.
+    fn may_try_fallback(&self) -> bool {
+        if self.store.observer().silent_for().is_some() {
+            return false;
+        }
+        let failed_at = self.fallback_failed_at.get();
+        if failed_at.is_some_and(|at| at.elapsed() < STORE_RETRY_INTERVAL) {
+            return false;
+        }
+        self.fallback_failed_at
+            .set(failed_at.map(|_| Instant::now()));
+        true
+    }
+
     /// Whether no other VM can have taken the partition over before now, as far as the store tells.
     ///
     /// Asked after a fallback record is durable: who takes the partition over later reads that record. Without this check
--- a/src/gateway/tokens/owner.rs
+++ b/src/gateway/tokens/owner.rs
@@ -384,9 +384,15 @@
                     .await =>
             {
                 self.send_replica_to_successor(replica).await;
-                self.partitions
+                let confirmed = self
+                    .partitions
                     .confirm_ownership(partition_id, partition, ownership)
-                    .await
+                    .await;
+                if confirmed {
+                    let mut ledger = partition.ledger.borrow_mut();
+                    ledger.mark_recorded(program, allowed);
+                }
+                confirmed
             }
             Err(_)
                 if !partition.ledger.borrow().allows_unrecorded(program, turn)
--- a/src/gateway/tokens/partitions.rs
+++ b/src/gateway/tokens/partitions.rs
@@ -42,7 +42,7 @@
 /// Consecutive failures after which the store counts as unavailable.
 const MAX_STORE_FAILURES: u32 = 2;
 /// Time since the last failure after which the store may be tried again.
-const STORE_RETRY_INTERVAL: Duration = Duration::from_secs(1);
+pub(crate) const STORE_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Default time that a program may pause between two turns.
 pub(crate) const PROGRAM_IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 /// Added to the idle timeout before the records of a program are dropped.
@@ -66,6 +66,8 @@
     pub(crate) last_owners: RefCell<HashMap<u64, SocketAddr>>,
     /// Fallback partitions that did not take the last record.
     pub(crate) failed_fallbacks: RefCell<HashSet<u64>>,
+    /// When the last try of fallback partitions failed, or a try began after a failure; none after a success.
+    pub(crate) fallback_failed_at: Cell<Option<Instant>>,
     consecutive_failures: Cell<u32>,
     last_failure: Cell<Option<Instant>>,
     /// When the store last took a record of this VM.
@@ -97,6 +99,7 @@
             last_owners: RefCell::default(),
             orphaned_replicas: RefCell::default(),
             failed_fallbacks: RefCell::default(),
+            fallback_failed_at: Cell::new(None),
             consecutive_failures: Cell::new(0),
             last_failure: Cell::new(None),
             last_success: Cell::new(None),
--- a/tests/budget_fallback.rs
+++ b/tests/budget_fallback.rs
@@ -4,6 +4,7 @@
 
 use platform::program::{engine, start_site, turn};
 use platform::{Store, Vm, until};
+use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
 const BUDGET: u64 = 2000;
@@ -167,3 +168,36 @@
         assert!(tokens <= BUDGET + TURN_TOKENS, "{tokens} tokens");
     }
 }
+
+/// Guards against grants that only VMs know of, and against a record for each turn, while the store lacks but the
+/// partition of the program.
+#[test]
+fn an_allowance_in_fallback_partitions_covers_several_turns() {
+    let backend = engine(1);
+    let (store, vms) = start_site(&backend, 2);
+    let program = program_of(0);
+    assert_eq!(turn(&vms[0], &program, BUDGET, "first").0, 200);
+    set_unavailable(&store, &[0]);
+    // The VM that counts has no other partition, and finds that all its writes fail.
+    std::thread::sleep(Duration::from_secs(2));
+    let programs = (1..).map(|number| format!("q{number}"));
+    let of_partition = programs.filter(|name| xxh3_64(name.as_bytes()).is_multiple_of(PARTITIONS));
+    for program in of_partition.take(3) {
+        for number in 0..10 {
+            let (status, _) = turn(
+                &vms[number % 2],
+                &program,
+                BUDGET,
+                &format!("{program}-{number}"),
+            );
+            assert_eq!(status, 200);
+        }
+        assert!(store.values("keyed.detour").contains_key(&program));
+    }
+    for vm in &vms {
+        let replicated = vm.lines("event=allowance_copied");
+        assert!(replicated.is_empty(), "{replicated:?}");
+    }
+    let appends = store.request_count("/log-append", "keyed.detour");
+    assert!(appends <= 3 * 2 * 3, "{appends} appends for 30 turns");
+}
