--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -163,9 +163,10 @@
     until("the later entry is known", || {
         known_servers(&vm) == ["late@2"]
     });
-    let refused = vm.lines("event=server_refused");
-    let of_server = refused.iter().filter(|line| line.contains("server=s "));
-    assert_eq!(of_server.count(), 2, "{refused:?}");
+    let refusals = || vm.lines("event=server_refused server=s ").len();
+    // Log lines are written after the state page shows the change.
+    until("both entries of the server are logged", || refusals() >= 2);
+    assert_eq!(refusals(), 2);
 }
 
 /// After the loss of all VMs each of them waited for discovery and for the one that reads for the
