Count the end of a server only for requests that may have reached it

Cause: an attempt is on record from its grant, before the connection is open. If the end of the server became known in between (by another request, or by the directory), it counted for the attempt, and the "not run" that followed took nothing back.

Now an end counts for attempts that failed.

Seen red on the code before: server_ends::requests_that_reach_no_server_count_no_ends (24 requests at four VMs before nine servers, six of them gone).

--- a/src/gateway/server/ends.rs
+++ b/src/gateway/server/ends.rs
@@ -310,13 +310,15 @@
     }
 
     /// Drops expired records, and repeats the others to one other VM, which may have been cut off when they were new.
-    pub(crate) async fn repeat_ends(&self) {
+    pub(crate) async fn repeat_ends(self: &Rc<Self>) {
         let now = Instant::now();
-        let news = {
+        let (ended, news) = {
             let mut ledger = self.ends.ledger.borrow_mut();
-            ledger.drop_expired(now);
-            ledger.worst_failures(now)
+            (ledger.drop_expired(now), ledger.worst_failures(now))
         };
+        if !ended.is_empty() {
+            self.tell_all(ended).await;
+        }
         if news.is_empty() {
             return;
         }
--- a/src/policy/server_ends/mod.rs
+++ b/src/policy/server_ends/mod.rs
@@ -285,8 +285,8 @@
         }
     }
 
-    /// Counts the end of a server for each request whose last attempt there had no whole answer. Returns what other VMs
-    /// have to be told of it.
+    /// Counts the end of a server for each request whose last attempt there failed. What is being sent there counts once it
+    /// has failed, since it may not reach the server. Returns what other VMs have to be told of it.
     ///
     /// ```
     /// use tokio::time::Instant;
@@ -307,7 +307,7 @@
         }
         self.gone.insert(server, now);
         let records = self.records.iter();
-        let affected = records.filter(|(_, record)| record.has_attempt(server));
+        let affected = records.filter(|(_, record)| record.may_have_ended(now, server));
         let affected: Vec<ContentHash> = affected.map(|(content, _)| *content).collect();
         let ended = affected
             .into_iter()
@@ -452,8 +452,20 @@
         (self.records.len(), refused.count())
     }
 
-    /// Drops what has expired.
-    pub fn drop_expired(&mut self, now: Instant) {
+    /// Counts ended servers for attempts of which nobody told how they ended, and drops what has expired. Returns what other
+    /// VMs have to be told.
+    pub fn drop_expired(&mut self, now: Instant) -> Vec<News> {
+        let gone: Vec<ServerHash> = self.gone.keys().copied().collect();
+        let untold = self.records.iter().flat_map(|(content, record)| {
+            let servers = gone.iter().copied();
+            let ended = servers.filter(move |server| record.may_have_ended(now, *server));
+            ended.map(move |server| (*content, server))
+        });
+        let untold: Vec<_> = untold.collect();
+        let ended = untold
+            .into_iter()
+            .filter_map(|(content, server)| self.server_ended_under(now, content, server));
+        let ended = ended.collect();
         let records = &mut self.records;
         self.drop_order.retain(|(_, _, content)| {
             let keeps = records
@@ -465,5 +477,6 @@
             keeps
         });
         self.gone.retain(|_, at| *at + ATTEMPT_LIFETIME > now);
+        ended
     }
 }
--- a/src/policy/server_ends/record.rs
+++ b/src/policy/server_ends/record.rs
@@ -132,6 +132,14 @@
         attempts.any(|attempt| attempt.server == server)
     }
 
+    /// Whether an attempt at this server failed, or nobody told in its time how it ended.
+    pub(super) fn may_have_ended(&self, now: Instant, server: ServerHash) -> bool {
+        self.attempts.iter().any(|attempt| {
+            let is_over = attempt.exposed_until().is_some_and(|until| until <= now);
+            attempt.server == server && (attempt.failed.is_some() || is_over)
+        })
+    }
+
     pub(super) fn attempt(&mut self, server: ServerHash) -> Option<&mut Attempt> {
         self.attempts
             .iter_mut()
--- a/tests/platform/fatal.rs
+++ b/tests/platform/fatal.rs
@@ -2,7 +2,7 @@
 
 use super::program::wait_until_joined;
 use super::{Act, Backend, Reply, Request, Store, Vm, call, events, stream_head, until};
-use serde_json::json;
+use serde_json::{Value, json};
 use std::process::Command;
 use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -10,7 +10,7 @@
 
 /// Servers that may end under one request.
 pub const MAX_ENDED: usize = 3;
-const SERVERS: usize = 9;
+pub const SERVERS: usize = 9;
 
 /// How a server treats the requests whose path contains `fatal`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -35,6 +35,10 @@
     SilentThenEnd(Duration),
     /// Another process, under another name, is at its address at once.
     Replaced,
+    /// As [`Fatal::Replaced`], after the next event.
+    MidStreamReplaced,
+    /// It closes the connection after the next event, and another process is at its address after this time.
+    MidStreamThenReplaced(Duration),
     /// It closes the connection, and its registration is removed later; its address still accepts connections.
     CloseThenLapse(Duration),
     /// It ends before it answers, with the VM that sent the request.
@@ -56,7 +60,8 @@
 /// What a server needs to know to act on a request.
 struct Server {
     store: Store,
-    name: Mutex<String>,
+    name: Arc<Mutex<String>>,
+    service: String,
     fatal: Fatal,
     fatal_left: Arc<AtomicUsize>,
     replaced: Arc<AtomicUsize>,
@@ -104,6 +109,23 @@
                 self.replace(request);
                 Act::Close(Vec::new())
             }
+            Fatal::MidStreamReplaced => {
+                self.replace(request);
+                Act::Close(one_event())
+            }
+            Fatal::MidStreamThenReplaced(delay) => {
+                let address = request.local_address.expect("a received request");
+                let (store, replaced) = (self.store.clone(), Arc::clone(&self.replaced));
+                let (name, service) = (Arc::clone(&self.name), self.service.clone());
+                std::thread::spawn(move || {
+                    std::thread::sleep(delay);
+                    replaced.fetch_add(1, Ordering::SeqCst);
+                    let mut name = name.lock().expect("not poisoned");
+                    name.push('n');
+                    store.register(&name, &service, address, "ready");
+                });
+                Act::Close(one_event())
+            }
             Fatal::CloseThenLapse(delay) => {
                 let store = self.store.clone();
                 if self.received.fetch_add(1, Ordering::SeqCst) == 0 {
@@ -130,13 +152,19 @@
         let mut name = self.name.lock().expect("not poisoned");
         name.push('n');
         let address = request.local_address.expect("a received request");
-        self.store.register(&name, "pool", address, "ready");
+        self.store.register(&name, &self.service, address, "ready");
     }
 }
 
 impl Site {
     /// Starts servers that treat this many requests as fatal, and answer further ones.
     pub fn start(vms: usize, fatal: Fatal, fatal_requests: usize) -> Self {
+        Self::with_route(vms, fatal, fatal_requests, &json!({ "attempts": 1 }))
+    }
+
+    /// As [`Site::start`], with these fields of the route.
+    pub fn with_route(vms: usize, fatal: Fatal, fatal_requests: usize, route: &Value) -> Self {
+        let service = route["service"].as_str().unwrap_or("pool").to_owned();
         let store = Store::start();
         let fatal_left = Arc::new(AtomicUsize::new(fatal_requests));
         let replaced = Arc::<AtomicUsize>::default();
@@ -145,7 +173,8 @@
             let name = format!("s{number}");
             let server = Server {
                 store: store.clone(),
-                name: Mutex::new(name.clone()),
+                name: Arc::new(Mutex::new(name.clone())),
+                service: service.clone(),
                 fatal,
                 fatal_left: Arc::clone(&fatal_left),
                 replaced: Arc::clone(&replaced),
@@ -153,11 +182,11 @@
                 received: AtomicUsize::new(0),
             };
             let server = Backend::start(move |request, _| server.act(request));
-            store.register(&name, "pool", server.address, "ready");
+            store.register(&name, &service, server.address, "ready");
             server
         });
         let servers = servers.collect();
-        store.configure(1, &[("/a/", "stream", json!({ "attempts": 1 }))]);
+        store.configure(1, &[("/a/", "stream", route.clone())]);
         let vms: Vec<Vm> = (0..vms).map(|_| Vm::start(&store)).collect();
         wait_until_joined(&vms);
         let site = Self {
@@ -244,3 +273,17 @@
     ];
     call(vm.callers, "POST", path, &headers, b"a prompt")
 }
+
+/// Sends a turn that goes on after this event of an earlier try.
+pub fn series_turn(vm: &Vm, id: &str, last_event: Option<u64>) -> Reply {
+    let last = last_event.map(|last| last.to_string());
+    let mut headers = vec![
+        ("X-Request-Id", id),
+        ("X-Program", "p"),
+        ("X-Session", "p"),
+        ("X-Token-Count", "100,290"),
+        ("X-Deadline-Ms", "4000"),
+    ];
+    headers.extend(last.as_deref().map(|last| ("Last-Event-Id", last)));
+    call(vm.callers, "POST", "/a/fatal", &headers, b"a prompt")
+}
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -310,6 +310,13 @@
     pub fn text(&self) -> String {
         String::from_utf8_lossy(&self.body).into_owned()
     }
+
+    /// ID of the last event of a stream.
+    pub fn last_event_id(&self) -> Option<u64> {
+        let text = self.text();
+        let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
+        ids.last()?.parse().ok()
+    }
 }
 
 /// Sends a request on a new connection and reads the response.
--- a/tests/server_ends.rs
+++ b/tests/server_ends.rs
@@ -197,3 +197,19 @@
     }
     assert_eq!(site.received(), MAX_ENDED);
 }
+
+/// Guards against counting servers that had ended before requests were sent to them, as other VMs notice that meanwhile.
+#[test]
+fn requests_that_reach_no_server_count_no_ends() {
+    let site = Site::start(4, Fatal::CloseOnly, 0);
+    site.end_first(6);
+    std::thread::scope(|scope| {
+        for caller in 0..24 {
+            let vm = &site.vms[caller % 4];
+            scope.spawn(move || turn(vm, &format!("/a/{caller}"), &format!("c{caller}")));
+        }
+    });
+    for vm in &site.vms {
+        assert_eq!(vm.lines("event=server_ended "), [""; 0]);
+    }
+}
--- a/tests/server_failures.rs
+++ b/tests/server_failures.rs
@@ -367,3 +367,33 @@
     };
     assert_eq!(wait, EXPOSURE / 2);
 }
+
+/// Guards against counting a server that had ended before it got the request, as the VM that sends tells that too late.
+#[test]
+fn a_server_that_ended_before_it_got_the_request_does_not_count() {
+    let (mut ledger, now) = (Ledger::default(), Instant::now());
+    for server in 0..3 {
+        ledger.record(now, news(1, server, What::Began));
+        assert_eq!(ledger.server_ended(now, server), []);
+        ledger.record(now, news(1, server, What::NotRun));
+    }
+    assert_eq!(ledger.ended(now, ContentHash(1)), 0);
+    assert_eq!(ledger.verdict(now, ContentHash(1), Complete), Verdict::Send);
+}
+
+/// Guards against an end that counts for nothing, as all VMs are lost that could tell how the attempt ended.
+#[test]
+fn a_server_that_ended_counts_for_an_attempt_that_nobody_reports() {
+    let (mut ledger, now) = (Ledger::default(), Instant::now());
+    for server in 0..3 {
+        ledger.record(now, news(1, server, What::Began));
+        ledger.server_ended(now, server);
+    }
+    assert!(matches!(
+        ledger.verdict(now, ContentHash(1), Complete),
+        Verdict::Pending { .. }
+    ));
+    let later = now + EXPOSURE;
+    assert_eq!(ledger.drop_expired(later).len(), 3);
+    assert!(is_refused(&ledger, later, 1, Complete));
+}
