Refuse registrations with more than a million slots or without a port

An entry with slots near 2^64 was taken into the directory, and sums over slots overflowed: a debug build ended, a release build counted with what was left of the sum.

Slots are bounded to 2^20, and port 0 is refused, so that such a record makes only its own server unusable, as other malformed ones did already.

Seen red: odd_entries, attempt to add with overflow in policy/window.rs (debug build). 29 odd values under six names in ten topics, with one of two VMs killed and started beside them, the list followed afterwards: green.

--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -46,6 +46,8 @@
 }
 
 const DEFAULT_ATTEMPTS: u32 = 2;
+/// Most slots of one server, so that sums over all servers stay in range.
+const MAX_SERVER_SLOTS: usize = 1 << 20;
 const DEFAULT_TOKENS_PER_EVENT: u64 = 1;
 
 #[derive(Deserialize)]
@@ -323,6 +325,12 @@
         return Ok(Change::Removed(name));
     };
     let body: ServerBody = serde_json::from_slice(value).map_err(|error| error.to_string())?;
+    if body.slots.get() > MAX_SERVER_SLOTS {
+        return Err(format!("slots: {} are too many", body.slots));
+    }
+    if body.addr.port() == 0 {
+        return Err("addr: the port is missing".to_owned());
+    }
     Ok(Change::Set(Arc::new(Entry {
         id: instance_id(&record.key, body.born),
         name,
