--- a/src/gateway/server/end_records.rs
+++ b/src/gateway/server/end_records.rs
@@ -24,6 +24,8 @@
 const PARTITIONS: u64 = 5;
 /// How long a request waits for its record. A write takes 8 ms at a healthy store.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(200);
+/// The same for a first attempt after a loss of all VMs, of which there are many.
+const FIRST_WRITE_TIMEOUT: Duration = Duration::from_millis(20);
 /// Time after a failed write in which requests don't wait for another one.
 const RETRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Time limit of a read of all records.
@@ -196,17 +198,27 @@
     /// Makes what this VM knows of a request durable. The wait is bounded: requests go on unrecorded while the store takes
     /// nothing.
     pub(super) async fn record_ends_durably(self: &Rc<Self>, content: ContentHash) {
+        if !self.record_ends_within(content, WRITE_TIMEOUT).await {
+            event!(info, "server_ends_unrecorded", content = content);
+        }
+    }
+
+    /// As [`Gateway::record_ends_durably`], for a first attempt. It is recorded later where that takes longer.
+    pub(super) async fn record_first_attempt(self: &Rc<Self>, content: ContentHash) {
+        self.record_ends_within(content, FIRST_WRITE_TIMEOUT).await;
+    }
+
+    /// Returns whether it is durable.
+    async fn record_ends_within(self: &Rc<Self>, content: ContentHash, limit: Duration) -> bool {
         let records = &self.end_records;
         if records.failed_recently() {
-            return self.queue_end_record(content);
+            self.queue_end_record(content);
+            return false;
         }
         let (waiter, done) = oneshot::channel();
         records.waiters.borrow_mut().push(waiter);
         self.queue_end_record(content);
-        let is_durable = matches!(timeout(WRITE_TIMEOUT, done).await, Ok(Ok(true)));
-        if !is_durable {
-            event!(info, "server_ends_unrecorded", content = content);
-        }
+        matches!(timeout(limit, done).await, Ok(Ok(true)))
     }
 
     /// Writes the queued records until none are left.
--- a/src/gateway/server/exposure.rs
+++ b/src/gateway/server/exposure.rs
@@ -105,8 +105,10 @@
         if self.is_shared() {
             self.tell_began(began, is_repeated).await;
         }
-        if is_repeated || self.gateway.ends.assumes_lost_attempt(self.content()) {
+        if is_repeated {
             self.gateway.record_ends_durably(self.content()).await;
+        } else if self.gateway.ends.assumes_lost_attempt(self.content()) {
+            self.gateway.record_first_attempt(self.content()).await;
         }
     }
 
