--- a/tests/server_end_series.rs
+++ b/tests/server_end_series.rs
@@ -2,9 +2,12 @@
 
 mod platform;
 
-use platform::Vm;
 use platform::fatal::{Fatal, MAX_ENDED, Site, series_turn};
-use std::time::Duration;
+use platform::{Vm, until};
+use std::time::{Duration, Instant};
+
+/// Topic of the records.
+const END_TOPIC: &str = "keyed.serverends";
 
 /// Tries of each series.
 const TRIES: usize = 8;
@@ -84,3 +87,50 @@
         assert!(site.ended() <= MAX_ENDED, "{} of {vms} VMs", site.ended());
     }
 }
+
+/// Guards against records that can't be found, as other partitions of the store are away when they are written and read.
+#[test]
+fn a_store_that_lacks_partitions_forgets_no_ends() {
+    let mut site = Site::start(2, Fatal::BeforeResponse, usize::MAX);
+    site.store.set_unavailable_partitions(&[(END_TOPIC, 0)]);
+    let ended = series(&mut site, |site, number| {
+        if number == 0 {
+            site.store.set_unavailable_partitions(&[(END_TOPIC, 2)]);
+            restart_all(site);
+        }
+    });
+    assert_eq!(ended, MAX_ENDED);
+}
+
+/// Guards against requests that wait for a store which takes no records, and against forgetting what failed meanwhile.
+#[test]
+fn a_store_that_takes_no_records_delays_no_request_for_long() {
+    let mut site = Site::start(3, Fatal::CloseOnly, usize::MAX);
+    site.store.refuse_appends(Some(END_TOPIC));
+    let started = Instant::now();
+    for number in 0..2 {
+        series_turn(&site.vms[number], &format!("r{number}"), None);
+    }
+    assert!(started.elapsed() < Duration::from_secs(4));
+    assert!(site.store.newest_values(END_TOPIC).is_empty());
+    site.store.refuse_appends(None);
+    until("the records are written", || {
+        !site.store.newest_values(END_TOPIC).is_empty()
+    });
+    restart_all(&mut site);
+    assert_ne!(site.vms[0].state()["server_ends"]["requests"], 0);
+}
+
+/// Guards against a bound that holds among few VMs only.
+#[test]
+fn a_loss_of_many_vms_forgets_no_ends() {
+    for (vms, fatal) in [(12, Fatal::BeforeResponse), (40, Fatal::MidStream)] {
+        let mut site = Site::start(vms, fatal, usize::MAX);
+        let ended = series(&mut site, |site, number| {
+            if number == 1 {
+                restart_all(site);
+            }
+        });
+        assert_eq!(ended, MAX_ENDED, "{vms} VMs, {fatal:?}");
+    }
+}
