--- a/src/gateway/front/mod.rs
+++ b/src/gateway/front/mod.rs
@@ -204,6 +204,7 @@
     let socket = UdpSocket::bind(peer_address).await;
     let socket = socket
         .map_err(|error| Failure::refused(Code::BadSettings, format!("{peer_address}: {error}")))?;
+    let vm_number = peers::vm_number(peer_address);
     let gateway = Rc::new(Gateway {
         view: channels.view,
         peers: Peers::new(socket, &settings.peer_key),
@@ -225,17 +226,12 @@
         pins: Pins::default(),
         moves: Moves::default(),
         ends: Ends::new(),
-        end_records: EndRecords::new(
-            &channels.store,
-            settings.store.partitions,
-            settings.store.writes_per_second,
-            peers::vm_number(peer_address),
-        ),
+        end_records: EndRecords::new(&channels.store, &settings.store, vm_number),
         stream_versions: StreamVersions::default(),
         stream_records: Rc::new(StreamRecords::new(
             &channels.store,
             settings.store.partitions,
-            peers::vm_number(peer_address),
+            vm_number,
         )),
         queue: Queue::default(),
         leases: Leases::default(),
--- a/src/gateway/server/end_records.rs
+++ b/src/gateway/server/end_records.rs
@@ -9,6 +9,7 @@
 use crate::platform::store::{Error, Record, Store};
 use crate::policy::fallback::majority;
 use crate::policy::server_ends::{END_LIFETIME, News, ServerHash, WritePace};
+use crate::settings;
 use crate::telemetry::event;
 use futures::future::join_all;
 use serde::{Deserialize, Serialize};
@@ -96,13 +97,8 @@
 }
 
 impl EndRecords {
-    /// `partitions` is the number of partitions per topic.
-    pub(crate) fn new(
-        store: &Store,
-        partitions: u64,
-        writes_per_second: u64,
-        vm_number: u64,
-    ) -> Self {
+    pub(crate) fn new(store: &Store, settings: &settings::Store, vm_number: u64) -> Self {
+        let partitions = settings.partitions;
         // Evenly spread, since neighbours are often unavailable together.
         let spread = (0..PARTITIONS).map(|index| index * partitions / PARTITIONS);
         let mut partitions: Vec<_> = spread.collect();
@@ -111,7 +107,7 @@
             store: store.separate(),
             partitions,
             vm_number,
-            writes_per_second,
+            writes_per_second: settings.writes_per_second,
             queued: RefCell::default(),
             waiters: RefCell::default(),
             is_writing: Cell::default(),
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -314,8 +314,8 @@
     /// ID of the last event of a stream.
     pub fn last_event_id(&self) -> Option<u64> {
         let text = self.text();
-        let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
-        ids.last()?.parse().ok()
+        let mut ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
+        ids.next_back()?.parse().ok()
     }
 }
 
