Read the records of failed attempts at each start, and don't count an assumed attempt as an end seen

A VM that another one had informed did not read the records, though those that knew more might be lost.

An attempt that is only assumed made a VM ask for a majority of the others at each request in the first 5 s, and refuse it where that could not be had. Only ends that were seen do now.

--- a/src/gateway/server/end_records.rs
+++ b/src/gateway/server/end_records.rs
@@ -287,9 +287,10 @@
         is_durable
     }
 
-    /// Reads what was recorded before this VM started, until that succeeds or this VM counts as informed.
+    /// Reads what was recorded before this VM started, until that succeeds or it waits no longer for it. Also where other VMs
+    /// have told what they know: those that knew more may be lost.
     pub(super) async fn restore_ends(self: &Rc<Self>) {
-        while !self.ends.is_assumed_informed() {
+        while !self.ends.is_old() {
             match self.end_records.read().await {
                 Ok(news) => {
                     self.ends.restore(&news);
--- a/src/gateway/server/ends.rs
+++ b/src/gateway/server/ends.rs
@@ -74,9 +74,14 @@
         }
     }
 
+    /// Whether this VM started so long ago that callers have given up the requests of before.
+    pub(super) fn is_old(&self) -> bool {
+        self.started.elapsed() >= UNINFORMED_PERIOD
+    }
+
     /// Whether this VM counts as informed, or waits no longer for it.
-    pub(super) fn is_assumed_informed(&self) -> bool {
-        self.informed.get() || self.started.elapsed() >= UNINFORMED_PERIOD
+    fn is_assumed_informed(&self) -> bool {
+        self.informed.get() || self.is_old()
     }
 
     /// Counts an attempt for a request of which nothing is known, as long as its caller may have sent it to VMs that were all
@@ -164,7 +169,10 @@
     /// How much this VM knows of the servers that ended under a request.
     pub(super) async fn knowledge_of(&self, content: ContentHash) -> Knowledge {
         self.ends.wait_until_informed().await;
-        let is_suspect = self.ends.ledger.borrow().ended(Instant::now(), content) > 0;
+        let is_suspect = {
+            let ledger = self.ends.ledger.borrow();
+            ledger.met_ended_server(Instant::now(), content)
+        };
         if is_suspect && !self.reaches_majority().await {
             Knowledge::CutOff
         } else if self.ends.is_assumed_informed() || self.ends.restored.get() {
--- a/src/policy/server_ends/mod.rs
+++ b/src/policy/server_ends/mod.rs
@@ -462,6 +462,13 @@
         record.is_some_and(|record| record.assumed.is_some())
     }
 
+    /// Whether a server is known to have ended under a request.
+    #[must_use]
+    pub fn met_ended_server(&self, now: Instant, content: ContentHash) -> bool {
+        let record = self.current(now, content);
+        record.is_some_and(|record| !record.ended.is_empty())
+    }
+
     /// All that is known of one request.
     #[must_use]
     pub fn describe(&self, now: Instant, content: ContentHash) -> Vec<News> {
--- a/tests/server_end_series.rs
+++ b/tests/server_end_series.rs
@@ -134,3 +134,30 @@
         assert_eq!(ended, MAX_ENDED, "{vms} VMs, {fatal:?}");
     }
 }
+
+/// Guards against forgetting what failed as most VMs are lost, with all that were told.
+#[test]
+fn a_loss_of_most_vms_forgets_no_ends() {
+    const VMS: usize = 7;
+    for fatal in [
+        Fatal::MidStream,
+        Fatal::CloseThenEnd(Duration::from_millis(150)),
+    ] {
+        let mut site = Site::start(VMS, fatal, usize::MAX);
+        let ended = series(&mut site, |site, number| {
+            let survivors = [(number + 1) % VMS, (number + 3) % VMS];
+            let lost = (0..VMS).filter(|vm| !survivors.contains(vm));
+            let lost: Vec<_> = lost.collect();
+            for vm in &lost {
+                site.vms[*vm].kill();
+            }
+            for vm in &lost {
+                site.vms[*vm].restart();
+            }
+            for vm in &lost {
+                site.vms[*vm].wait_ready();
+            }
+        });
+        assert_eq!(ended, MAX_ENDED, "{fatal:?}");
+    }
+}
