Assume no lost attempt at a VM before which none has started

A caller's stream whose two engines broke off was not continued at a third, in the first 5 s of a VM that started alone: the attempt that may have been lost with all VMs counted beside the two servers that may yet end.

Cause: a VM that found no informed one took its start for the start after a loss of all VMs. Evidence is better than that: each VM now records at the store that it has started, before it sends anything on. Who finds no record at all is the first, and nothing can have been lost.

Ruled out: load, since it failed on an idle machine as well.

--- a/src/gateway/server/end_records.rs
+++ b/src/gateway/server/end_records.rs
@@ -62,6 +62,14 @@
             .ok()
     }
 
+    fn encode(&self, key: String) -> Record {
+        let value = rmp_serde::to_vec(self).unwrap_or_default();
+        Record {
+            key,
+            value: Some(value.into()),
+        }
+    }
+
     fn age_ms(&self) -> u64 {
         clock::wall_ms().saturating_sub(self.written_ms)
     }
@@ -122,20 +130,36 @@
         failed_at.is_some_and(|at| at.elapsed() < RETRY_INTERVAL)
     }
 
-    /// What all VMs have recorded.
+    /// What all VMs have recorded; `None` if no VM has started before.
     ///
     /// # Errors
     /// The failure of a read if no majority of the partitions can be read.
-    async fn read(&self) -> Result<Vec<News>, Error> {
+    async fn read(&self) -> Result<Option<Vec<News>>, Error> {
         let records = self.topic.read(READ_TIMEOUT).await?;
         let known = records.iter().filter_map(Known::decode);
-        Ok(known.flat_map(Known::into_news).collect())
+        let news = known.flat_map(Known::into_news).collect();
+        Ok((!records.is_empty()).then_some(news))
+    }
+
+    /// Records that a VM has started, for those that start after all VMs are lost. Such records are kept.
+    async fn record_start(&self) {
+        let start = Known {
+            written_ms: clock::wall_ms(),
+            news: Vec::new(),
+        };
+        let start = start.encode(format!("{:08x}", self.vm_number));
+        let is_durable = timeout(WRITE_TIMEOUT, self.topic.append(&[start])).await == Ok(true);
+        if !is_durable {
+            event!(info, "start_unrecorded");
+        }
     }
 
     async fn delete_expired(&self) {
         let lifetime = (END_LIFETIME + CLEANUP_MARGIN).as_millis();
         let is_expired = |record: &&Record| {
-            Known::decode(record).is_some_and(|known| u128::from(known.age_ms()) > lifetime)
+            Known::decode(record).is_some_and(|known| {
+                !known.news.is_empty() && u128::from(known.age_ms()) > lifetime
+            })
         };
         for (partition, latest) in self.topic.read_each().await {
             let expired = latest.records.iter().filter(is_expired);
@@ -242,12 +266,8 @@
             .map(|(content, news)| (*content, news.iter().map(|news| news.server).collect()))
             .collect();
         let encoded = known.into_iter().map(|(content, news)| {
-            let known = Known { written_ms, news };
-            let value = rmp_serde::to_vec(&known).unwrap_or_default();
-            Record {
-                key: format!("{:016x}{:08x}", content.0, records.vm_number),
-                value: Some(value.into()),
-            }
+            let key = format!("{:016x}{:08x}", content.0, records.vm_number);
+            Known { written_ms, news }.encode(key)
         });
         let encoded: Vec<_> = encoded.collect();
         let is_durable = records.topic.append(&encoded).await;
@@ -266,9 +286,14 @@
     pub(super) async fn restore_ends(self: &Rc<Self>) {
         while !self.ends.is_start_over() {
             match self.end_records.read().await {
-                Ok(news) => {
-                    self.ends.restore(&news);
-                    event!(info, "server_ends_restored", news = news.len());
+                Ok(recorded) => {
+                    // Before this VM sends anything on.
+                    self.end_records.record_start().await;
+                    let is_first = recorded.is_none();
+                    let news = recorded.unwrap_or_default();
+                    self.ends.restore(&news, is_first);
+                    let count = news.len();
+                    event!(info, "server_ends_restored", news = count, first = is_first);
                     // The others may have lost the VMs that knew of it.
                     let others = self.few_others();
                     return self.tell(&others, &news).await;
--- a/src/gateway/server/ends.rs
+++ b/src/gateway/server/ends.rs
@@ -52,6 +52,8 @@
     informed: Cell<bool>,
     /// Whether this VM has read what was recorded before it started.
     restored: Cell<bool>,
+    /// Whether no VM has started before this one, so that none can have been lost.
+    is_first: Cell<bool>,
     /// Whole answers of attempts that other VMs have on record, by service, to be told together.
     answered: RefCell<HashMap<Arc<str>, Vec<News>>>,
 }
@@ -63,6 +65,7 @@
             ledger: RefCell::default(),
             informed: Cell::default(),
             restored: Cell::default(),
+            is_first: Cell::default(),
             answered: RefCell::default(),
         }
     }
@@ -88,7 +91,8 @@
     /// lost.
     pub(crate) async fn assume_lost_attempt(&self, content: ContentHash) {
         self.wait_until_informed().await;
-        if self.restored.get() && !self.is_assumed_informed() {
+        let may_follow_loss = self.restored.get() && !self.is_first.get();
+        if may_follow_loss && !self.is_assumed_informed() {
             let mut ledger = self.ledger.borrow_mut();
             ledger.assume_lost_attempt(Instant::now(), content);
         }
@@ -100,12 +104,13 @@
     }
 
     /// Takes over what was recorded before this VM started.
-    pub(super) fn restore(&self, news: &[News]) {
+    pub(super) fn restore(&self, news: &[News], is_first: bool) {
         let (mut ledger, now) = (self.ledger.borrow_mut(), Instant::now());
         for news in news {
             ledger.record(now, *news);
         }
         drop(ledger);
+        self.is_first.set(is_first);
         self.restored.set(true);
     }
 
