Tests of crowds of callers that hold a VM's memory and descriptors

Cause: what a VM holds for callers is bounded per request, never in sum. Clients ended a process this way.

Change: two test files start the processes on loopback addresses and send them crowds: unfinished bodies by length and in chunks, bodies over the limit, whole bodies that wait, answers and streams that nobody reads, long histories, unfinished heads at each port, idle connections beyond the descriptors, waves, mixed kinds, a silent store, ever new names. Each checks that the process lives, that its anonymous memory stays under 120 MB, the smallest VM's, and that an ordinary request is answered while the crowd stays. Crowds and bounds are fixed here; the product is unchanged.

--- /dev/null
+++ b/tests/crowds.rs
@@ -0,0 +1,509 @@
+//! Crowds of callers that send or hold more than they should, through the binary.
+//!
+//! Each test checks that the VM lives, stays within its memory, and answers an ordinary request while the crowd stays.
+
+mod crowd;
+mod platform;
+
+use crowd::{Watch, alone, chunks, gather};
+use platform::{
+    Act, Backend, Reply, Request, Store, Vm, call, chunk, full_response, stream_head, until,
+};
+use serde_json::{Value, json};
+use std::io::{BufReader, Read};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+const MIB: usize = 1 << 20;
+const MAX_BODY_BYTES: usize = 4 * MIB;
+const MAX_HEAD_BYTES: usize = 16_384;
+/// Callers in a crowd that sends bodies or reads no answers.
+const CROWD: usize = 64;
+const ROUTE_TIMEOUT_MS: u64 = 30_000;
+
+/// A VM before a server.
+struct Site {
+    store: Store,
+    vm: Vm,
+    _backend: Backend,
+}
+
+impl Site {
+    fn start() -> Self {
+        Self::start_limited(None)
+    }
+
+    fn start_limited(descriptors: Option<u64>) -> Self {
+        let store = Store::start();
+        let backend = Backend::start(answer);
+        // A server has four slots; requests for `/busy/` keep them.
+        for (name, service) in [("a", "plain"), ("b", "busy")] {
+            store.register(name, service, backend.address, "ready");
+        }
+        // Enough slots for a crowd.
+        for number in 0..CROWD / 4 {
+            store.register(&format!("c{number}"), "pool", backend.address, "ready");
+        }
+        store.put("keyed.op", "config", Some(&configuration()));
+        let vm = Vm::start_limited(&store, descriptors);
+        vm.wait_ready();
+        Self {
+            store,
+            vm,
+            _backend: backend,
+        }
+    }
+
+    fn watch(&self) -> Watch {
+        Watch::start(self.vm.pid())
+    }
+
+    fn gather<P: IntoIterator<Item = Vec<u8>>>(
+        &self,
+        count: usize,
+        pieces: impl Fn(usize) -> P + Sync,
+    ) -> Vec<TcpStream> {
+        gather(self.vm.callers, count, pieces)
+    }
+
+    fn call(&self, path: &str, body: &[u8]) -> Reply {
+        let headers = [("X-Request-Id", "ordinary"), ("X-Deadline-Ms", "3000")];
+        call(self.vm.callers, "POST", path, &headers, body)
+    }
+
+    /// Waits until an ordinary request is answered.
+    fn wait_served(&self) {
+        until("an ordinary request is answered", || {
+            let reply = self.call("/plain/x", b"hello");
+            reply.status == 200 && reply.text() == "5"
+        });
+    }
+
+    /// Checks what must hold while the crowd stays, and when it has left.
+    fn check(&self, watch: &Watch, crowd: Vec<TcpStream>) {
+        watch.settle();
+        self.wait_served();
+        watch.check();
+        drop(crowd);
+        self.wait_served();
+        let largest = vec![b'x'; MAX_BODY_BYTES];
+        until("a body of the largest size is served in calm", || {
+            self.call("/plain/x", &largest).text() == MAX_BODY_BYTES.to_string()
+        });
+        watch.check();
+    }
+}
+
+fn configuration() -> Value {
+    let route = |prefix: &str, kind: &str, service: &str, timeout_ms: u64| {
+        json!({
+            "name": prefix, "host": "site.example", "pathPrefix": prefix, "kind": kind,
+            "timeoutMs": timeout_ms, "sloMs": 250, "priority": 0, "service": service,
+            "attempts": 1, "canResume": false, "retainS": 60.0, "retain": prefix == "/chat/",
+        })
+    };
+    json!({
+        "version": 1,
+        "routes": [
+            route("/plain/", "unsafe", "plain", ROUTE_TIMEOUT_MS),
+            route("/busy/", "unsafe", "busy", ROUTE_TIMEOUT_MS),
+            route("/chat/", "stream", "pool", ROUTE_TIMEOUT_MS),
+        ],
+        "services": [{
+            "name": "pool", "healthPath": "/healthz", "maxConns": 1000,
+            "engine": { "slots": 4, "kvCapTokens": 1_000_000, "chunkTokens": 10 },
+        }, { "name": "plain", "healthPath": "/healthz" }, { "name": "busy", "healthPath": "/healthz" }],
+        "limits": {
+            "maxHeaderBytes": MAX_HEAD_BYTES, "maxBodyBytes": MAX_BODY_BYTES,
+            "headerTimeoutMs": 3000, "idleTimeoutMs": 15_000,
+        },
+    })
+}
+
+/// Answers with the size of the body, or as the path says.
+fn answer(request: &Request, _: usize) -> Act {
+    if request.target.starts_with("/busy/") || request.target.ends_with("/wait") {
+        return Act::Hang(Vec::new());
+    }
+    if let Some(size) = request.target.strip_prefix("/plain/answer-") {
+        let size = size.parse().expect("a size");
+        return Act::Keep(full_response(request, &"y".repeat(size)));
+    }
+    if request.target.starts_with("/chat/") {
+        let size = request.target.rsplit('-').next();
+        let size = size.and_then(|size| size.parse().ok()).unwrap_or(1);
+        let events =
+            (1..=64).map(|number| chunk(&format!("id: {number}\ndata: {}\n\n", "z".repeat(size))));
+        let events: String = events.take(if size == 1 { 1 } else { 64 }).collect();
+        return Act::Keep(format!("{}{events}0\r\n\r\n", stream_head(request)).into_bytes());
+    }
+    Act::Keep(full_response(request, &request.body.len().to_string()))
+}
+
+fn head(path: &str, number: usize, more: &str) -> Vec<u8> {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: r{number}\r\n\
+         X-Deadline-Ms: 30000\r\n{more}\r\n"
+    )
+    .into_bytes()
+}
+
+/// A head with this body length, and that many bytes.
+fn with_length(path: &str, number: usize, length: usize, sent: usize) -> Vec<Vec<u8>> {
+    let head = head(path, number, &format!("Content-Length: {length}\r\n"));
+    vec![head, vec![b'x'; sent]]
+}
+
+/// A head, and an unfinished body of this many bytes in chunks.
+fn in_chunks(path: &str, number: usize, size: usize, chunk: usize) -> Vec<Vec<u8>> {
+    let head = head(path, number, "Transfer-Encoding: chunked\r\n");
+    std::iter::once(head).chain(chunks(size, chunk)).collect()
+}
+
+/// Guards against bodies of legal size that stop short of their end and end the process for lack of memory.
+#[test]
+fn unfinished_bodies_by_length() {
+    let _alone = alone();
+    let site = Site::start();
+    let watch = site.watch();
+    let crowd = site.gather(CROWD, |number| {
+        with_length("/plain/x", number, MAX_BODY_BYTES, MAX_BODY_BYTES - 1)
+    });
+    site.check(&watch, crowd);
+}
+
+/// Guards against the same with bodies in large chunks.
+#[test]
+fn unfinished_bodies_in_large_chunks() {
+    let _alone = alone();
+    let site = Site::start();
+    let watch = site.watch();
+    let crowd = site.gather(CROWD, |number| {
+        in_chunks("/plain/x", number, MAX_BODY_BYTES - 65_536, 65_536)
+    });
+    site.check(&watch, crowd);
+}
+
+/// Guards against chunks of one byte, each of which took many times its size.
+#[test]
+fn unfinished_bodies_in_chunks_of_one_byte() {
+    let _alone = alone();
+    let site = Site::start();
+    let watch = site.watch();
+    let crowd = site.gather(CROWD, |number| in_chunks("/plain/x", number, 200_000, 1));
+    site.check(&watch, crowd);
+}
+
+/// Guards against whole bodies that wait for a server, and were held twice.
+#[test]
+fn whole_bodies_that_wait_for_a_busy_service() {
+    let _alone = alone();
+    let site = Site::start();
+    let watch = site.watch();
+    let crowd = site.gather(CROWD, |number| {
+        with_length("/busy/x", number, MAX_BODY_BYTES, MAX_BODY_BYTES)
+    });
+    site.check(&watch, crowd);
+}
+
+/// Guards against reading a body that was announced over the limit.
+#[test]
+fn bodies_announced_over_the_limit() {
+    let _alone = alone();
+    let site = Site::start();
+    let reply = platform::send(
+        site.vm.callers,
+        &head("/plain/x", 0, &format!("Content-Length: {}\r\n", 1 << 30)),
+    );
+    assert_eq!(reply.status, 413, "before its body was sent: {reply:?}");
+    let watch = site.watch();
+    let crowd = site.gather(CROWD, |number| {
+        with_length("/plain/x", number, 1 << 30, 16 * MIB)
+    });
+    site.check(&watch, crowd);
+}
+
+/// Guards against bodies that go on beyond the limit.
+#[test]
+fn bodies_sent_over_the_limit() {
+    let _alone = alone();
+    let site = Site::start();
+    let watch = site.watch();
+    let crowd = site.gather(CROWD, |number| {
+        in_chunks("/plain/x", number, 16 * MIB, 65_536)
+    });
+    site.check(&watch, crowd);
+}
+
+/// Guards against large answers that nobody reads.
+#[test]
+fn answers_that_nobody_reads() {
+    let _alone = alone();
+    let site = Site::start();
+    let watch = site.watch();
+    let crowd = site.gather(CROWD, |number| {
+        with_length("/plain/answer-8000000", number, 0, 0)
+    });
+    site.check(&watch, crowd);
+}
+
+/// Guards against streams of large events that nobody reads.
+#[test]
+fn streams_that_nobody_reads() {
+    let _alone = alone();
+    let site = Site::start();
+    let watch = site.watch();
+    let crowd = site.gather(CROWD, |number| {
+        with_length("/chat/stream-200000", number, 0, 0)
+    });
+    site.check(&watch, crowd);
+}
+
+/// Guards against small requests, each of which holds a copy of a long history.
+#[test]
+fn small_requests_with_a_long_history() {
+    let _alone = alone();
+    let site = Site::start();
+    let input = vec![b'h'; 150_000];
+    let turn = |number: usize, path: &str, body: &[u8]| {
+        let (id, prev) = (
+            format!("t{number}"),
+            format!("t{}", number.saturating_sub(1)),
+        );
+        let mut headers = vec![("X-Request-Id", &*id), ("X-Deadline-Ms", "3000")];
+        if number > 0 {
+            headers.push(("X-Prev-Turn", &prev));
+        }
+        call(site.vm.callers, "POST", path, &headers, body).status
+    };
+    let turns = 26;
+    for number in 0..turns {
+        assert_eq!(turn(number, "/chat/x", &input), 200, "turn {number}");
+    }
+    let watch = site.watch();
+    let more = format!("Content-Length: 5\r\nX-Prev-Turn: t{}\r\n", turns - 1);
+    let crowd = site.gather(CROWD, |number| {
+        [head("/chat/wait", number, &more), b"hello".to_vec()]
+    });
+    site.check(&watch, crowd);
+}
+
+/// Guards against heads without end, each of which holds its buffers.
+#[test]
+fn unfinished_heads() {
+    let _alone = alone();
+    let site = Site::start();
+    let watch = site.watch();
+    let crowd = site.gather(4500, |number| {
+        let mut head = head("/plain/x", number, &format!("X-A: {}", "a".repeat(12_000)));
+        head.truncate(head.len() - 2);
+        [head]
+    });
+    site.check(&watch, crowd);
+}
+
+/// Sends unfinished heads to another port than that of the callers.
+fn check_unfinished_heads_at(port: impl Fn(&Vm) -> SocketAddr) {
+    let _alone = alone();
+    let site = Site::start();
+    let watch = site.watch();
+    let crowd = gather(port(&site.vm), 2000, |_| {
+        [format!("GET /readyz HTTP/1.1\r\nX-A: {}", "a".repeat(65_536)).into_bytes()]
+    });
+    until("the VM says that it is ready", || {
+        call(site.vm.ready, "GET", "/readyz", &[], b"").status == 200
+    });
+    until("operators see the state", || !site.vm.state().is_null());
+    site.check(&watch, crowd);
+}
+
+/// Guards against heads without end at the port of the load balancer.
+#[test]
+fn unfinished_heads_at_the_readiness_port() {
+    check_unfinished_heads_at(|vm| vm.ready);
+}
+
+/// Guards against heads without end at the port of operators and other VMs.
+#[test]
+fn unfinished_heads_at_the_operators_port() {
+    check_unfinished_heads_at(|vm| vm.operators);
+}
+
+/// Guards against unfinished messages at the port of other VMs.
+#[test]
+fn unfinished_messages_at_the_port_of_vms() {
+    let _alone = alone();
+    let site = Site::start();
+    let watch = site.watch();
+    let crowd = gather(site.vm.operators, CROWD, |number| {
+        with_length("/turns", number, 2 * MIB, 2 * MIB - 1)
+    });
+    until("operators see the state", || !site.vm.state().is_null());
+    site.check(&watch, crowd);
+}
+
+/// Guards against crowds that mix all kinds.
+#[test]
+fn crowds_of_mixed_kinds() {
+    let _alone = alone();
+    let site = Site::start();
+    let watch = site.watch();
+    let crowd = site.gather(400, |number| match number % 8 {
+        0 => with_length("/plain/x", number, MAX_BODY_BYTES, MAX_BODY_BYTES - 1),
+        1 => in_chunks("/plain/x", number, MAX_BODY_BYTES - 65_536, 65_536),
+        2 => in_chunks("/plain/x", number, 200_000, 1),
+        3 => with_length("/busy/x", number, MAX_BODY_BYTES, MAX_BODY_BYTES),
+        4 => with_length("/plain/x", number, 1 << 30, MIB),
+        5 => with_length("/plain/answer-8000000", number, 0, 0),
+        6 => with_length("/chat/stream-200000", number, 0, 0),
+        _ => vec![b"POST /plain/x HTTP/1.1\r\nHost: ".to_vec()],
+    });
+    site.check(&watch, crowd);
+}
+
+/// Guards against a VM whose descriptors are all taken by idle connections, so that it answers nobody.
+#[test]
+fn more_idle_connections_than_descriptors() {
+    let _alone = alone();
+    let site = Site::start_limited(Some(1000));
+    let watch = site.watch();
+    let crowd = site.gather(3000, |_| [Vec::new()]);
+    site.wait_served();
+    until("the VM says that it is ready", || {
+        call(site.vm.ready, "GET", "/readyz", &[], b"").status == 200
+    });
+    assert!(watch.descriptors() < 1000, "{}", watch.descriptors());
+    site.check(&watch, crowd);
+}
+
+/// Guards against memory that is not released when a crowd leaves, so that the next one finds less.
+#[test]
+fn crowds_that_return_in_waves() {
+    let _alone = alone();
+    let site = Site::start();
+    let watch = site.watch();
+    for _ in 0..4 {
+        let crowd = site.gather(CROWD, |number| {
+            in_chunks("/plain/x", number, MAX_BODY_BYTES - 65_536, 65_536)
+        });
+        site.check(&watch, crowd);
+    }
+}
+
+/// Guards against turns that wait for a silent store with large bodies.
+#[test]
+fn a_crowd_while_the_store_is_silent() {
+    let _alone = alone();
+    let site = Site::start();
+    let watch = site.watch();
+    site.store.set_silent(true);
+    // The VM has noticed it.
+    std::thread::sleep(Duration::from_secs(2));
+    let crowd = site.gather(1000, |number| {
+        with_length("/chat/x", number, 150_000, 150_000)
+    });
+    site.store.set_silent(false);
+    site.check(&watch, crowd);
+}
+
+/// Guards against state by names that callers choose.
+#[test]
+fn callers_with_ever_new_names() {
+    let _alone = alone();
+    let site = Site::start();
+    let watch = site.watch();
+    for wave in 0..20 {
+        let crowd = site.gather(500, |number| {
+            let name = format!("{wave}-{number}-{}", "n".repeat(5000));
+            let more = format!(
+                "Content-Length: 0\r\nX-Program: {name}\r\nX-Session: {name}\r\n\
+                 X-Affinity-Key: {name}\r\nX-Token-Budget: 1000\r\nX-Token-Count: 10,10\r\n"
+            );
+            [head("/chat/x", wave * 500 + number, &more)]
+        });
+        // Each is answered or refused.
+        for mut caller in crowd {
+            let limited = caller.set_read_timeout(Some(Duration::from_secs(1)));
+            limited.expect("the timeout is set");
+            let _ = caller.read(&mut [0; 1]);
+        }
+    }
+    site.check(&watch, Vec::new());
+}
+
+/// Guards against refusals of small requests for which there is room, and against refusals without a time to come back.
+#[test]
+fn large_bodies_are_refused_as_not_run_and_small_ones_served() {
+    let _alone = alone();
+    let site = Site::start();
+    let crowd = site.gather(CROWD, |number| {
+        with_length("/busy/x", number, MAX_BODY_BYTES, MAX_BODY_BYTES)
+    });
+    for _ in 0..20 {
+        let reply = site.call("/plain/x", b"hello");
+        assert_eq!(reply.status, 200, "{}", reply.text());
+    }
+    let reply = site.call("/plain/x", &vec![b'x'; MAX_BODY_BYTES]);
+    assert_eq!(reply.status, 503, "{}", reply.text());
+    let body: Value = serde_json::from_slice(&reply.body).expect("a coded refusal");
+    assert_eq!(
+        (&body["code"], &body["ran"]),
+        (&json!("VT3014"), &json!(false))
+    );
+    let retry_after = reply
+        .headers
+        .get("retry-after")
+        .expect("a time to come back");
+    assert!(retry_after.parse::<f64>().expect("seconds") > 0.0);
+    drop(crowd);
+}
+
+/// Guards against answers that are broken off although their callers read them, to make room for others.
+#[test]
+fn answers_that_are_read_slowly_stay_whole() {
+    let _alone = alone();
+    let site = Site::start();
+    let size = 2_000_000;
+    let readers: Vec<_> = site
+        .gather(4, |number| {
+            with_length(&format!("/plain/answer-{size}"), number, 0, 0)
+        })
+        .into_iter()
+        .map(|caller| {
+            std::thread::spawn(move || {
+                let mut reader = BufReader::with_capacity(100_000, SlowReader(caller));
+                platform::receive(&mut reader)
+                    .map(|reply| (reply.status, reply.whole, reply.body.len()))
+            })
+        })
+        .collect();
+    let crowd = site.gather(CROWD, |number| {
+        with_length("/plain/answer-8000000", number, 0, 0)
+    });
+    for reader in readers {
+        let read = reader.join().expect("the reader ends");
+        assert_eq!(read, Some((200, true, size)));
+    }
+    drop(crowd);
+}
+
+/// Reads 100 KB each 0.1 s.
+struct SlowReader(TcpStream);
+
+impl Read for SlowReader {
+    fn read(&mut self, buf: &mut [u8]) -> std::io::Result<usize> {
+        std::thread::sleep(Duration::from_millis(100));
+        self.0.read(buf)
+    }
+}
+
+/// Guards against heads that take longer than the configuration allows.
+#[test]
+fn a_head_that_never_ends_is_closed_at_its_time_limit() {
+    let _alone = alone();
+    let site = Site::start();
+    let reply = platform::send(site.vm.callers, b"POST /plain/x HTTP/1.1\r\nHost: site");
+    // Three seconds are configured; the test waits 20.
+    assert!(matches!(reply.status, 0 | 408), "{reply:?}");
+    site.wait_served();
+}
--- /dev/null
+++ b/tests/crowds_serve.rs
@@ -0,0 +1,95 @@
+//! Crowds of callers that send or hold more than they should, at the interface for programs.
+
+mod crowd;
+mod support;
+
+use crowd::{Watch, alone, chunks, gather};
+use serde_json::json;
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use support::Environment;
+
+const MAX_BODY_BYTES: usize = 1 << 20;
+const CROWD: usize = 256;
+
+struct Site {
+    environment: Environment,
+    opened: AtomicUsize,
+}
+
+impl Site {
+    fn start() -> Self {
+        Self {
+            environment: Environment::start(1, 1),
+            opened: AtomicUsize::new(0),
+        }
+    }
+
+    fn watch(&self) -> Watch {
+        Watch::start(self.environment.vms[0].process.pid())
+    }
+
+    /// Waits until a program can be opened.
+    fn wait_served(&self) {
+        for _ in 0..100 {
+            let number = self.opened.fetch_add(1, Ordering::Relaxed);
+            let body = json!({
+                "class": "quick", "key": format!("p{number}"), "budget": { "tokens": 1000 },
+            });
+            let callers = self.environment.vms[0].callers;
+            let reply = self.environment.try_post(callers, "/v1/programs", &body);
+            if reply.is_some_and(|(status, _)| status == 200) {
+                return;
+            }
+            std::thread::sleep(std::time::Duration::from_millis(100));
+        }
+        panic!("no program can be opened");
+    }
+
+    fn check(&self, watch: &Watch, crowd: Vec<TcpStream>) {
+        watch.settle();
+        self.wait_served();
+        watch.check();
+        drop(crowd);
+        self.wait_served();
+        watch.check();
+    }
+}
+
+fn head(more: &str) -> Vec<u8> {
+    format!("POST /v1/programs HTTP/1.1\r\nHost: vm\r\n{more}\r\n").into_bytes()
+}
+
+/// Guards against bodies of legal size that stop short of their end and end the process for lack of memory.
+#[test]
+fn unfinished_program_bodies() {
+    let _alone = alone();
+    let site = Site::start();
+    let watch = site.watch();
+    let crowd = gather(site.environment.vms[0].callers, CROWD, |number| {
+        if number % 2 == 0 {
+            let length = head(&format!("Content-Length: {MAX_BODY_BYTES}\r\n"));
+            return vec![length, vec![b' '; MAX_BODY_BYTES - 1]];
+        }
+        let chunked = head("Transfer-Encoding: chunked\r\n");
+        std::iter::once(chunked)
+            .chain(chunks(MAX_BODY_BYTES - 65_536, 65_536))
+            .collect()
+    });
+    site.check(&watch, crowd);
+}
+
+/// Guards against heads without end at the ports of callers and operators.
+#[test]
+fn unfinished_heads_at_the_interface_for_programs() {
+    let _alone = alone();
+    let site = Site::start();
+    let watch = site.watch();
+    let vm = &site.environment.vms[0];
+    let crowd = [vm.callers, vm.operators].map(|port| {
+        gather(port, 1000, |_| {
+            [format!("GET /readyz HTTP/1.1\r\nX-A: {}", "a".repeat(65_536)).into_bytes()]
+        })
+    });
+    site.check(&watch, crowd.into_iter().flatten().collect());
+}
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -164,6 +164,7 @@
     pub name: String,
     pub log: Arc<Mutex<Vec<String>>>,
     settings: std::path::PathBuf,
+    descriptors: Option<u64>,
     _dir: Arc<tempfile::TempDir>,
     child: Child,
 }
@@ -171,6 +172,11 @@
 impl Vm {
     /// Starts a VM that discovers the others through the store.
     pub fn start(store: &Store) -> Self {
+        Self::start_limited(store, None)
+    }
+
+    /// Starts a VM that may open this many descriptors.
+    pub fn start_limited(store: &Store, descriptors: Option<u64>) -> Self {
         let ip = unused_address();
         let port = |port| SocketAddr::new(ip, port);
         let name = format!("vm-{ip}");
@@ -190,7 +196,7 @@
         let dir = Arc::new(tempfile::tempdir().expect("a temporary folder"));
         let path = dir.path().join("settings.json");
         std::fs::write(&path, settings.to_string()).expect("the settings are written");
-        let (child, log) = launch(&path);
+        let (child, log) = launch(&path, descriptors);
         Self {
             callers: port(7100),
             ready: port(7101),
@@ -198,6 +204,7 @@
             name,
             log,
             settings: path,
+            descriptors,
             _dir: dir,
             child,
         }
@@ -205,7 +212,7 @@
 
     /// Starts the process again after [`Vm::kill`].
     pub fn restart(&mut self) {
-        (self.child, self.log) = launch(&self.settings);
+        (self.child, self.log) = launch(&self.settings, self.descriptors);
     }
 
     /// Kills the process and waits until it has ended.
@@ -269,8 +276,21 @@
     }
 }
 
-fn launch(settings: &std::path::Path) -> (Child, Arc<Mutex<Vec<String>>>) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_vanillatrail"))
+fn launch(
+    settings: &std::path::Path,
+    descriptors: Option<u64>,
+) -> (Child, Arc<Mutex<Vec<String>>>) {
+    let binary = env!("CARGO_BIN_EXE_vanillatrail");
+    let mut command = match descriptors {
+        Some(limit) => {
+            let mut shell = Command::new("sh");
+            let script = format!("ulimit -n {limit} && exec \"$0\" \"$@\"");
+            shell.args(["-c", &script, binary]);
+            shell
+        }
+        None => Command::new(binary),
+    };
+    let mut child = command
         .args(["gateway", "--settings"])
         .arg(settings)
         .stdout(Stdio::piped())
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -15,6 +15,10 @@
 }
 
 impl Process {
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         let status = Command::new("kill")
