Replace long names that callers choose by their fingerprints without teams too

What callers saw: a VM whose callers send ever new names of programs, sessions and turns of 5 KB each took 146 MiB after 10,000 of them, and ended where it has 120 MB.

Cause: names over 200 bytes were shortened only where teams are configured. Elsewhere the tables of programs, budgets and recent requests kept them as sent.

Change: the same shortening without teams. Names up to 200 bytes stay as they are, so that records stay valid.

--- a/src/gateway/request/identify.rs
+++ b/src/gateway/request/identify.rs
@@ -38,16 +38,14 @@
     ))
 }
 
-/// Prefixes the names in a request with its team.
+/// Prefixes the names in a request with its team, and replaces long names by their fingerprints.
 ///
 /// Otherwise teams that choose the same program name would share a token budget and conversation turns. Names of prompt
 /// parts stay as they are, since engines cache each part once for all teams.
 pub(super) fn scope_names(meta: &mut Meta, table: &Table, team: Option<&Team>) {
-    if table.teams.is_none() {
-        return;
-    }
     // Requests without a key get an empty scope, so their names can't match a team's.
-    let scope = Some(team.map_or("", |team| &*team.name));
+    let scope = table.teams.as_ref();
+    let scope = scope.map(|_| team.map_or("", |team| &*team.name));
     for name in [&mut meta.program, &mut meta.session, &mut meta.prev_turn] {
         *name = name.take().map(|name| scoped_name(scope, &name));
     }
