Keep one account of what a gateway holds for its callers

What callers saw: a crowd of clients with large, unfinished or unread requests ended the process for lack of memory, or took all descriptors, and ordinary callers got no answer.

Cause: bodies, copies of bodies, overhead of chunks, histories, answers, heads and connections were bounded per request, never in sum, and at the other listeners not at all.

Change: `intake` charges everything that a caller can make the VM hold. A charge lives in the owner of the bytes, so it is released on every path. `policy::room` decides from the machine's memory and descriptors who is admitted, refused or closed: small requests keep a part of the room; unfinished requests that stall, and answers whose callers stopped reading, give way; requests at work and answers that are read stay. Refusals are VT3014, 503, not run, with the time until the next one gives way. Copies saved: a body is held once, in pieces of 64 KiB that are passed on as they are; a prompt shares the pieces of its history; chunks are joined as they arrive. A size announced over the limit is refused before its body is read. Heads have the configured time limit (headerTimeoutMs). The receive buffers of idle connections are limited.

--- a/src/code.rs
+++ b/src/code.rs
@@ -114,6 +114,7 @@
     HistoryAway = 3011, 503, "The conversation history is temporarily unavailable.";
     ServersEnded = 3012, 503, "Servers ended under the request, so it is not sent to another one for now.";
     StreamVersionLost = 3013, 503, "The stream cannot go on at the software version that began it; request it from its first event.";
+    NoRoom = 3014, 503, "The VM holds as much for its callers as its memory allows.";
     EngineFailed = 4001, 502, "The model engine failed.";
     ServiceFailed = 4002, 502, "The service failed.";
     OutcomeUnknown = 4003, 502, "The call was sent and its outcome is unknown; it is not retried.";
--- a/src/conversation/cache.rs
+++ b/src/conversation/cache.rs
@@ -149,6 +149,13 @@
         }
     }
 
+    /// Evicts the least recently used turns until at most `bytes` are left.
+    pub fn shrink(&mut self, bytes: usize) {
+        while self.bytes > bytes {
+            self.evict_oldest();
+        }
+    }
+
     fn evict_oldest(&mut self) {
         if let Some((_, id)) = self.by_last_use.pop_first()
             && let Some(entry) = self.turns.remove(&id)
--- a/src/conversation/mod.rs
+++ b/src/conversation/mod.rs
@@ -19,4 +19,4 @@
 pub use locations::Locations;
 pub use outbox::Outbox;
 pub use transcript::Transcript;
-pub use turn::{Id, Turn, build_prompt};
+pub use turn::{Id, Turn, build_prompt, copied_bytes};
--- a/src/conversation/turn.rs
+++ b/src/conversation/turn.rs
@@ -1,5 +1,6 @@
 //! Finished turns and their ids.
 
+use crate::segments::Segments;
 use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -126,6 +127,10 @@
     }
 }
 
+/// Inputs and outputs of this size are shared by all prompts that have them. Smaller ones are copied, since a reference
+/// would take nearly as much.
+const MIN_SHARED_BYTES: usize = 1024;
+
 /// Builds the request body for a backend server: all turns, oldest first, then the new input.
 ///
 /// ```
@@ -135,13 +140,34 @@
 /// assert_eq!(build_prompt(&[Rc::new(first)], &"d".into()), "abc\nd");
 /// ```
 #[must_use]
-pub fn build_prompt(turns: &[Rc<Turn>], input: &Bytes) -> Bytes {
-    let size = turns.iter().map(|turn| turn.size()).sum::<usize>();
-    let mut body = BytesMut::with_capacity(size + input.len());
-    for turn in turns {
-        body.extend_from_slice(&turn.input);
-        body.extend_from_slice(&turn.output);
+pub fn build_prompt(turns: &[Rc<Turn>], input: &Segments) -> Segments {
+    let mut prompt = Segments::default();
+    let mut joined = BytesMut::new();
+    for part in turns.iter().flat_map(|turn| [&turn.input, &turn.output]) {
+        if part.len() < MIN_SHARED_BYTES {
+            joined.extend_from_slice(part);
+        } else {
+            prompt.push(joined.split().freeze());
+            prompt.push(part.clone());
+        }
     }
-    body.extend_from_slice(input);
-    body.freeze()
+    prompt.push(joined.freeze());
+    prompt.extend(input);
+    prompt
+}
+
+/// Bytes that [`build_prompt`] copies.
+///
+/// ```
+/// # use std::rc::Rc;
+/// # use vanillatrail::conversation::{Turn, copied_bytes};
+/// let long = vec![0; 100_000];
+/// let turn = Turn { id: "t".parse().unwrap(), prev: None, until_ms: 0, input: long.into(), output: "c\n".into() };
+/// assert_eq!(copied_bytes(&[Rc::new(turn)]), 2);
+/// ```
+#[must_use]
+pub fn copied_bytes(turns: &[Rc<Turn>]) -> usize {
+    let parts = turns.iter().flat_map(|turn| [&turn.input, &turn.output]);
+    let sizes = parts.map(Bytes::len);
+    sizes.filter(|size| *size < MIN_SHARED_BYTES).sum()
 }
--- a/src/gateway/conversation/assemble.rs
+++ b/src/gateway/conversation/assemble.rs
@@ -46,6 +46,7 @@
                 }
                 History::Missing(id) => id,
             };
+            conversations.make_room()?;
             self.fetch_turn(&missing).await?;
         }
         Err(history_unavailable())
--- a/src/gateway/conversation/exchange.rs
+++ b/src/gateway/conversation/exchange.rs
@@ -3,11 +3,11 @@
 use super::Gateway;
 use crate::conversation::{Id, Turn};
 use crate::gateway::request::body::Body;
+use crate::intake::{Kind, Link, ReadError, read_body};
 use crate::member::Sealer;
 use crate::telemetry::event;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
@@ -20,6 +20,8 @@
 pub(in crate::gateway) const TURNS_PATH: &str = "/turns";
 /// Time limit of one exchange, connecting included.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for a message of another VM to arrive.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
 /// Turns are added to an answer until this size is exceeded.
 const MAX_ANSWER_BYTES: usize = 1 << 20;
 /// Size limit of a message.
@@ -105,9 +107,9 @@
             return false;
         };
         let found = turns.first().is_some_and(|turn| turn.id == *id);
-        let mut cache = self.conversations.cache.borrow_mut();
         for turn in turns {
-            cache.insert(Instant::now(), turn);
+            let turn = self.conversations.charged(Rc::unwrap_or_clone(turn));
+            self.conversations.cache_turn(Instant::now(), turn);
         }
         found
     }
@@ -116,15 +118,38 @@
 /// Handles a message from another VM.
 pub(in crate::gateway) async fn serve(
     gateway: Rc<Gateway>,
+    link: &Link,
     request: Request<Incoming>,
 ) -> Response<Body> {
-    let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES);
-    let bytes = body
-        .collect()
-        .await
-        .map(http_body_util::Collected::to_bytes);
+    let deadline = Instant::now() + READ_TIMEOUT;
+    link.set_deadline(deadline);
+    let (intake, body) = (&gateway.intake, request.into_body());
+    let body = read_body(
+        intake,
+        link,
+        Kind::Message,
+        body,
+        MAX_MESSAGE_BYTES,
+        deadline,
+    )
+    .await;
+    let body = match body {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            let reason = match error {
+                ReadError::TooLarge => "too large".to_owned(),
+                ReadError::EndedEarly => "ended early".to_owned(),
+                ReadError::Late => "too late".to_owned(),
+                ReadError::NoRoom(shortage) => shortage.to_string(),
+            };
+            event!(warn, "exchange_unread", peer = link.peer(), reason = reason);
+            let mut refused = Response::new(Body::full(Bytes::new()));
+            *refused.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            return refused;
+        }
+    };
     let sealer = &gateway.conversations.exchange_client.sealer;
-    let message = bytes.ok().and_then(|bytes| sealer.open(&bytes));
+    let message = sealer.open(&body);
     let answer = match message {
         Some(Message::Fetch(id)) => gateway.answer_fetch(&id),
         Some(Message::Record(turn)) => {
@@ -137,7 +162,8 @@
             return refused;
         }
     };
-    Response::new(Body::full(Bytes::from(sealer.seal(&answer))))
+    let answer = Bytes::from(sealer.seal(&answer));
+    Response::new(Body::full(intake.hold(Kind::Answer, answer)))
 }
 
 impl Gateway {
--- a/src/gateway/conversation/load.rs
+++ b/src/gateway/conversation/load.rs
@@ -179,11 +179,10 @@
                 event!(warn, "turn_unreadable", bucket = bucket, key = record.key);
                 continue;
             };
-            let mut cache = self.cache.borrow_mut();
             if is_wanted {
-                cache.insert(now, Rc::new(turn));
-            } else if !cache.contains(&turn.id) {
-                cache.insert(prefetched_at, Rc::new(turn));
+                self.cache_turn(now, self.charged(turn));
+            } else if !self.cache.borrow().contains(&turn.id) {
+                self.cache_turn(prefetched_at, self.charged(turn));
             }
         }
         found
--- a/src/gateway/conversation/mod.rs
+++ b/src/gateway/conversation/mod.rs
@@ -22,9 +22,12 @@
 
 use super::Gateway;
 use super::peers::Peer;
+use crate::code::{Code, Failure};
 use crate::conversation::{Bucket, Cache, Id, Layout, Locations, Turn};
+use crate::intake::{Intake, Kind};
 use crate::platform::records::TURN_TOPICS;
 use crate::platform::store::Store;
+use crate::policy::room::Need;
 use load::BucketReads;
 use silence::Silence;
 use std::cell::{Cell, RefCell};
@@ -39,6 +42,8 @@
 /// store. Most programs continue within 0.3 s, and a read takes about 10 ms.
 const CACHE_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 const MAX_CACHE_BYTES: usize = 12 << 20;
+/// What the cache keeps where memory is short.
+const MIN_CACHE_BYTES: usize = 1 << 20;
 /// Limit on the turns of one conversation.
 const MAX_HISTORY_BYTES: usize = 4 << 20;
 /// Limit on the input of one turn. Input and answer together have to fit into a record of the
@@ -54,6 +59,7 @@
 /// Cached turns, hints on where turns are, and turns to be recorded.
 #[derive(Debug)]
 pub(crate) struct Conversations {
+    intake: Intake,
     store: RefCell<Store>,
     layout: Layout,
     cache: RefCell<Cache>,
@@ -75,8 +81,9 @@
 }
 
 impl Conversations {
-    pub(super) fn new(store: Store, partitions: u64, key: &str) -> Self {
+    pub(super) fn new(store: Store, partitions: u64, key: &str, intake: Intake) -> Self {
         Self {
+            intake,
             store: RefCell::new(store),
             layout: Layout {
                 topics: TURN_TOPICS,
@@ -111,6 +118,39 @@
             .set(self.consecutive_failures.get().saturating_add(1));
     }
 
+    /// Keeps a turn in memory.
+    fn cache_turn(&self, now: Instant, turn: Rc<Turn>) {
+        self.cache.borrow_mut().insert(now, turn);
+    }
+
+    /// A turn whose bytes are charged for as long as it is in memory.
+    fn charged(&self, turn: Turn) -> Rc<Turn> {
+        Rc::new(Turn {
+            input: self.intake.hold(Kind::History, turn.input),
+            output: self.intake.hold(Kind::History, turn.output),
+            ..turn
+        })
+    }
+
+    /// Makes room to load a history.
+    ///
+    /// # Errors
+    /// [`Code::NoRoom`] if what is held is in use.
+    fn make_room(&self) -> Result<(), Failure> {
+        let intake = &self.intake;
+        if intake.admits(Need::Large, MAX_TURN_BYTES) {
+            return Ok(());
+        }
+        self.cache.borrow_mut().shrink(MIN_CACHE_BYTES);
+        if intake.admits(Need::Large, MAX_TURN_BYTES) {
+            return Ok(());
+        }
+        intake.make_room(Need::Large, MAX_TURN_BYTES);
+        let shortage = intake.shortage(Kind::History, Need::Large, MAX_TURN_BYTES);
+        let failure = Failure::refused(Code::NoRoom, shortage.to_string());
+        Err(failure.retry_after(shortage.retry_after))
+    }
+
     /// Looks a turn up in memory.
     fn find_cached(&self, id: &Id) -> Option<Rc<Turn>> {
         self.cache.borrow_mut().get(Instant::now(), id)
--- a/src/gateway/conversation/record.rs
+++ b/src/gateway/conversation/record.rs
@@ -65,12 +65,12 @@
             return true;
         };
         let began = Instant::now();
-        // Copied, since a slice would keep the whole buffer alive.
-        let turn = Rc::new(Turn {
+        let turn = self.conversations.charged(Turn {
             id,
             prev: job.prev_turn.clone(),
             until_ms: extended_until_ms(&job.route, Duration::ZERO),
-            input: Bytes::copy_from_slice(&job.input),
+            // Copied, since the whole buffer would stay alive.
+            input: Bytes::copy_from_slice(&job.input.to_bytes()),
             output: Bytes::copy_from_slice(&transcript.finish()),
         });
         if turn.size() > MAX_TURN_BYTES {
--- a/src/gateway/front/housekeeping.rs
+++ b/src/gateway/front/housekeeping.rs
@@ -4,6 +4,7 @@
 use crate::gateway::tokens::handover::Reason;
 use crate::gateway::world::directory::Change;
 use crate::gateway::world::state::Routing;
+use crate::intake::Timeouts;
 use crate::member::Announcement;
 use crate::policy::store_health::State;
 use crate::telemetry::event;
@@ -36,6 +37,21 @@
 }
 
 impl Gateway {
+    /// Closes connections that exceed the time limits of the configuration.
+    fn close_overdue_connections(&self) {
+        let limits = self
+            .routing
+            .borrow()
+            .table
+            .as_ref()
+            .map(|table| table.request_limits);
+        let limits = limits.unwrap_or_default();
+        self.intake.registry().close_overdue(Timeouts {
+            head: limits.head_timeout,
+            idle: limits.idle_timeout,
+        });
+    }
+
     /// Records the usual time of the store's answers, and logs each change between well, slow and silent.
     fn report_store_state(&self, logged: &mut State) {
         let health = self.partitions.store.observer().health();
@@ -114,6 +130,7 @@
         }
         if last_sweep.elapsed() >= SWEEP_INTERVAL {
             last_sweep = Instant::now();
+            gateway.close_overdue_connections();
             gateway.queue.log_waiting();
             gateway.queue.report_plain_placement(&gateway.metrics);
             gateway.queue.record_pace(&gateway.metrics);
--- a/src/gateway/front/metrics.rs
+++ b/src/gateway/front/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of the gateway.
 
+use crate::intake::{Intake, observe};
 use crate::policy::dispatch::PaceStats;
 use crate::telemetry::{Exporter, dropped_log_lines};
 use opentelemetry::KeyValue;
@@ -83,9 +84,10 @@
 }
 
 impl Metrics {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(intake: &Intake) -> Self {
         let exporter = Exporter::new();
         let meter = exporter.meter();
+        observe(&meter, intake);
         let counter = |name: &'static str, description: &'static str| {
             meter
                 .u64_counter(name)
--- a/src/gateway/front/mod.rs
+++ b/src/gateway/front/mod.rs
@@ -36,8 +36,10 @@
 use crate::gateway::world::{feed, snapshot, sources};
 use crate::gateway::{Gateway, conversation, peers};
 use crate::id::{Boot, Offset};
+use crate::intake::Intake;
 use crate::member::{self, Announcement, Introduction, List, View};
 use crate::platform::store::Store;
+use crate::policy::room::Port;
 use crate::settings;
 use crate::supervisor::Supervisor;
 use crate::telemetry::event;
@@ -205,6 +207,7 @@
     let socket = socket
         .map_err(|error| Failure::refused(Code::BadSettings, format!("{peer_address}: {error}")))?;
     let vm_number = peers::vm_number(peer_address);
+    let intake = Intake::of_machine(settings.memory_mb, settings.max_descriptors);
     let gateway = Rc::new(Gateway {
         view: channels.view,
         peers: Peers::new(socket, &settings.peer_key),
@@ -217,6 +220,7 @@
             channels.store.separate(),
             settings.store.partitions,
             &settings.peer_key,
+            intake.clone(),
         )),
         limit_state: Limits::default(),
         recent_members: Members::default(),
@@ -235,7 +239,8 @@
         )),
         queue: Queue::default(),
         leases: Leases::default(),
-        metrics: Metrics::new(),
+        metrics: Metrics::new(&intake),
+        intake,
         sampler: Sampler::new(),
         discovery: Rc::new(Discovery::new(&settings)),
         copier: Copier::default(),
@@ -266,14 +271,7 @@
         ));
     }
     spawn_local(operators::run(Rc::clone(&gateway), operators));
-    spawn_local(snapshot::publish(Rc::clone(&gateway)));
-    spawn_local(peers::receive(Rc::clone(&gateway)));
-    spawn_local(reports::run(Rc::clone(&gateway)));
-    spawn_local(Rc::clone(&gateway).learn_ends());
-    spawn_local(partitions::run_maintenance(Rc::clone(&gateway)));
-    spawn_local(conversation::run_maintenance(Rc::clone(&gateway)));
-    spawn_local(version_marks::run_maintenance(Rc::clone(&gateway)));
-    spawn_local(end_records::run_maintenance(Rc::clone(&gateway)));
+    spawn_duties(&gateway);
     let discovery = Rc::clone(&gateway.discovery);
     spawn_local(async move {
         let (introduction, vm_lists) = (channels.introduction, channels.vm_lists);
@@ -298,6 +296,18 @@
     Ok(())
 }
 
+/// Starts what runs beside the listeners.
+fn spawn_duties(gateway: &Rc<Gateway>) {
+    spawn_local(snapshot::publish(Rc::clone(gateway)));
+    spawn_local(peers::receive(Rc::clone(gateway)));
+    spawn_local(reports::run(Rc::clone(gateway)));
+    spawn_local(Rc::clone(gateway).learn_ends());
+    spawn_local(partitions::run_maintenance(Rc::clone(gateway)));
+    spawn_local(conversation::run_maintenance(Rc::clone(gateway)));
+    spawn_local(version_marks::run_maintenance(Rc::clone(gateway)));
+    spawn_local(end_records::run_maintenance(Rc::clone(gateway)));
+}
+
 async fn shut_down(
     gateway: &Rc<Gateway>,
     stop: &CancellationToken,
@@ -335,7 +345,8 @@
 }
 
 async fn serve_readiness(gateway: Rc<Gateway>, listener: TcpListener) {
-    listen::serve(listener, move |_| {
+    let intake = gateway.intake.clone();
+    listen::serve(intake, Port::Readiness, listener, move |_, _| {
         std::future::ready(readiness_response(gateway.is_ready()))
     })
     .await;
--- a/src/gateway/front/operators.rs
+++ b/src/gateway/front/operators.rs
@@ -5,6 +5,8 @@
 use crate::gateway::world::team::Teams;
 use crate::gateway::world::{contact, copy};
 use crate::gateway::{Gateway, conversation};
+use crate::intake::Kind;
+use crate::policy::room::{Need, Port};
 use crate::telemetry;
 use bytes::Bytes;
 use http::{Response, StatusCode, Uri};
@@ -15,35 +17,43 @@
 
 /// Serves operators, and other VMs that need turns, introductions, or copies of configuration or directory.
 pub(crate) async fn run(gateway: Rc<Gateway>, listener: TcpListener) {
-    listen::serve(listener, async move |request| {
-        if request.uri().path() == conversation::TURNS_PATH {
-            return conversation::serve(Rc::clone(&gateway), request).await;
-        }
-        if request.uri().path() == contact::INTRODUCTIONS_PATH {
-            return respond(
-                gateway
-                    .discovery
-                    .encoded_introductions()
-                    .await
-                    .unwrap_or_default(),
-            );
-        }
-        gateway.handle_operator(request.uri())
-    })
+    let intake = gateway.intake.clone();
+    listen::serve(
+        intake,
+        Port::Operators,
+        listener,
+        async move |link, request| {
+            if request.uri().path() == conversation::TURNS_PATH {
+                return conversation::serve(Rc::clone(&gateway), &link, request).await;
+            }
+            if request.uri().path() == contact::INTRODUCTIONS_PATH {
+                let encoded = gateway.discovery.encoded_introductions().await;
+                return gateway.respond(encoded.unwrap_or_default());
+            }
+            gateway.handle_operator(request.uri())
+        },
+    )
     .await;
 }
 
-/// Empty bytes are answered with 404.
-fn respond(bytes: Bytes) -> Response<Body> {
-    let found = !bytes.is_empty();
-    let mut response = Response::new(Body::full(bytes));
-    if !found {
-        *response.status_mut() = StatusCode::NOT_FOUND;
+impl Gateway {
+    /// Empty bytes are answered with 404. An answer for which there is no room is refused.
+    fn respond(&self, bytes: Bytes) -> Response<Body> {
+        let need = Need::of_answer(bytes.len());
+        let status = if bytes.is_empty() {
+            StatusCode::NOT_FOUND
+        } else if self.intake.admits(need, bytes.len()) {
+            let bytes = self.intake.hold(Kind::Answer, bytes);
+            return Response::new(Body::full(bytes));
+        } else {
+            self.intake.make_room(need, bytes.len());
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        let mut response = Response::new(Body::full(Bytes::new()));
+        *response.status_mut() = status;
+        response
     }
-    response
-}
 
-impl Gateway {
     fn handle_operator(&self, uri: &Uri) -> Response<Body> {
         let bytes = match uri.path() {
             "/metrics" => Bytes::from(self.metrics.text()),
@@ -58,7 +68,22 @@
             }
             _ => Bytes::new(),
         };
-        respond(bytes)
+        self.respond(bytes)
+    }
+
+    /// What is held for callers, and the connections that hold it.
+    fn held(&self) -> Value {
+        let intake = &self.intake;
+        let kinds = Kind::ALL.iter();
+        let bytes: serde_json::Map<_, _> = kinds
+            .map(|kind| (kind.name().to_owned(), json!(intake.held(*kind))))
+            .collect();
+        let phases = intake.registry().phases();
+        let connections: serde_json::Map<_, _> = phases
+            .into_iter()
+            .map(|(port, phase, count)| (format!("{}/{}", port.name(), phase.name()), json!(count)))
+            .collect();
+        json!({ "bytes": bytes, "limit": intake.limit(), "connections": connections })
     }
 
     /// State of the process as shown to operators.
@@ -107,6 +132,7 @@
             "teams": routing.table.as_ref().and_then(|table| table.teams.as_ref()).map(Teams::len),
             "limits": self.busiest_teams(),
             "conversations": self.conversations.usage(),
+            "held": self.held(),
             "idle_connections": self.connections.idle_count(),
             "members": view.members.values().map(|member| &member.vm).collect::<Vec<_>>(),
             "dropped_log_lines": telemetry::dropped_log_lines(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 pub(crate) use front::run;
 pub use world::{changes, directory, table, team};
 
+use crate::intake::Intake;
 use crate::member::View;
 use crate::settings;
 use conversation::Conversations;
@@ -80,6 +81,7 @@
     limit_state: Limits,
     recent_members: Members,
     conversations: Rc<Conversations>,
+    intake: Intake,
     connections: Pool,
     copies: Copies,
     pins: Pins,
--- a/src/gateway/request/admit.rs
+++ b/src/gateway/request/admit.rs
@@ -8,16 +8,16 @@
 use crate::gateway::conversation::MAX_INPUT_BYTES;
 use crate::gateway::server::continuation::RunState;
 use crate::gateway::world::table::Route;
+use crate::intake::{Kind, Link, ReadError, Shortage, read_body};
 use crate::platform::headers::{self, Meta};
-use bytes::Bytes;
+use crate::segments::Segments;
 use http::{Request, header};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Timeout of a request without a deadline header.
@@ -32,6 +32,7 @@
 
 pub(super) async fn admit(
     gateway: &Rc<Gateway>,
+    link: &Link,
     request: Request<Incoming>,
     arrived: Instant,
 ) -> Result<Job, Failure> {
@@ -60,29 +61,13 @@
         .unwrap_or(DEFAULT_TIMEOUT)
         .saturating_sub(RESPONSE_MARGIN);
     let deadline = arrived + timeout.min(route.timeout);
-    let limit = table.request_limits.max_body_bytes;
-    let body = timeout_at(deadline, Limited::new(body, limit).collect()).await;
-    let body = match body {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            return Err(Failure::refused(
-                Code::TooLarge,
-                "the body is larger than the limit",
-            ));
-        }
-        Ok(Err(_)) => {
-            return Err(Failure::refused(
-                Code::BadBody,
-                "the request body ended early",
-            ));
-        }
-        Err(_) => {
-            return Err(Failure::refused(
-                Code::DeadlinePassed,
-                "the request body did not arrive before the deadline",
-            ));
-        }
-    };
+    link.set_deadline(deadline);
+    let mut limit = table.request_limits.max_body_bytes;
+    if route.stores_history {
+        limit = limit.min(MAX_INPUT_BYTES);
+    }
+    let body = read_body(&gateway.intake, link, Kind::Body, body, limit, deadline).await;
+    let body = body.map_err(read_failure)?;
     let prev_turn = parse_prev_turn(route, &meta, &body)?;
     let selector = xxh3_64(meta.program.as_deref().unwrap_or(&meta.id).as_bytes());
     let Some(service) = route.pick_service(selector) else {
@@ -110,6 +95,7 @@
         content: OnceCell::new(),
         body: RefCell::new(body),
         prev_turn,
+        prompt_charge: RefCell::default(),
         expiring_turns: RefCell::default(),
         extension: RefCell::default(),
         arrived,
@@ -132,11 +118,31 @@
     })
 }
 
+fn read_failure(error: ReadError) -> Failure {
+    match error {
+        ReadError::TooLarge => {
+            Failure::refused(Code::TooLarge, "the body is larger than the limit")
+        }
+        ReadError::EndedEarly => Failure::refused(Code::BadBody, "the request body ended early"),
+        ReadError::Late => Failure::refused(
+            Code::DeadlinePassed,
+            "the request body did not arrive before the deadline",
+        ),
+        ReadError::NoRoom(shortage) => no_room(shortage),
+    }
+}
+
+/// The refusal of a request for which there is no memory.
+pub(super) fn no_room(shortage: Shortage) -> Failure {
+    let failure = Failure::refused(Code::NoRoom, shortage.to_string());
+    failure.retry_after(shortage.retry_after)
+}
+
 /// The previous turn named by the request, where the route stores turns.
 fn parse_prev_turn(
     route: &Route,
     meta: &Meta,
-    input: &Bytes,
+    input: &Segments,
 ) -> Result<Option<conversation::Id>, Failure> {
     if !route.stores_history {
         return Ok(None);
--- a/src/gateway/request/job.rs
+++ b/src/gateway/request/job.rs
@@ -10,10 +10,11 @@
 use crate::gateway::world::table::{Engine, Kind, Route};
 use crate::gateway::world::team::Team;
 use crate::id::ContentHash;
+use crate::intake::Charge;
 use crate::platform::headers::Meta;
 use crate::policy::server_ends::{Run, ServerHash};
+use crate::segments::Segments;
 use crate::telemetry::event;
-use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use std::cell::{Cell, OnceCell, RefCell};
 use std::net::SocketAddr;
@@ -37,11 +38,13 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     /// Body as the caller sent it.
-    pub(crate) input: Bytes,
+    pub(crate) input: Segments,
     /// See [`Job::content`].
     pub(super) content: OnceCell<ContentHash>,
     /// Body sent to the server: the input, preceded by the conversation history where turns are stored.
-    pub(crate) body: RefCell<Bytes>,
+    pub(crate) body: RefCell<Segments>,
+    /// Memory of the part of the history that the body does not share with others.
+    pub(crate) prompt_charge: RefCell<Option<Charge>>,
     /// Previous turn of the conversation, where the route stores turns.
     pub(crate) prev_turn: Option<conversation::Id>,
     /// Earlier turns of the conversation whose retention may be too short when this one ends.
--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -9,7 +9,7 @@
 mod stream;
 
 use crate::code::{Code, Failure};
-use crate::conversation::build_prompt;
+use crate::conversation::{build_prompt, copied_bytes};
 use crate::gateway::Gateway;
 use crate::gateway::conversation::expiring_turns;
 use crate::gateway::queue::permit::Permit;
@@ -18,11 +18,13 @@
 use crate::gateway::server::ends::server_hash;
 use crate::gateway::server::pinning;
 use crate::gateway::server::stream_version::stream_version_lost;
+use crate::intake::{Kind, Link};
 use crate::platform::headers::Meta;
 use crate::policy::dispatch::{self, Outcome};
 use crate::policy::quota;
+use crate::policy::room::Need;
 use crate::telemetry::event;
-use admit::admit;
+use admit::{admit, no_room};
 use body::Body;
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
@@ -42,11 +44,12 @@
 
 pub(crate) async fn handle(
     gateway: Rc<Gateway>,
+    link: &Link,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     let id = Meta::of(request.headers()).id;
     let arrived = Instant::now();
-    let mut response = match admit(&gateway, request, arrived).await {
+    let mut response = match admit(&gateway, link, request, arrived).await {
         Ok(job) => {
             let job = Rc::new(job);
             let reply = if let Ok(reply) = timeout_at(job.deadline, dispatch(&job)).await {
@@ -74,7 +77,7 @@
             reply::error_response(&id, &failure)
         }
     };
-    if gateway.stopping.get() {
+    if gateway.stopping.get() || link.is_unread() {
         let headers = response.headers_mut();
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
@@ -211,6 +214,14 @@
     job.history_time.set(started.elapsed());
     job.gateway.metrics.record_history_wait(started.elapsed());
     let turns = turns?;
+    let copied = copied_bytes(&turns);
+    let need = Need::of_request(copied);
+    let charge = job
+        .gateway
+        .intake
+        .reserve(Kind::History, need, copied, job.deadline);
+    job.prompt_charge
+        .replace(Some(charge.await.map_err(no_room)?));
     job.expiring_turns.replace(expiring_turns(job, &turns));
     job.body.replace(build_prompt(&turns, &job.input));
     Ok(())
@@ -337,7 +348,7 @@
             load: response.load,
         }
     });
-    let mut reply = Response::new(Body::full(response.body));
+    let mut reply = Response::new(Body::Full(response.body));
     *reply.status_mut() = response.status;
     *reply.headers_mut() = response.headers;
     reply
--- a/src/gateway/request/stream.rs
+++ b/src/gateway/request/stream.rs
@@ -1,7 +1,7 @@
 //! Relays an event stream to its caller. If a server breaks it off, it is resumed, or its run continues from a copy.
 
 use super::acquire_permit;
-use super::body::{Aborted, Body};
+use super::body::{Body, Chunks};
 use super::job::Job;
 use crate::conversation::Transcript;
 use crate::gateway::queue::permit::Permit;
@@ -13,14 +13,14 @@
 use crate::gateway::server::moving::{self, Moving, continue_moved};
 use crate::gateway::server::pinning;
 use crate::gateway::world::directory::Entry;
+use crate::intake::Kind;
 use crate::policy::dispatch::Outcome;
+use crate::policy::room::Need;
 use crate::telemetry::event;
-use bytes::Bytes;
 use http::Response;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 /// Maximum resumptions of one stream.
@@ -65,7 +65,7 @@
     moving: Option<Moving>,
     /// Response so far, where the route stores turns.
     transcript: Option<Transcript>,
-    chunks: mpsc::Sender<Result<Bytes, Aborted>>,
+    chunks: Chunks,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -159,7 +159,13 @@
         {
             self.moving = moving::start(job, &permit.server, self.source.started);
         }
-        let sent = tokio::time::timeout_at(job.deadline, self.chunks.send(Ok(batch.bytes))).await;
+        let intake = &job.gateway.intake;
+        let size = batch.bytes.len();
+        if !intake.admits(Need::Answer, size) {
+            intake.make_room(Need::Answer, size);
+        }
+        let bytes = intake.hold(Kind::Answer, batch.bytes);
+        let sent = tokio::time::timeout_at(job.deadline, self.chunks.send(bytes)).await;
         match sent {
             Ok(Ok(())) => None,
             Ok(Err(_)) => Some(StreamEnd::CallerLeft),
@@ -319,7 +325,7 @@
             let saved = save_turn(&job, transcript).await;
             job.record_end(if saved { "200" } else { "cut:not_kept" }, saved);
             if !saved {
-                drop(chunks.send(Err(Aborted)).await);
+                let _ = chunks.abort().await;
             }
             return;
         }
@@ -338,7 +344,7 @@
         }
         if end != StreamEnd::CallerLeft {
             // Fails only if the caller has disconnected.
-            drop(chunks.send(Err(Aborted)).await);
+            let _ = chunks.abort().await;
         }
     }
 }
--- a/src/gateway/server/attempt.rs
+++ b/src/gateway/server/attempt.rs
@@ -8,11 +8,16 @@
 use crate::gateway::server::pinning;
 use crate::gateway::world::directory::Entry;
 use crate::gateway::world::table::Kind;
+use crate::intake::{self, Buffer};
 use crate::platform::headers::{self, Response, RunHeaders};
 use crate::policy::dispatch::{Load, Outcome};
-use bytes::{Bytes, BytesMut};
+use crate::policy::room::{Need, SMALL_BYTES};
+use crate::segments::Segments;
+use crate::telemetry::event;
+use bytes::BytesMut;
 use http::{HeaderMap, Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body::Body;
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -63,7 +68,7 @@
 pub(crate) struct BufferedResponse {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: Segments,
     pub(crate) load: Option<Load>,
 }
 
@@ -290,7 +295,7 @@
     mut connection: Connection,
     run: &RunHeaders<'_>,
 ) -> Result<AttemptResult, SendError> {
-    let mut request = Request::new(Full::new(job.body.borrow().clone()));
+    let mut request = Request::new(job.body.borrow().clone());
     *request.method_mut() = job.method.clone();
     *request.uri_mut() = job.uri.clone();
     *request.headers_mut() = headers::backend_request_headers(
@@ -359,7 +364,7 @@
             source,
         })));
     }
-    let Some(body) = read_body(&source.connection, &mut source.body).await else {
+    let Some(body) = read_body(job, &source.connection, &mut source.body).await else {
         return Ok(AttemptResult::OutcomeUnknown("cut"));
     };
     source.finish(job);
@@ -390,19 +395,53 @@
     });
 }
 
-/// Reads a body to its end; `None` if it is cut short or larger than `MAX_BODY_BYTES`.
-async fn read_body(connection: &Connection, body: &mut Incoming) -> Option<Bytes> {
-    let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        if let Ok(data) = frame.ok()?.into_data() {
-            bytes.extend_from_slice(&data);
-            connection.expect_frame();
+/// Reads a body to its end; `None` if it is cut short or larger than `MAX_BODY_BYTES`, or if there is no room for it before
+/// the deadline.
+///
+/// Room for a large body is reserved as a whole: parts of many bodies would wait for each other.
+async fn read_body(job: &Job, connection: &Connection, body: &mut Incoming) -> Option<Segments> {
+    let announced = body.size_hint().exact();
+    if body.is_end_stream() {
+        return Some(Segments::default());
+    }
+    let announced = announced.map(|size| usize::try_from(size).unwrap_or(usize::MAX));
+    if announced.is_some_and(|size| size > MAX_BODY_BYTES) {
+        return None;
+    }
+    let reserve = async |size: usize, reserved: usize| {
+        let need = Need::of_answer(reserved + size);
+        let intake = &job.gateway.intake;
+        let charge = intake
+            .reserve(intake::Kind::Answer, need, size, job.deadline)
+            .await;
+        if let Err(shortage) = &charge {
+            event!(info, "answer_given_up", id = job.meta.id, reason = shortage);
         }
-        if bytes.len() > MAX_BODY_BYTES {
+        charge.ok()
+    };
+    let mut buffer = Buffer::new(reserve(announced.unwrap_or(0), 0).await?);
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.ok()?.into_data() else {
+            continue;
+        };
+        connection.expect_frame();
+        if buffer.len() + data.len() > MAX_BODY_BYTES {
             return None;
         }
+        let missing = buffer.missing(data.len());
+        if missing > 0 {
+            let reserved = buffer.reserved();
+            let is_small = reserved + missing <= SMALL_BYTES;
+            let size = if is_small {
+                missing
+            } else {
+                MAX_BODY_BYTES - reserved
+            };
+            buffer.add(reserve(size, reserved).await?);
+        }
+        buffer.push(&data);
     }
-    Some(bytes.freeze())
+    Some(buffer.finish())
 }
 
 impl AttemptResult {
--- a/src/gateway/server/call.rs
+++ b/src/gateway/server/call.rs
@@ -4,9 +4,10 @@
 use crate::gateway::server::connection::{Connection, Unreachable};
 use crate::gateway::world::directory::Entry;
 use crate::platform::headers;
+use crate::segments::Segments;
 use bytes::Bytes;
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use std::time::Duration;
 
 /// Size limit of an answer.
@@ -25,14 +26,14 @@
     pub(crate) async fn call_engine(
         &self,
         server: &Entry,
-        request: Request<Full<Bytes>>,
+        request: Request<Bytes>,
         max_idle: Duration,
     ) -> Option<(StatusCode, Bytes)> {
         let mut connection = match self.connections.get(&server.id, max_idle) {
             Some(connection) => connection,
             None => self.connect(server).await.ok()?,
         };
-        let response = connection.send(request).await.ok()?;
+        let response = connection.send(request.map(Segments::from)).await.ok()?;
         let headers = headers::Response::of(response.headers());
         let status = response.status();
         let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
--- a/src/gateway/server/connection.rs
+++ b/src/gateway/server/connection.rs
@@ -3,9 +3,8 @@
 use crate::gateway::front::socket;
 use crate::gateway::server::read_limit::{LimitedStream, ReadLimit};
 use crate::gateway::world::directory::{Entry, Instance};
-use bytes::Bytes;
+use crate::segments::Segments;
 use http::{Request, Response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::ext::on_informational;
@@ -33,7 +32,7 @@
 /// A connection to a backend server. Dropping it closes it, which cancels the request in flight.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Segments>,
     driver: AbortHandle,
     limit: ReadLimit,
     server: Instance,
@@ -108,7 +107,7 @@
     /// Sends a request and waits for the head of the response.
     pub(crate) async fn send(
         &mut self,
-        mut request: Request<Full<Bytes>>,
+        mut request: Request<Segments>,
     ) -> Result<Response<Incoming>, SendError> {
         if self.sender.ready().await.is_err() {
             return Err(SendError::NotSent);
--- a/src/gateway/world/table.rs
+++ b/src/gateway/world/table.rs
@@ -154,6 +154,8 @@
     pub max_head_bytes: usize,
     /// Maximum size of a request body.
     pub max_body_bytes: usize,
+    /// Time within which the head of a request has to arrive.
+    pub head_timeout: Duration,
     /// Time after which an idle keep-alive connection is closed.
     pub idle_timeout: Duration,
 }
@@ -163,6 +165,7 @@
         Self {
             max_head_bytes: 16_384,
             max_body_bytes: 4 << 20,
+            head_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod ownership;
 pub mod policy;
 pub mod program;
+pub mod segments;
 pub mod settings;
 
 mod acceptor;
@@ -40,6 +41,7 @@
 mod command;
 mod dispatch;
 mod entry;
+mod intake;
 mod operator;
 mod owner;
 mod peer;
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -8,7 +8,6 @@
     CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, COOKIE, HOST, HeaderMap,
 };
 use http::header::{HeaderName, HeaderValue, RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
-use http_body_util::Full;
 use serde::Deserialize;
 use serde_json::json;
 use std::net::SocketAddr;
@@ -264,7 +263,7 @@
 }
 
 /// The call for a move; `None` if a name can't be part of a header.
-pub(crate) fn move_request(run: &Move<'_>) -> Option<Request<Full<Bytes>>> {
+pub(crate) fn move_request(run: &Move<'_>) -> Option<Request<Bytes>> {
     let mut body = json!({ "id": run.id, "target": run.target.to_string() });
     if run.last {
         body["last"] = json!(true);
@@ -273,7 +272,7 @@
         .header(HOST, run.address.to_string())
         .header(EXPECT_INSTANCE, run.server)
         .header(CONTENT_TYPE, "application/json");
-    request.body(Full::from(body.to_string())).ok()
+    request.body(Bytes::from(body.to_string())).ok()
 }
 
 /// The answer of an engine that has stopped a run.
@@ -298,19 +297,19 @@
     handle: &str,
     server: &str,
     address: SocketAddr,
-) -> Option<Request<Full<Bytes>>> {
+) -> Option<Request<Bytes>> {
     let request = Request::delete(format!("/kv-handle/{handle}"))
         .header(HOST, address.to_string())
         .header(EXPECT_INSTANCE, server);
-    request.body(Full::default()).ok()
+    request.body(Bytes::new()).ok()
 }
 
 /// The request that ends a pin; `None` if its name can't be part of a path.
-pub(crate) fn release_request(pin: &Pinned<'_>) -> Option<Request<Full<Bytes>>> {
+pub(crate) fn release_request(pin: &Pinned<'_>) -> Option<Request<Bytes>> {
     let request = Request::delete(format!("/kv-pin/{}", pin.name))
         .header(HOST, pin.address.to_string())
         .header(EXPECT_INSTANCE, pin.server);
-    request.body(Full::default()).ok()
+    request.body(Bytes::new()).ok()
 }
 
 /// The identifier of the last part of the prompt; `None` without one.
--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -153,6 +153,7 @@
 struct LimitsBody {
     max_header_bytes: Option<usize>,
     max_body_bytes: Option<usize>,
+    header_timeout_ms: Option<f64>,
     idle_timeout_ms: Option<f64>,
 }
 
@@ -270,6 +271,9 @@
         Sizes {
             max_head_bytes: self.max_header_bytes.unwrap_or(default.max_head_bytes),
             max_body_bytes: self.max_body_bytes.unwrap_or(default.max_body_bytes),
+            head_timeout: self
+                .header_timeout_ms
+                .map_or(default.head_timeout, duration_from_millis),
             idle_timeout: self
                 .idle_timeout_ms
                 .map_or(default.idle_timeout, duration_from_millis),
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -34,6 +34,7 @@
 pub mod quota;
 pub mod relay;
 pub mod request;
+pub mod room;
 mod server;
 pub mod server_ends;
 mod service_pool;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -7,6 +7,10 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+/// Least memory of a VM, in megabytes: an answer of the largest size has to fit into what may be held for callers.
+const MIN_MEMORY_MB: usize = 64;
+const MIN_DESCRIPTORS: usize = 64;
+
 /// Listen addresses of a VM.
 #[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -66,6 +70,12 @@
     /// Maximum size of a request body, in bytes.
     #[serde(default = "Settings::default_body")]
     pub max_body_bytes: usize,
+    /// Memory of this VM, in megabytes. Two fifths of it may be held for callers.
+    #[serde(default = "Settings::default_memory")]
+    pub memory_mb: usize,
+    /// Descriptors that the process may open; by default as the operating system says.
+    #[serde(default)]
+    pub max_descriptors: Option<usize>,
 }
 
 impl Settings {
@@ -101,6 +111,10 @@
         1 << 20
     }
 
+    const fn default_memory() -> usize {
+        120
+    }
+
     /// Parses and validates settings; an error message contains the JSON path.
     ///
     /// ```
@@ -150,6 +164,14 @@
                 "shorter than 16 characters",
             ),
             (is_base_url(&settings.log), "log", "not `http://IP:PORT`"),
+            (settings.memory_mb >= MIN_MEMORY_MB, "memory_mb", "under 64"),
+            (
+                settings
+                    .max_descriptors
+                    .is_none_or(|max| max >= MIN_DESCRIPTORS),
+                "max_descriptors",
+                "under 64",
+            ),
             (
                 settings.vms.as_deref().is_none_or(is_base_url),
                 "vms",
@@ -280,6 +302,12 @@
     pub limits: Limits,
     /// CPU cores available to this VM; may be a fraction.
     pub cores: f64,
+    /// Memory of this VM, in megabytes. Two fifths of it may be held for callers.
+    #[serde(default = "Settings::default_memory")]
+    pub memory_mb: usize,
+    /// Descriptors that the process may open; by default as the operating system says.
+    #[serde(default)]
+    pub max_descriptors: Option<usize>,
     /// Timeout of a graceful shutdown, in milliseconds.
     #[serde(default = "Settings::default_stop")]
     pub stop_ms: u64,
@@ -342,6 +370,14 @@
                 "cores",
                 "not above 0 and at most 1024",
             ),
+            (settings.memory_mb >= MIN_MEMORY_MB, "memory_mb", "under 64"),
+            (
+                settings
+                    .max_descriptors
+                    .is_none_or(|max| max >= MIN_DESCRIPTORS),
+                "max_descriptors",
+                "under 64",
+            ),
             (settings.stop_ms >= 1000, "stop_ms", "under 1000"),
             (
                 settings.bounds.drain_ms >= 1000,
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -71,6 +71,20 @@
         call(self.vm.callers, "POST", path, &headers, body)
     }
 
+    /// Sends a request until the service has a place for it, and reads its answer slowly.
+    fn read_slowly(&self, path: &str) -> Reply {
+        loop {
+            let caller = self
+                .gather(1, |number| with_length(path, number, 0, 0))
+                .pop();
+            let mut reader = BufReader::new(SlowReader(caller.expect("a connection")));
+            let reply = platform::receive(&mut reader).expect("a response");
+            if reply.status != 503 {
+                return reply;
+            }
+        }
+    }
+
     /// Waits until an ordinary request is answered.
     fn wait_served(&self) {
         until("an ordinary request is answered", || {
@@ -463,37 +477,34 @@
 fn answers_that_are_read_slowly_stay_whole() {
     let _alone = alone();
     let site = Site::start();
-    let size = 2_000_000;
-    let readers: Vec<_> = site
-        .gather(4, |number| {
-            with_length(&format!("/plain/answer-{size}"), number, 0, 0)
-        })
-        .into_iter()
-        .map(|caller| {
-            std::thread::spawn(move || {
-                let mut reader = BufReader::with_capacity(100_000, SlowReader(caller));
-                platform::receive(&mut reader)
-                    .map(|reply| (reply.status, reply.whole, reply.body.len()))
-            })
-        })
-        .collect();
-    let crowd = site.gather(CROWD, |number| {
-        with_length("/plain/answer-8000000", number, 0, 0)
+    let bytes = 2_000_000;
+    let path = format!("/plain/answer-{bytes}");
+    std::thread::scope(|scope| {
+        let readers: Vec<_> = (0..4)
+            .map(|_| scope.spawn(|| site.read_slowly(&path)))
+            .collect();
+        let crowd = site.gather(CROWD, |number| {
+            with_length("/plain/answer-8000000", number, 0, 0)
+        });
+        for reader in readers {
+            let reply = reader.join().expect("the reader ends");
+            assert_eq!(
+                (reply.status, reply.whole, reply.body.len()),
+                (200, true, bytes)
+            );
+        }
+        drop(crowd);
     });
-    for reader in readers {
-        let read = reader.join().expect("the reader ends");
-        assert_eq!(read, Some((200, true, size)));
-    }
-    drop(crowd);
 }
 
-/// Reads 100 KB each 0.1 s.
+/// Reads at most 50 KB each 0.1 s.
 struct SlowReader(TcpStream);
 
 impl Read for SlowReader {
     fn read(&mut self, buf: &mut [u8]) -> std::io::Result<usize> {
         std::thread::sleep(Duration::from_millis(100));
-        self.0.read(buf)
+        let most = buf.len().min(50_000);
+        self.0.read(&mut buf[..most])
     }
 }
 
