Keep the account of what is held at the interface for programs as well

What callers saw: 256 unfinished bodies of legal size took 341 MiB, and 2,000 unfinished heads at the ports of callers and operators 161 MiB.

Cause: as at the gateway, bounds per request only.

Change: the listeners of `serve` use the same account: its acceptor opens a connection only if there is room, a request is tied to its connection, bodies are read into charged memory, and connections have time limits.

--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -4,10 +4,12 @@
 use crate::code::{Code, Failure};
 use crate::config::Snapshot;
 use crate::id::{self, Call, Operation, Program, Service};
+use crate::intake::{Intake, Kind, Link, ReadError, read_body};
 use crate::owner::{Frame, Position, Request};
 use crate::program::{self, Budget, Invocation};
-use crate::telemetry::Metrics;
+use crate::telemetry::{Metrics, event};
 use futures::StreamExt;
+use http_body_util::combinators::BoxBody;
 use poem::http::StatusCode;
 use poem::web::sse::{Event, SSE};
 use poem::web::{Data, Path, Query};
@@ -18,6 +20,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
 
 /// Timeout of requests that set no `timeout_ms`.
 const DEFAULT_TIMEOUT: Duration = Duration::from_mins(1);
@@ -37,6 +40,7 @@
     pub(crate) config: watch::Receiver<Arc<Snapshot>>,
     pub(crate) metrics: Metrics,
     pub(crate) max_body_bytes: usize,
+    pub(crate) intake: Intake,
 }
 
 pub(crate) fn routes(context: Context) -> impl IntoEndpoint<Endpoint: 'static> {
@@ -85,9 +89,9 @@
 }
 
 #[handler]
-async fn open_program(context: Data<&Context>, body: Body) -> Response {
+async fn open_program(context: Data<&Context>, link: Data<&Arc<Link>>, body: Body) -> Response {
     let request = async {
-        let open: OpenBody = parse_body(&context, body).await?;
+        let open: OpenBody = parse_body(&context, &link, body).await?;
         if open.key.is_empty() || open.key.len() > 256 {
             return Err(Failure::refused(
                 Code::BadBody,
@@ -108,6 +112,7 @@
 #[handler]
 async fn make_call(
     context: Data<&Context>,
+    link: Data<&Arc<Link>>,
     Path(program): Path<String>,
     request: &poem::Request,
     body: Body,
@@ -115,7 +120,7 @@
     let mut timeout_ms = None;
     let owner_request = async {
         let program = parse_parameter::<Program>(&program)?;
-        let call_body: CallBody = parse_body(&context, body).await?;
+        let call_body: CallBody = parse_body(&context, &link, body).await?;
         timeout_ms = call_body.timeout_ms;
         let request = match (call_body.model, call_body.service, call_body.spawn) {
             (Some(model), None, None) => {
@@ -187,25 +192,26 @@
 #[handler]
 async fn plain_call(
     context: Data<&Context>,
+    link: Data<&Arc<Link>>,
     Path((service, operation)): Path<(String, String)>,
     request: &poem::Request,
     body: Body,
 ) -> Response {
     let key = request.header("idempotency-key").map(str::to_owned);
-    let result = run_plain_call(&context, &service, &operation, key, body).await;
+    let result = run_plain_call(&context, &link, (&service, &operation), key, body).await;
     json_response(&context, result)
 }
 
 async fn run_plain_call(
     context: &Context,
-    service: &str,
-    operation: &str,
+    link: &Link,
+    (service, operation): (&str, &str),
     key: Option<String>,
     body: Body,
 ) -> Result<serde_json::Value, Failure> {
     let service = parse_parameter::<Service>(service)?;
     let operation = parse_parameter::<Operation>(operation)?;
-    let body: Box<RawValue> = parse_body(context, body).await?;
+    let body: Box<RawValue> = parse_body(context, link, body).await?;
     let key = key
         .filter(|key| !key.is_empty() && key.len() <= 200)
         .ok_or_else(|| {
@@ -284,16 +290,36 @@
     Ok(())
 }
 
-async fn parse_body<T: DeserializeOwned>(context: &Context, body: Body) -> Result<T, Failure> {
-    let limit = context.max_body_bytes;
-    let reading = tokio::time::timeout(BODY_TIMEOUT, body.into_bytes_limit(limit)).await;
-    let timed_out = || Failure::refused(Code::BadBody, "timed out while receiving the body");
-    let bytes = reading.map_err(|_| timed_out())?.map_err(|_| {
-        Failure::refused(
-            Code::TooLarge,
-            format!("the body has more than {limit} bytes"),
-        )
+async fn parse_body<T: DeserializeOwned>(
+    context: &Context,
+    link: &Link,
+    body: Body,
+) -> Result<T, Failure> {
+    let (intake, limit) = (&context.intake, context.max_body_bytes);
+    let deadline = Instant::now() + BODY_TIMEOUT;
+    link.set_deadline(deadline);
+    let body = BoxBody::from(body);
+    let body = read_body(intake, link, Kind::Body, body, limit, deadline).await;
+    let body = body.map_err(|error| match error {
+        ReadError::TooLarge => {
+            let message = format!("the body has more than {limit} bytes");
+            Failure::refused(Code::TooLarge, message)
+        }
+        ReadError::EndedEarly => Failure::refused(Code::BadBody, "the body ended early"),
+        ReadError::Late => Failure::refused(Code::BadBody, "timed out while receiving the body"),
+        ReadError::NoRoom(shortage) => {
+            event!(
+                info,
+                "request_refused",
+                peer = link.peer(),
+                code = Code::NoRoom,
+                reason = shortage
+            );
+            let failure = Failure::refused(Code::NoRoom, shortage.to_string());
+            failure.retry_after(shortage.retry_after)
+        }
     })?;
+    let bytes = body.to_bytes();
     let mut deserializer = serde_json::Deserializer::from_slice(&bytes);
     serde_path_to_error::deserialize(&mut deserializer).map_err(|error| {
         Failure::refused(
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,10 +1,11 @@
 //! Runs one VM: binds its sockets, starts its duties and stops them in order.
 
-use crate::acceptor::NoDelay;
+use crate::acceptor::Limited;
 use crate::code::{Code, Failure};
 use crate::config::{self, Snapshot, State};
 use crate::entry::{self, Router};
 use crate::id::{self, Boot, Millicores, Offset};
+use crate::intake::{Intake, Timeouts, Tracked, head_bytes};
 use crate::journal::{self, MemberCount, Rate};
 use crate::member::{self, Announcement, View};
 use crate::operator::{self, HandlerContext};
@@ -12,11 +13,14 @@
 use crate::owner;
 use crate::peer::{self, Connections};
 use crate::platform::LogClient;
+use crate::policy::room::Port;
 use crate::settings::{Listen, Settings};
 use crate::supervisor::Supervisor;
 use crate::telemetry::{Metrics, event};
 use crate::{dispatch, standin};
-use poem::{EndpointExt, IntoEndpoint, Server};
+use http_body_util::combinators::BoxBody;
+use poem::http::StatusCode;
+use poem::{Endpoint, EndpointExt, IntoEndpoint, IntoResponse, Response, Server};
 use std::net::{TcpListener, UdpSocket};
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,6 +35,13 @@
 /// it is not ready.
 const NOT_READY_PERIOD: Duration = Duration::from_secs(1);
 
+/// Time limits of callers' connections.
+const TIMEOUTS: Timeouts = Timeouts {
+    head: Duration::from_secs(10),
+    idle: Duration::from_mins(2),
+};
+const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Bound sockets of a VM.
 #[derive(Debug)]
 pub(crate) struct Sockets {
@@ -150,6 +161,8 @@
 struct Handles {
     settings: Settings,
     metrics: Metrics,
+    /// What is held for callers and operators.
+    intake: Intake,
     log: LogClient,
     links: Connections,
     /// What this VM announces about itself to the members.
@@ -178,9 +191,11 @@
     let (journal, journal_commands) = flume::bounded(QUEUE_CAPACITY);
     let (draining, draining_receiver) = flume::bounded(QUEUE_CAPACITY);
     let (journal_events, owner_events) = flume::bounded(QUEUE_CAPACITY);
+    let intake = Intake::of_machine(settings.memory_mb, settings.max_descriptors);
     let handles = Handles {
         settings: settings.clone(),
-        metrics: Metrics::new(),
+        metrics: Metrics::new(&intake),
+        intake,
         log: LogClient::new(&settings.log),
         links: Connections::new(&settings.peer_key),
         local: local.clone(),
@@ -381,14 +396,20 @@
             config: self.config.clone(),
             metrics: self.metrics.clone(),
             max_body_bytes: self.settings.max_body_bytes,
+            intake: self.intake.clone(),
         };
         let stages = self.stages.clone();
         let stop_timeout = Duration::from_millis(self.settings.stop_ms);
         supervisor.spawn("entry", move || {
             let listener = listener.try_clone().expect("the socket can be duplicated");
             let (routes, stages) = (entry::routes(entry.clone()), stages.clone());
+            let intake = entry.intake.clone();
             async move {
-                serve_http(listener, routes, stages.entry, stop_timeout).await;
+                let closing = close_overdue(intake.clone());
+                let port = Port::Callers;
+                let serving =
+                    serve_http(listener, routes, intake, port, stages.entry, stop_timeout);
+                tokio::select! { () = serving => {}, () = closing => {} }
                 stages.entry_done.cancel();
             }
         });
@@ -421,6 +442,8 @@
             serve_http(
                 listener,
                 routes,
+                handles.intake.clone(),
+                Port::Operators,
                 handles.stages.rest.clone(),
                 Duration::from_secs(1),
             )
@@ -449,20 +472,53 @@
     }
 }
 
+/// Notes which connection a request belongs to, and charges what it holds until its answer is sent.
+async fn track<E: Endpoint>(
+    endpoint: Arc<E>,
+    mut request: poem::Request,
+    intake: Intake,
+    port: Port,
+) -> poem::Result<Response> {
+    let peer = request.remote_addr().as_socket_addr().copied();
+    let link = peer.and_then(|peer| intake.registry().find(port, peer));
+    let Some(link) = link else {
+        // It was closed to make room.
+        return Ok(StatusCode::SERVICE_UNAVAILABLE.into_response());
+    };
+    let charge = link.begin_request(&intake, head_bytes(request.headers()));
+    request.extensions_mut().insert(Arc::clone(&link));
+    let response = endpoint.get_response(request).await;
+    let (parts, body) = response.into_parts();
+    let body = Tracked::new(BoxBody::from(body), link, charge);
+    Ok(Response::from_parts(parts, BoxBody::new(body).into()))
+}
+
+/// Closes connections that exceed their time limits.
+async fn close_overdue(intake: Intake) {
+    loop {
+        tokio::time::sleep(OVERDUE_CHECK_INTERVAL).await;
+        intake.registry().close_overdue(TIMEOUTS);
+    }
+}
+
 async fn serve_http(
     listener: TcpListener,
     routes: impl IntoEndpoint<Endpoint: 'static>,
+    intake: Intake,
+    port: Port,
     stop: CancellationToken,
     stop_timeout: Duration,
 ) {
-    let acceptor = match NoDelay::new(listener) {
+    let acceptor = match Limited::new(listener, intake.clone(), port) {
         Ok(acceptor) => acceptor,
         Err(error) => {
             event!(error, "listen_failed", reason = error);
             return;
         }
     };
-    let endpoint = routes.into_endpoint().map_to_response();
+    let endpoint = routes
+        .into_endpoint()
+        .around(move |endpoint, request| track(endpoint, request, intake.clone(), port));
     let result = Server::new_with_acceptor(acceptor)
         .run_with_graceful_shutdown(
             endpoint,
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,5 +1,6 @@
 //! Structured logs, one line of key=value pairs per event, and metrics.
 
+use crate::intake::{Intake, observe};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -162,9 +163,10 @@
 }
 
 impl Metrics {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(intake: &Intake) -> Self {
         let exporter = Exporter::new();
         let meter = exporter.meter();
+        observe(&meter, intake);
         let counter = |name: &'static str, description: &'static str| {
             meter
                 .u64_counter(name)
