Read no message of anybody but a VM at the port for other VMs

Cause: the key is a parameter of each message, so a message of up to 16 MiB was read before its sender was known.

Change: a connection carries a token of the key in its head; others get 403, and nothing more is read of them. Plain requests are not served. The connections are in the same account as the others. Messages still carry the key as well. VMs of the version before can't connect.

--- a/src/peer/connections.rs
+++ b/src/peer/connections.rs
@@ -1,12 +1,14 @@
 //! Persistent connections to the other VMs.
 
-use super::MAX_MESSAGE_BYTES;
+use super::{MAX_MESSAGE_BYTES, authorization};
 use crate::code::Failure;
 use crate::config::State;
 use crate::dispatch::{Grant, Key};
 use crate::id::Permit;
 use crate::owner::{Frame, Request};
 use crate::policy::{self, Outcome};
+use http::HeaderMap;
+use http::header::AUTHORIZATION;
 use jsonrpsee::core::client::{ClientT, Subscription, SubscriptionClientT};
 use jsonrpsee::rpc_params;
 use jsonrpsee::ws_client::{PingConfig, WsClient, WsClientBuilder};
@@ -126,6 +128,10 @@
             .max_response_size(MAX_MESSAGE_BYTES)
             .max_concurrent_requests(4096)
             .max_buffer_capacity_per_subscription(MAX_BUFFERED_FRAMES)
+            .set_headers(HeaderMap::from_iter([(
+                AUTHORIZATION,
+                authorization(&self.key),
+            )]))
             .set_tcp_no_delay(true);
         let client = builder
             .build(format!("ws://{to}"))
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -1,26 +1,36 @@
 //! The peer thread: serves requests of the other VMs.
 
-use super::MAX_MESSAGE_BYTES;
+use super::{MAX_MESSAGE_BYTES, authorization};
 use crate::code::{Code, Failure};
 use crate::config::State;
 use crate::dispatch::{self, Grant, Key};
 use crate::id::Permit;
+use crate::intake::{Intake, head_bytes};
 use crate::owner::{Envelope, Frame, Request};
 use crate::policy;
+use crate::policy::room::Port;
 use crate::telemetry::event;
+use http::StatusCode;
+use http::header::AUTHORIZATION;
+use hyper::body::Incoming;
 use jsonrpsee::core::SubscriptionError;
 use jsonrpsee::server::{
-    PendingSubscriptionSink, PingConfig, RpcModule, Server, ServerConfig, SubscriptionMessage,
-    SubscriptionSink,
+    HttpBody, HttpRequest, HttpResponse, Methods, PendingSubscriptionSink, PingConfig, RpcModule,
+    Server, ServerConfig, SubscriptionMessage, SubscriptionSink, serve_with_graceful_shutdown,
+    stop_channel,
 };
 use jsonrpsee::types::{ErrorObjectOwned, Params};
 use serde::Serialize;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
+use tower::Service as _;
 
+/// Pause after a failed accept, which usually means that the process is out of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Frames buffered between the owner thread and a connection.
 const MAX_BUFFERED_FRAMES: usize = 256;
 
@@ -53,31 +63,75 @@
 pub(crate) async fn serve(
     listener: std::net::TcpListener,
     service: Service,
+    intake: Intake,
     stop: CancellationToken,
 ) {
+    Intake::limit_receive_buffers(&listener);
+    let listener = match TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(error) => {
+            event!(error, "peer_listen_failed", reason = error);
+            return;
+        }
+    };
     let config = ServerConfig::builder()
         .max_request_body_size(MAX_MESSAGE_BYTES)
         .max_response_body_size(MAX_MESSAGE_BYTES)
         .max_subscriptions_per_connection(8192)
         .max_connections(1024)
-        .set_tcp_no_delay(true)
+        .ws_only()
         .enable_ws_ping(PingConfig::new())
         .build();
-    let server = match Server::builder()
-        .set_config(config)
-        .build_from_tcp(listener)
-    {
-        Ok(server) => server,
-        Err(error) => {
-            event!(error, "peer_listen_failed", reason = error);
-            return;
-        }
-    };
-    let handle = server.start(rpc_module(service));
-    stop.cancelled().await;
+    let builder = Server::builder().set_config(config).to_service_builder();
+    let authorization = authorization(&service.key);
+    let methods = Methods::from(rpc_module(service));
+    let (stop_handle, handle) = stop_channel();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => break,
+        };
+        let Ok((stream, peer)) = accepted else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        // Fails only for a closed connection, which is detected when the request is read.
+        let _ = stream.set_nodelay(true);
+        let Some((io, registration)) = intake.open(stream, peer, Port::Peers) else {
+            continue;
+        };
+        let link = registration.link();
+        let (builder, methods) = (builder.clone(), methods.clone());
+        let (stopping, intake) = (stop_handle.clone(), intake.clone());
+        let authorization = authorization.clone();
+        let respond = tower::service_fn(move |request: HttpRequest<Incoming>| {
+            let is_vm = request.headers().get(AUTHORIZATION) == Some(&authorization);
+            let charge = is_vm.then(|| link.begin_request(&intake, head_bytes(request.headers())));
+            let mut server = builder.clone().build(methods.clone(), stopping.clone());
+            async move {
+                let Some(_charge) = charge else {
+                    event!(warn, "peer_refused", peer = peer, code = Code::BadPeer);
+                    return Ok(forbidden());
+                };
+                server.call(request).await
+            }
+        });
+        let stopped = stop_handle.clone().shutdown();
+        tokio::task::spawn_local(async move {
+            let _registration = registration;
+            // After a broken connection the other VM connects again.
+            drop(serve_with_graceful_shutdown(io, respond, stopped).await);
+        });
+    }
     let _ = handle.stop();
 }
 
+fn forbidden() -> HttpResponse {
+    let mut response = HttpResponse::new(HttpBody::empty());
+    *response.status_mut() = StatusCode::FORBIDDEN;
+    response
+}
+
 fn rpc_module(service: Service) -> RpcModule<Service> {
     let mut module = RpcModule::new(service);
     module
--- a/src/policy/room.rs
+++ b/src/policy/room.rs
@@ -114,13 +114,15 @@
     Callers,
     /// The load balancer, to ask whether the VM is ready.
     Readiness,
-    /// Operators, collectors of metrics and other VMs.
+    /// Operators, collectors of metrics and, at a gateway, other VMs.
     Operators,
+    /// Other VMs.
+    Peers,
 }
 
 impl Port {
     /// All of them.
-    pub const ALL: [Self; 3] = [Self::Callers, Self::Readiness, Self::Operators];
+    pub const ALL: [Self; 4] = [Self::Callers, Self::Readiness, Self::Operators, Self::Peers];
 
     /// The name in logs and metrics.
     #[must_use]
@@ -129,6 +131,7 @@
             Self::Callers => "callers",
             Self::Readiness => "readiness",
             Self::Operators => "operators",
+            Self::Peers => "peers",
         }
     }
 }
@@ -144,6 +147,7 @@
 pub struct Connections {
     callers: usize,
     operators: usize,
+    peers: usize,
 }
 
 impl Connections {
@@ -157,6 +161,7 @@
         Self {
             callers: sockets / 2,
             operators: sockets / 16 + 16,
+            peers: sockets / 4,
         }
     }
 
@@ -167,6 +172,7 @@
             Port::Callers => self.callers,
             Port::Readiness => READINESS_CONNECTIONS,
             Port::Operators => self.operators,
+            Port::Peers => self.peers,
         }
     }
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -377,10 +377,10 @@
             dispatch: self.dispatch.clone(),
             config: self.states.clone(),
         };
-        let rest = self.stages.rest.clone();
+        let (rest, intake) = (self.stages.rest.clone(), self.intake.clone());
         supervisor.spawn("peer", move || {
             let listener = listener.try_clone().expect("the socket can be duplicated");
-            peer::serve(listener, service.clone(), rest.clone())
+            peer::serve(listener, service.clone(), intake.clone(), rest.clone())
         });
     }
 
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -105,6 +105,13 @@
             self.call("/plain/x", &largest).text() == MAX_BODY_BYTES.to_string()
         });
         watch.check();
+        until("all that was held is released", || {
+            let state = self.vm.state();
+            let held = &state["held"]["bytes"];
+            ["bodies", "answers", "messages"]
+                .iter()
+                .all(|kind| held[kind] == 0)
+        });
     }
 }
 
--- a/tests/crowds_serve.rs
+++ b/tests/crowds_serve.rs
@@ -79,6 +79,37 @@
     site.check(&watch, crowd);
 }
 
+/// Guards against unfinished messages of those who are no VM, at the port of other VMs.
+#[test]
+fn unfinished_messages_at_the_port_of_other_vms() {
+    const MESSAGE_BYTES: usize = 16 << 20;
+    let _alone = alone();
+    let site = Site::start();
+    let watch = site.watch();
+    let crowd = gather(site.environment.vms[0].peers, 64, |number| {
+        let more = if number % 2 == 0 {
+            format!("Content-Length: {MESSAGE_BYTES}\r\nContent-Type: application/json\r\n")
+        } else {
+            "Connection: Upgrade\r\nUpgrade: websocket\r\nSec-WebSocket-Version: 13\r\n\
+             Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n"
+                .to_owned()
+        };
+        let head = format!("POST / HTTP/1.1\r\nHost: vm\r\n{more}\r\n");
+        let head = if number % 2 == 0 {
+            head
+        } else {
+            head.replace("POST", "GET")
+        };
+        // A text frame of this size, with a mask of zeros.
+        let mut frame = vec![0x81, 0xff];
+        frame.extend_from_slice(&(MESSAGE_BYTES as u64).to_be_bytes());
+        frame.extend_from_slice(&[0; 4]);
+        let start = if number % 2 == 0 { Vec::new() } else { frame };
+        [head.into_bytes(), start, vec![b' '; MESSAGE_BYTES - 1]]
+    });
+    site.check(&watch, crowd);
+}
+
 /// Guards against heads without end at the ports of callers and operators.
 #[test]
 fn unfinished_heads_at_the_interface_for_programs() {
