Count the whole time of a body that waits for room in pieces

Cause: a body of unknown length gets its room in pieces, and each piece began the time over from which its rate is taken, so that a caller who trickles was noticed later than after two seconds.

Change: the time begins with the first byte that is read. Examples for the functions of policy::room.

Measured: not by a test of its own; tests/room has the decision (bodies_that_trickle_count_as_stalled).

--- a/src/intake/link.rs
+++ b/src/intake/link.rs
@@ -68,6 +68,8 @@
     arrived: usize,
     /// Bytes of the request's body or of its answer.
     bytes: usize,
+    /// When the body of the request was first read.
+    body_since: Option<Instant>,
     used: bool,
     /// Size of the receive buffer.
     receive_bytes: usize,
@@ -120,6 +122,7 @@
                 is_blocked: false,
                 arrived: 0,
                 bytes: 0,
+                body_since: None,
                 used: false,
                 receive_bytes: RECEIVE_BYTES,
                 is_answered: false,
@@ -144,7 +147,7 @@
     pub(crate) fn begin_request(&self, intake: &Intake, head_bytes: usize) -> Charge {
         let mut state = self.state();
         state.begin(Phase::Working);
-        (state.used, state.bytes) = (true, 0);
+        (state.used, state.bytes, state.body_since) = (true, 0, None);
         (state.is_answered, state.is_refused) = (false, false);
         intake.charge(Kind::Request, REQUEST_BYTES + 2 * head_bytes)
     }
@@ -159,8 +162,10 @@
         let mut state = self.state();
         let arrived = state.arrived;
         state.begin(Phase::Body);
-        state.arrived = arrived;
-        state.bytes = bytes;
+        // Pauses in which it waited for room are a part of its time.
+        let since = state.since;
+        state.since = *state.body_since.get_or_insert(since);
+        (state.arrived, state.bytes) = (arrived, bytes);
         // What has not arrived yet is charged, so it may wait unread.
         state.limit_receive_buffer(bytes.clamp(RECEIVE_BYTES, LARGE_RECEIVE_BYTES));
     }
--- a/src/policy/room.rs
+++ b/src/policy/room.rs
@@ -44,6 +44,11 @@
 
 impl Need {
     /// The need of a request that holds this many bytes.
+    ///
+    /// ```
+    /// use vanillatrail::policy::room::{Need, SMALL_BYTES};
+    /// assert_eq!(Need::of_request(SMALL_BYTES), Need::Small);
+    /// ```
     #[must_use]
     pub const fn of_request(bytes: usize) -> Self {
         if bytes <= SMALL_BYTES {
@@ -54,6 +59,11 @@
     }
 
     /// The need of an answer of this many bytes.
+    ///
+    /// ```
+    /// use vanillatrail::policy::room::{Need, SMALL_BYTES};
+    /// assert_eq!(Need::of_answer(SMALL_BYTES + 1), Need::Answer);
+    /// ```
     #[must_use]
     pub const fn of_answer(bytes: usize) -> Self {
         if bytes <= SMALL_BYTES {
@@ -279,6 +289,16 @@
 }
 
 /// The connections to close so that `bytes` are freed, in order; all that may be closed if they hold less.
+///
+/// ```
+/// use std::time::Duration;
+/// use vanillatrail::policy::room::{Holder, Need, Phase, close_for_memory};
+/// let quiet = Duration::from_secs(2);
+/// let left = Duration::from_secs(4);
+/// let stalled = Holder { key: 1, phase: Phase::Body, used: true, bytes: 1000, arrived: 10, age: quiet, quiet, left };
+/// let working = Holder { key: 2, phase: Phase::Working, ..stalled };
+/// assert_eq!(close_for_memory(vec![working, stalled], Need::Large, 500), [1]);
+/// ```
 #[must_use]
 pub fn close_for_memory<K>(holders: Vec<Holder<K>>, need: Need, bytes: usize) -> Vec<K> {
     let ranked = holders.into_iter();
@@ -298,6 +318,16 @@
 }
 
 /// The connections to close so that new ones can be opened.
+///
+/// ```
+/// use std::time::Duration;
+/// use vanillatrail::policy::room::{Holder, Phase, close_for_connection};
+/// let quiet = Duration::from_secs(2);
+/// let left = Duration::ZERO;
+/// let used = Holder { key: 1, phase: Phase::Idle, used: true, bytes: 0, arrived: 0, age: quiet, quiet, left };
+/// let unused = Holder { key: 2, used: false, ..used };
+/// assert_eq!(close_for_connection(vec![used, unused]), [2]);
+/// ```
 #[must_use]
 pub fn close_for_connection<K>(holders: Vec<Holder<K>>) -> Vec<K> {
     let count = (holders.len() / CLOSED_SHARE).max(1);
