Let callers of the interface for programs read the refusal of a body that is not read

What callers saw: a body over the limit is refused before it is read, and the connection was closed while its caller was still sending, so that it got a broken pipe instead of 413.

Cause: unread bytes reset the connection. The gateway reads on for a moment after such a refusal; the acceptor of `serve` did not.

Change: it does the same when the connection is dropped, bounded by the same second and 4 MiB.

--- a/src/acceptor.rs
+++ b/src/acceptor.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::runtime::Handle;
 use tokio::time::sleep;
 
 /// Pause after a failed accept, which usually means that the process is out of file descriptors.
@@ -82,7 +83,7 @@
             if let Some((io, registration)) = self.intake.open(stream, peer, self.port) {
                 let connection = Connection {
                     io,
-                    _registration: registration,
+                    registration: Some(registration),
                 };
                 return Ok((connection, local, remote, scheme));
             }
@@ -93,7 +94,26 @@
 /// An accepted connection, registered until it is closed.
 pub(crate) struct Connection {
     io: Io,
-    _registration: Registration,
+    /// `None` while it is dropped.
+    registration: Option<Registration>,
+}
+
+impl Drop for Connection {
+    /// Reads on for a moment if a request was refused before it was whole, so that its caller receives the answer.
+    fn drop(&mut self) {
+        let Some(registration) = self.registration.take() else {
+            return;
+        };
+        let (link, mut io) = (registration.link(), self.io.clone());
+        if link.is_unread()
+            && let Ok(runtime) = Handle::try_current()
+        {
+            runtime.spawn(async move {
+                link.linger(&mut io).await;
+                drop(registration);
+            });
+        }
+    }
 }
 
 impl AsyncRead for Connection {
