Let requests wait for the first read of the servers that ended, as long as it goes on

A request now waits for the first read as long as that goes on, for half of its time at most. Once that read has failed nobody waits: the next ones may fail for as long as the store is away, and a refusal comes at once.

--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -105,6 +105,9 @@
 
 /// Sends the request to one server after another until one responds.
 async fn dispatch(job: &Rc<Job>) -> Result<Response<Body>, Failure> {
+    // The rest of the time is for the backend server, or for the caller to come back.
+    let until = Instant::now() + job.remaining() / 2;
+    job.gateway.ends.wait_until_read(until).await;
     job.gateway.ends.assume_lost_attempt(job.content()).await;
     // A request that is refused here must count against no limit.
     job.check_ended_servers().await?;
--- a/src/gateway/server/end_records.rs
+++ b/src/gateway/server/end_records.rs
@@ -292,6 +292,7 @@
                     let is_first = recorded.is_none();
                     let news = recorded.unwrap_or_default();
                     self.ends.restore(&news, is_first);
+                    self.ends.end_first_read();
                     let count = news.len();
                     event!(info, "server_ends_restored", news = count, first = is_first);
                     // The others may have lost the VMs that knew of it.
@@ -300,6 +301,7 @@
                 }
                 Err(fault) => event!(info, "server_ends_unread", reason = fault),
             }
+            self.ends.end_first_read();
             sleep(READ_RETRY_INTERVAL).await;
         }
     }
--- a/src/gateway/server/ends.rs
+++ b/src/gateway/server/ends.rs
@@ -52,6 +52,8 @@
     informed: Cell<bool>,
     /// Whether this VM has read what was recorded before it started.
     restored: Cell<bool>,
+    /// Whether its first read of that is under way. The next ones follow a failure, and may fail for long.
+    is_reading: Cell<bool>,
     /// Whether no VM has started before this one, so that none can have been lost.
     is_first: Cell<bool>,
     /// Whole answers of attempts that other VMs have on record, by service, to be told together.
@@ -65,6 +67,7 @@
             ledger: RefCell::default(),
             informed: Cell::default(),
             restored: Cell::default(),
+            is_reading: Cell::new(true),
             is_first: Cell::default(),
             answered: RefCell::default(),
         }
@@ -77,6 +80,18 @@
         }
     }
 
+    /// Waits until this VM knows what was noticed before it started, or can't learn it soon.
+    pub(crate) async fn wait_until_read(&self, until: Instant) {
+        while self.is_reading.get() && !self.is_assumed_informed() && Instant::now() < until {
+            sleep(INFORMED_INTERVAL).await;
+        }
+    }
+
+    /// Notes that the first read has ended, whether or not it failed.
+    pub(super) fn end_first_read(&self) {
+        self.is_reading.set(false);
+    }
+
     /// Whether this VM started so long ago that callers have given up the requests of before.
     pub(super) fn is_start_over(&self) -> bool {
         self.started.elapsed() >= UNINFORMED_PERIOD
