Account for the text of streams whose turns are kept

64 callers that read long streams on a route that keeps turns made a VM hold 234 MiB, with none of it in the account (long_streams_whose_turns_are_to_be_kept, red before: bound 114 MiB). Cause: the text of an answer is collected until the turn is written, without a bound of its own, though a turn over 250 KB is never written.

The text is charged as a history now, and stops growing where it is too long to be kept: the answer then ends as before.

--- a/src/gateway/conversation/mod.rs
+++ b/src/gateway/conversation/mod.rs
@@ -50,7 +50,7 @@
 /// store.
 pub(super) const MAX_INPUT_BYTES: usize = 160_000;
 /// Limit on input and answer of one turn; the store takes records of up to 256 KB.
-const MAX_TURN_BYTES: usize = 250_000;
+pub(super) const MAX_TURN_BYTES: usize = 250_000;
 /// Largest expected difference between the clocks of two VMs.
 const MAX_CLOCK_SKEW: Duration = Duration::from_secs(6);
 /// Consecutive failures, over all buckets, after which the store counts as unavailable.
--- a/src/gateway/request/stream.rs
+++ b/src/gateway/request/stream.rs
@@ -4,6 +4,7 @@
 use super::body::{Body, Chunks};
 use super::job::Job;
 use crate::conversation::Transcript;
+use crate::gateway::conversation::MAX_TURN_BYTES;
 use crate::gateway::queue::permit::Permit;
 use crate::gateway::server::attempt::{
     AttemptResult, ENDLESS, EventSource, OTHER_INSTANCE, Stream, StreamItem, attempt,
@@ -13,7 +14,7 @@
 use crate::gateway::server::moving::{self, Moving, continue_moved};
 use crate::gateway::server::pinning;
 use crate::gateway::world::directory::Entry;
-use crate::intake::Kind;
+use crate::intake::{Charge, Kind, Shortage};
 use crate::policy::dispatch::Outcome;
 use crate::policy::room::Need;
 use crate::telemetry::event;
@@ -45,7 +46,7 @@
         last_event: job.meta.last_event,
         sequence: Sequence::default(),
         moving: None,
-        transcript: job.route.stores_history.then(Transcript::default),
+        text: job.route.stores_history.then(Text::default),
         chunks,
     };
     tokio::task::spawn_local(stream_relay.run(stream.first_batch));
@@ -64,7 +65,7 @@
     /// A move of the run off its engine.
     moving: Option<Moving>,
     /// Response so far, where the route stores turns.
-    transcript: Option<Transcript>,
+    text: Option<Text>,
     chunks: Chunks,
 }
 
@@ -151,8 +152,10 @@
         let job = &self.job;
         job.events_relayed
             .set(job.events_relayed.get() + batch.events);
-        if let Some(transcript) = &mut self.transcript {
-            transcript.push(&batch.bytes);
+        if let Some(text) = &mut self.text
+            && text.push(job, &batch.bytes).await.is_err()
+        {
+            return Some(StreamEnd::DeadlinePassed);
         }
         if let Some(permit) = &self.permit
             && self.moving.is_none()
@@ -305,7 +308,7 @@
             job,
             permit,
             source,
-            transcript,
+            text,
             chunks,
             ..
         } = self;
@@ -322,7 +325,7 @@
             pinning::turn_ended(&job);
             continuation::run_ended(&job);
             job.record_success().await;
-            let saved = save_turn(&job, transcript).await;
+            let saved = save_turn(&job, text).await;
             job.record_end(if saved { "200" } else { "cut:not_kept" }, saved);
             if !saved {
                 let _ = chunks.abort().await;
@@ -350,11 +353,40 @@
 }
 
 /// Saves a completed turn if its route stores turns; returns false if that failed.
-async fn save_turn(job: &Job, transcript: Option<Transcript>) -> bool {
-    let Some(transcript) = transcript else {
+async fn save_turn(job: &Job, text: Option<Text>) -> bool {
+    let Some(text) = text else {
         return true;
     };
-    job.gateway.persist_turn(job, transcript).await
+    job.gateway.persist_turn(job, text.transcript).await
+}
+
+/// The text of a response, with its memory.
+#[derive(Debug, Default)]
+struct Text {
+    transcript: Transcript,
+    charges: Option<Charge>,
+}
+
+impl Text {
+    /// Appends the text of complete events. A text that is too long to be kept as a turn does not grow further.
+    ///
+    /// # Errors
+    /// If there is no memory for it before the deadline.
+    async fn push(&mut self, job: &Job, events: &[u8]) -> Result<(), Shortage> {
+        if self.transcript.len() > MAX_TURN_BYTES {
+            return Ok(());
+        }
+        let need = Need::of_answer(self.transcript.len() + events.len());
+        let intake = &job.gateway.intake;
+        let charge = intake.reserve(Kind::History, need, events.len(), job.deadline);
+        let charge = charge.await?;
+        match &mut self.charges {
+            Some(charges) => charges.add(charge),
+            charges => *charges = Some(charge),
+        }
+        self.transcript.push(events);
+        Ok(())
+    }
 }
 
 fn log_resume(
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -294,6 +294,26 @@
     site.check(&watch, crowd);
 }
 
+/// Guards against long streams that are read, of which the whole text is held to keep the turn.
+#[test]
+fn long_streams_whose_turns_are_to_be_kept() {
+    let _alone = alone();
+    let site = Site::start();
+    let watch = site.watch();
+    let crowd = site.gather(CROWD, |number| {
+        with_length("/chat/stream-200000", number, 0, 0)
+    });
+    std::thread::scope(|scope| {
+        for mut caller in &crowd {
+            // Until the VM ends the stream, or sends nothing for a while.
+            let limited = caller.set_read_timeout(Some(Duration::from_secs(2)));
+            limited.expect("the timeout is set");
+            scope.spawn(move || std::io::copy(&mut caller, &mut std::io::sink()));
+        }
+    });
+    site.check(&watch, crowd);
+}
+
 /// Guards against small requests, each of which holds a copy of a long history.
 #[test]
 fn small_requests_with_a_long_history() {
