Read no more than 64 KiB ahead from a server

The buffer of a connection to a server grew to 400 KiB where the caller reads more slowly than the server sends, beside what the account counts. 64 KiB hold the largest head that is taken.

--- a/src/gateway/server/connection.rs
+++ b/src/gateway/server/connection.rs
@@ -26,6 +26,8 @@
 /// the connection.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 const MAX_IDLE_PER_SERVER: usize = 24;
+/// Most bytes that are read ahead; a head has to fit into them.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
 /// Interim responses to one request. None are asked for.
 const MAX_INTERIM_RESPONSES: usize = 16;
 
@@ -82,7 +84,8 @@
         socket::set_options(&stream)?;
         let limit = ReadLimit::default();
         let io = TokioIo::new(LimitedStream::new(stream, limit.clone()));
-        let handshake = http1::handshake(io).await;
+        let mut client = http1::Builder::new();
+        let handshake = client.max_buf_size(MAX_BUFFER_BYTES).handshake(io).await;
         let (sender, connection) = handshake.map_err(std::io::Error::other)?;
         let driver = tokio::task::spawn_local(async move {
             // Errors are reported to the request in flight.
