Answer a request once its turn is in memory, while the rest of the bucket is read

Cause: buckets are read page by page, but a request waited for the last page though its turn had come with an early one.

A request now goes on as soon as a page has its turn. The read goes on for those that wait for other turns, and is given up with the request that began it only if the turn has not been found.

--- a/src/gateway/conversation/assemble.rs
+++ b/src/gateway/conversation/assemble.rs
@@ -65,7 +65,7 @@
             }
         }
         // The home VMs are gone or unreachable.
-        match self.conversations.find_in_store(id).await {
+        match self.find_stored_turn(id).await {
             Ok(true) => Ok(()),
             Ok(false) => Err(unknown_turn()),
             Err(fault) => {
--- a/src/gateway/conversation/load.rs
+++ b/src/gateway/conversation/load.rs
@@ -15,7 +15,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::Semaphore;
+use tokio::sync::{Notify, Semaphore};
+use tokio::task::JoinSet;
 use tokio::time::{Instant, timeout};
 
 /// Time limit for one page of a bucket; the next read uses a new connection.
@@ -36,6 +37,8 @@
     buckets: RefCell<HashMap<Bucket, Rc<SharedRead<ReadResult>>>>,
     /// Turns that requests wait for, with the number of these.
     wanted: RefCell<HashMap<Id, usize>>,
+    /// Notified when a page has turns that requests wait for.
+    found: Notify,
     permits: Semaphore,
 }
 
@@ -44,6 +47,7 @@
         Self {
             buckets: RefCell::default(),
             wanted: RefCell::default(),
+            found: Notify::new(),
             permits: Semaphore::new(MAX_CONCURRENT_READS),
         }
     }
@@ -146,7 +150,7 @@
     ///
     /// # Errors
     /// If the turn is not in memory afterwards, and can't be ruled out.
-    pub(super) async fn find_in_store(&self, id: &Id) -> Result<bool, Error> {
+    async fn find_in_store(&self, id: &Id) -> Result<bool, Error> {
         let _wanted = Wanted::new(&self.bucket_reads, id);
         let bucket = self.layout.bucket(id);
         let is_slow = self.store.borrow().observer().is_slow();
@@ -196,6 +200,9 @@
                 self.cache_turn(prefetched_at, self.charged(turn));
             }
         }
+        if !found.is_empty() {
+            self.bucket_reads.found.notify_waiters();
+        }
         found
     }
 
@@ -257,8 +264,33 @@
 }
 
 impl Gateway {
+    /// Looks a turn up at the store. Returns once it is in memory, while the rest of its bucket is read for others.
+    ///
+    /// # Errors
+    /// As [`Conversations::find_in_store`].
+    pub(super) async fn find_stored_turn(self: &Rc<Self>, id: &Id) -> Result<bool, Error> {
+        // Aborts the read if this request does not wait for it any longer.
+        let mut search = JoinSet::new();
+        let (gateway, wanted) = (Rc::clone(self), id.clone());
+        search.spawn_local(async move { gateway.conversations.find_in_store(&wanted).await });
+        loop {
+            let found = self.conversations.bucket_reads.found.notified();
+            tokio::select! {
+                result = search.join_next() => {
+                    let result = result.and_then(Result::ok);
+                    return result.unwrap_or_else(|| Err(not_in_memory()));
+                }
+                () = found => {}
+            }
+            if self.conversations.find_cached(id).is_some() {
+                search.detach_all();
+                return Ok(true);
+            }
+        }
+    }
+
     /// Answers which VM has a turn. `lost` is a VM that was named before and did not return it.
-    pub(crate) async fn locate(&self, id: &Id, lost: Option<SocketAddr>) -> Reply {
+    pub(crate) async fn locate(self: &Rc<Self>, id: &Id, lost: Option<SocketAddr>) -> Reply {
         let conversations = &self.conversations;
         if conversations.find_cached(id).is_some() {
             return Reply::HeldAt(self.peer_address());
@@ -270,7 +302,7 @@
             }
             conversations.locations.borrow_mut().remove(id);
         }
-        match conversations.find_in_store(id).await {
+        match self.find_stored_turn(id).await {
             Ok(true) => return Reply::HeldAt(self.peer_address()),
             Ok(false) => {}
             Err(fault) => {
