--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -397,6 +397,37 @@
     site.check(&watch, crowd);
 }
 
+/// Guards against whole bodies that no route or port takes.
+#[test]
+fn bodies_that_nobody_asked_for() {
+    let _alone = alone();
+    let site = Site::start();
+    let watch = site.watch();
+    let ports = [site.vm.callers, site.vm.ready, site.vm.operators];
+    let crowds = ports.map(|port| {
+        gather(port, CROWD, |number| {
+            if number % 2 == 0 {
+                return with_length("/unknown/x", number, MAX_BODY_BYTES, MAX_BODY_BYTES);
+            }
+            in_chunks("/unknown/x", number, 4 * MAX_BODY_BYTES, 65_536)
+        })
+    });
+    until("the VM says that it is ready", || {
+        call(site.vm.ready, "GET", "/readyz", &[], b"").status == 200
+    });
+    site.check(&watch, crowds.into_iter().flatten().collect());
+}
+
+/// Guards against small requests that wait for a busy service, and take the memory of all others together.
+#[test]
+fn small_requests_that_wait_for_a_busy_service() {
+    let _alone = alone();
+    let site = Site::start();
+    let watch = site.watch();
+    let crowd = site.gather(3000, |number| with_length("/busy/x", number, 1000, 1000));
+    site.check(&watch, crowd);
+}
+
 /// Guards against crowds that mix all kinds.
 #[test]
 fn crowds_of_mixed_kinds() {
--- a/tests/crowds_serve.rs
+++ b/tests/crowds_serve.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use crowd::{Watch, alone, chunks, gather};
-use serde_json::json;
+use serde_json::{Value, json};
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use support::Environment;
@@ -19,8 +19,16 @@
 
 impl Site {
     fn start() -> Self {
+        Self::start_with(&json!({}))
+    }
+
+    fn start_with(settings: &Value) -> Self {
+        let mut environment = Environment::platform(1);
+        environment.configure();
+        environment.add_vm(settings);
+        environment.wait_owned();
         Self {
-            environment: Environment::start(1, 1),
+            environment,
             opened: AtomicUsize::new(0),
         }
     }
@@ -124,3 +132,43 @@
     });
     site.check(&watch, crowd.into_iter().flatten().collect());
 }
+
+/// Guards against a VM whose descriptors are all taken by idle connections.
+#[test]
+fn more_idle_connections_than_descriptors_at_the_interface_for_programs() {
+    const DESCRIPTORS: usize = 800;
+    let _alone = alone();
+    let site = Site::start_with(&json!({ "max_descriptors": DESCRIPTORS }));
+    let watch = site.watch();
+    let vm = &site.environment.vms[0];
+    let ports = [vm.callers, vm.operators, vm.peers];
+    let crowds = ports.map(|port| gather(port, 1000, |_| [Vec::new()]));
+    assert_eq!(
+        site.environment.try_status(vm.operators, "/readyz"),
+        Some(200)
+    );
+    site.check(&watch, crowds.into_iter().flatten().collect());
+    let open = watch.descriptors();
+    assert!(open < DESCRIPTORS, "{open} descriptors");
+}
+
+/// Guards against unfinished bodies at the ports of operators, and against bodies that are announced over the limit.
+#[test]
+fn bodies_that_nobody_asked_for_at_the_interface_for_programs() {
+    let _alone = alone();
+    let site = Site::start();
+    let watch = site.watch();
+    let vm = &site.environment.vms[0];
+    let crowds = [vm.callers, vm.operators].map(|port| {
+        gather(port, CROWD, |number| {
+            let length = if number % 2 == 0 {
+                1 << 30
+            } else {
+                MAX_BODY_BYTES
+            };
+            let head = head(&format!("Content-Length: {length}\r\n"));
+            vec![head, vec![b' '; MAX_BODY_BYTES - 1]]
+        })
+    });
+    site.check(&watch, crowds.into_iter().flatten().collect());
+}
