Account for unfinished heads by their size

4,500 callers with unfinished heads of 12 KB made a VM of the release build hold 88 MiB (unfinished_heads; bound 114 MiB), more than the 48 MB that may be held for callers. Cause: an unfinished head was charged as an idle connection, 12 KiB, while its buffers had grown to more than twice that; the debug build, which is slower, took in fewer of them and held 35 MiB.

A head over 4 KiB is charged as its buffers grow. Where there is no room, heads that have waited give way, and else the connection is refused as others are. The policy sees what closing it frees.

--- a/src/gateway/front/accept.rs
+++ b/src/gateway/front/accept.rs
@@ -72,7 +72,7 @@
         let (gateway, link) = (Rc::clone(&gateway), Arc::clone(&link));
         // On the heap, so that idle connections don't hold room for a request.
         Box::pin(async move {
-            let charge = link.begin_request(&gateway.intake, head_bytes(request.headers()));
+            let charge = link.begin_request(head_bytes(request.headers()));
             let response = request::handle(gateway, &link, request).await?;
             Ok::<_, Infallible>(response.map(|body| Tracked::new(body, link, charge)))
         })
--- a/src/gateway/front/listen.rs
+++ b/src/gateway/front/listen.rs
@@ -37,11 +37,11 @@
         let Some((mut io, registration)) = intake.open(stream, peer, port) else {
             continue;
         };
-        let (respond, intake) = (respond.clone(), intake.clone());
+        let respond = respond.clone();
         spawn_local(async move {
             let link = registration.link();
             let service = service_fn(async |request: Request<Incoming>| {
-                let charge = link.begin_request(&intake, head_bytes(request.headers()));
+                let charge = link.begin_request(head_bytes(request.headers()));
                 let response = respond(Arc::clone(&link), request).await;
                 let tracked = |body| Tracked::new(body, Arc::clone(&link), charge);
                 Ok::<_, Infallible>(response.map(tracked))
--- a/src/intake/link.rs
+++ b/src/intake/link.rs
@@ -1,7 +1,7 @@
 //! A connection of a caller, with what it is at.
 
 use super::{Charge, Intake, Kind};
-use crate::policy::room::{Holder, Phase, Port};
+use crate::policy::room::{Holder, Need, Phase, Port};
 use crate::telemetry::event;
 use bytes::Bytes;
 use http::HeaderMap;
@@ -24,6 +24,8 @@
 /// Memory of a request under way beside its head and body: buffers that have grown, unread bytes of requests that the
 /// caller sends ahead, and the state of its task.
 const REQUEST_BYTES: usize = 32 << 10;
+/// Largest head that the buffers of an idle connection hold.
+const SMALL_HEAD_BYTES: usize = 4 << 10;
 /// Bytes that may arrive unread. They are held by the machine.
 pub(super) const RECEIVE_BYTES: usize = 16 << 10;
 /// The same while a body arrives, whose bytes are charged before they do.
@@ -39,6 +41,7 @@
 pub(crate) struct Link {
     pub(super) peer: SocketAddr,
     pub(super) port: Port,
+    intake: Intake,
     state: Mutex<State>,
     refused: Notify,
 }
@@ -68,6 +71,8 @@
     arrived: usize,
     /// Bytes of the request's body or of its answer.
     bytes: usize,
+    /// An unfinished head that has outgrown the buffers of an idle connection.
+    head: Option<Charge>,
     /// When the body of the request was first read.
     body_since: Option<Instant>,
     used: bool,
@@ -101,6 +106,12 @@
         let _ = SockRef::from(&self.stream).set_recv_buffer_size(bytes);
     }
 
+    /// Answers an unfinished head. Nothing else is being sent, since there is no request.
+    fn answer_head(&self) {
+        // Fails if the caller has closed the connection.
+        let _ = self.stream.try_write(HEAD_REFUSAL);
+    }
+
     fn shut_down(&mut self) {
         self.is_closed = true;
         // Fails if the caller has closed it.
@@ -109,11 +120,12 @@
 }
 
 impl Link {
-    pub(super) fn new(stream: TcpStream, peer: SocketAddr, port: Port) -> Self {
+    pub(super) fn new(stream: TcpStream, peer: SocketAddr, port: Port, intake: Intake) -> Self {
         let now = Instant::now();
         Self {
             peer,
             port,
+            intake,
             state: Mutex::new(State {
                 stream,
                 phase: Phase::Idle,
@@ -122,6 +134,7 @@
                 is_blocked: false,
                 arrived: 0,
                 bytes: 0,
+                head: None,
                 body_since: None,
                 used: false,
                 receive_bytes: RECEIVE_BYTES,
@@ -144,12 +157,37 @@
     }
 
     /// Notes a head, and charges what its request needs beside the body.
-    pub(crate) fn begin_request(&self, intake: &Intake, head_bytes: usize) -> Charge {
+    pub(crate) fn begin_request(&self, head_bytes: usize) -> Charge {
         let mut state = self.state();
         state.begin(Phase::Working);
+        state.head = None;
         (state.used, state.bytes, state.body_since) = (true, 0, None);
         (state.is_answered, state.is_refused) = (false, false);
-        intake.charge(Kind::Request, REQUEST_BYTES + 2 * head_bytes)
+        let bytes = REQUEST_BYTES + 2 * head_bytes;
+        self.intake.charge(Kind::Request, bytes)
+    }
+
+    /// Charges an unfinished head of which this much has arrived; returns whether there is room for it.
+    fn hold_head(&self, arrived: usize) -> bool {
+        if arrived <= SMALL_HEAD_BYTES {
+            return true;
+        }
+        let charged = self.state().head.as_ref().map_or(0, Charge::bytes);
+        // The buffer grows by doubling, and is copied meanwhile.
+        let missing = (2 * arrived.next_power_of_two()).saturating_sub(charged);
+        if missing == 0 {
+            return true;
+        }
+        if !self.intake.admits(Need::Small, missing) && !self.intake.make_room(Need::Small, missing)
+        {
+            return false;
+        }
+        let charge = self.intake.charge(Kind::Request, missing);
+        match &mut self.state().head {
+            Some(head) => head.add(charge),
+            head => *head = Some(charge),
+        }
+        true
     }
 
     /// Sets when the request is given up.
@@ -201,6 +239,11 @@
         }
     }
 
+    fn refuse_head(&self) {
+        self.state().answer_head();
+        self.intake.refuse(self.peer, self.port, "memory");
+    }
+
     /// What the policy has to know; `None` if the connection is closing.
     pub(super) fn holder<K>(&self, key: K, now: Instant) -> Option<Holder<K>> {
         let state = self.state();
@@ -214,7 +257,7 @@
             key,
             phase: state.phase,
             used: state.used,
-            bytes: CONNECTION_BYTES + state.bytes,
+            bytes: CONNECTION_BYTES + state.bytes + state.head.as_ref().map_or(0, Charge::bytes),
             arrived: state.arrived,
             age: now.saturating_duration_since(state.since),
             quiet: if is_waiting_for_us {
@@ -238,8 +281,7 @@
             return false;
         }
         if state.phase == Phase::Head && state.arrived > 0 {
-            // Nothing else is being sent, since there is no request.
-            let _ = state.stream.try_write(HEAD_REFUSAL);
+            state.answer_head();
         }
         state.shut_down();
         event!(
@@ -344,9 +386,18 @@
         if state.phase != Phase::Answer {
             state.progress = Instant::now();
         }
-        if state.phase == Phase::Head && state.arrived > MAX_HEAD_BYTES {
+        if state.phase != Phase::Head {
+            return Poll::Ready(Ok(()));
+        }
+        let arrived = state.arrived;
+        drop(state);
+        if arrived > MAX_HEAD_BYTES {
             return Poll::Ready(Err(Error::other("the head is too large")));
         }
+        if !self.0.hold_head(arrived) {
+            self.0.refuse_head();
+            return Poll::Ready(Err(Error::other("no room for the head")));
+        }
         Poll::Ready(Ok(()))
     }
 }
--- a/src/intake/registry.rs
+++ b/src/intake/registry.rs
@@ -206,7 +206,7 @@
             self.refuse(peer, port, "memory");
             return None;
         }
-        let link = Arc::new(Link::new(stream, peer, port));
+        let link = Arc::new(Link::new(stream, peer, port, self.clone()));
         registry.links()[port as usize].insert(peer, Arc::clone(&link));
         let registration = Registration {
             intake: self.clone(),
@@ -216,7 +216,7 @@
         Some((Io(link), registration))
     }
 
-    fn refuse(&self, peer: SocketAddr, port: Port, reason: &str) {
+    pub(super) fn refuse(&self, peer: SocketAddr, port: Port, reason: &str) {
         self.registry()
             .counts
             .refused
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -102,11 +102,10 @@
         };
         let link = registration.link();
         let (builder, methods) = (builder.clone(), methods.clone());
-        let (stopping, intake) = (stop_handle.clone(), intake.clone());
-        let authorization = authorization.clone();
+        let (stopping, authorization) = (stop_handle.clone(), authorization.clone());
         let respond = tower::service_fn(move |request: HttpRequest<Incoming>| {
             let is_vm = request.headers().get(AUTHORIZATION) == Some(&authorization);
-            let charge = is_vm.then(|| link.begin_request(&intake, head_bytes(request.headers())));
+            let charge = is_vm.then(|| link.begin_request(head_bytes(request.headers())));
             let mut server = builder.clone().build(methods.clone(), stopping.clone());
             async move {
                 let Some(_charge) = charge else {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -485,7 +485,7 @@
         // It was closed to make room.
         return Ok(StatusCode::SERVICE_UNAVAILABLE.into_response());
     };
-    let charge = link.begin_request(&intake, head_bytes(request.headers()));
+    let charge = link.begin_request(head_bytes(request.headers()));
     request.extensions_mut().insert(Arc::clone(&link));
     let response = endpoint.get_response(request).await;
     let (parts, body) = response.into_parts();
