Notice a caller that leaves while its stream waits for memory

By reading: where the text of a stream waited for room, a caller that left was noticed only when room came or at its deadline, and the server worked on for nobody until then. The wait ends with the caller now, as that for its buffer does.

--- a/src/gateway/request/stream.rs
+++ b/src/gateway/request/stream.rs
@@ -152,10 +152,14 @@
         let job = &self.job;
         job.events_relayed
             .set(job.events_relayed.get() + batch.events);
-        if let Some(text) = &mut self.text
-            && text.push(job, &batch.bytes).await.is_err()
-        {
-            return Some(StreamEnd::DeadlinePassed);
+        if let Some(text) = &mut self.text {
+            tokio::select! {
+                biased;
+                pushed = text.push(job, &batch.bytes) => if pushed.is_err() {
+                    return Some(StreamEnd::DeadlinePassed);
+                },
+                () = self.chunks.closed() => return Some(StreamEnd::CallerLeft),
+            }
         }
         if let Some(permit) = &self.permit
             && self.moving.is_none()
