--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,6 +42,7 @@
 mod dispatch;
 mod entry;
 mod intake;
+mod listener;
 mod operator;
 mod owner;
 mod peer;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,12 +1,12 @@
 //! Runs one VM: binds its sockets, starts its duties and stops them in order.
 
-use crate::acceptor::Limited;
 use crate::code::{Code, Failure};
 use crate::config::{self, Snapshot, State};
 use crate::entry::{self, Router};
 use crate::id::{self, Boot, Millicores, Offset};
-use crate::intake::{Intake, Timeouts, Tracked, head_bytes};
+use crate::intake::Intake;
 use crate::journal::{self, MemberCount, Rate};
+use crate::listener::{close_overdue, serve_http};
 use crate::member::{self, Announcement, View};
 use crate::operator::{self, HandlerContext};
 use crate::order;
@@ -18,9 +18,6 @@
 use crate::supervisor::Supervisor;
 use crate::telemetry::{Metrics, event};
 use crate::{dispatch, standin};
-use http_body_util::combinators::BoxBody;
-use poem::http::StatusCode;
-use poem::{Endpoint, EndpointExt, IntoEndpoint, IntoResponse, Response, Server};
 use std::net::{TcpListener, UdpSocket};
 use std::sync::Arc;
 use std::time::Duration;
@@ -35,13 +32,6 @@
 /// it is not ready.
 const NOT_READY_PERIOD: Duration = Duration::from_secs(1);
 
-/// Time limits of callers' connections.
-const TIMEOUTS: Timeouts = Timeouts {
-    head: Duration::from_secs(10),
-    idle: Duration::from_mins(2),
-};
-const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Bound sockets of a VM.
 #[derive(Debug)]
 pub(crate) struct Sockets {
@@ -471,62 +461,3 @@
         }
     }
 }
-
-/// Notes which connection a request belongs to, and charges what it holds until its answer is sent.
-async fn track<E: Endpoint>(
-    endpoint: Arc<E>,
-    mut request: poem::Request,
-    intake: Intake,
-    port: Port,
-) -> poem::Result<Response> {
-    let peer = request.remote_addr().as_socket_addr().copied();
-    let link = peer.and_then(|peer| intake.registry().find(port, peer));
-    let Some(link) = link else {
-        // It was closed to make room.
-        return Ok(StatusCode::SERVICE_UNAVAILABLE.into_response());
-    };
-    let charge = link.begin_request(head_bytes(request.headers()));
-    request.extensions_mut().insert(Arc::clone(&link));
-    let response = endpoint.get_response(request).await;
-    let (parts, body) = response.into_parts();
-    let body = Tracked::new(BoxBody::from(body), link, charge);
-    Ok(Response::from_parts(parts, BoxBody::new(body).into()))
-}
-
-/// Closes connections that exceed their time limits.
-async fn close_overdue(intake: Intake) {
-    loop {
-        tokio::time::sleep(OVERDUE_CHECK_INTERVAL).await;
-        intake.registry().close_overdue(TIMEOUTS);
-    }
-}
-
-async fn serve_http(
-    listener: TcpListener,
-    routes: impl IntoEndpoint<Endpoint: 'static>,
-    intake: Intake,
-    port: Port,
-    stop: CancellationToken,
-    stop_timeout: Duration,
-) {
-    let acceptor = match Limited::new(listener, intake.clone(), port) {
-        Ok(acceptor) => acceptor,
-        Err(error) => {
-            event!(error, "listen_failed", reason = error);
-            return;
-        }
-    };
-    let endpoint = routes
-        .into_endpoint()
-        .around(move |endpoint, request| track(endpoint, request, intake.clone(), port));
-    let result = Server::new_with_acceptor(acceptor)
-        .run_with_graceful_shutdown(
-            endpoint,
-            async move { stop.cancelled().await },
-            Some(stop_timeout),
-        )
-        .await;
-    if let Err(error) = result {
-        event!(error, "serve_failed", reason = error);
-    }
-}
