Test small chunks without end

The rest of the endless answers: chunks of one byte, as fast as they can be read or one each 5 ms, without end. Such a body is not told from a slow one before its deadline, so it is not sent elsewhere.

--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -1,7 +1,9 @@
 //! Backend servers that send bytes without end which are no answer, through the binary.
 
+mod crowd;
 mod platform;
 
+use crowd::Watch;
 use platform::{
     Act, Backend, Reply, Request, Store, Vm, call, events, full_response, stream_head, until,
 };
@@ -13,6 +15,7 @@
 const MIB: usize = 1 << 20;
 /// Longest time for the answer of a server that does nothing unusual, beside servers that do.
 const PROMPT: Duration = Duration::from_millis(500);
+const DEADLINE: Duration = Duration::from_secs(3);
 
 /// What an endless response begins with, and what is repeated.
 type Endless = fn(&Request) -> (String, Vec<u8>);
@@ -71,7 +74,8 @@
     }
 
     fn call(&self, path: &str, id: &str) -> Reply {
-        let headers = [("X-Request-Id", id), ("X-Deadline-Ms", "3000")];
+        let deadline = DEADLINE.as_millis().to_string();
+        let headers = [("X-Request-Id", id), ("X-Deadline-Ms", &*deadline)];
         call(self.vm.callers, "POST", path, &headers, b"")
     }
 
@@ -192,6 +196,25 @@
     Site::start(endless, Duration::ZERO).check("/b/endless", 8 * MIB);
 }
 
+/// Guards against small chunks without end, fast or slow, which keep the VM from other work, or outlast their request.
+#[test]
+fn small_chunks_without_end_last_no_longer_than_their_request() {
+    const CHUNK: &[u8] = b"1\r\nx\r\n";
+    const CHUNKED: &str = "Transfer-Encoding: chunked\r\n";
+    let fast: Endless = |request| (head(request, "200 OK", CHUNKED), CHUNK.repeat(10_000));
+    let slow: Endless = |request| (head(request, "200 OK", CHUNKED), CHUNK.to_vec());
+    for (endless, pause) in [(fast, Duration::ZERO), (slow, Duration::from_millis(5))] {
+        let site = Site::start(endless, pause);
+        let watch = Watch::start(site.vm.pid());
+        let (reply, took, longest) = site.call_beside_others("/b/endless");
+        assert!(reply.status >= 500 || reply.text() == "whole", "{reply:?}");
+        assert!(took < DEADLINE + PROMPT, "answered after {took:?}");
+        assert!(longest < PROMPT, "others waited {longest:?}");
+        until("the connection is closed", || site.sent().1);
+        watch.check();
+    }
+}
+
 /// Guards against comments without end in a stream.
 #[test]
 fn comments_without_end_are_given_up() {
