Count connections that are being closed among the open descriptors

Cause: a connection that has to give way is taken off the list at once, and the limit counts the list; but its descriptor is open until its task has run, which takes a while on a busy machine. New connections took the place meanwhile.

The limit counts what is open. An eighth more may be open while connections are being closed; beyond that new ones are refused, as where nobody gives way. `connections_open` tells the same number.

--- a/src/intake/metrics.rs
+++ b/src/intake/metrics.rs
@@ -29,7 +29,7 @@
     let gauge = gauge.with_callback(move |observer| {
         for port in Port::ALL {
             let labels = [KeyValue::new("listener", port.name())];
-            observer.observe(open.registry().count(port) as u64, &labels);
+            observer.observe(open.registry().open(port) as u64, &labels);
         }
     });
     let _gauge = gauge.build();
--- a/src/intake/registry.rs
+++ b/src/intake/registry.rs
@@ -7,7 +7,7 @@
 use socket2::SockRef;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -60,6 +60,8 @@
 pub(crate) struct Registry {
     limits: Connections,
     links: Mutex<Links>,
+    /// Connections that hold a descriptor, by listener: those in `links`, and those that are being closed.
+    open: [AtomicUsize; Port::ALL.len()],
     /// When nobody was found last who has to give way for memory.
     fruitless_search: Mutex<Option<(Instant, Need)>>,
     pub(crate) counts: Counts,
@@ -70,6 +72,7 @@
         Self {
             limits,
             links: Mutex::default(),
+            open: Default::default(),
             fruitless_search: Mutex::default(),
             counts: Counts::default(),
         }
@@ -146,11 +149,16 @@
         }
     }
 
-    /// Number of connections of a listener.
-    pub(crate) fn count(&self, port: Port) -> usize {
+    /// Number of connections of a listener that are not being closed.
+    fn count(&self, port: Port) -> usize {
         self.links()[port as usize].len()
     }
 
+    /// Number of connections of a listener that hold a descriptor.
+    pub(crate) fn open(&self, port: Port) -> usize {
+        self.open[port as usize].load(Ordering::Relaxed)
+    }
+
     /// Number of connections by listener and phase.
     pub(crate) fn phases(&self) -> Vec<(Port, Phase, usize)> {
         let mut counts: Vec<(Port, Phase, usize)> = Vec::new();
@@ -200,6 +208,10 @@
                 return None;
             }
         }
+        if registry.open(port) >= registry.limits.limit_with_closing(port) {
+            self.refuse(peer, port, "descriptors");
+            return None;
+        }
         if !self.admits(Need::Small, CONNECTION_BYTES)
             && !self.make_room(Need::Small, CONNECTION_BYTES)
         {
@@ -208,6 +220,7 @@
         }
         let link = Arc::new(Link::new(stream, peer, port, self.clone()));
         registry.links()[port as usize].insert(peer, Arc::clone(&link));
+        registry.open[port as usize].fetch_add(1, Ordering::Relaxed);
         let registration = Registration {
             intake: self.clone(),
             link: Arc::clone(&link),
@@ -227,7 +240,7 @@
             port = port.name(),
             peer = peer,
             reason = reason,
-            open = self.registry().count(port),
+            open = self.registry().open(port),
             held = self.total()
         );
     }
@@ -249,7 +262,9 @@
 
 impl Drop for Registration {
     fn drop(&mut self) {
-        let mut links = self.intake.registry().links();
+        let registry = self.intake.registry();
+        registry.open[self.link.port as usize].fetch_sub(1, Ordering::Relaxed);
+        let mut links = registry.links();
         let links = &mut links[self.link.port as usize];
         // Another connection may have the address by now.
         let known = links.get(&self.link.peer);
--- a/src/policy/room.rs
+++ b/src/policy/room.rs
@@ -24,6 +24,8 @@
 /// One connection in this many is closed at a time where descriptors are short, so that not each new connection has to
 /// look for another one.
 const CLOSED_SHARE: usize = 64;
+/// One further connection for this many may be open while it is being closed.
+const CLOSING_SHARE: usize = 8;
 /// Descriptors that are kept for files.
 const FILE_DESCRIPTORS: usize = 200;
 /// Connections of the load balancer.
@@ -185,6 +187,13 @@
             Port::Peers => self.peers,
         }
     }
+
+    /// The same with those that are being closed, which keep their descriptors for a moment.
+    #[must_use]
+    pub const fn limit_with_closing(&self, port: Port) -> usize {
+        let limit = self.limit(port);
+        limit + limit / CLOSING_SHARE + 1
+    }
 }
 
 /// What a connection is at.
--- a/tests/room.rs
+++ b/tests/room.rs
@@ -79,6 +79,17 @@
     assert!(Connections::of_descriptors(1000).limit(Port::Operators) < 100);
 }
 
+/// Guards against connections that are being closed, and take the descriptors that are kept for others.
+#[test]
+fn all_listeners_together_leave_descriptors() {
+    for descriptors in [400, 1000, 8200, 1 << 20] {
+        let connections = Connections::of_descriptors(descriptors);
+        let open = Port::ALL.map(|port| connections.limit_with_closing(port));
+        let open: usize = open.into_iter().sum();
+        assert!(open < descriptors / 16 * 15, "{open} of {descriptors}");
+    }
+}
+
 /// Guards against closing a connection whose request is at work, or an answer that its caller reads.
 #[test]
 fn requests_at_work_and_answers_that_are_read_stay() {
