--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -5,10 +5,11 @@
 //!
 //! Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::FromRawFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio, exit};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
@@ -202,6 +203,13 @@
     exit(2)
 }
 
+fn signal(name: &str, process: u32) {
+    Command::new("kill")
+        .args([name, &process.to_string()])
+        .status()
+        .ok();
+}
+
 fn has_ended(process: u32) {
     STARTED.lock().unwrap().retain(|other| *other != process);
 }
@@ -455,21 +463,12 @@
 
 // ---------------------------------------------------------------- engines
 
-/// A request that reached a server.
-#[derive(Clone)]
-struct Arrival {
-    at: Instant,
-    id: String,
-    last_event: Option<u64>,
-}
-
 struct EngineState {
     id: String,
     /// Pause before each event.
     step_ms: u64,
-    arrivals: Mutex<Vec<Arrival>>,
-    /// Requests whose streams are to be broken off at the next event, once each.
-    breaks: Mutex<HashSet<String>>,
+    /// Requests that were run.
+    runs: AtomicU64,
     /// Requests that run here.
     at_work: Mutex<BTreeSet<String>>,
 }
@@ -486,8 +485,7 @@
         let state = Arc::new(EngineState {
             id: id.to_owned(),
             step_ms,
-            arrivals: Mutex::default(),
-            breaks: Mutex::default(),
+            runs: AtomicU64::new(0),
             at_work: Mutex::default(),
         });
         let served = Arc::clone(&state);
@@ -555,11 +553,7 @@
         let began = Instant::now();
         let id = request.header("x-request-id");
         let last_event = request.header("last-event-id").parse().ok();
-        self.arrivals.lock().unwrap().push(Arrival {
-            at: began,
-            id: id.to_owned(),
-            last_event,
-        });
+        self.runs.fetch_add(1, SeqCst);
         self.at_work.lock().unwrap().insert(id.to_owned());
         let whole = self.send_events(request, stream, load, began, last_event.unwrap_or(0));
         self.at_work.lock().unwrap().remove(id);
@@ -575,6 +569,11 @@
         last: u64,
     ) -> bool {
         let id = request.header("x-request-id");
+        if request.path().starts_with(PLAIN_PREFIX) {
+            let headers = format!("X-Request-Id: {id}\r\nX-Server-Seal: 3e1b.07.{id}\r\n{load}");
+            let answer = response("200 OK", &headers, &[b'r'; PLAIN_BYTES]);
+            return stream.write_all(&answer).is_ok();
+        }
         let most: u64 = request
             .header("x-token-count")
             .split(',')
@@ -590,7 +589,7 @@
         }
         for event in last + 1..=most / CHUNK_TOKENS {
             sleep(ms(self.step_ms));
-            if began.elapsed() > ms(budget_ms) || self.breaks.lock().unwrap().remove(id) {
+            if began.elapsed() > ms(budget_ms) {
                 return false;
             }
             let text = format!("id: {event}\ndata: word{event}\n\n");
@@ -616,6 +615,11 @@
 }
 
 impl Vm {
+    fn process(&self) -> u32 {
+        let child = self.child.as_ref();
+        child.map_or_else(|| cannot_run("the VM does not run"), Child::id)
+    }
+
     fn front(&self) -> SocketAddr {
         SocketAddr::new(self.ip, self.ports)
     }
@@ -654,10 +658,7 @@
         let Some(mut child) = self.child.take() else {
             return;
         };
-        Command::new("kill")
-            .args(["-TERM", &child.id().to_string()])
-            .status()
-            .ok();
+        signal("-TERM", child.id());
         let until = Instant::now() + ms(8000);
         while Instant::now() < until {
             if matches!(child.try_wait(), Ok(Some(_))) {
@@ -890,6 +891,9 @@
     }
 }
 
+/// Path of the requests to the plain service, and the size of its answers.
+const PLAIN_PREFIX: &str = "/puxa403/";
+const PLAIN_BYTES: usize = 4800;
 const PATH: &str = "/lohu930/4b";
 const ZONES: [&str; 3] = ["cluj-a", "cluj-b", "oradea-a"];
 
@@ -1066,7 +1070,7 @@
         "outage-then-all-killed" => outage_then_all_killed(&folder),
         "owner-lost-in-outage" => owner_lost_in_outage(&folder),
         "owner-then-all-lost-in-outage" => owner_then_all_lost_in_outage(&folder),
-        "resumed-at-leaving-server" => resumed_at_leaving_server(&folder),
+        "slow-reader" => slow_reader(&folder),
         _ => cannot_run("no such case"),
     };
     exit(code)
@@ -1329,82 +1333,120 @@
     });
 }
 
-/// A server says that it leaves; later it breaks streams off that can be resumed.
-fn resumed_at_leaving_server(folder: &Path) -> i32 {
-    let mut world = World::new(folder, 3, 2, 80);
-    world.configure("\"timeoutMs\":4000,\"retain\":false,\"retainS\":60.0,\"canResume\":true");
-    world.start_all();
-    sleep(ms(500));
-    let call = |path: String, most: u64| {
-        let to = world.vms[0].front();
-        let log = Arc::clone(&world.log);
-        thread::spawn(move || {
-            let id = new_id();
-            let headers = [
-                ("X-Request-Id", id.clone()),
-                ("X-Model", "m".to_owned()),
-                ("X-Token-Count", format!("400,{most}")),
-                ("X-Prompt-Prefix", format!("{id}:400")),
-                ("X-Deadline-Ms", "4000".to_owned()),
-            ];
-            let answer = send(to, &path, &headers, ms(4100));
-            log.line(&format!(
-                "stream {id} {path}: {} {} events, whole: {}",
-                answer.status, answer.events, answer.whole
-            ));
-        })
+// Of the system's C library, which the program is linked against.
+unsafe extern "C" {
+    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, size: u32) -> i32;
+    fn connect(socket: i32, address: *const u8, size: u32) -> i32;
+}
+
+/// Opens a connection with a small receive window, which has to be set before.
+fn connect_with_small_window(to: SocketAddr) -> TcpStream {
+    const AF_INET: i32 = 2;
+    const SOCK_STREAM_CLOEXEC: i32 = 1 | 0o2_000_000;
+    const SOL_SOCKET: i32 = 1;
+    const SO_RCVBUF: i32 = 8;
+    const RECEIVE_BYTES: i32 = 2048;
+    let IpAddr::V4(ip) = to.ip() else {
+        cannot_run("the address is not of version 4");
     };
-    // Usual work beside it, so that few answers are broken off.
-    for round in 0..8 {
-        run_all(
-            (0..20)
-                .map(|number| call(format!("/lohu930/s{round}-{number}"), 10))
-                .collect(),
-        );
+    let mut address = [0; 16];
+    address[..2].copy_from_slice(&(AF_INET as u16).to_ne_bytes());
+    address[2..4].copy_from_slice(&to.port().to_be_bytes());
+    address[4..8].copy_from_slice(&ip.octets());
+    // SAFETY: the arguments are as the C library wants them, and the descriptor is owned by the stream from then on.
+    unsafe {
+        let descriptor = socket(AF_INET, SOCK_STREAM_CLOEXEC, 0);
+        let window = setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &RECEIVE_BYTES, 4);
+        if descriptor < 0 || window != 0 || connect(descriptor, address.as_ptr(), 16) != 0 {
+            cannot_run("a connection to a VM can't be opened");
+        }
+        TcpStream::from_raw_fd(descriptor)
     }
-    // Streams of 3.6 s.
-    let paths: Vec<String> = (0..6)
-        .map(|number| format!("/lohu930/long{number}"))
-        .collect();
-    let long: Vec<_> = paths.iter().map(|path| call(path.clone(), 450)).collect();
-    sleep(ms(400));
-    let leaving = world.engines[0].clone();
-    world.register(&leaving, "draining", 2);
-    let acknowledged = Instant::now();
-    world.log.line(&format!(
-        "{} is draining, as the store has acknowledged",
-        leaving.state.id
-    ));
-    sleep(ms(2500));
-    if world.trouble {
-        // Two of its answers are broken off.
-        let at_work = leaving.state.at_work.lock().unwrap().clone();
-        let broken: Vec<String> = at_work.into_iter().take(2).collect();
-        world.log.line(&format!(
-            "{} breaks off {}",
-            leaving.state.id,
-            broken.join(" ")
-        ));
-        leaving.state.breaks.lock().unwrap().extend(broken);
+}
+
+/// Sends a request on a channel that is kept, and reads the answer after a pause. Returns the bytes of the body.
+fn send_and_read_late(
+    stream: &mut TcpStream,
+    path: &str,
+    pause: Duration,
+) -> Result<usize, String> {
+    let id = new_id();
+    let text = format!(
+        "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 6000\r\nContent-Length: 2\r\n\r\nab"
+    );
+    let failed = |error: std::io::Error| error.to_string();
+    stream.write_all(text.as_bytes()).map_err(failed)?;
+    sleep(pause);
+    let mut reader = BufReader::with_capacity(512, stream);
+    let mut line = String::new();
+    reader.read_line(&mut line).map_err(failed)?;
+    let headers = read_headers(&mut reader).ok_or("no whole head")?;
+    let size = headers
+        .get("content-length")
+        .and_then(|text| text.parse().ok());
+    let mut body = vec![0; size.ok_or("no length")?];
+    let mut read = 0;
+    while read < body.len() {
+        match reader.read(&mut body[read..]) {
+            Ok(0) => return Err(format!("ended after {read} bytes of the body")),
+            Ok(more) => read += more,
+            Err(error) => return Err(format!("{error} after {read} bytes of the body")),
+        }
     }
-    run_all(long);
-    let late = leaving.state.arrivals.lock().unwrap();
-    let late: Vec<&Arrival> = late
-        .iter()
-        .filter(|arrival| arrival.at > acknowledged + ms(2000))
-        .collect();
-    for arrival in &late {
-        world.log.line(&format!(
-            "request {} reached the leaving server {} ms after the acknowledgement (last event {:?})",
-            arrival.id,
-            (arrival.at - acknowledged).as_millis(),
-            arrival.last_event
-        ));
+    if !line.contains(" 200 ") {
+        return Err(line.trim().to_owned());
     }
-    world.keep_output();
-    println!(
-        "{} requests reached the leaving server later than drainMs",
-        late.len()
+    Ok(read)
+}
+
+/// Consumers read slowly while their VM is stopped as planned.
+fn slow_reader(folder: &Path) -> i32 {
+    let mut world = World::new(folder, 3, 2, 10);
+    let config = format!(
+        "{{\"version\":7,\"routes\":[{{\"name\":\"r-3\",\"host\":\"{HOST}\",\"pathPrefix\":\"{PLAIN_PREFIX}\",\"kind\":\"unsafe\",\"timeoutMs\":6000,\"sloMs\":800,\"priority\":2,\"service\":\"huvo11a\",\"attempts\":1}}],\"services\":[{{\"name\":\"huvo11a\",\"healthPath\":\"/healthz\",\"maxConns\":100,\"proto\":\"h1\",\"tls\":false}}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":5000,\"idleTimeoutMs\":20000}}}}"
     );
-    i32::from(!late.is_empty())
+    world.store.put("keyed.op", "config", &config);
+    for engine in &world.engines {
+        world.register(engine, "ready", 1);
+    }
+    world.start_all();
+    sleep(ms(4000));
+    let pause = if world.trouble { ms(2500) } else { ms(200) };
+    let to = world.vms[0].front();
+    let lost = AtomicU64::new(0);
+    let (log, process) = (Arc::clone(&world.log), world.vms[0].process());
+    thread::scope(|scope| {
+        for number in 0..10 {
+            let (log, lost) = (&log, &lost);
+            scope.spawn(move || {
+                let mut stream = connect_with_small_window(to);
+                stream.set_read_timeout(Some(ms(6000))).ok();
+                let path = format!("{PLAIN_PREFIX}{number}");
+                // The first request on the channel, before the stop.
+                let first = send_and_read_late(&mut stream, &path, Duration::ZERO);
+                log.line(&format!("channel {number}, first request: {first:?}"));
+                sleep(ms(1000));
+                let second = send_and_read_late(&mut stream, &path, pause);
+                log.line(&format!(
+                    "channel {number}, second request, read after {} ms: {second:?}",
+                    pause.as_millis()
+                ));
+                lost.fetch_add(u64::from(second.is_err()), SeqCst);
+            });
+        }
+        sleep(ms(500));
+        log.line("SIGTERM");
+        signal("-TERM", process);
+    });
+    world.vms[0].terminate();
+    let engines = world.engines.iter();
+    let runs: u64 = engines.map(|engine| engine.state.runs.load(SeqCst)).sum();
+    let lost = lost.load(SeqCst);
+    world.log.line(&format!(
+        "{runs} requests have run; {lost} of 10 second requests got no complete answer"
+    ));
+    world.keep_output();
+    println!("{lost} of 10 answers to consumers that read slowly were cut off");
+    i32::from(lost > 0)
 }
