Review 2: the case that an earlier review shows is dropped, case 8 is back

Case 8 (DRAIN) takes a place again; cases are numbered anew: 4 replicas, 5 slow readers, 6 pauses within retainS, 7 owners of one outage, 8 a leaving server.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/review-2/cases ] || exit 2
-exec target/review-2/cases idle-program "$folder"
+exec target/review-2/cases owner-then-all-lost-in-outage "$folder"
--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -5,7 +5,7 @@
 //!
 //! Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
@@ -463,12 +463,21 @@
 
 // ---------------------------------------------------------------- engines
 
+/// A request that reached a server.
+#[derive(Clone)]
+struct Arrival {
+    at: Instant,
+    id: String,
+    last_event: Option<u64>,
+}
+
 struct EngineState {
     id: String,
     /// Pause before each event.
     step_ms: u64,
-    /// Requests that were run.
-    runs: AtomicU64,
+    arrivals: Mutex<Vec<Arrival>>,
+    /// Requests whose streams are to be broken off at the next event, once each.
+    breaks: Mutex<HashSet<String>>,
     /// Requests that run here.
     at_work: Mutex<BTreeSet<String>>,
 }
@@ -485,7 +494,8 @@
         let state = Arc::new(EngineState {
             id: id.to_owned(),
             step_ms,
-            runs: AtomicU64::new(0),
+            arrivals: Mutex::default(),
+            breaks: Mutex::default(),
             at_work: Mutex::default(),
         });
         let served = Arc::clone(&state);
@@ -553,7 +563,11 @@
         let began = Instant::now();
         let id = request.header("x-request-id");
         let last_event = request.header("last-event-id").parse().ok();
-        self.runs.fetch_add(1, SeqCst);
+        self.arrivals.lock().unwrap().push(Arrival {
+            at: began,
+            id: id.to_owned(),
+            last_event,
+        });
         self.at_work.lock().unwrap().insert(id.to_owned());
         let whole = self.send_events(request, stream, load, began, last_event.unwrap_or(0));
         self.at_work.lock().unwrap().remove(id);
@@ -589,7 +603,7 @@
         }
         for event in last + 1..=most / CHUNK_TOKENS {
             sleep(ms(self.step_ms));
-            if began.elapsed() > ms(budget_ms) {
+            if began.elapsed() > ms(budget_ms) || self.breaks.lock().unwrap().remove(id) {
                 return false;
             }
             let text = format!("id: {event}\ndata: word{event}\n\n");
@@ -1067,7 +1081,7 @@
     let folder = PathBuf::from(folder);
     let code = match case.as_str() {
         "idle-program" => idle_program(&folder),
-        "outage-then-all-killed" => outage_then_all_killed(&folder),
+        "resumed-at-leaving-server" => resumed_at_leaving_server(&folder),
         "owner-lost-in-outage" => owner_lost_in_outage(&folder),
         "owner-then-all-lost-in-outage" => owner_then_all_lost_in_outage(&folder),
         "slow-reader" => slow_reader(&folder),
@@ -1104,75 +1118,6 @@
     judge_budgets(&world, &programs)
 }
 
-/// The store falls silent, and all VMs are killed a second later.
-fn outage_then_all_killed(folder: &Path) -> i32 {
-    let mut world = World::new(folder, 3, 2, 3);
-    world.configure("\"timeoutMs\":3000,\"retain\":false,\"retainS\":60.0,\"canResume\":false");
-    world.start_all();
-    // The members get to know each other.
-    sleep(ms(4000));
-    let programs: Vec<_> = (0..12)
-        .map(|number| Arc::new(Program::new(format!("77d20b{number}"))))
-        .collect();
-    let turns = |world: &World, per_program: u64| {
-        let threads = programs.iter().enumerate().flat_map(|(number, program)| {
-            (0..per_program).map(move |line| (number, Arc::clone(program), line))
-        });
-        threads
-            .map(|(number, program, line)| {
-                let log = Arc::clone(&world.log);
-                let vm = &world.vms[(number + line as usize) % world.vms.len()];
-                let vm = Vm {
-                    name: vm.name.clone(),
-                    ip: vm.ip,
-                    ports: vm.ports,
-                    settings: PathBuf::new(),
-                    output: PathBuf::new(),
-                    child: None,
-                };
-                thread::spawn(move || drop(program.turn(&log, &vm, PATH, line)))
-            })
-            .collect::<Vec<_>>()
-    };
-    // Two turns each: an allowance for them is recorded.
-    for _ in 0..2 {
-        run_all(turns(&world, 1));
-    }
-    let began = Instant::now();
-    if world.trouble {
-        world.log.line("the store falls silent");
-        world.store.set_silent(true);
-    }
-    let threads = turns(&world, 4);
-    if world.trouble {
-        sleep(ms(1000).saturating_sub(began.elapsed()));
-        for vm in &mut world.vms {
-            vm.kill();
-        }
-        world.log.line("all VMs are killed");
-        sleep(ms(300));
-        for vm in &mut world.vms {
-            vm.start();
-        }
-        world.log.line("all VMs have started");
-        sleep(ms(4500).saturating_sub(began.elapsed()));
-        world.store.set_silent(false);
-        world.log.line("the store answers again");
-    }
-    run_all(threads);
-    world.wait_until_ready();
-    sleep(ms(500));
-    for program in &programs {
-        world.log.line(&format!(
-            "program {} has {} tokens",
-            program.name,
-            program.handed()
-        ));
-    }
-    spend_all(&world, &programs, 0);
-    judge_budgets(&world, &programs)
-}
-
 /// Lets each program run at VM `vm` until its budget is spent.
 fn spend_all(world: &World, programs: &[Arc<Program>], vm: usize) {
     let vm = &world.vms[vm];
@@ -1441,7 +1386,9 @@
     });
     world.vms[0].terminate();
     let engines = world.engines.iter();
-    let runs: u64 = engines.map(|engine| engine.state.runs.load(SeqCst)).sum();
+    let runs: usize = engines
+        .map(|engine| engine.state.arrivals.lock().unwrap().len())
+        .sum();
     let lost = lost.load(SeqCst);
     world.log.line(&format!(
         "{runs} requests have run; {lost} of 10 second requests got no complete answer"
@@ -1450,3 +1397,83 @@
     println!("{lost} of 10 answers to consumers that read slowly were cut off");
     i32::from(lost > 0)
 }
+
+/// A server says that it leaves; later it breaks streams off that can be resumed.
+fn resumed_at_leaving_server(folder: &Path) -> i32 {
+    let mut world = World::new(folder, 3, 2, 80);
+    world.configure("\"timeoutMs\":4000,\"retain\":false,\"retainS\":60.0,\"canResume\":true");
+    world.start_all();
+    sleep(ms(500));
+    let call = |path: String, most: u64| {
+        let to = world.vms[0].front();
+        let log = Arc::clone(&world.log);
+        thread::spawn(move || {
+            let id = new_id();
+            let headers = [
+                ("X-Request-Id", id.clone()),
+                ("X-Model", "m".to_owned()),
+                ("X-Token-Count", format!("400,{most}")),
+                ("X-Prompt-Prefix", format!("{id}:400")),
+                ("X-Deadline-Ms", "4000".to_owned()),
+            ];
+            let answer = send(to, &path, &headers, ms(4100));
+            log.line(&format!(
+                "stream {id} {path}: {} {} events, whole: {}",
+                answer.status, answer.events, answer.whole
+            ));
+        })
+    };
+    // Usual work beside it, so that few answers are broken off.
+    for round in 0..8 {
+        run_all(
+            (0..20)
+                .map(|number| call(format!("/lohu930/s{round}-{number}"), 10))
+                .collect(),
+        );
+    }
+    // Streams of 3.6 s.
+    let paths: Vec<String> = (0..6)
+        .map(|number| format!("/lohu930/long{number}"))
+        .collect();
+    let long: Vec<_> = paths.iter().map(|path| call(path.clone(), 450)).collect();
+    sleep(ms(400));
+    let leaving = world.engines[0].clone();
+    world.register(&leaving, "draining", 2);
+    let acknowledged = Instant::now();
+    world.log.line(&format!(
+        "{} is draining, as the store has acknowledged",
+        leaving.state.id
+    ));
+    sleep(ms(2500));
+    if world.trouble {
+        // Two of its answers are broken off.
+        let at_work = leaving.state.at_work.lock().unwrap().clone();
+        let broken: Vec<String> = at_work.into_iter().take(2).collect();
+        world.log.line(&format!(
+            "{} breaks off {}",
+            leaving.state.id,
+            broken.join(" ")
+        ));
+        leaving.state.breaks.lock().unwrap().extend(broken);
+    }
+    run_all(long);
+    let late = leaving.state.arrivals.lock().unwrap();
+    let late: Vec<&Arrival> = late
+        .iter()
+        .filter(|arrival| arrival.at > acknowledged + ms(2000))
+        .collect();
+    for arrival in &late {
+        world.log.line(&format!(
+            "request {} reached the leaving server {} ms after the acknowledgement (last event {:?})",
+            arrival.id,
+            (arrival.at - acknowledged).as_millis(),
+            arrival.last_event
+        ));
+    }
+    world.keep_output();
+    println!(
+        "{} requests reached the leaving server later than drainMs",
+        late.len()
+    );
+    i32::from(!late.is_empty())
+}
