Don't reset connections to peers that read slowly

Cause: TCP_USER_TIMEOUT of 2 s, meant for peers without power. The kernel also ends a connection by it whose peer acknowledges everything and keeps its window closed. Ruled out: the planned stop (the same without SIGTERM) and the closing of connections for room (no connection_closed). The same option cut requests to servers that read them late (502, may have run).

Change: the option is set only while the host of a server, silent for 2 s after a request was sent, answers no new connection. Keep-alive probes find other peers without power, after 4 s as before. An answer of which a caller takes nothing is given up a minute after its deadline; it makes room as before.

--- a/src/gateway/server/call.rs
+++ b/src/gateway/server/call.rs
@@ -16,7 +16,7 @@
 impl Gateway {
     /// Opens a connection to a server.
     pub(crate) async fn connect(&self, server: &Entry) -> Result<Connection, Unreachable> {
-        let connection = Connection::open(server).await?;
+        let connection = Connection::open(server, self.connections.hosts()).await?;
         self.metrics.connections.add(1, &[]);
         Ok(connection)
     }
--- a/src/gateway/server/connection.rs
+++ b/src/gateway/server/connection.rs
@@ -1,7 +1,8 @@
 //! Connections to backend servers, and the pool of idle ones.
 
 use crate::gateway::front::socket;
-use crate::gateway::server::read_limit::{LimitedStream, ReadLimit};
+use crate::gateway::server::read_limit::{LimitedStream, ReadLimit, WeakSocket};
+use crate::gateway::server::silence::{self, Host, Hosts};
 use crate::gateway::world::directory::{Entry, Instance};
 use crate::segments::Segments;
 use http::{Request, Response};
@@ -11,6 +12,7 @@
 use hyper_util::rt::TokioIo;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -37,6 +39,8 @@
     sender: SendRequest<Segments>,
     driver: AbortHandle,
     limit: ReadLimit,
+    socket: WeakSocket,
+    host: Rc<Host>,
     server: Instance,
     /// Requests sent on this connection so far.
     requests: u32,
@@ -78,12 +82,15 @@
 }
 
 impl Connection {
-    pub(crate) async fn open(entry: &Entry) -> Result<Self, Unreachable> {
+    pub(crate) async fn open(entry: &Entry, hosts: &Hosts) -> Result<Self, Unreachable> {
         let connect = timeout(CONNECT_TIMEOUT, TcpStream::connect(entry.address));
         let stream = connect.await.map_err(std::io::Error::from)??;
         socket::set_options(&stream)?;
-        let limit = ReadLimit::default();
-        let io = TokioIo::new(LimitedStream::new(stream, limit.clone()));
+        let (limit, host) = (ReadLimit::default(), hosts.at(entry.address));
+        let socket = Rc::new(RefCell::new(stream));
+        let weak_socket = Rc::downgrade(&socket);
+        let io = LimitedStream::new(socket, limit.clone(), Rc::clone(&host));
+        let io = TokioIo::new(io);
         let mut client = http1::Builder::new();
         let handshake = client.max_buf_size(MAX_BUFFER_BYTES).handshake(io).await;
         let (sender, connection) = handshake.map_err(std::io::Error::other)?;
@@ -95,6 +102,8 @@
             sender,
             driver: driver.abort_handle(),
             limit,
+            socket: weak_socket,
+            host,
             server: Instance::clone(&entry.id),
             requests: 0,
             idle_since: Instant::now(),
@@ -122,7 +131,10 @@
             }
         });
         self.limit.expect_head();
-        let response = self.sender.try_send_request(request).await;
+        let response = tokio::select! {
+            response = self.sender.try_send_request(request) => response,
+            never = silence::watch(&self.host, &self.socket) => match never {},
+        };
         self.limit.expect_frame();
         let response = response.map_err(|mut error| match error.take_message() {
             Some(_) => SendError::NotSent,
@@ -170,6 +182,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
     idle: RefCell<HashMap<Instance, Vec<Connection>>>,
+    hosts: Hosts,
 }
 
 impl Pool {
@@ -205,6 +218,10 @@
         });
     }
 
+    pub(crate) const fn hosts(&self) -> &Hosts {
+        &self.hosts
+    }
+
     pub(crate) fn idle_count(&self) -> usize {
         self.idle.borrow().values().map(Vec::len).sum()
     }
--- a/src/gateway/server/mod.rs
+++ b/src/gateway/server/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod moving;
 pub(crate) mod pinning;
 pub(crate) mod read_limit;
+pub(crate) mod silence;
 pub(crate) mod stream_records;
 pub(crate) mod stream_version;
 pub(crate) mod version_marks;
--- a/src/gateway/server/read_limit.rs
+++ b/src/gateway/server/read_limit.rs
@@ -1,11 +1,18 @@
 //! Bounds what a backend server may send beside an answer: an answer has an end, but a faulty server may send without one.
 
-use std::cell::Cell;
+use crate::gateway::server::silence::Host;
+use std::cell::{Cell, RefCell};
 use std::io::{Error, Result};
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// The socket of a connection. It is closed once its stream is dropped.
+pub(super) type Socket = Rc<RefCell<TcpStream>>;
+/// The same, for those that set its options.
+pub(super) type WeakSocket = Weak<RefCell<TcpStream>>;
 
 /// Bytes of the head of a response, with all interim responses before it.
 const MAX_HEAD_BYTES: usize = 64 << 10;
@@ -37,20 +44,25 @@
 
 /// A stream that fails once more was read than its limit allows.
 #[derive(Debug)]
-pub(crate) struct LimitedStream<S> {
-    stream: S,
+pub(crate) struct LimitedStream {
+    socket: Socket,
     limit: ReadLimit,
+    host: Rc<Host>,
 }
 
-impl<S> LimitedStream<S> {
-    pub(crate) const fn new(stream: S, limit: ReadLimit) -> Self {
-        Self { stream, limit }
+impl LimitedStream {
+    pub(super) const fn new(socket: Socket, limit: ReadLimit, host: Rc<Host>) -> Self {
+        Self {
+            socket,
+            limit,
+            host,
+        }
     }
 }
 
-impl<S: AsyncRead + Unpin> AsyncRead for LimitedStream<S> {
+impl AsyncRead for LimitedStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
@@ -59,39 +71,36 @@
             return Poll::Ready(Err(Error::other("the server sends without end")));
         }
         let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        ready!(Pin::new(&mut *self.socket.borrow_mut()).poll_read(cx, buf))?;
         let read = buf.filled().len() - before;
         self.limit.0.set(left.saturating_sub(read));
+        self.host.heard();
         Poll::Ready(Ok(()))
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for LimitedStream<S> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+impl AsyncWrite for LimitedStream {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<Result<usize>> {
+        Pin::new(&mut *self.socket.borrow_mut()).poll_write(cx, buf)
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut *self.socket.borrow_mut()).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut *self.socket.borrow_mut()).poll_shutdown(cx)
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[std::io::IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        Pin::new(&mut *self.socket.borrow_mut()).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.socket.borrow().is_write_vectored()
     }
 }
--- a/src/intake/link.rs
+++ b/src/intake/link.rs
@@ -1,7 +1,7 @@
 //! A connection of a caller, with what it is at.
 
 use super::{Charge, Intake, Kind};
-use crate::policy::room::{Holder, Need, Phase, Port};
+use crate::policy::room::{Holder, Need, Phase, Port, is_abandoned};
 use crate::telemetry::event;
 use bytes::Bytes;
 use http::HeaderMap;
@@ -297,7 +297,7 @@
         true
     }
 
-    /// Whether its phase began, or its caller last sent something, too long ago.
+    /// Whether its phase began, or its caller last sent or took something, too long ago.
     pub(super) fn overdue(
         &self,
         now: Instant,
@@ -308,6 +308,11 @@
         match (state.phase, idle) {
             (Phase::Head, _) if now >= state.since + head => Some("head_timeout"),
             (Phase::Idle, Some(idle)) if now >= state.progress + idle => Some("idle_timeout"),
+            (Phase::Answer, _) if state.is_blocked => {
+                let late = state.deadline.map(|at| now.saturating_duration_since(at));
+                let quiet = now.saturating_duration_since(state.progress);
+                is_abandoned(quiet, late.unwrap_or(quiet)).then_some("unread")
+            }
             _ => None,
         }
     }
--- a/src/policy/room.rs
+++ b/src/policy/room.rs
@@ -14,6 +14,9 @@
 pub const STALLED_AFTER: Duration = Duration::from_secs(1);
 /// Time without a byte taken after which a caller counts as no longer reading its answer.
 pub const UNREAD_AFTER: Duration = Duration::from_secs(2);
+/// Time without a byte taken, after the deadline of its request, after which an answer is given up. A caller that has lost
+/// power can't be told from one that reads slowly before, and its answer makes room where that is short.
+pub const ABANDONED_AFTER: Duration = Duration::from_mins(1);
 /// Lowest rate at which the body of a request has to arrive, in bytes per second, once it is older than
 /// [`SLOW_AFTER`].
 pub const MIN_BODY_RATE: u64 = 16 << 10;
@@ -297,6 +300,20 @@
     }
 }
 
+/// Whether an answer of which its caller has taken nothing for `quiet` is given up; `late` is the time since the deadline of
+/// its request.
+///
+/// ```
+/// use std::time::Duration;
+/// use vanillatrail::policy::room::{ABANDONED_AFTER, is_abandoned};
+/// assert!(!is_abandoned(ABANDONED_AFTER, Duration::ZERO));
+/// assert!(is_abandoned(ABANDONED_AFTER, ABANDONED_AFTER));
+/// ```
+#[must_use]
+pub fn is_abandoned(quiet: Duration, late: Duration) -> bool {
+    quiet.min(late) >= ABANDONED_AFTER
+}
+
 /// The connections to close so that `bytes` are freed, in order; all that may be closed if they hold less.
 ///
 /// ```
