Send no attempt to a server that leaves

Cause: the server of a permit is used again, or a copy's holder is used later, without a look at the directory. The VM had logged server_draining 2.5 s before, so late news are ruled out.

Change: every attempt passes one check before it is sent, whether the directory has its server now and that does not drain. One that is not sent goes to another server if the route allows one more.

--- a/src/gateway/queue/permit.rs
+++ b/src/gateway/queue/permit.rs
@@ -45,6 +45,8 @@
     pub(crate) rollouts: RefCell<Rollouts>,
     /// Directory entries of the servers that the dispatcher has, by server name.
     entries: RefCell<HashMap<Arc<str>, Arc<Entry>>>,
+    /// Since when this VM knows of each draining server that it drains.
+    leaving: RefCell<HashMap<Instance, Instant>>,
     /// Requests of services without an engine that are already counted in the metrics.
     reported_plain: RefCell<HashMap<String, (affinity::Counts, load_share::Counts)>>,
 }
@@ -126,6 +128,15 @@
             .iter()
             .map(|entry| (Arc::clone(&entry.name), Arc::clone(entry)));
         let previous = self.entries.replace(entries.collect());
+        let draining = directory.iter().filter(|entry| entry.draining);
+        let mut leaving = self.leaving.borrow_mut();
+        let draining = draining.map(|entry| {
+            let since = leaving.get(&entry.id).copied();
+            let since = since.unwrap_or_else(Instant::now);
+            (Instance::clone(&entry.id), since)
+        });
+        *leaving = draining.collect();
+        drop(leaving);
         self.grant_waiting();
         let is_left = |entry: &&Arc<Entry>| directory.get(&entry.id).is_none() && !entry.draining;
         let left = previous.values().filter(is_left);
@@ -144,6 +155,7 @@
         let now = Instant::now();
         for change in changes {
             let previous = entries.remove(change.name());
+            self.note_leaving(previous.as_deref(), change, now);
             turnover.add(&entries, previous.as_deref(), change);
             // Added before the previous one is removed, so that an update does not look like a change of version.
             if let Change::Set(entry) = change {
@@ -172,6 +184,28 @@
         turnover
     }
 
+    /// Notes whether a server has begun to drain.
+    fn note_leaving(&self, previous: Option<&Entry>, change: &Change, now: Instant) {
+        let mut leaving = self.leaving.borrow_mut();
+        match change {
+            Change::Set(entry) if entry.draining => {
+                leaving.entry(Instance::clone(&entry.id)).or_insert(now);
+            }
+            Change::Set(entry) => drop(leaving.remove(&entry.id)),
+            Change::Removed(_) => {}
+        }
+        let is_same = |entry: &Entry| matches!(change, Change::Set(new) if new.id == entry.id);
+        if let Some(gone) = previous.filter(|entry| !is_same(entry)) {
+            leaving.remove(&gone.id);
+        }
+    }
+
+    /// Time since a draining server was first seen to drain; zero if the queue does not know that yet.
+    pub(crate) fn leaving_for(&self, server: &Instance) -> Duration {
+        let leaving = self.leaving.borrow();
+        leaving.get(server).map_or(Duration::ZERO, Instant::elapsed)
+    }
+
     /// Waiting requests and requests in flight at each server, by service.
     pub(crate) fn state(&self) -> serde_json::Value {
         self.dispatcher.borrow().state()
--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -16,6 +16,7 @@
 use crate::gateway::server::attempt::{AttemptResult, BufferedResponse, attempt};
 use crate::gateway::server::continuation::continue_run;
 use crate::gateway::server::ends::server_hash;
+use crate::gateway::server::leaving::LEAVING;
 use crate::gateway::server::pinning;
 use crate::gateway::server::stream_version::stream_version_lost;
 use crate::intake::{Kind, Link};
@@ -156,7 +157,10 @@
                 }
                 return Err(reply::outcome_unknown(Code::OutcomeUnknown, reason));
             }
-            AttemptResult::OutcomeUnknown(reason) if possible_runs >= job.route.attempts => {
+            // Another server would be one more attempt.
+            AttemptResult::OutcomeUnknown(reason) | AttemptResult::NotRun(reason @ LEAVING)
+                if possible_runs >= job.route.attempts =>
+            {
                 permit.release(Outcome::Failed);
                 return Err(reply::outcome_unknown(Code::ServiceFailed, reason));
             }
--- a/src/gateway/request/stream.rs
+++ b/src/gateway/request/stream.rs
@@ -11,6 +11,7 @@
 };
 use crate::gateway::server::continuation::{self, Gap, Sequence, continue_run};
 use crate::gateway::server::event::EventBatch;
+use crate::gateway::server::leaving::LEAVING;
 use crate::gateway::server::moving::{self, Moving, continue_moved};
 use crate::gateway::server::pinning;
 use crate::gateway::world::directory::Entry;
@@ -268,6 +269,7 @@
             &resume_result,
             self.last_event,
         );
+        let is_leaving = matches!(resume_result, AttemptResult::NotRun(LEAVING));
         let has_ended = match resume_result {
             AttemptResult::Unreachable => !leaves,
             AttemptResult::NotRun(reason) => reason == OTHER_INSTANCE,
@@ -276,7 +278,7 @@
         if has_ended {
             self.job.record_end_of(&permit.server).await;
         }
-        if matches!(resume_result, AttemptResult::Unreachable) {
+        if matches!(resume_result, AttemptResult::Unreachable) || is_leaving && may_leave {
             if self.job.check_ended_servers().await.is_err() {
                 return Some(StreamEnd::Broken("servers_ended"));
             }
--- a/src/gateway/server/attempt.rs
+++ b/src/gateway/server/attempt.rs
@@ -5,6 +5,7 @@
 use crate::gateway::server::connection::{Connection, SendError};
 use crate::gateway::server::continuation;
 use crate::gateway::server::event::{EventBatch, EventSplitter};
+use crate::gateway::server::leaving::LEAVING;
 use crate::gateway::server::pinning;
 use crate::gateway::world::directory::Entry;
 use crate::gateway::world::table::Kind;
@@ -220,6 +221,9 @@
     server: &Arc<Entry>,
     run: &RunHeaders<'_>,
 ) -> AttemptResult {
+    if !job.gateway.takes_work(server, run) {
+        return AttemptResult::NotRun(LEAVING);
+    }
     job.attempt_began(server).await;
     let result = send(job, server, run).await;
     match &result {
--- a/src/gateway/server/mod.rs
+++ b/src/gateway/server/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod ends;
 pub(crate) mod event;
 pub(crate) mod exposure;
+pub(crate) mod leaving;
 pub(crate) mod moving;
 pub(crate) mod pinning;
 pub(crate) mod read_limit;
