Bound what all owners of an outage grant together

Cause: each owner bounded what it granted without a record by what it knew, and nothing bounded the sum. A takeover from replicas restored them as recorded allowances, and took programs that it had no replica of for new ones; a planned handover passed allowances that were still to be written; a loss of all VMs was seen only by a gap of 2.5 s, though grants began at once.

Change: the limit counts from what the store has. A VM that took over from replicas grants nothing before it has read the records, and hands nothing over. What may be granted depends on the age of the last heartbeat, from which the next owner knows what may be lost: a quarter of the budget or one turn, and half from 2.75 s on. Half of the VMs keep each grant, and the next owner asks whether enough of them have been running since the heartbeat. Others' contact with the store is compared with the start of the first unanswered write, no longer its failure.

--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -87,16 +87,16 @@
         self.fresh_sample().await.reachability
     }
 
-    /// Whether the store has answered another VM since this VM's writes to a partition began to fail.
+    /// Whether the store has answered another VM since the first of this VM's writes to a partition that it did not answer.
     ///
     /// After a network split a VM may reach most others before it learns that the store has fenced it: by then
     /// another VM owns the partition, and a program would get the same tokens from both.
     pub(crate) async fn peers_have_store(&self, partition: &Partition) -> bool {
-        let Some(failing) = partition.failing_since.get() else {
+        let Some(since) = partition.unanswered_since.get() else {
             return false;
         };
         let last_contact = self.fresh_sample().await.last_store_contact;
-        heard_after_loss(failing.elapsed(), last_contact.map(|at| at.elapsed()))
+        heard_after_loss(since.elapsed(), last_contact.map(|at| at.elapsed()))
     }
 
     /// Start of the newest call that the store answered to one of the other VMs, as far as these answer.
--- a/src/gateway/tokens/failover.rs
+++ b/src/gateway/tokens/failover.rs
@@ -152,8 +152,8 @@
         end: Offset,
         origin: Origin,
     ) -> Result<(), TakeoverError> {
-        let oldest_uptime_ms = self.collect_replicas(partition_id).await;
-        partition.oldest_uptime_ms.set(oldest_uptime_ms);
+        let known_since = self.collect_replicas(partition_id).await;
+        partition.known_since.set(known_since);
         let result = self
             .partitions
             .take_over(partition_id, &partition, Some(end), origin)
@@ -175,7 +175,7 @@
         reply.map(|reply| reply == Reply::Counting(true))
     }
 
-    /// Takes a partition over from the replicas at other VMs, if this VM is first in order for it.
+    /// Takes a partition over from the replicas at other VMs, if this VM is first in order for it, until the store answers.
     /// Returns none on success, else the reply to send.
     ///
     /// Refuses while another VM reaches the store: that VM takes the partition over there, and both
@@ -198,7 +198,8 @@
         {
             return Some(Reply::Away);
         }
-        self.collect_replicas(partition_id).await;
+        let known_since = self.collect_replicas(partition_id).await;
+        partition.known_since.set(known_since);
         let taken = partition.ownership.get().is_some()
             || self.is_first_candidate(partition_id)
                 && self
--- a/src/gateway/tokens/handover.rs
+++ b/src/gateway/tokens/handover.rs
@@ -8,6 +8,7 @@
 use crate::gateway::tokens::partitions::STORE_TIMEOUT;
 use crate::policy::allowance::Snapshot;
 use crate::policy::share::Origin;
+use crate::policy::unrecorded::Unrecorded;
 use crate::telemetry::event;
 use std::rc::Rc;
 use std::time::Duration;
@@ -112,6 +113,12 @@
         let Some(ownership) = partition.ownership.take() else {
             return;
         };
+        if !ownership.knows_accounts() {
+            // The replicas stay, for the VM that takes the partition over at the store.
+            partition.ledger.take();
+            partition.pending.take();
+            return log_kept(partition_id, "only replicas are known");
+        }
         partition.handover_in_progress.set(true);
         partition.record_written.notify_waiters();
         let entries = partition.export_entries();
@@ -134,6 +141,7 @@
                 // What is granted from now on needs a new record: the store rejects it if the other VM owns the
                 // partition, and the other VM finds it if it takes the partition over later.
                 partition.ledger.borrow_mut().forfeit_allowances();
+                partition.may_be_shared.set(true);
             }
             // An append that was in progress may have used the sequence number. The store would take
             // the next one with the same number for a repetition and drop it; a number that is too
@@ -166,7 +174,8 @@
         entries: &[(Snapshot, u64)],
         reason: Reason,
     ) -> SendResult {
-        let doubtful = partition.ledger.borrow().is_incomplete();
+        // The receiver finds the mark of the other doubt at the store.
+        let doubtful = partition.ledger.borrow().lost(Instant::now()) == Unrecorded::Half;
         let chunks = entries.len().div_ceil(ENTRIES_PER_DATAGRAM).max(1);
         for index in 0..chunks {
             let chunk = entries
--- a/src/gateway/tokens/owner.rs
+++ b/src/gateway/tokens/owner.rs
@@ -2,10 +2,11 @@
 
 use crate::gateway::peers::{Note, Peer, Question, Replica, Reply, ReplyAddress};
 use crate::gateway::tokens::partition::Partition;
-use crate::gateway::tokens::partitions::STORE_TIMEOUT;
+use crate::gateway::tokens::partitions::{PROGRAM_IDLE_TIMEOUT, STORE_TIMEOUT};
 use crate::gateway::{Gateway, peers};
 use crate::id::{Shard, rendezvous_score};
 use crate::policy::allowance::{self, Reservation, Verdict};
+use crate::policy::unrecorded::Unrecorded;
 use crate::telemetry::event;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -140,10 +141,11 @@
                     self.partitions.merge_replica(replica);
                     return Reply::NotOwner;
                 }
-                partition
-                    .unrecorded_replicas
-                    .borrow_mut()
-                    .insert(replica.program.clone(), replica.allowed);
+                // A message may arrive again after a later one.
+                let mut unrecorded = partition.unrecorded_replicas.borrow_mut();
+                let known = unrecorded.entry(replica.program.clone()).or_default();
+                *known = replica.allowed.max(*known);
+                drop(unrecorded);
                 self.partitions.merge_replica(replica);
                 Reply::Kept
             }
@@ -168,11 +170,10 @@
                 ending,
             } => {
                 if doubtful {
-                    self.partitions
-                        .partition(part)
-                        .ledger
-                        .borrow_mut()
-                        .mark_incomplete();
+                    let partition = self.partitions.partition(part);
+                    let mut ledger = partition.ledger.borrow_mut();
+                    let until = Instant::now() + PROGRAM_IDLE_TIMEOUT;
+                    ledger.mark_incomplete(Unrecorded::Half, until);
                 }
                 self.receive_handover(part, epoch, entries, (first, last), ending)
                     .await
@@ -245,6 +246,16 @@
                 return refusal;
             }
         }
+        let ownership = partition.ownership.get();
+        if ownership.is_some_and(|ownership| !ownership.knows_accounts()) {
+            event!(
+                info,
+                "allowance_unknown",
+                program = program,
+                part = partition_id
+            );
+            return Reply::Unrecorded;
+        }
         let verdict =
             partition
                 .ledger
@@ -372,6 +383,7 @@
             epoch: ownership.epoch,
             fenced: ownership.fenced,
         };
+        let limit = || partition.unrecorded_limit();
         match timeout(store_timeout, durable).await {
             Ok(recorded) => {
                 self.send_replica_to_successor(replica).await;
@@ -395,7 +407,10 @@
                 confirmed
             }
             Err(_)
-                if !partition.ledger.borrow().allows_unrecorded(program, turn)
+                if !partition
+                    .ledger
+                    .borrow()
+                    .allows_unrecorded(program, turn, limit())
                     || !self.reaches_majority().await
                     || self.peers_have_store(partition).await =>
             {
@@ -404,7 +419,8 @@
                     "allowance_unrecorded",
                     program = program,
                     part = partition_id,
-                    budget = turn.budget
+                    budget = turn.budget,
+                    limit = limit()
                 );
                 false
             }
--- a/src/gateway/tokens/partition.rs
+++ b/src/gateway/tokens/partition.rs
@@ -4,6 +4,7 @@
 use crate::gateway::limits::count::Quotas;
 use crate::policy::allowance::{Ledger, Snapshot};
 use crate::policy::share::Origin;
+use crate::policy::unrecorded::Unrecorded;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -37,8 +38,15 @@
     pub(crate) unrecorded_replicas: RefCell<HashMap<String, u64>>,
     /// When this VM last lost ownership or handed it over.
     pub(crate) ownership_ended: Cell<Option<Instant>>,
-    /// Highest uptime of this VM and the VMs that were asked for replicas, in milliseconds.
-    pub(crate) oldest_uptime_ms: Cell<u64>,
+    /// Since when so many of this VM and those that were asked for replicas run that one of them knows of each grant
+    /// without a record; `None` if too few answered.
+    pub(crate) known_since: Cell<Option<Instant>>,
+    /// When the newest heartbeat was sent to the store, which may have it without having answered.
+    pub(crate) heartbeat_sent: Cell<Option<Instant>>,
+    /// Whether another VM may have got the accounts and grant tokens without a record. Ends with the next record.
+    pub(crate) may_be_shared: Cell<bool>,
+    /// Start of the oldest append since the last one that the store acknowledged.
+    pub(crate) unanswered_since: Cell<Option<Instant>>,
     /// Since when writes to the store have been failing; none if the last one succeeded.
     pub(crate) failing_since: Cell<Option<Instant>>,
     /// Fallback partitions and programs whose allowance may be recorded there.
@@ -56,12 +64,32 @@
     pub(crate) record_written: Notify,
 }
 
+impl Ownership {
+    /// Whether this VM knows what earlier owners have recorded and granted. One that took over from replicas does not, until
+    /// it has read the records.
+    pub(crate) const fn knows_accounts(&self) -> bool {
+        self.fenced || !matches!(self.origin, Origin::Unresponsive(_))
+    }
+}
+
 impl Partition {
     /// The epoch under which this VM owns the partition.
     pub(crate) fn epoch(&self) -> Option<u64> {
         self.ownership.get().map(|ownership| ownership.epoch)
     }
 
+    /// What this VM may grant beyond the records while the store takes none.
+    pub(crate) fn unrecorded_limit(&self) -> Unrecorded {
+        let ownership = self.ownership.get();
+        let knows_accounts = ownership.is_some_and(|ownership| ownership.knows_accounts());
+        match self.heartbeat_sent.get() {
+            Some(sent) if knows_accounts && !self.may_be_shared.get() => {
+                Unrecorded::grantable(sent.elapsed())
+            }
+            _ => Unrecorded::None,
+        }
+    }
+
     /// Whether this VM owns the partition, is taking it over, or is handing it over.
     pub(crate) fn is_owned_or_in_transfer(&self) -> bool {
         let being_taken_over = self.takeover_lock.try_lock().is_err();
@@ -79,14 +107,13 @@
         }
     }
 
-    /// The accounts of all programs, each with its unrecorded allowance, or zero.
+    /// The accounts of all programs, each with the allowance that is still to be recorded, or zero.
     pub(crate) fn export_entries(&self) -> Vec<(Snapshot, u64)> {
         let pending = self.pending.borrow();
         let entries = self.ledger.borrow().export().into_iter();
         let entries = entries.map(|entry| {
             let unrecorded = pending.get(&entry.program).copied().unwrap_or_default();
-            let allowed = entry.allowed.max(unrecorded);
-            (Snapshot { allowed, ..entry }, unrecorded)
+            (entry, unrecorded)
         });
         entries.collect()
     }
--- a/src/gateway/tokens/partitions.rs
+++ b/src/gateway/tokens/partitions.rs
@@ -14,6 +14,7 @@
 use crate::platform::store::{Error, Record, Store, Writer};
 use crate::policy::allowance::{Reservation, Snapshot};
 use crate::policy::share::Origin;
+use crate::policy::unrecorded::Unrecorded;
 use crate::telemetry::event;
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
@@ -115,6 +116,7 @@
         xxh3_64(key.as_bytes()) % self.partition_count
     }
 
+    /// Time since this VM started, in milliseconds.
     pub(crate) fn uptime_ms(&self) -> u64 {
         u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
@@ -204,6 +206,9 @@
                 .iter()
                 .map(|(key, value)| encode_record(key, *value))
                 .collect();
+            if batch.iter().any(|(key, _)| key == HEARTBEAT_KEY) {
+                partition.heartbeat_sent.set(Some(Instant::now()));
+            }
             if !self
                 .append_batch(partition_id, &partition, ownership, &records)
                 .await
@@ -228,6 +233,9 @@
         let mut delay = RETRY_BACKOFF.0;
         loop {
             let started_at = (Instant::now(), clock::wall_ms());
+            let unanswered_since = partition.unanswered_since.get();
+            let unanswered_since = unanswered_since.unwrap_or(started_at.0);
+            partition.unanswered_since.set(Some(unanswered_since));
             let result = self
                 .store
                 .append_hedged(ALLOWANCE_TOPIC, partition_id, records, Some(&writer))
@@ -245,6 +253,8 @@
                 Ok(()) => {
                     self.record_store_result(true);
                     partition.last_confirmed_write.set(Some(started_at));
+                    partition.may_be_shared.set(false);
+                    partition.unanswered_since.set(None);
                     if partition.failing_since.take().is_some() {
                         event!(info, "records_flow", part = partition_id);
                     }
@@ -351,7 +361,7 @@
             if ledger.allowed(&replica.program) < replica.allowed {
                 partition.add_pending(&replica.program, replica.allowed);
             }
-            ledger.restore(Instant::now(), &replica.program, replica.allowed);
+            ledger.restore_unrecorded(Instant::now(), &replica.program, replica.allowed);
             return;
         }
         let mut replicas = partition.replicas.borrow_mut();
@@ -377,7 +387,7 @@
             if unrecorded > 0 {
                 partition.add_pending(&entry.program, unrecorded);
             }
-            partition.ledger.borrow_mut().import(now, entry);
+            partition.ledger.borrow_mut().import(now, entry, unrecorded);
         }
         let programs = partition.ledger.borrow().len();
         event!(
@@ -389,6 +399,13 @@
             fenced = fenced
         );
         if !fenced {
+            // The marks at the store could not be read.
+            let mut ledger = partition.ledger.borrow_mut();
+            ledger.mark_incomplete(Unrecorded::Quarter, now + PROGRAM_IDLE_TIMEOUT);
+            drop(ledger);
+            partition.heartbeat_sent.set(Some(now));
+            partition.unanswered_since.set(Some(now));
+            partition.may_be_shared.set(false);
             partition.ownership.set(Some(Ownership {
                 epoch: epoch + 1,
                 sequence: 0,
--- a/src/gateway/tokens/replicas.rs
+++ b/src/gateway/tokens/replicas.rs
@@ -4,10 +4,11 @@
 use crate::gateway::peers::{Note, Question, Replica, Reply};
 use crate::gateway::tokens::owner::REPLICAS_PER_DATAGRAM;
 use crate::gateway::tokens::partition::Partition;
+use crate::policy::unrecorded::{known_for, min_replicas};
 use crate::telemetry::event;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 /// Time allowed for VMs to return their replicas.
 const COLLECT_TIMEOUT: Duration = Duration::from_millis(70);
@@ -16,17 +17,18 @@
 const REPLICA_COUNT: usize = 11;
 
 impl Gateway {
-    /// Merges the replicas that other VMs keep of unrecorded allowances. Returns the highest uptime
-    /// of these VMs and this one, in milliseconds.
-    pub(crate) async fn collect_replicas(&self, part: u64) -> u64 {
+    /// Merges the replicas that other VMs keep of unrecorded allowances. Returns since when so many of these VMs and this
+    /// one run that one of them has the replica of each grant; `None` if too few answered.
+    pub(crate) async fn collect_replicas(&self, part: u64) -> Option<Instant> {
         let others = self.owner_candidates(part).into_iter();
         let others = others.filter(|peer| peer.vm != self.settings.vm);
         let asks = others
             .take(REPLICA_COUNT + 1)
             .map(|peer| self.replicas_of(part, peer.address));
-        let mut oldest_uptime_ms = self.partitions.uptime_ms();
+        let asked = Instant::now();
+        let mut uptimes = vec![Duration::from_millis(self.partitions.uptime_ms())];
         for (allowed, up_ms) in futures::future::join_all(asks).await {
-            oldest_uptime_ms = up_ms.max(oldest_uptime_ms);
+            uptimes.extend((up_ms > 0).then(|| Duration::from_millis(up_ms)));
             for (program, allowed) in allowed {
                 self.partitions.merge_replica(Replica {
                     part,
@@ -37,7 +39,8 @@
                 });
             }
         }
-        oldest_uptime_ms
+        let vms = self.recent_members.count().min(REPLICA_COUNT + 1);
+        asked.checked_sub(known_for(uptimes, vms)?)
     }
 
     /// All unrecorded replicas of one VM, and its uptime in milliseconds; none and zero if it does not answer.
@@ -90,8 +93,8 @@
         }
     }
 
-    /// Replicates an unrecorded allowance to the VMs that would take over. Returns whether any of
-    /// them keeps it; gives up ownership if one answers `NotOwner`.
+    /// Replicates an unrecorded allowance to the VMs that would take over. Returns whether enough of them keep it; gives up
+    /// ownership if one answers `NotOwner`.
     pub(crate) async fn replicate_allowance(
         &self,
         replica: Replica,
@@ -100,7 +103,8 @@
         let question = Question::Keep(replica.clone());
         let others = self.owner_candidates(replica.part).into_iter();
         let others = others.filter(|peer| peer.vm != self.settings.vm);
-        let asks = others.take(REPLICA_COUNT).map(|peer| {
+        let others: Vec<_> = others.take(REPLICA_COUNT).collect();
+        let asks = others.iter().map(|peer| {
             let question = &question;
             async move { self.peers.ask(peer.address, question).await }
         });
@@ -119,6 +123,6 @@
             allowed = replica.allowed,
             copies = replicas
         );
-        replicas > 0
+        replicas > 0 && replicas >= min_replicas(others.len() + 1)
     }
 }
--- a/src/gateway/tokens/takeover.rs
+++ b/src/gateway/tokens/takeover.rs
@@ -10,6 +10,7 @@
 use crate::platform::store::{Error, Latest, Record, Writer};
 use crate::policy::allowance::Ledger;
 use crate::policy::share::Origin;
+use crate::policy::unrecorded::Unrecorded;
 use crate::telemetry::event;
 use bytes::Bytes;
 use std::collections::HashMap;
@@ -24,14 +25,14 @@
 const EPOCHS_PER_MS: u64 = 1 << 12;
 /// Added to an epoch that the store rejects as too low; equals ten seconds of the clock.
 const EPOCH_STEP: u64 = 10_000 * EPOCHS_PER_MS;
-/// Uptime after which this VM has received replicas for all programs that are still active.
+/// Uptime after which this VM takes over from replicas.
 const MIN_UPTIME_FOR_REPLICAS: Duration = Duration::from_secs(5);
-/// Key of the record that marks a partition as incomplete: tokens granted without a record may have
-/// been lost. Its value is the Unix time in milliseconds at which the mark expires.
-const INCOMPLETE_KEY: &str = "@doubt";
-/// A longer gap between the last heartbeat of a partition and the start of the oldest VM means that
-/// the store was unavailable in between. Exceeds the restart time after a power loss of all VMs.
-const MIN_OUTAGE: Duration = Duration::from_millis(2500);
+/// Keys of the records that mark a partition as incomplete: tokens granted without a record may have
+/// been lost. Their value is the Unix time in milliseconds at which the mark expires.
+const INCOMPLETE_KEYS: [(Unrecorded, &str); 2] = [
+    (Unrecorded::Half, "@doubt"),
+    (Unrecorded::Quarter, "@quarter"),
+];
 
 /// Tokens that a record counts for which can't be read; more than any budget.
 const UNREADABLE_ALLOWANCE: u64 = u32::MAX as u64;
@@ -119,7 +120,8 @@
         partition.last_confirmed_write.set(Some(began));
         let newest = self.read_records(partition_id, partition).await?;
         let replicas = partition.replicas.take();
-        let ledger = self.build_ledger(partition, &newest.records, &replicas);
+        let ledger = self.build_ledger(partition, origin, &newest.records, &replicas);
+        let lost = ledger.lost(Instant::now());
         event!(
             info,
             "allowances_taken",
@@ -127,8 +129,12 @@
             epoch = ownership.epoch,
             programs = ledger.len(),
             copies = replicas.len(),
-            oldest_ms = partition.oldest_uptime_ms.get(),
-            doubtful = ledger.is_incomplete()
+            known_ms = partition
+                .known_since
+                .get()
+                .map_or(0, |since| since.elapsed().as_millis()),
+            doubtful = (lost != Unrecorded::None),
+            lost = lost
         );
         // The store may lack these, and the next owner would miss them.
         for (program, (allowed, _)) in replicas {
@@ -143,6 +149,9 @@
         pending.retain(|key, allowed| recorded(key).is_none_or(|recorded| recorded < *allowed));
         drop(pending);
         partition.add_pending(HEARTBEAT_KEY, clock::wall_ms());
+        partition.heartbeat_sent.set(Some(Instant::now()));
+        partition.may_be_shared.set(false);
+        partition.unanswered_since.set(None);
         partition.ledger.replace(ledger);
         partition.ownership.set(Some(ownership));
         partition.successor.set(None);
@@ -234,6 +243,7 @@
     fn build_ledger(
         &self,
         partition: &Partition,
+        origin: Origin,
         records: &[Record],
         replicas: &HashMap<String, (u64, Instant)>,
     ) -> Ledger {
@@ -241,11 +251,8 @@
         // Accounts that this VM already owns are newer than their records.
         let mut ledger = partition.ledger.take();
         if partition.ownership.get().is_none() {
-            let doubtful = ledger.is_incomplete();
-            ledger = Ledger::default();
-            if doubtful {
-                ledger.mark_incomplete();
-            }
+            let previous = std::mem::take(&mut ledger);
+            ledger.inherit_lost(&previous);
         }
         let programs = records.iter();
         for record in programs.filter(|record| !record.key.starts_with(INTERNAL_KEY_PREFIX)) {
@@ -254,24 +261,27 @@
             }
         }
         for (program, (allowed, _)) in replicas {
-            ledger.restore(now, program, *allowed);
+            ledger.restore_unrecorded(now, program, *allowed);
         }
-        // In a handover no VM is asked for replicas, since the previous owner sends everything;
-        // this VM's own uptime is used then.
-        let oldest_uptime_ms = partition.oldest_uptime_ms.get().max(self.uptime_ms());
-        if may_lack_grants(records, oldest_uptime_ms) {
-            ledger.mark_incomplete();
+        // In a handover the previous owner sends everything.
+        let known_since = match origin {
+            Origin::HandedOver => Some(self.started_at),
+            _ => partition.known_since.get(),
+        };
+        let lost = lost_grants(records, origin, known_since);
+        if let Some((_, key)) = INCOMPLETE_KEYS.iter().find(|(mark, _)| *mark == lost) {
+            ledger.mark_incomplete(lost, now + PROGRAM_IDLE_TIMEOUT);
             let until = clock::wall_ms()
                 + u64::try_from(PROGRAM_IDLE_TIMEOUT.as_millis()).unwrap_or(u64::MAX);
-            partition.add_pending(INCOMPLETE_KEY, until);
+            partition.add_pending(key, until);
         }
         ledger
     }
 
     /// Takes a partition over from replicas alone while the store is unavailable.
     ///
-    /// The previous owner may still be running behind a network partition. It cannot grant more
-    /// than its durable or replicated allowances, and all of these count as spent here.
+    /// The previous owner may still be running behind a network partition, and the replicas may lack what it has recorded.
+    /// So nothing is granted until the store is back.
     pub(crate) fn take_over_from_replicas(&self, partition_id: u64, partition: &Partition) -> bool {
         let replicas = partition.replicas.borrow();
         if replicas.is_empty() || self.started_at.elapsed() < MIN_UPTIME_FOR_REPLICAS {
@@ -279,7 +289,7 @@
         }
         let mut ledger = Ledger::default();
         for (program, (allowed, _)) in replicas.iter() {
-            ledger.restore(Instant::now(), program, *allowed);
+            ledger.restore_unrecorded(Instant::now(), program, *allowed);
             // The store can't be asked which of them it has.
             partition.add_pending(program, *allowed);
         }
@@ -316,16 +326,23 @@
     Some(allowed.unwrap_or(UNREADABLE_ALLOWANCE))
 }
 
-/// Whether the previous owner may have granted tokens that neither a record nor a running VM knows
-/// of: it could not write for a while, and then all VMs were lost.
-fn may_lack_grants(records: &[Record], oldest_uptime_ms: u64) -> bool {
-    let time_of = |key| {
+/// What the previous owner may have granted that neither a record nor a running VM knows of: it could not write for a
+/// while, and then it was lost with those that knew.
+fn lost_grants(records: &[Record], origin: Origin, known_since: Option<Instant>) -> Unrecorded {
+    let time_of = |key: &str| {
         let record = records.iter().find(|record| record.key == key);
         record.and_then(|record| record.value.as_ref().and_then(decode_value))
     };
     let now = clock::wall_ms();
-    let min_outage_ms = u64::try_from(MIN_OUTAGE.as_millis()).unwrap_or(u64::MAX);
-    let gap_after_heartbeat = time_of(HEARTBEAT_KEY)
-        .is_some_and(|heartbeat| heartbeat + min_outage_ms + oldest_uptime_ms < now);
-    gap_after_heartbeat || time_of(INCOMPLETE_KEY).is_some_and(|until| now < until)
+    let marks = INCOMPLETE_KEYS.iter();
+    let marked = marks.filter(|(_, key)| time_of(key).is_some_and(|until| now < until));
+    let marked = marked.map(|(mark, _)| *mark).max().unwrap_or_default();
+    let known_for = known_since.map(|since| since.elapsed());
+    let heartbeat_age = match time_of(HEARTBEAT_KEY) {
+        Some(heartbeat) => Duration::from_millis(now.saturating_sub(heartbeat)),
+        None if origin == Origin::First => return marked,
+        // The previous owner was lost before its first heartbeat.
+        None => known_for.unwrap_or_default(),
+    };
+    marked.max(Unrecorded::lost(heartbeat_age, known_for))
 }
--- a/src/policy/allowance.rs
+++ b/src/policy/allowance.rs
@@ -4,6 +4,7 @@
 //! granted, a durable record (the allowance) covers them; after a crash the whole allowance counts as spent. One
 //! allowance covers several turns, so that not every turn waits for a write before its first token.
 
+use crate::policy::unrecorded::Unrecorded;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::fmt;
@@ -61,8 +62,10 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Account {
-    /// The durable allowance.
-    allowed: u64,
+    /// The allowance that the store has.
+    recorded: u64,
+    /// The highest allowance known, whose use by other VMs is a part of `spent`.
+    claimed: u64,
     /// Tokens generated, and those that may have been generated before a crash.
     spent: u64,
     reserved: u64,
@@ -76,7 +79,7 @@
 pub struct Snapshot {
     /// Id of the program.
     pub program: String,
-    /// Tokens covered by the durable allowance.
+    /// Tokens covered by the allowance that the store has.
     pub allowed: u64,
     /// Tokens generated, and those that may have been generated before a crash.
     pub spent: u64,
@@ -103,20 +106,12 @@
     accounts: HashMap<String, Account>,
     /// Program and maximum number of tokens of each turn in progress.
     open: HashMap<Reservation, (String, u64)>,
-    /// Whether tokens granted without a durable record may be missing from the accounts.
-    is_incomplete: bool,
+    /// What may have been granted without a record and is missing from the accounts, and until when programs come back that
+    /// may have got it.
+    lost: Option<(Unrecorded, Instant)>,
 }
 
 impl Request {
-    /// Maximum number of tokens that a program may be granted beyond its durable allowance.
-    ///
-    /// While the store is unavailable, grants exist only in the memory of a few VMs. If all of these fail, this maximum
-    /// counts as spent, so that no program exceeds its budget.
-    #[must_use]
-    pub fn max_unrecorded_tokens(&self) -> u64 {
-        (self.budget / 2).max(self.most)
-    }
-
     /// The allowance to record for turns that begin when `used` tokens are spent or reserved.
     fn next_allowance(&self, used: u64) -> u64 {
         let step =
@@ -129,15 +124,26 @@
     /// Applies an allowance recorded by another VM. What it adds to the one known here counts as spent, since the
     /// other VM may have granted it.
     pub fn restore(&mut self, now: Instant, program: &str, allowed: u64) {
+        self.restore_unrecorded(now, program, allowed);
         let account = self.account(now, program);
-        account.spent += allowed.saturating_sub(account.allowed);
-        account.allowed = account.allowed.max(allowed);
+        account.recorded = account.recorded.max(allowed);
     }
 
-    /// Notes that unrecorded grants may have been lost: for every program that is new to this ledger, the maximum of
-    /// such grants counts as spent.
-    pub const fn mark_incomplete(&mut self) {
-        self.is_incomplete = true;
+    /// Applies an allowance of another VM that the store may lack, as [`Ledger::restore`].
+    pub fn restore_unrecorded(&mut self, now: Instant, program: &str, allowed: u64) {
+        let account = self.account(now, program);
+        account.spent += allowed.saturating_sub(account.claimed);
+        account.claimed = account.claimed.max(allowed);
+    }
+
+    /// Notes that grants without a record may have been lost. For every program that is new to this ledger they count as
+    /// spent, until then.
+    pub fn mark_incomplete(&mut self, lost: Unrecorded, until: Instant) {
+        if lost == Unrecorded::None {
+            return;
+        }
+        let (known, known_until) = self.lost.unwrap_or((lost, until));
+        self.lost = Some((known.max(lost), known_until.max(until)));
     }
 
     /// Counts the rest of all allowances as spent, since another VM may have received the accounts and grant it.
@@ -154,7 +160,7 @@
     /// ```
     pub fn forfeit_allowances(&mut self) {
         for account in self.accounts.values_mut() {
-            let unreserved = account.allowed.saturating_sub(account.reserved);
+            let unreserved = account.claimed.saturating_sub(account.reserved);
             account.spent = account.spent.max(unreserved);
         }
     }
@@ -169,17 +175,26 @@
         self.open.clear();
     }
 
-    /// Whether unrecorded grants may have been lost.
+    /// Grants without a record that may have been lost.
     #[must_use]
-    pub const fn is_incomplete(&self) -> bool {
-        self.is_incomplete
+    pub fn lost(&self, now: Instant) -> Unrecorded {
+        let lost = self.lost.filter(|(_, until)| now < *until);
+        lost.map_or(Unrecorded::None, |(lost, _)| lost)
+    }
+
+    /// Takes over what another ledger of the partition may lack.
+    pub fn inherit_lost(&mut self, other: &Self) {
+        if let Some((lost, until)) = other.lost {
+            self.mark_incomplete(lost, until);
+        }
     }
 
-    /// Whether the tokens spent or reserved by a program stay within what may be granted without a durable record.
+    /// Whether the tokens spent or reserved by a program stay within its records and `limit`. All owners of an outage
+    /// together have this limit, as none of them adds to the records.
     #[must_use]
-    pub fn allows_unrecorded(&self, program: &str, request: Request) -> bool {
+    pub fn allows_unrecorded(&self, program: &str, request: Request, limit: Unrecorded) -> bool {
         let (_, total) = self.usage(program);
-        total <= self.allowed(program) + request.max_unrecorded_tokens()
+        limit != Unrecorded::None && total <= self.allowed(program) + limit.grant_limit(&request)
     }
 
     /// All accounts, for the VM that takes over the partition.
@@ -187,7 +202,7 @@
     pub fn export(&self) -> Vec<Snapshot> {
         let snapshot = |(program, account): (&String, &Account)| Snapshot {
             program: program.clone(),
-            allowed: account.allowed,
+            allowed: account.recorded,
             spent: account.spent,
             turns: account.turns,
             open: self.open_reservations(program),
@@ -202,18 +217,21 @@
             .collect()
     }
 
-    /// Takes over an account from another VM. If turns of the program have already reserved tokens here, only the
-    /// allowance is applied, as by [`Ledger::restore`].
+    /// Takes over an account from another VM, which has also asked the store to record `pending`. If turns of the program
+    /// have already reserved tokens here, only the allowance is applied, as by [`Ledger::restore`].
     ///
     /// The other VM may have been fenced off without noticing. An allowance beyond the one it knew was then recorded by
     /// a third VM, and the difference counts as spent.
-    pub fn import(&mut self, now: Instant, snapshot: Snapshot) {
+    pub fn import(&mut self, now: Instant, snapshot: Snapshot, pending: u64) {
         let account = self.account(now, &snapshot.program);
+        let known = snapshot.allowed.max(pending);
         if account.turns > 0 {
-            return self.restore(now, &snapshot.program, snapshot.allowed);
+            self.restore_unrecorded(now, &snapshot.program, known);
+            return;
         }
-        let recorded_by_others = account.allowed.saturating_sub(snapshot.allowed);
-        account.allowed = account.allowed.max(snapshot.allowed);
+        let recorded_by_others = account.claimed.saturating_sub(known);
+        account.recorded = account.recorded.max(snapshot.allowed);
+        account.claimed = account.claimed.max(known);
         account.spent = snapshot.spent + recorded_by_others;
         account.turns = snapshot.turns;
         account.reserved = snapshot.open.iter().map(|(_, max_tokens)| max_tokens).sum();
@@ -226,7 +244,8 @@
 
     fn account(&mut self, now: Instant, program: &str) -> &mut Account {
         let empty = Account {
-            allowed: 0,
+            recorded: 0,
+            claimed: 0,
             spent: 0,
             reserved: 0,
             turns: 0,
@@ -244,16 +263,13 @@
         request: Request,
     ) -> Verdict {
         let is_known = self.open.contains_key(&reservation);
-        let maybe_lost = if self.is_incomplete {
-            request.max_unrecorded_tokens()
-        } else {
-            0
-        };
+        let maybe_lost = self.lost(now).charge(&request);
         let account = self.account(now, program);
         account.last_used = now;
         if account.turns == 0 {
             // `seen` counts turns in progress at their maximum, so it is used only until turns are counted here.
-            account.spent = (account.spent + maybe_lost).max(request.seen);
+            let with_lost = account.recorded + maybe_lost;
+            account.spent = account.spent.max(with_lost).max(request.seen);
         }
         if !is_known {
             // A turn that starts within the budget may exceed it.
@@ -264,7 +280,7 @@
             account.turns += 1;
         }
         let needed = account.spent + account.reserved;
-        let verdict = if needed <= account.allowed {
+        let verdict = if needed <= account.recorded {
             Verdict::Covered
         } else {
             let allowance = request.next_allowance(needed - request.most);
@@ -304,7 +320,8 @@
     /// Notes that an allowance is durable.
     pub fn mark_recorded(&mut self, program: &str, allowed: u64) {
         if let Some(account) = self.accounts.get_mut(program) {
-            account.allowed = account.allowed.max(allowed);
+            account.recorded = account.recorded.max(allowed);
+            account.claimed = account.claimed.max(allowed);
         }
     }
 
@@ -326,11 +343,11 @@
         self.open.contains_key(&reservation)
     }
 
-    /// The durable allowance of a program in tokens; 0 if the program is unknown.
+    /// The allowance of a program that the store has, in tokens; 0 if the program is unknown.
     #[must_use]
     pub fn allowed(&self, program: &str) -> u64 {
         let account = self.accounts.get(program);
-        account.map_or(0, |account| account.allowed)
+        account.map_or(0, |account| account.recorded)
     }
 
     /// Number of turns of a program that have reserved tokens, and its tokens spent or reserved.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -42,6 +42,7 @@
 mod slack;
 pub mod store_health;
 pub mod stream_versions;
+pub mod unrecorded;
 mod window;
 
 pub use pool::Pool;
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 use vanillatrail::policy::allowance::{Ledger, Request, Reservation, Snapshot, Verdict};
+use vanillatrail::policy::unrecorded::Unrecorded;
 
 const BUDGET_TOKENS: u64 = 870;
 const MAX_TURN_TOKENS: u64 = 290;
@@ -99,7 +100,7 @@
     let mut new_owner = Ledger::default();
     new_owner.restore(now, "p", 580);
     for entry in ledger.export() {
-        new_owner.import(now, entry);
+        new_owner.import(now, entry, 0);
     }
     new_owner.settle(now, reservation(1), 70);
     assert_eq!(new_owner.usage("p"), (1, 70));
@@ -120,6 +121,7 @@
             turns: 1,
             open: Vec::new(),
         },
+        0,
     );
     assert_eq!(new_owner.usage("p").1, 70 + 580);
 }
@@ -140,7 +142,7 @@
     owner.mark_recorded("p", 1160);
     owner.settle(now, reservation(2), 200);
     for entry in owner.export() {
-        former.import(now, entry);
+        former.import(now, entry, 0);
     }
     assert_eq!(former.usage("p"), owner.usage("p"));
 }
@@ -148,10 +150,11 @@
 /// Losing a partition must not lose the note that unrecorded grants may be missing.
 #[test]
 fn a_former_owner_still_knows_that_grants_may_be_lost() {
+    let now = Instant::now();
     let mut former = Ledger::default();
-    former.mark_incomplete();
+    former.mark_incomplete(Unrecorded::Half, now + Duration::from_mins(1));
     former.forget_accounts();
-    assert!(former.is_incomplete());
+    assert_eq!(former.lost(now), Unrecorded::Half);
 }
 
 /// Programs idle for longer than the timeout are removed.
@@ -172,11 +175,11 @@
     let now = Instant::now();
     let mut ledger = Ledger::default();
     ledger.reserve(now, "p", reservation(1), turn(0));
-    assert!(ledger.allows_unrecorded("p", turn(0)));
+    assert!(ledger.allows_unrecorded("p", turn(0), Unrecorded::Half));
     ledger.reserve(now, "p", reservation(2), turn(0));
-    assert!(!ledger.allows_unrecorded("p", turn(0)));
+    assert!(!ledger.allows_unrecorded("p", turn(0), Unrecorded::Half));
     let mut new_owner = Ledger::default();
-    new_owner.mark_incomplete();
+    new_owner.mark_incomplete(Unrecorded::Half, now + Duration::from_mins(1));
     new_owner.reserve(now, "p", reservation(3), turn(0));
     assert_eq!(
         new_owner.usage("p"),
@@ -239,7 +242,7 @@
                         Verdict::Spent => continue,
                         Verdict::Covered => {}
                         Verdict::Record(_) if outage => {
-                            if !ledger.allows_unrecorded("p", turn(0)) {
+                            if !ledger.allows_unrecorded("p", turn(0), Unrecorded::Half) {
                                 ledger.settle(now, reservation, 0);
                                 continue;
                             }
@@ -268,8 +271,8 @@
                     let lost = std::mem::take(&mut ledger);
                     former = None;
                     ledger.restore(now, "p", durable.get("p").copied().unwrap_or(0));
-                    if outage || lost.is_incomplete() {
-                        ledger.mark_incomplete();
+                    if outage || lost.lost(now) != Unrecorded::None {
+                        ledger.mark_incomplete(Unrecorded::Half, now + Duration::from_mins(1));
                     }
                     outage = false;
                 }
@@ -277,9 +280,7 @@
                 Step::Fenced => {
                     let mut new_owner = Ledger::default();
                     new_owner.restore(now, "p", durable.get("p").copied().unwrap_or(0));
-                    if ledger.is_incomplete() {
-                        new_owner.mark_incomplete();
-                    }
+                    new_owner.inherit_lost(&ledger);
                     let mut fenced = std::mem::replace(&mut ledger, new_owner);
                     fenced.forget_accounts();
                     former = Some(fenced);
@@ -287,11 +288,9 @@
                 Step::HandoverToFormerOwner => {
                     let Some(mut adopter) = former.take() else { continue };
                     for entry in ledger.export() {
-                        adopter.import(now, entry);
-                    }
-                    if ledger.is_incomplete() {
-                        adopter.mark_incomplete();
+                        adopter.import(now, entry, 0);
                     }
+                    adopter.inherit_lost(&ledger);
                     ledger = adopter;
                 }
                 Step::LostResponse => {
@@ -301,22 +300,16 @@
                     ledger.settle(now, reservation, 0);
                 }
                 Step::OwnerCrash => {
-                    let incomplete = ledger.is_incomplete();
-                    ledger = Ledger::default();
+                    let lost = std::mem::take(&mut ledger);
                     ledger.restore(now, "p", durable.get("p").copied().unwrap_or(0));
-                    if incomplete {
-                        ledger.mark_incomplete();
-                    }
+                    ledger.inherit_lost(&lost);
                 }
                 Step::Handover => {
-                    let (entries, incomplete) = (ledger.export(), ledger.is_incomplete());
-                    ledger = Ledger::default();
-                    if incomplete {
-                        ledger.mark_incomplete();
-                    }
+                    let (entries, lost) = (ledger.export(), std::mem::take(&mut ledger));
+                    ledger.inherit_lost(&lost);
                     ledger.restore(now, "p", durable.get("p").copied().unwrap_or(0));
                     for entry in entries {
-                        ledger.import(now, entry);
+                        ledger.import(now, entry, 0);
                     }
                 }
             }
