Take only statuses of RFC 9110 for answers

Callers got a bare 101 of a faulty server as their answer, sealed, on all kinds of routes; 600 to 999 too. Status 000 was answered 502 already.

Cause: the HTTP client takes 101 for a final response and any number of three digits for a status, and nothing checked it after that.

Change: a response outside of 200 to 599 is no answer. The server may have run the request, whatever else its head says.

Before: answer_heads::an_odd_status_is_no_answer got status 101 on the first of 39 requests (12 status lines, and a 101 that says not run, on three kinds of routes). After: 502 without a seal for all of them.

--- a/src/gateway/server/attempt.rs
+++ b/src/gateway/server/attempt.rs
@@ -20,6 +20,7 @@
 use http_body::Body;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -44,6 +45,9 @@
 /// Most bytes of comments between two events of a stream. Servers send comments to keep connections open.
 const MAX_COMMENT_BYTES: usize = 64 << 10;
 
+/// Statuses of answers (RFC 9110, section 15). 101 answers a request to change the protocol, which is never sent.
+const ANSWER_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Reason for which a stream broke whose server sends bytes without end that are no event.
 pub(crate) const ENDLESS: &str = "endless";
 /// Reason of a refusal by another instance than the one that the request was for.
@@ -322,6 +326,9 @@
     };
     let response_headers = Response::of(response.headers());
     let status = response.status();
+    if !ANSWER_STATUSES.contains(&status.as_u16()) {
+        return Ok(AttemptResult::OutcomeUnknown("invalid_status"));
+    }
     let id_matches = response_headers.id.as_deref() == Some(job.meta.id.as_str());
     let refused = response_headers.not_run || status == StatusCode::MISDIRECTED_REQUEST;
     // A refusal may lack the request ID; as the first response on a connection it can't belong to another request.
--- a/tests/answer_heads.rs
+++ b/tests/answer_heads.rs
@@ -2,7 +2,7 @@
 
 mod platform;
 
-use platform::{Act, Backend, Request, Store, Vm, call};
+use platform::{Act, Backend, Request, Store, Vm, call, until};
 use serde_json::json;
 use std::io::Write;
 use std::net::TcpListener;
@@ -135,3 +135,62 @@
     );
     assert!(reply.status >= 500, "{reply:?}");
 }
+
+/// Guards against passing on as an answer what has no status of an answer: a change of protocols that nobody asked for, and
+/// numbers outside of RFC 9110, section 15. The server may have run the request, whatever else the head says.
+#[test]
+fn an_odd_status_is_no_answer() {
+    const STATUS_LINES: [&str; 12] = [
+        "HTTP/1.1 101 Switching Protocols",
+        "HTTP/1.1 101",
+        "HTTP/1.1 000 None",
+        "HTTP/1.1 000",
+        "HTTP/1.1 099 Odd",
+        "HTTP/1.1 600 Odd",
+        "HTTP/1.1 700 Odd",
+        "HTTP/1.1 999 Odd",
+        "HTTP/1.1 1000 Odd",
+        "HTTP/1.1 20 Odd",
+        "HTTP/1.1 -200 Odd",
+        "HTTP/1.1 2OO Odd",
+    ];
+    let act = |request: &Request, _: usize| {
+        let id = request.header("x-request-id");
+        let (line, not_run) = match STATUS_LINES.get(case(request)) {
+            Some(line) => (*line, ""),
+            None => (STATUS_LINES[0], "X-Not-Run: 1\r\n"),
+        };
+        let head = format!(
+            "{line}\r\nX-Request-Id: {id}\r\nX-Server-Seal: s\r\n{not_run}Content-Length: 4\r\n\r\nodd!"
+        );
+        Act::Close(head.into_bytes())
+    };
+    let (store, vm) = start(act);
+    // A server that failed gets no requests for a while, so there is one for each.
+    let others: Vec<_> = (2..2 + STATUS_LINES.len() * 2)
+        .map(|number| (number, Backend::start(act)))
+        .collect();
+    for (number, server) in &others {
+        for service in ["pool", "other"] {
+            store.register(
+                &format!("{service}{number}"),
+                service,
+                server.address,
+                "ready",
+            );
+        }
+    }
+    until("the VM knows all servers", || {
+        let state = vm.state();
+        let servers = state["servers"].as_array();
+        servers.is_some_and(|servers| servers.len() == 2 + others.len() * 2)
+    });
+    for kind in ["stream", "safe", "unsafe"] {
+        for number in 0..=STATUS_LINES.len() {
+            let path = format!("/{kind}/{number}");
+            let reply = call(vm.callers, "POST", &path, &[("X-Request-Id", "r")], b"");
+            assert_eq!(reply.status, 502, "{path}: {reply:?}");
+            assert!(!reply.headers.contains_key("x-server-seal"), "{reply:?}");
+        }
+    }
+}
