Answer requests that are late in a planned stop

Requests whose bodies ended late in a stop were read whole, sent to a server, and cut off without an answer at the end of the process.

Cause: only the listener knew the time limit of a stop. Requests that were late for other reasons were cut off too (a server at work, a repeat after 3 s), so late connections alone are ruled out.

Change: one place decides for each request without an answer. One that was not sent is refused as not run once it may not end in time; requests at servers are answered 0.3 s before the process ends.

--- a/src/gateway/front/mod.rs
+++ b/src/gateway/front/mod.rs
@@ -40,6 +40,7 @@
 use crate::member::{self, Announcement, Introduction, List, View};
 use crate::platform::store::Store;
 use crate::policy::room::Port;
+use crate::policy::stop::Stop;
 use crate::settings;
 use crate::supervisor::Supervisor;
 use crate::telemetry::event;
@@ -57,12 +58,9 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep_until, timeout};
 use tokio_util::sync::CancellationToken;
 
-/// How long a stopping VM still accepts connections: the load balancer probes once a second and
-/// removes a VM after two failed probes.
-const SHUTDOWN_ACCEPT_PERIOD: Duration = Duration::from_millis(2600);
 /// Subtracted from the time limit of a planned stop, so that the process exits before it is killed.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 /// The store counts as lost after this time without an answer: two reads of the directory, or one
@@ -246,7 +244,7 @@
         copier: Copier::default(),
         settings_path: path.to_owned(),
         stop_ms: Cell::new(settings.stop_ms),
-        stopping: Cell::new(false),
+        stop: watch::Sender::new(None),
         routing: channels.routing,
         settings,
     });
@@ -315,11 +313,15 @@
 ) {
     let limit = Duration::from_millis(gateway.stop_ms.get()).saturating_sub(STOP_MARGIN);
     let began = Instant::now();
+    let planned = Stop {
+        began,
+        ends: began + limit,
+    };
     event!(info, "stopping", limit_ms = limit.as_millis());
-    gateway.stopping.set(true);
+    gateway.stop.send_replace(Some(planned));
     let gateway = Rc::clone(gateway);
     let handover = spawn_local(async move { gateway.hand_over_partitions(Reason::Stopping).await });
-    sleep(SHUTDOWN_ACCEPT_PERIOD.min(limit)).await;
+    sleep_until(planned.accepts_until()).await;
     stop.cancel();
     let remaining = limit.saturating_sub(began.elapsed());
     let clean = timeout(remaining, accepting).await.is_ok();
@@ -410,11 +412,11 @@
 
     /// Whether this VM may own partitions and queues: unlike routing, that needs no directory.
     fn can_own(&self) -> bool {
-        !self.stopping.get() && self.routing.borrow().table.is_some()
+        !self.is_stopping() && self.routing.borrow().table.is_some()
     }
 
     /// Whether the load balancer should send callers here.
     fn is_ready(&self) -> bool {
-        !self.stopping.get() && self.routing.borrow().is_complete() && !self.ends.is_reading()
+        !self.is_stopping() && self.routing.borrow().is_complete() && !self.ends.is_reading()
     }
 }
--- a/src/gateway/front/operators.rs
+++ b/src/gateway/front/operators.rs
@@ -105,7 +105,7 @@
         });
         json!({
             "vm": self.settings.vm,
-            "stopping": self.stopping.get(),
+            "stopping": self.is_stopping(),
             "config": routing.table.as_ref().map(|table| table.version),
             "routes": routing.table.as_ref().map(|table| table.len()),
             "directory": json!({
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -34,6 +34,7 @@
 
 use crate::intake::Intake;
 use crate::member::View;
+use crate::policy::stop::Stop;
 use crate::settings;
 use conversation::Conversations;
 use front::metrics::Metrics;
@@ -96,10 +97,28 @@
     sampler: Sampler,
     discovery: Rc<Discovery>,
     copier: Copier,
-    stopping: Cell<bool>,
+    /// The planned stop, once it has begun.
+    stop: watch::Sender<Option<Stop>>,
 }
 
 impl Gateway {
+    /// Whether a planned stop has begun.
+    fn is_stopping(&self) -> bool {
+        self.stop.borrow().is_some()
+    }
+
+    /// Waits for a planned stop.
+    async fn stop_began(&self) -> Stop {
+        let mut stop = self.stop.subscribe();
+        loop {
+            if let Some(stop) = *stop.borrow_and_update() {
+                return stop;
+            }
+            // Fails only if the sender is dropped, which lives as long as this.
+            drop(stop.changed().await);
+        }
+    }
+
     fn zone(&self) -> Arc<str> {
         Arc::clone(&self.zone)
     }
--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -6,6 +6,7 @@
 mod identify;
 pub(crate) mod job;
 pub(crate) mod reply;
+mod stop;
 mod stream;
 
 use crate::code::{Code, Failure};
@@ -35,7 +36,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use stream::relay;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Maximum servers tried for one request, including those that refuse it.
@@ -50,14 +51,21 @@
 ) -> Result<Response<Body>, Infallible> {
     let id = Meta::of(request.headers()).id;
     let arrived = Instant::now();
-    let mut response = match admit(&gateway, link, request, arrived).await {
+    let admitted = tokio::select! {
+        biased;
+        admitted = admit(&gateway, link, request, arrived) => admitted,
+        failure = stop::before_body(&gateway, link) => Err(failure),
+    };
+    let mut response = match admitted {
         Ok(job) => {
             let job = Rc::new(job);
-            let reply = if let Ok(reply) = timeout_at(job.deadline, dispatch(&job)).await {
-                reply
-            } else {
-                job.attempt_failed().await;
-                Err(deadline_failure(&job))
+            let reply = tokio::select! {
+                biased;
+                reply = dispatch(&job) => reply,
+                failure = stop::given_up(&job) => {
+                    job.attempt_failed().await;
+                    Err(failure)
+                }
             };
             reply.unwrap_or_else(|failure| {
                 job.record_end(&failure.code.to_string(), false);
@@ -78,7 +86,7 @@
             reply::error_response(&id, &failure)
         }
     };
-    if gateway.stopping.get() || link.is_unread() {
+    if gateway.is_stopping() || link.is_unread() {
         let headers = response.headers_mut();
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
@@ -106,6 +114,7 @@
 
 /// Sends the request to one server after another until one responds.
 async fn dispatch(job: &Rc<Job>) -> Result<Response<Body>, Failure> {
+    stop::check(job)?;
     // The rest of the time is for the backend server, or for the caller to come back.
     let until = Instant::now() + job.remaining() / 2;
     job.gateway.ends.wait_until_read(until).await;
--- a/src/intake/link.rs
+++ b/src/intake/link.rs
@@ -318,7 +318,7 @@
     }
 
     /// Notes that a part of the request is not read.
-    pub(super) fn leave_unread(&self) {
+    pub(crate) fn leave_unread(&self) {
         self.state().is_unread = true;
     }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -40,6 +40,7 @@
 mod service_pool;
 pub mod share;
 mod slack;
+pub mod stop;
 pub mod store_health;
 pub mod stream_versions;
 pub mod unrecorded;
