Don't take the start of an outage for a store that others reach

Another VM may have begun a call after it that was still answered before the store fell silent.

Change: only a call that began later than a write usually takes counts.

--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::peers::{Question, Reply};
 use crate::gateway::tokens::partition::Partition;
+use crate::gateway::tokens::partitions::STORE_TIMEOUT;
 use crate::gateway::{Gateway, peers};
 use crate::id::Vm;
 use crate::member::View;
@@ -95,8 +96,15 @@
         let Some(since) = partition.unanswered_since.get() else {
             return false;
         };
+        // A call of another VM that began after the write may still have been answered before the store fell silent.
+        let usual = self
+            .partitions
+            .store
+            .observer()
+            .scaled_timeout(STORE_TIMEOUT);
+        let lost_for = since.elapsed().saturating_sub(usual);
         let last_contact = self.fresh_sample().await.last_store_contact;
-        heard_after_loss(since.elapsed(), last_contact.map(|at| at.elapsed()))
+        heard_after_loss(lost_for, last_contact.map(|at| at.elapsed()))
     }
 
     /// Start of the newest call that the store answered to one of the other VMs, as far as these answer.
