Keep budgets for as long as routes let programs pause

Cause: accounts expired after 90 s whatever the route says; its time was used for kept turns alone. The partitions had not changed hands, so lost accounts are ruled out.

Change: accounts, records, replicas and marks are kept for the longest pause that a route has allowed since the VM started.

Before: budget_orders::a_budget_stays_spent_while_the_route_lets_its_ program_pause failed.

--- a/src/gateway/request/stop.rs
+++ b/src/gateway/request/stop.rs
@@ -40,7 +40,7 @@
 }
 
 /// Waits until a stop leaves no time to send the request or, once it was sent, to wait for its answer.
-pub(super) async fn before_answer(job: &Job) -> Failure {
+async fn before_answer(job: &Job) -> Failure {
     let stop = job.gateway.stop_began().await;
     loop {
         let now = Instant::now();
--- a/src/gateway/tokens/owner.rs
+++ b/src/gateway/tokens/owner.rs
@@ -2,7 +2,7 @@
 
 use crate::gateway::peers::{Note, Peer, Question, Replica, Reply, ReplyAddress};
 use crate::gateway::tokens::partition::Partition;
-use crate::gateway::tokens::partitions::{PROGRAM_IDLE_TIMEOUT, STORE_TIMEOUT};
+use crate::gateway::tokens::partitions::STORE_TIMEOUT;
 use crate::gateway::{Gateway, peers};
 use crate::id::{Shard, rendezvous_score};
 use crate::policy::allowance::{self, Reservation, Verdict};
@@ -172,7 +172,7 @@
                 if doubtful {
                     let partition = self.partitions.partition(part);
                     let mut ledger = partition.ledger.borrow_mut();
-                    let until = Instant::now() + PROGRAM_IDLE_TIMEOUT;
+                    let until = Instant::now() + self.partitions.idle_timeout();
                     ledger.mark_incomplete(Unrecorded::Half, until);
                 }
                 self.receive_handover(part, epoch, entries, (first, last), ending)
--- a/src/gateway/tokens/partitions.rs
+++ b/src/gateway/tokens/partitions.rs
@@ -34,7 +34,7 @@
 /// Key of the owner's heartbeat record. Its value is a Unix time in milliseconds.
 pub(crate) const HEARTBEAT_KEY: &str = "@alive";
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
-/// How long replicas of allowances received from partition owners are kept.
+/// How long replicas of allowances received from partition owners are kept, at least.
 const REPLICA_LIFETIME: Duration = Duration::from_mins(2);
 /// Initial and maximum delay between two attempts to write a record. Every owned partition retries
 /// on its own, so the delay bounds the load on a store that is down.
@@ -44,8 +44,8 @@
 const MAX_STORE_FAILURES: u32 = 2;
 /// Time since the last failure after which the store may be tried again.
 pub(crate) const STORE_RETRY_INTERVAL: Duration = Duration::from_secs(1);
-/// Default time that a program may pause between two turns.
-pub(crate) const PROGRAM_IDLE_TIMEOUT: Duration = Duration::from_mins(1);
+/// Time that a program may pause between two turns where no route allows more.
+const PROGRAM_IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 /// Added to the idle timeout before the records of a program are dropped.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_secs(30);
 
@@ -74,6 +74,8 @@
     /// When the store last took a record of this VM.
     pub(crate) last_success: Cell<Option<Instant>>,
     pub(crate) started_at: Instant,
+    /// Longest time that any route has allowed a program to pause between two turns.
+    idle_timeout: Cell<Duration>,
 }
 
 /// Permission for one turn to generate tokens. Released by [`Gateway::settle_tokens`].
@@ -105,9 +107,20 @@
             last_failure: Cell::new(None),
             last_success: Cell::new(None),
             started_at: Instant::now(),
+            idle_timeout: Cell::new(PROGRAM_IDLE_TIMEOUT),
         }
     }
 
+    /// Time that a program may pause between two turns.
+    pub(crate) const fn idle_timeout(&self) -> Duration {
+        self.idle_timeout.get()
+    }
+
+    /// Notes for how long a route lets programs pause. Programs that began under it may still come back once it is gone.
+    fn note_idle_timeout(&self, idle: Duration) {
+        self.idle_timeout.set(idle.max(self.idle_timeout.get()));
+    }
+
     pub(crate) fn partition(&self, partition_id: u64) -> Rc<Partition> {
         Rc::clone(self.by_id.borrow_mut().entry(partition_id).or_default())
     }
@@ -316,22 +329,21 @@
         partition.record_written.notify_waiters();
     }
 
-    /// Drops outdated replicas, and drops programs idle for longer than `idle` from memory and the
+    /// Drops outdated replicas, and drops programs that have been idle for too long from memory and the
     /// store.
-    pub(crate) async fn expire_idle(self: &Rc<Self>, idle: Duration) {
+    async fn expire_idle(self: &Rc<Self>) {
+        let idle = self.idle_timeout() + IDLE_TIMEOUT_MARGIN;
+        let replica_lifetime = REPLICA_LIFETIME.max(idle);
         for partition in self.by_id.borrow().values() {
             let mut replicas = partition.replicas.borrow_mut();
-            replicas.retain(|_, (_, updated_at)| updated_at.elapsed() < REPLICA_LIFETIME);
+            replicas.retain(|_, (_, updated_at)| updated_at.elapsed() < replica_lifetime);
             partition
                 .unrecorded_replicas
                 .borrow_mut()
                 .retain(|program, _| replicas.contains_key(program));
         }
         for (partition_id, partition) in self.owned() {
-            let expired = partition
-                .ledger
-                .borrow_mut()
-                .expire(Instant::now(), idle + IDLE_TIMEOUT_MARGIN);
+            let expired = partition.ledger.borrow_mut().expire(Instant::now(), idle);
             let fenced = partition
                 .ownership
                 .get()
@@ -401,7 +413,7 @@
         if !fenced {
             // The marks at the store could not be read.
             let mut ledger = partition.ledger.borrow_mut();
-            ledger.mark_incomplete(Unrecorded::Quarter, now + PROGRAM_IDLE_TIMEOUT);
+            ledger.mark_incomplete(Unrecorded::Quarter, now + self.idle_timeout());
             drop(ledger);
             partition.heartbeat_sent.set(Some(now));
             partition.unanswered_since.set(Some(now));
@@ -481,9 +493,13 @@
     loop {
         sleep(HEARTBEAT_INTERVAL).await;
         gateway.partitions.queue_heartbeats();
+        let table = gateway.routing.borrow().table.clone();
+        if let Some(pause) = table.and_then(|table| table.longest_program_pause()) {
+            gateway.partitions.note_idle_timeout(pause);
+        }
         if last_expiry.elapsed() >= IDLE_TIMEOUT_MARGIN / 3 {
             last_expiry = Instant::now();
-            gateway.partitions.expire_idle(PROGRAM_IDLE_TIMEOUT).await;
+            gateway.partitions.expire_idle().await;
         }
     }
 }
--- a/src/gateway/tokens/takeover.rs
+++ b/src/gateway/tokens/takeover.rs
@@ -3,7 +3,7 @@
 use crate::clock;
 use crate::gateway::tokens::partition::{Ownership, Partition};
 use crate::gateway::tokens::partitions::{
-    HEARTBEAT_KEY, INTERNAL_KEY_PREFIX, PROGRAM_IDLE_TIMEOUT, Partitions, decode_value, writer,
+    HEARTBEAT_KEY, INTERNAL_KEY_PREFIX, Partitions, decode_value, writer,
 };
 use crate::id::Offset;
 use crate::platform::records::ALLOWANCE_TOPIC;
@@ -270,9 +270,9 @@
         };
         let lost = lost_grants(records, origin, known_since);
         if let Some((_, key)) = INCOMPLETE_KEYS.iter().find(|(mark, _)| *mark == lost) {
-            ledger.mark_incomplete(lost, now + PROGRAM_IDLE_TIMEOUT);
+            ledger.mark_incomplete(lost, now + self.idle_timeout());
             let until = clock::wall_ms()
-                + u64::try_from(PROGRAM_IDLE_TIMEOUT.as_millis()).unwrap_or(u64::MAX);
+                + u64::try_from(self.idle_timeout().as_millis()).unwrap_or(u64::MAX);
             partition.add_pending(key, until);
         }
         ledger
--- a/src/gateway/world/table.rs
+++ b/src/gateway/world/table.rs
@@ -233,6 +233,13 @@
         timeouts.max().unwrap_or_default()
     }
 
+    /// Longest time for which a route lets programs pause; `None` if no route tells.
+    #[must_use]
+    pub fn longest_program_pause(&self) -> Option<Duration> {
+        let routes = self.routes.values().flatten();
+        routes.filter_map(|route| route.program_idle_timeout).max()
+    }
+
     /// Number of routes.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/tests/budget_orders.rs
+++ b/tests/budget_orders.rs
@@ -282,6 +282,29 @@
     });
 }
 
+/// Guards against a budget that is granted again to a program which pauses for longer than programs usually may, and shorter
+/// than its route lets it.
+#[test]
+fn a_budget_stays_spent_while_the_route_lets_its_program_pause() {
+    let backend = engine(MAX_TURN_TOKENS / TOKENS_PER_EVENT);
+    let store = Store::start();
+    store.configure(1, &[("/a/", "stream", json!({ "retainS": 110.0 }))]);
+    store.register("s", "pool", backend.address, "ready");
+    let vms: Vec<_> = (0..2).map(|_| Vm::start(&store)).collect();
+    wait_until_joined(&vms);
+    let addresses: Vec<_> = vms.iter().map(|vm| vm.callers).collect();
+    let programs = [Program::new("pause0".into()), Program::new("pause1".into())];
+    spend(&programs, &addresses[..1]);
+    // Programs that may pause for a minute are dropped after 90 s, and that is checked every ten seconds.
+    sleep(Duration::from_secs(102));
+    // The other VM has not seen what they spent.
+    spend(&programs, &addresses[1..]);
+    for program in &programs {
+        let tokens = program.tokens.load(Ordering::Relaxed);
+        assert!(tokens <= BUDGET_TOKENS + MAX_TURN_TOKENS, "{tokens} tokens");
+    }
+}
+
 fn seeds() -> Vec<u64> {
     let Ok(range) = std::env::var("ORDER_SEEDS") else {
         return SEEDS.to_vec();
