Let fake servers of tests forget closed connections

crowds::unfinished_heads failed once for lack of descriptors in the test process: it held up to 17,315 of 20,000 in a run of the code before, as fake servers kept a handle of each connection for good. A handle is now dropped with its connection; what the tests check is unchanged.

--- a/tests/platform/backend.rs
+++ b/tests/platform/backend.rs
@@ -140,11 +140,16 @@
                 let (connection, served) = (handle(), handle());
                 let mut connections = accepting.connections.lock().expect("not poisoned");
                 connections.push(connection);
-                let serve = Arc::clone(&serve);
+                drop(connections);
+                let (serve, life) = (Arc::clone(&serve), Arc::clone(&accepting));
                 std::thread::spawn(move || {
+                    let peer = served.peer_addr().ok();
                     serve(stream);
                     // The handle in the list keeps it open. Fails if the client has closed it.
                     let _ = served.shutdown(std::net::Shutdown::Both);
+                    let mut connections = life.connections.lock().expect("not poisoned");
+                    // Those without a peer are closed.
+                    connections.retain(|open| open.peer_addr().is_ok_and(|at| Some(at) != peer));
                 });
             }
             drop(listener);
