--- a/src/gateway/front/mod.rs
+++ b/src/gateway/front/mod.rs
@@ -26,8 +26,8 @@
 use crate::gateway::server::stream_records::StreamRecords;
 use crate::gateway::server::stream_version::StreamVersions;
 use crate::gateway::server::version_marks;
+use crate::gateway::tokens::expiry;
 use crate::gateway::tokens::handover::Reason;
-use crate::gateway::tokens::partitions;
 use crate::gateway::tokens::partitions::Partitions;
 use crate::gateway::world::contact::Discovery;
 use crate::gateway::world::copy::Copier;
@@ -300,7 +300,7 @@
     spawn_local(peers::receive(Rc::clone(gateway)));
     spawn_local(reports::run(Rc::clone(gateway)));
     spawn_local(Rc::clone(gateway).learn_ends());
-    spawn_local(partitions::run_maintenance(Rc::clone(gateway)));
+    spawn_local(expiry::run_maintenance(Rc::clone(gateway)));
     spawn_local(conversation::run_maintenance(Rc::clone(gateway)));
     spawn_local(version_marks::run_maintenance(Rc::clone(gateway)));
     spawn_local(end_records::run_maintenance(Rc::clone(gateway)));
--- a/src/gateway/queue/permit.rs
+++ b/src/gateway/queue/permit.rs
@@ -155,7 +155,11 @@
         let now = Instant::now();
         for change in changes {
             let previous = entries.remove(change.name());
-            self.note_leaving(previous.as_deref(), change, now);
+            let new = match change {
+                Change::Set(entry) => Some(&**entry),
+                Change::Removed(_) => None,
+            };
+            self.note_leaving(previous.as_deref(), new, now);
             turnover.add(&entries, previous.as_deref(), change);
             // Added before the previous one is removed, so that an update does not look like a change of version.
             if let Change::Set(entry) = change {
@@ -185,18 +189,13 @@
     }
 
     /// Notes whether a server has begun to drain.
-    fn note_leaving(&self, previous: Option<&Entry>, change: &Change, now: Instant) {
+    fn note_leaving(&self, previous: Option<&Entry>, new: Option<&Entry>, now: Instant) {
         let mut leaving = self.leaving.borrow_mut();
-        match change {
-            Change::Set(entry) if entry.draining => {
-                leaving.entry(Instance::clone(&entry.id)).or_insert(now);
-            }
-            Change::Set(entry) => drop(leaving.remove(&entry.id)),
-            Change::Removed(_) => {}
-        }
-        let is_same = |entry: &Entry| matches!(change, Change::Set(new) if new.id == entry.id);
-        if let Some(gone) = previous.filter(|entry| !is_same(entry)) {
-            leaving.remove(&gone.id);
+        let since = previous.and_then(|entry| leaving.remove(&entry.id));
+        if let Some(new) = new.filter(|entry| entry.draining) {
+            let is_same = previous.is_some_and(|entry| entry.id == new.id);
+            let since = since.filter(|_| is_same).unwrap_or(now);
+            leaving.insert(Instance::clone(&new.id), since);
         }
     }
 
--- a/src/gateway/request/stop.rs
+++ b/src/gateway/request/stop.rs
@@ -27,15 +27,15 @@
     not_sent()
 }
 
+fn may_be_sent(job: &Job, stop: &Stop) -> bool {
+    stop.allows_sending(Instant::now(), job.remaining(), job.route.latency_target)
+}
+
 /// Fails if a stop leaves no time to send a request whose body has just arrived.
 pub(super) fn check(job: &Job) -> Result<(), Failure> {
-    let stop = *job.gateway.stop.borrow();
-    let target = job.route.latency_target;
-    let is_allowed = |stop: Stop| stop.allows_sending(Instant::now(), job.remaining(), target);
-    if stop.is_none_or(is_allowed) {
-        Ok(())
-    } else {
-        Err(not_sent())
+    match &*job.gateway.stop.borrow() {
+        Some(stop) if !may_be_sent(job, stop) => Err(not_sent()),
+        _ => Ok(()),
     }
 }
 
@@ -43,18 +43,13 @@
 async fn before_answer(job: &Job) -> Failure {
     let stop = job.gateway.stop_began().await;
     loop {
-        let now = Instant::now();
-        let may_have_run = job.may_have_run.get();
-        if now >= stop.answers_at() {
-            return if may_have_run {
-                reply::outcome_unknown(Code::Stopping, "the VM stops before the answer")
-            } else {
-                not_sent()
-            };
-        }
-        let target = job.route.latency_target;
-        if !may_have_run && !stop.allows_sending(now, job.remaining(), target) {
-            return not_sent();
+        let is_over = Instant::now() >= stop.answers_at();
+        if !job.may_have_run.get() {
+            if is_over || !may_be_sent(job, &stop) {
+                return not_sent();
+            }
+        } else if is_over {
+            return reply::outcome_unknown(Code::Stopping, "the VM stops before the answer");
         }
         sleep(CHECK_INTERVAL).await;
     }
--- a/src/gateway/server/silence.rs
+++ b/src/gateway/server/silence.rs
@@ -142,14 +142,11 @@
     };
     loop {
         let silent_for = host.heard_at.get().max(sent_at).elapsed();
-        if let Some(left) = SILENCE_LIMIT
-            .checked_sub(silent_for)
-            .filter(|left| !left.is_zero())
-        {
-            sleep(left).await;
-            continue;
+        if silent_for >= SILENCE_LIMIT {
+            limit.set(!host.answers().await);
+            sleep(CHECK_LIFETIME).await;
+        } else {
+            sleep(SILENCE_LIMIT.saturating_sub(silent_for)).await;
         }
-        limit.set(!host.answers().await);
-        sleep(CHECK_LIFETIME).await;
     }
 }
--- a/src/gateway/tokens/mod.rs
+++ b/src/gateway/tokens/mod.rs
@@ -7,6 +7,7 @@
 //! tokens that a program may be granted in total; it is made durable before the tokens are handed
 //! out.
 
+pub(crate) mod expiry;
 pub(crate) mod failover;
 pub(crate) mod fallback;
 pub(crate) mod handover;
--- a/src/gateway/tokens/partition.rs
+++ b/src/gateway/tokens/partition.rs
@@ -78,6 +78,18 @@
         self.ownership.get().map(|ownership| ownership.epoch)
     }
 
+    /// Begins an ownership. A heartbeat is sent now, or was before by the owner whose accounts this VM has got.
+    pub(crate) fn own(&self, ownership: Ownership) {
+        let now = Instant::now();
+        self.ownership.set(Some(ownership));
+        self.successor.set(None);
+        self.heartbeat_sent.set(Some(now));
+        self.may_be_shared.set(false);
+        // An owner that the store has not confirmed does not have it.
+        self.unanswered_since
+            .set((!ownership.fenced).then_some(now));
+    }
+
     /// What this VM may grant beyond the records while the store takes none.
     pub(crate) fn unrecorded_limit(&self) -> Unrecorded {
         let ownership = self.ownership.get();
--- a/src/gateway/tokens/partitions.rs
+++ b/src/gateway/tokens/partitions.rs
@@ -6,9 +6,10 @@
 //! previous owner.
 
 use crate::clock;
+use crate::gateway::peers;
 use crate::gateway::peers::Replica;
+use crate::gateway::tokens::expiry::DEFAULT_IDLE_TIMEOUT;
 use crate::gateway::tokens::partition::{Ownership, Partition};
-use crate::gateway::{Gateway, peers};
 use crate::id::{Epoch, Shard};
 use crate::platform::records::ALLOWANCE_TOPIC;
 use crate::platform::store::{Error, Record, Store, Writer};
@@ -33,9 +34,6 @@
 pub(crate) const INTERNAL_KEY_PREFIX: char = '@';
 /// Key of the owner's heartbeat record. Its value is a Unix time in milliseconds.
 pub(crate) const HEARTBEAT_KEY: &str = "@alive";
-const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
-/// How long replicas of allowances received from partition owners are kept, at least.
-const REPLICA_LIFETIME: Duration = Duration::from_mins(2);
 /// Initial and maximum delay between two attempts to write a record. Every owned partition retries
 /// on its own, so the delay bounds the load on a store that is down.
 const RETRY_BACKOFF: (Duration, Duration) =
@@ -44,10 +42,6 @@
 const MAX_STORE_FAILURES: u32 = 2;
 /// Time since the last failure after which the store may be tried again.
 pub(crate) const STORE_RETRY_INTERVAL: Duration = Duration::from_secs(1);
-/// Time that a program may pause between two turns where no route allows more.
-const PROGRAM_IDLE_TIMEOUT: Duration = Duration::from_mins(1);
-/// Added to the idle timeout before the records of a program are dropped.
-const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_secs(30);
 
 /// The partitions known to this VM, and the client of the store that they are recorded in.
 #[derive(Debug)]
@@ -57,7 +51,7 @@
     pub(crate) vm_number: u64,
     pub(crate) store: Store,
     pub(crate) partition_count: u64,
-    by_id: RefCell<HashMap<u64, Rc<Partition>>>,
+    pub(super) by_id: RefCell<HashMap<u64, Rc<Partition>>>,
     /// Tokens spent or reserved by each program, as last reported by its owner.
     pub(crate) reported_totals: RefCell<HashMap<String, u64>>,
     /// Allowances that were granted but not recorded before this VM lost ownership of their
@@ -75,7 +69,7 @@
     pub(crate) last_success: Cell<Option<Instant>>,
     pub(crate) started_at: Instant,
     /// Longest time that any route has allowed a program to pause between two turns.
-    idle_timeout: Cell<Duration>,
+    pub(super) idle_timeout: Cell<Duration>,
 }
 
 /// Permission for one turn to generate tokens. Released by [`Gateway::settle_tokens`].
@@ -107,20 +101,10 @@
             last_failure: Cell::new(None),
             last_success: Cell::new(None),
             started_at: Instant::now(),
-            idle_timeout: Cell::new(PROGRAM_IDLE_TIMEOUT),
+            idle_timeout: Cell::new(DEFAULT_IDLE_TIMEOUT),
         }
     }
 
-    /// Time that a program may pause between two turns.
-    pub(crate) const fn idle_timeout(&self) -> Duration {
-        self.idle_timeout.get()
-    }
-
-    /// Notes for how long a route lets programs pause. Programs that began under it may still come back once it is gone.
-    fn note_idle_timeout(&self, idle: Duration) {
-        self.idle_timeout.set(idle.max(self.idle_timeout.get()));
-    }
-
     pub(crate) fn partition(&self, partition_id: u64) -> Rc<Partition> {
         Rc::clone(self.by_id.borrow_mut().entry(partition_id).or_default())
     }
@@ -193,7 +177,7 @@
 
     /// Writes pending records until none are left. Appends are sequential, so allowances that
     /// arrive during an append share the next one.
-    async fn write_pending(self: Rc<Self>, partition_id: u64, partition: Rc<Partition>) {
+    pub(super) async fn write_pending(self: Rc<Self>, partition_id: u64, partition: Rc<Partition>) {
         loop {
             let batch: Vec<(String, u64)> = partition
                 .pending
@@ -235,7 +219,7 @@
 
     /// Appends one batch, retrying until the store answers. Returns false if the writer's state
     /// changed and the batch has to be rebuilt.
-    async fn append_batch(
+    pub(super) async fn append_batch(
         &self,
         partition_id: u64,
         partition: &Partition,
@@ -329,40 +313,6 @@
         partition.record_written.notify_waiters();
     }
 
-    /// Drops outdated replicas, and drops programs that have been idle for too long from memory and the
-    /// store.
-    async fn expire_idle(self: &Rc<Self>) {
-        let idle = self.idle_timeout() + IDLE_TIMEOUT_MARGIN;
-        let replica_lifetime = REPLICA_LIFETIME.max(idle);
-        for partition in self.by_id.borrow().values() {
-            let mut replicas = partition.replicas.borrow_mut();
-            replicas.retain(|_, (_, updated_at)| updated_at.elapsed() < replica_lifetime);
-            partition
-                .unrecorded_replicas
-                .borrow_mut()
-                .retain(|program, _| replicas.contains_key(program));
-        }
-        for (partition_id, partition) in self.owned() {
-            let expired = partition.ledger.borrow_mut().expire(Instant::now(), idle);
-            let fenced = partition
-                .ownership
-                .get()
-                .is_some_and(|ownership| ownership.fenced);
-            if expired.is_empty() || !fenced || partition.writer_running.replace(true) {
-                continue;
-            }
-            let dropped = expired.into_iter().map(|key| Record { key, value: None });
-            let records: Vec<Record> = dropped.collect();
-            if let Some(ownership) = partition.ownership.get() {
-                self.append_batch(partition_id, &partition, ownership, &records)
-                    .await;
-            }
-            self.drop_fallback_records(partition_id, &partition, &records)
-                .await;
-            tokio::task::spawn_local(Rc::clone(self).write_pending(partition_id, partition));
-        }
-    }
-
     /// Merges a replica of an allowance; the highest value counts.
     pub(crate) fn merge_replica(&self, replica: Replica) {
         let partition = self.partition(replica.part);
@@ -412,19 +362,16 @@
         );
         if !fenced {
             // The marks at the store could not be read.
+            let until = now + self.idle_timeout();
             let mut ledger = partition.ledger.borrow_mut();
-            ledger.mark_incomplete(Unrecorded::Quarter, now + self.idle_timeout());
+            ledger.mark_incomplete(Unrecorded::Quarter, until);
             drop(ledger);
-            partition.heartbeat_sent.set(Some(now));
-            partition.unanswered_since.set(Some(now));
-            partition.may_be_shared.set(false);
-            partition.ownership.set(Some(Ownership {
+            partition.own(Ownership {
                 epoch: epoch + 1,
                 sequence: 0,
                 fenced: false,
                 origin: Origin::HandedOver,
-            }));
-            partition.successor.set(None);
+            });
         }
     }
 
@@ -486,20 +433,3 @@
 pub(crate) fn decode_value(value: &Bytes) -> Option<u64> {
     std::str::from_utf8(value).ok()?.parse().ok()
 }
-
-/// Writes heartbeats and drops idle programs until the process ends.
-pub(crate) async fn run_maintenance(gateway: Rc<Gateway>) {
-    let mut last_expiry = Instant::now();
-    loop {
-        sleep(HEARTBEAT_INTERVAL).await;
-        gateway.partitions.queue_heartbeats();
-        let table = gateway.routing.borrow().table.clone();
-        if let Some(pause) = table.and_then(|table| table.longest_program_pause()) {
-            gateway.partitions.note_idle_timeout(pause);
-        }
-        if last_expiry.elapsed() >= IDLE_TIMEOUT_MARGIN / 3 {
-            last_expiry = Instant::now();
-            gateway.partitions.expire_idle().await;
-        }
-    }
-}
--- a/src/gateway/tokens/takeover.rs
+++ b/src/gateway/tokens/takeover.rs
@@ -149,12 +149,8 @@
         pending.retain(|key, allowed| recorded(key).is_none_or(|recorded| recorded < *allowed));
         drop(pending);
         partition.add_pending(HEARTBEAT_KEY, clock::wall_ms());
-        partition.heartbeat_sent.set(Some(Instant::now()));
-        partition.may_be_shared.set(false);
-        partition.unanswered_since.set(None);
         partition.ledger.replace(ledger);
-        partition.ownership.set(Some(ownership));
-        partition.successor.set(None);
+        partition.own(ownership);
         Ok(())
     }
 
@@ -300,12 +296,12 @@
             programs = replicas.len()
         );
         partition.ledger.replace(ledger);
-        partition.ownership.set(Some(Ownership {
+        partition.own(Ownership {
             epoch: self.next_epoch(),
             sequence: 0,
             fenced: false,
             origin: Origin::Unresponsive(Instant::now()),
-        }));
+        });
         true
     }
 
--- a/src/intake/link.rs
+++ b/src/intake/link.rs
@@ -3,9 +3,7 @@
 use super::{Charge, Intake, Kind};
 use crate::policy::room::{Holder, Need, Phase, Port, is_abandoned};
 use crate::telemetry::event;
-use bytes::Bytes;
 use http::HeaderMap;
-use http_body::{Body, Frame, SizeHint};
 use socket2::SockRef;
 use std::fmt;
 use std::io::{Error, Result};
@@ -224,7 +222,7 @@
         state.bytes = bytes;
     }
 
-    fn end_answer(&self) {
+    pub(super) fn end_answer(&self) {
         self.state().is_answered = true;
     }
 
@@ -455,49 +453,3 @@
         Pin::new(&mut self.0.state().stream).poll_shutdown(cx)
     }
 }
-
-/// The body of an answer, with its connection and the charge of its request.
-#[derive(Debug)]
-pub(crate) struct Tracked<B> {
-    body: B,
-    link: Arc<Link>,
-    _charge: Charge,
-}
-
-impl<B: Body> Tracked<B> {
-    pub(crate) fn new(body: B, link: Arc<Link>, charge: Charge) -> Self {
-        let bytes = body.size_hint().exact().unwrap_or_default();
-        link.begin_answer(usize::try_from(bytes).unwrap_or(usize::MAX));
-        Self {
-            body,
-            link,
-            _charge: charge,
-        }
-    }
-}
-
-impl<B> Drop for Tracked<B> {
-    fn drop(&mut self) {
-        self.link.end_answer();
-    }
-}
-
-impl<B: Body<Data = Bytes> + Unpin> Body for Tracked<B> {
-    type Data = Bytes;
-    type Error = B::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<std::result::Result<Frame<Bytes>, B::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -8,9 +8,11 @@
 mod link;
 mod metrics;
 mod registry;
+mod tracked;
 
 pub(crate) use account::{Charge, Intake, Kind, Shortage};
 pub(crate) use body::{Buffer, ReadError, read_body};
-pub(crate) use link::{Io, Link, Tracked, head_bytes};
+pub(crate) use link::{Io, Link, head_bytes};
 pub(crate) use metrics::observe;
 pub(crate) use registry::{Registration, Timeouts};
+pub(crate) use tracked::Tracked;
--- a/tests/budget_orders.rs
+++ b/tests/budget_orders.rs
@@ -98,7 +98,6 @@
 /// Programs that loop, and callers that send their turns.
 #[derive(Debug, Default)]
 struct Traffic {
-    programs: Mutex<Vec<Program>>,
     stops: AtomicBool,
     refused: AtomicU64,
     served: AtomicU64,
@@ -211,7 +210,7 @@
     let looping: Vec<_> = (0..LOOPING)
         .map(|number| Program::new(format!("loop{seed}-{number}")))
         .collect();
-    let mut steps = Vec::new();
+    let (mut steps, mut begun) = (Vec::new(), Vec::new());
     std::thread::scope(|scope| {
         for (number, program) in looping.iter().enumerate() {
             let rng = StdRng::seed_from_u64(seed * 1000 + number as u64);
@@ -226,15 +225,13 @@
             }
             steps.push(next);
             // These begin now, spend a part of their budgets, and come back at the end.
-            let begun: Vec<_> = (0..PER_STEP)
-                .map(|number| Program::new(format!("step{seed}-{step}-{number}")))
-                .collect();
-            for program in &begun {
+            for number in 0..PER_STEP {
+                let program = Program::new(format!("step{seed}-{step}-{number}"));
                 for _ in 0..6 {
                     traffic.count(program.turn(addresses[rng.random_range(0..VMS)]));
                 }
+                begun.push(program);
             }
-            traffic.programs.lock().expect("not poisoned").extend(begun);
             site.play(next);
             sleep(Duration::from_millis(rng.random_range(100..1800)));
         }
@@ -244,7 +241,6 @@
         endpoint.set_silent(false);
         endpoint.set_down(false);
     }
-    let begun = traffic.programs.into_inner().expect("not poisoned");
     let all: Vec<_> = looping.into_iter().chain(begun).collect();
     spend(&all, &addresses);
     println!(
--- a/tests/slow_peers.rs
+++ b/tests/slow_peers.rs
@@ -22,9 +22,21 @@
 const TIMEOUT_MS: u64 = 9000;
 const CALLERS: usize = 6;
 
+fn socket() -> Socket {
+    Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket")
+}
+
+/// Listens for as many connections as the queue holds that are not accepted yet.
+fn listen(socket: Socket, queue: i32) -> TcpListener {
+    let address = SockAddr::from(SocketAddr::new(unused_address(), 0));
+    socket.bind(&address).expect("the address is free");
+    socket.listen(queue).expect("the socket listens");
+    TcpListener::from(socket)
+}
+
 /// A socket whose peer can send little that is not read.
 fn small_window_socket() -> Socket {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let socket = socket();
     let set = socket.set_recv_buffer_size(SMALL_WINDOW);
     set.expect("the size is set");
     socket
@@ -123,11 +135,7 @@
 
 /// A server that begins to read each request after a pause, and then reads this much at a time, with pauses between.
 fn slow_server(pause: Duration, step: usize, step_pause: Duration) -> SocketAddr {
-    let socket = small_window_socket();
-    let address = SockAddr::from(SocketAddr::new(unused_address(), 0));
-    socket.bind(&address).expect("the address is free");
-    socket.listen(16).expect("the socket listens");
-    let listener = TcpListener::from(socket);
+    let listener = listen(small_window_socket(), 16);
     let address = listener.local_addr().expect("the listener is bound");
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
@@ -185,11 +193,7 @@
 /// Guards against a server that counts as lost since it works for long and takes no connections meanwhile.
 #[test]
 fn a_server_that_accepts_nothing_while_it_works_is_waited_for() {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-    let address = SockAddr::from(SocketAddr::new(unused_address(), 0));
-    socket.bind(&address).expect("the address is free");
-    socket.listen(0).expect("the socket listens");
-    let listener = TcpListener::from(socket);
+    let listener = listen(socket(), 0);
     let address = listener.local_addr().expect("the listener is bound");
     std::thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("a connection");
