Return tokens of turns that end while they are reserved

What callers saw: 402 for all turns of a program, though no engine had run one of them.

Cause: a turn that ended while its tokens were being reserved (deadline, a caller who left, a conversation that could not be read, a stop) dropped the question. The owner had reserved the tokens, or did so later, and nobody returned them until the program had been idle for 90 s.

Change: the owner's answer is awaited in any case, and a grant that no turn takes is returned. Slots of servers have had such a guard.

A trial that grants nothing in the first 2.75 s of an outage was not taken: `programs_continue_during_a_store_outage` and `a_silent_store_delays_only_the_first_requests` fail with it.

--- a/src/gateway/tokens/reserve.rs
+++ b/src/gateway/tokens/reserve.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::oneshot;
 use tokio::time::sleep;
 
 /// How many times the candidates for ownership are asked for one reservation.
@@ -40,6 +41,21 @@
     !matches!(reply, Reply::NotOwner | Reply::Taken(_) | Reply::Away)
 }
 
+/// Tokens that are returned to the budget unless the turn takes them.
+struct UnclaimedGrant {
+    gateway: Rc<Gateway>,
+    grant: Option<Grant>,
+}
+
+impl Drop for UnclaimedGrant {
+    fn drop(&mut self) {
+        if let Some(grant) = self.grant.take() {
+            let gateway = Rc::clone(&self.gateway);
+            tokio::task::spawn_local(async move { gateway.settle_tokens(grant, 0).await });
+        }
+    }
+}
+
 impl Gateway {
     /// The VM that last answered as owner, if it is a member and still answers.
     fn last_owner(&self, part: u64) -> Option<SocketAddr> {
@@ -67,6 +83,9 @@
 
     /// Reserves up to `most` tokens for one turn of a program.
     ///
+    /// If the turn ends meanwhile, the owner has or will have reserved the tokens all the same, so its answer is awaited in
+    /// any case.
+    ///
     /// # Errors
     /// [`Code::BudgetSpent`], or [`Code::LogUnavailable`] if no owner can answer.
     pub(crate) async fn reserve_tokens(
@@ -74,6 +93,26 @@
         program: &str,
         budget: u64,
         most: u64,
+    ) -> Result<Grant, Failure> {
+        let (sender, receiver) = oneshot::channel();
+        let (gateway, program) = (Rc::clone(self), program.to_owned());
+        tokio::task::spawn_local(async move {
+            let grant = gateway.request_grant(&program, budget, most).await;
+            let unclaimed = grant.map(|grant| UnclaimedGrant {
+                gateway,
+                grant: Some(grant),
+            });
+            drop(sender.send(unclaimed));
+        });
+        let mut unclaimed = receiver.await.unwrap_or_else(|_| Err(no_owner()))?;
+        unclaimed.grant.take().ok_or_else(no_owner)
+    }
+
+    async fn request_grant(
+        self: &Rc<Self>,
+        program: &str,
+        budget: u64,
+        most: u64,
     ) -> Result<Grant, Failure> {
         let part = self.partitions.partition_of(program);
         let seen = self
--- a/tests/budget.rs
+++ b/tests/budget.rs
@@ -3,7 +3,7 @@
 mod platform;
 
 use platform::program::{TOKENS_PER_EVENT, engine, start_site, turn, wait_until_joined};
-use platform::{Store, Vm, until};
+use platform::{Store, Vm, call, until};
 use std::time::{Duration, Instant};
 use vanillatrail::id::rendezvous_score;
 use xxhash_rust::xxh3::xxh3_64;
@@ -308,6 +308,36 @@
     );
 }
 
+/// Guards against tokens that stay reserved, so that a program gets 402 though its budget is left: turns whose deadline
+/// passes while the store records their allowance use none.
+#[test]
+fn turns_that_end_while_their_tokens_are_reserved_use_none() {
+    let backend = engine(1);
+    let (store, vms) = start_site(&backend, 3);
+    until("the partition has an owner", || {
+        turn(&vms[0], "p", 2900, "first").0 == 200
+    });
+    store.set_append_delay(Duration::from_millis(200));
+    let mut served = 0;
+    for number in 0..24 {
+        let id = format!("short{number}");
+        let headers = [
+            ("X-Request-Id", id.as_str()),
+            ("X-Program", "q"),
+            ("X-Token-Budget", "2900"),
+            ("X-Token-Count", "100,290"),
+            ("X-Deadline-Ms", "100"),
+        ];
+        let reply = call(vms[number % 3].callers, "POST", "/a/x", &headers, b"");
+        served += usize::from(reply.status == 200);
+        assert_ne!(reply.status, 402, "{served} of {number} turns served");
+    }
+    assert!(served < 24, "no turn ended while it waited for its tokens");
+    store.set_append_delay(Duration::ZERO);
+    std::thread::sleep(Duration::from_secs(1));
+    assert_eq!(turn(&vms[0], "q", 2900, "last").0, 200);
+}
+
 /// Guards against a store timeout for every new program: once a VM knows that the store does not answer, it
 /// asks only other VMs.
 #[test]
