Count no VM that has just started among the keepers of a grant

What callers saw: a program could get 2,900 tokens where 2,610 are allowed. Seen in the model only.

Cause: an owner that was cut off and replaced before an outage learns of it from the others. If its successor is cut off in turn, and the only VM that answers was started during the outage, nobody can tell it; it took that VM's silence for "the store has answered nobody" and granted half of a budget beside its successor.

Change: a VM that has not read the store since its start keeps such a grant, but answers `Away`, and only `Kept` counts. A VM that has read it since either says so or has been running since before the cut.

A test through the binary was not written.

--- a/src/gateway/tokens/owner.rs
+++ b/src/gateway/tokens/owner.rs
@@ -128,27 +128,7 @@
                 };
                 self.reserve_as_owner(request).await
             }
-            Question::Keep(replica) => {
-                let partition = self.partitions.partition(replica.part);
-                // The asking VM may have been suspended while this one took over, or it may own the
-                // partition from replicas while this one reaches the store. Either way another VM
-                // may own the partition too, and both would grant the same tokens.
-                let newer = partition
-                    .ownership
-                    .get()
-                    .is_some_and(|ownership| ownership.epoch > replica.epoch);
-                if newer || (!replica.fenced && self.has_store()) {
-                    self.partitions.merge_replica(replica);
-                    return Reply::NotOwner;
-                }
-                // A message may arrive again after a later one.
-                let mut unrecorded = partition.unrecorded_replicas.borrow_mut();
-                let known = unrecorded.entry(replica.program.clone()).or_default();
-                *known = replica.allowed.max(*known);
-                drop(unrecorded);
-                self.partitions.merge_replica(replica);
-                Reply::Kept
-            }
+            Question::Keep(replica) => self.keep_replica(replica),
             Question::Counts { part } => {
                 let partition = self.partitions.partition(part);
                 Reply::Counting(partition.is_owned_or_in_transfer())
@@ -181,6 +161,33 @@
         }
     }
 
+    /// Keeps the replica of an unrecorded allowance, unless its sender may not be the owner.
+    fn keep_replica(&self, replica: Replica) -> Reply {
+        let partition = self.partitions.partition(replica.part);
+        // The asking VM may have been suspended while this one took over, or it may own the
+        // partition from replicas while this one reaches the store. Either way another VM
+        // may own the partition too, and both would grant the same tokens.
+        let newer = partition
+            .ownership
+            .get()
+            .is_some_and(|ownership| ownership.epoch > replica.epoch);
+        if newer || (!replica.fenced && self.has_store()) {
+            self.partitions.merge_replica(replica);
+            return Reply::NotOwner;
+        }
+        // A message may arrive again after a later one.
+        let mut unrecorded = partition.unrecorded_replicas.borrow_mut();
+        let known = unrecorded.entry(replica.program.clone()).or_default();
+        *known = replica.allowed.max(*known);
+        drop(unrecorded);
+        self.partitions.merge_replica(replica);
+        // A VM that has not read the store since its start can't tell whether another one has taken over before.
+        if self.routing.borrow().last_store_read.is_none() {
+            return Reply::Away;
+        }
+        Reply::Kept
+    }
+
     /// The unrecorded replicas of a partition in the order of the programs, from after `program` on and as many as fit
     /// into one datagram.
     fn unrecorded_copies(&self, part: u64, program: &str) -> Reply {
--- a/src/gateway/tokens/replicas.rs
+++ b/src/gateway/tokens/replicas.rs
@@ -115,7 +115,8 @@
                 .lose_ownership(replica.part, partition, replica.epoch);
             return false;
         }
-        let replicas = replies.iter().flatten().count();
+        let is_kept = |reply: &&Option<Reply>| **reply == Some(Reply::Kept);
+        let replicas = replies.iter().filter(is_kept).count();
         event!(
             info,
             "allowance_copied",
--- a/tests/unrecorded.rs
+++ b/tests/unrecorded.rs
@@ -60,7 +60,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Vm {
     started: u64,
-    /// When the store last answered it.
+    /// When the store last answered it since its start, or zero.
     contact: u64,
     /// The allowance that it keeps and the store may lack.
     replica: u64,
@@ -307,8 +307,9 @@
         let age = Duration::from_millis(self.now_ms - owner.heartbeat_sent);
         let limit = Unrecorded::grantable(age);
         let others = self.others(owner.vm);
+        let witnesses = others.iter().filter(|vm| self.vms[**vm].contact > 0);
         if !owner.ledger.allows_unrecorded(PROGRAM, TURN, limit)
-            || others.len() < min_replicas(VMS)
+            || witnesses.count() < min_replicas(VMS)
             || others
                 .iter()
                 .any(|vm| Some(self.vms[*vm].contact) >= owner.unanswered_since)
