Say why a grant is awaited after its turn has ended

Cause: read as a newcomer, the comment of reserve_tokens told what the owner does but not what happens to a grant that comes too late, and request_grant had none.

No code changes.

--- a/src/gateway/tokens/reserve.rs
+++ b/src/gateway/tokens/reserve.rs
@@ -83,8 +83,8 @@
 
     /// Reserves up to `most` tokens for one turn of a program.
     ///
-    /// If the turn ends meanwhile, the owner has or will have reserved the tokens all the same, so its answer is awaited in
-    /// any case.
+    /// The owner reserves the tokens even if the turn ends meanwhile. Its answer is therefore awaited in any case, and a grant
+    /// that comes too late is returned.
     ///
     /// # Errors
     /// [`Code::BudgetSpent`], or [`Code::LogUnavailable`] if no owner can answer.
@@ -108,6 +108,7 @@
         unclaimed.grant.take().ok_or_else(no_owner)
     }
 
+    /// Asks the VMs that may own the program's partition, until one of them answers as its owner.
     async fn request_grant(
         self: &Rc<Self>,
         program: &str,
