--- a/src/gateway/front/housekeeping.rs
+++ b/src/gateway/front/housekeeping.rs
@@ -63,6 +63,24 @@
         }
     }
 
+    /// Logs all calls to the store since the last time, if it rejected any of them as too many.
+    fn report_rejected_calls(&self) {
+        let calls = self.partitions.store.observer().take_calls();
+        if calls.values().all(|calls| calls.rejected == 0) {
+            return;
+        }
+        for (topic, calls) in calls {
+            event!(
+                info,
+                "store_rejected",
+                topic = topic,
+                reads = calls.reads,
+                appends = calls.appends,
+                rejected = calls.rejected
+            );
+        }
+    }
+
     /// Applies the changes of the directory to the queue, or the whole directory if the configuration is another.
     /// `applied` is the configuration version and the directory revision that were applied last.
     fn configure_queue(
@@ -140,6 +158,7 @@
             let programs = gateway.queue.waiting_programs();
             gateway.metrics.programs_waiting(programs);
             gateway.report_store_state(&mut store_state);
+            gateway.report_rejected_calls();
             gateway.record_members();
             let (directory, confirmed_at) = {
                 let routing = gateway.routing.borrow();
--- a/src/platform/observer.rs
+++ b/src/platform/observer.rs
@@ -2,18 +2,37 @@
 
 use crate::policy::store_health::StoreHealth;
 use reqwest::StatusCode;
+use std::collections::BTreeMap;
+use std::mem::take;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
 use tokio::time::Instant;
 
+/// What a call to the store does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Call {
+    Read,
+    Append,
+}
+
+/// Number of calls for the topics of one kind of record.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Calls {
+    pub(crate) reads: u32,
+    pub(crate) appends: u32,
+    /// Those that the store rejected as too many.
+    pub(crate) rejected: u32,
+}
+
 /// What all clients of this process have seen of the store.
 #[derive(Debug, Default)]
 pub(crate) struct Observer {
     health: Mutex<StoreHealth>,
     /// Notified when the store answers after a silence.
     recovered: Notify,
+    calls: Mutex<BTreeMap<String, Calls>>,
 }
 
 impl Observer {
@@ -58,6 +77,24 @@
         }
     }
 
+    /// Counts a call for a topic; `status` is `None` if it got no answer.
+    pub(super) fn count_call(&self, topic: &str, call: Call, status: Option<StatusCode>) {
+        // Topics that differ only in their number hold the same kind of record.
+        let kind = topic.trim_end_matches(|character: char| character.is_ascii_digit());
+        let mut calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        let calls = calls.entry(kind.to_owned()).or_default();
+        match call {
+            Call::Read => calls.reads += 1,
+            Call::Append => calls.appends += 1,
+        }
+        calls.rejected += u32::from(status == Some(StatusCode::TOO_MANY_REQUESTS));
+    }
+
+    /// The calls since this was last asked.
+    pub(crate) fn take_calls(&self) -> BTreeMap<String, Calls> {
+        take(&mut *self.calls.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     pub(super) fn lock(&self) -> std::sync::MutexGuard<'_, StoreHealth> {
         self.health.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,7 +1,7 @@
 //! Client of the platform's store: partitioned logs, some of them compacted to the latest record of
 //! each key.
 
-use super::observer::Observer;
+use super::observer::{Call, Observer};
 use crate::id::Offset;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -188,7 +188,12 @@
         &self.observer
     }
 
-    async fn send(&self, request: reqwest::RequestBuilder) -> Result<Response, Error> {
+    async fn send(
+        &self,
+        topic: &str,
+        call: Call,
+        request: reqwest::RequestBuilder,
+    ) -> Result<Response, Error> {
         let began = Instant::now();
         if self.polls {
             self.observer.lock().begin(began);
@@ -197,6 +202,8 @@
         if let Ok(response) = &response {
             self.observer.record_answer(response.status(), began);
         }
+        let status = response.as_ref().ok().map(Response::status);
+        self.observer.count_call(topic, call, status);
         check(response).await
     }
 
@@ -249,7 +256,11 @@
                 .into();
         }
         let response = self
-            .send(self.client.get(url).timeout(self.call_timeout()))
+            .send(
+                topic,
+                Call::Read,
+                self.client.get(url).timeout(self.call_timeout()),
+            )
             .await?;
         let bytes = response.bytes().await.map_err(|error| unknown(&error))?;
         let body: LatestBody =
@@ -283,7 +294,7 @@
             self.base_url
         );
         let request = self.client.get(url).timeout(wait + self.call_timeout());
-        let response = self.send(request).await?;
+        let response = self.send(topic, Call::Read, request).await?;
         let body = response.bytes().await.map_err(|error| unknown(&error))?;
         decode_page(from, &body).ok_or_else(|| Error::Malformed("truncated body".to_owned()))
     }
@@ -331,7 +342,7 @@
         end: Offset,
     ) -> Result<(), Error> {
         let url = format!("{}&asOf={end}", self.append_url(topic, partition));
-        self.append_to(url, records).await
+        self.append_to(topic, url, records).await
     }
 
     /// Appends records atomically; an empty list only sets the epoch of the writer.
@@ -355,7 +366,7 @@
                 url = format!("{url}&asOf={end}");
             }
         }
-        self.append_to(url, records).await
+        self.append_to(topic, url, records).await
     }
 
     fn append_url(&self, topic: &str, partition: u64) -> String {
@@ -365,7 +376,12 @@
         )
     }
 
-    async fn append_to(&self, url: String, records: &[Record]) -> Result<(), Error> {
+    async fn append_to(
+        &self,
+        topic: &str,
+        url: String,
+        records: &[Record],
+    ) -> Result<(), Error> {
         let mut body = BytesMut::new();
         for record in records {
             record.encode(&mut body);
@@ -375,7 +391,7 @@
             .post(url)
             .timeout(self.call_timeout())
             .body(body.freeze());
-        self.send(request).await.map(drop)
+        self.send(topic, Call::Append, request).await.map(drop)
     }
 }
 
