Wait for a busy store instead of taking it for a lost one

Cause: the VMs make more calls than the store allows and get 429 for the rest. A rejected append was taken for a partition that is lost: the turn went to 6 to 11 fallback partitions, turns through two other VMs as well, each a further call that is rejected, and was refused when these failed.

Change: a store that rejects calls and accepted one in the last second is busy. Writers repeat a rejected call after a pause and take along what has come meanwhile; nothing is sent to other partitions or through other VMs, the store does not count as lost, and a turn waits up to 1.2 s for its allowance. A VM of which all calls are rejected goes on as before: others reach the store.

--- a/src/gateway/conversation/record.rs
+++ b/src/gateway/conversation/record.rs
@@ -127,10 +127,9 @@
                 .observer()
                 .scaled_timeout(STORE_TIMEOUT)
         };
-        if timeout(store_timeout, queued.wait_until_recorded())
-            .await
-            .is_ok()
-        {
+        let observer = conversations.observer();
+        let recorded = observer.wait_for_record(store_timeout, queued.wait_until_recorded());
+        if recorded.await.is_some() {
             return RecordedVia::Store;
         }
         if !conversations.store.borrow().observer().is_slow() {
@@ -139,6 +138,11 @@
         let fallback = async {
             let mut round = 0;
             loop {
+                if observer.is_busy() {
+                    // Calls through other ways would be rejected as well.
+                    sleep(FALLBACK_RETRY_DELAY).await;
+                    continue;
+                }
                 let recorded_in_fallback = timeout(
                     FALLBACK_TIMEOUT,
                     self.record_in_fallback_partition(bucket, &turn),
--- a/src/gateway/conversation/relay.rs
+++ b/src/gateway/conversation/relay.rs
@@ -51,7 +51,7 @@
 impl Conversations {
     /// Records a turn of another VM; returns whether the store has it.
     pub(super) async fn record_for_peer(self: &Rc<Self>, turn: Turn) -> bool {
-        if self.is_store_down() {
+        if self.is_store_down() || self.observer().is_busy() {
             return false;
         }
         let mut queued = self.enqueue(Rc::new(turn));
--- a/src/gateway/conversation/silence.rs
+++ b/src/gateway/conversation/silence.rs
@@ -181,7 +181,7 @@
 }
 
 impl Conversations {
-    fn observer(&self) -> Arc<Observer> {
+    pub(super) fn observer(&self) -> Arc<Observer> {
         Arc::clone(self.store.borrow().observer())
     }
 
--- a/src/gateway/conversation/writer.rs
+++ b/src/gateway/conversation/writer.rs
@@ -115,6 +115,7 @@
     async fn write_pending(self: Rc<Self>, bucket: Bucket, writer: Rc<BucketWriter>) {
         let mut delay = RETRY_BACKOFF.0;
         let mut probe = None;
+        let mut rejections = 0;
         loop {
             self.wait_out_silence(bucket).await;
             writer.outbox.borrow_mut().expire(clock::wall_ms());
@@ -126,6 +127,7 @@
             }
             match self.append_batch(bucket, &batch).await {
                 Ok(()) => {
+                    rejections = 0;
                     writer.mark_recorded(&batch);
                     writer.failing.set(false);
                     self.record_store_success();
@@ -133,6 +135,10 @@
                     drop(probe.take());
                     delay = RETRY_BACKOFF.0;
                 }
+                Err(fault) if self.store.borrow().is_busy(&fault) => {
+                    rejections += 1;
+                    self.observer().pause_when_busy(rejections).await;
+                }
                 Err(fault) => {
                     self.record_store_failure();
                     if self.store.borrow().observer().silent_for().is_some() {
--- a/src/gateway/tokens/fallback.rs
+++ b/src/gateway/tokens/fallback.rs
@@ -60,9 +60,11 @@
     }
 
     /// Whether the fallback partitions may be tried. That the partitions of this VM fail does not tell: the store may serve
-    /// all others. After a failure one turn a second tries, and the others do not wait for it.
+    /// all others. After a failure one turn a second tries, and the others do not wait for it. A busy store would reject
+    /// most of the calls.
     fn may_try_fallback(&self) -> bool {
-        if self.store.observer().silent_for().is_some() {
+        let observer = self.store.observer();
+        if observer.silent_for().is_some() || observer.is_busy() {
             return false;
         }
         let failed_at = self.fallback_failed_at.get();
--- a/src/gateway/tokens/owner.rs
+++ b/src/gateway/tokens/owner.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 
 /// How long a turn waits for a takeover, which takes two calls to the store.
 pub(crate) const TAKEOVER_TIMEOUT: Duration = Duration::from_secs(1);
@@ -391,16 +391,16 @@
             fenced: ownership.fenced,
         };
         let limit = || partition.unrecorded_limit();
-        match timeout(store_timeout, durable).await {
-            Ok(recorded) => {
+        let observer = self.partitions.store.observer();
+        match observer.wait_for_record(store_timeout, durable).await {
+            Some(recorded) => {
                 self.send_replica_to_successor(replica).await;
                 recorded
             }
-            Err(_)
-                if self
-                    .partitions
-                    .record_in_fallback_partition(partition_id, partition, &replica)
-                    .await =>
+            None if self
+                .partitions
+                .record_in_fallback_partition(partition_id, partition, &replica)
+                .await =>
             {
                 self.send_replica_to_successor(replica).await;
                 let confirmed = self
@@ -413,13 +413,12 @@
                 }
                 confirmed
             }
-            Err(_)
-                if !partition
-                    .ledger
-                    .borrow()
-                    .allows_unrecorded(program, turn, limit())
-                    || !self.reaches_majority().await
-                    || self.peers_have_store(partition).await =>
+            None if !partition
+                .ledger
+                .borrow()
+                .allows_unrecorded(program, turn, limit())
+                || !self.reaches_majority().await
+                || self.peers_have_store(partition).await =>
             {
                 event!(
                     info,
@@ -431,7 +430,7 @@
                 );
                 false
             }
-            Err(_) => self.replicate_allowance(replica, partition).await,
+            None => self.replicate_allowance(replica, partition).await,
         }
     }
 }
--- a/src/gateway/tokens/partitions.rs
+++ b/src/gateway/tokens/partitions.rs
@@ -143,7 +143,11 @@
             && (!self.has_store() || !self.owned().is_empty())
     }
 
+    /// Counts a call that the store has taken or not. A busy store takes it later.
     pub(crate) fn record_store_result(&self, succeeded: bool) {
+        if !succeeded && self.store.observer().is_busy() {
+            return;
+        }
         let had_store = self.has_store();
         self.consecutive_failures.set(if succeeded {
             0
@@ -274,6 +278,11 @@
                     sleep(RETRY_BACKOFF.0).await;
                     return false;
                 }
+                // Allowances that arrive meanwhile share the next call.
+                Err(fault) if self.store.is_busy(&fault) => {
+                    self.store.observer().pause_when_busy(1).await;
+                    return false;
+                }
                 // Retry with the same sequence number: the store deduplicates the append if it took
                 // effect.
                 Err(fault) => {
--- a/src/platform/majority.rs
+++ b/src/platform/majority.rs
@@ -101,7 +101,9 @@
         let needed = majority(partitions.len());
         let mut remaining = partitions.into_iter();
         let append = |partition| async move {
-            let append = self.append(topic, partition, records, None);
+            // Further partitions would only make more calls.
+            let append =
+                self.repeat_while_busy(async || self.append(topic, partition, records, None).await);
             (partition, append.await.is_ok())
         };
         let mut appends: FuturesUnordered<_> =
@@ -121,6 +123,9 @@
                 }
                 () = &mut hedge_timer, if !is_hedged => {
                     is_hedged = true;
+                    if self.observer().is_busy() {
+                        continue;
+                    }
                     appends.extend(remaining.by_ref().map(append));
                 }
                 else => return false,
--- a/src/platform/observer.rs
+++ b/src/platform/observer.rs
@@ -1,14 +1,20 @@
 //! How the store has answered the calls of this process.
 
-use crate::policy::store_health::StoreHealth;
+use crate::policy::store_health::{StoreHealth, busy_pause};
 use reqwest::StatusCode;
 use std::collections::BTreeMap;
 use std::mem::take;
+use std::pin::pin;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep, timeout};
+
+/// Longest wait for a record that a busy store rejects. Callers leave after 2 s without an event.
+pub(super) const MAX_BUSY_WAIT: Duration = Duration::from_millis(1200);
+/// Interval at which such a wait checks whether the store is still busy.
+const BUSY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// What a call to the store does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -55,6 +61,35 @@
         self.lock().is_slow()
     }
 
+    /// Whether the store rejects some calls as too many; see [`StoreHealth::is_busy`].
+    pub(crate) fn is_busy(&self) -> bool {
+        self.lock().is_busy(Instant::now())
+    }
+
+    /// Waits before a call is repeated that was rejected `rejections` times in a row.
+    pub(crate) async fn pause_when_busy(&self, rejections: u32) {
+        sleep(busy_pause(rejections, rand::random())).await;
+    }
+
+    /// Waits for a record up to `limit`, and longer while the store is busy.
+    pub(crate) async fn wait_for_record<T>(
+        &self,
+        limit: Duration,
+        record: impl Future<Output = T>,
+    ) -> Option<T> {
+        let (began, mut record) = (Instant::now(), pin!(record));
+        let mut limit = limit;
+        loop {
+            if let Ok(done) = timeout(limit, record.as_mut()).await {
+                return Some(done);
+            }
+            if !self.is_busy() || began.elapsed() >= MAX_BUSY_WAIT {
+                return None;
+            }
+            limit = BUSY_CHECK_INTERVAL;
+        }
+    }
+
     /// Waits until the store answers after a silence.
     pub(crate) fn recovered(&self) -> Notified<'_> {
         self.recovered.notified()
@@ -69,6 +104,8 @@
         let now = Instant::now();
         let ends_silence = if status.is_server_error() {
             self.lock().refused(now)
+        } else if status == StatusCode::TOO_MANY_REQUESTS {
+            self.lock().rejected(now)
         } else {
             self.lock().answered(now, now - began)
         };
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,7 +1,7 @@
 //! Client of the platform's store: partitioned logs, some of them compacted to the latest record of
 //! each key.
 
-use super::observer::{Call, Observer};
+use super::observer::{Call, MAX_BUSY_WAIT, Observer};
 use crate::id::Offset;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -188,6 +188,28 @@
         &self.observer
     }
 
+    /// Whether a call failed since the store is busy. It had no effect, and may soon succeed.
+    pub(crate) fn is_busy(&self, error: &Error) -> bool {
+        *error == Error::Refused(StatusCode::TOO_MANY_REQUESTS.as_u16()) && self.observer.is_busy()
+    }
+
+    /// Repeats a call as long as a busy store rejects it.
+    pub(crate) async fn repeat_while_busy<T>(
+        &self,
+        call: impl AsyncFn() -> Result<T, Error>,
+    ) -> Result<T, Error> {
+        let began = Instant::now();
+        for rejections in 1.. {
+            match call().await {
+                Err(error) if self.is_busy(&error) && began.elapsed() < MAX_BUSY_WAIT => {
+                    self.observer.pause_when_busy(rejections).await;
+                }
+                result => return result,
+            }
+        }
+        unreachable!("the range has no end")
+    }
+
     async fn send(
         &self,
         topic: &str,
@@ -376,12 +398,7 @@
         )
     }
 
-    async fn append_to(
-        &self,
-        topic: &str,
-        url: String,
-        records: &[Record],
-    ) -> Result<(), Error> {
+    async fn append_to(&self, topic: &str, url: String, records: &[Record]) -> Result<(), Error> {
         let mut body = BytesMut::new();
         for record in records {
             record.encode(&mut body);
--- a/src/policy/store_health.rs
+++ b/src/policy/store_health.rs
@@ -2,6 +2,8 @@
 //!
 //! Load: a store that answers 96 times slower for 4 s, or does not answer for 7 s. A fixed time limit takes the slow store
 //! for a lost one: partitions are handed from VM to VM, and each call is repeated until the store is slower still.
+//! A store that gets more calls than it allows rejects the rest of them. Calls for other partitions, and through other VMs,
+//! would make them more.
 
 use std::collections::VecDeque;
 use std::fmt;
@@ -34,6 +36,13 @@
 /// A store with a usual answer of a few milliseconds is silent after this time without one. Above the time limits within
 /// which a turn waits for a record, so that a short delay holds nothing back.
 const MIN_SILENCE: Duration = Duration::from_millis(300);
+/// Time after a rejected call in which the store counts as busy. A busy store rejects some of the calls of each VM.
+const BUSY_PERIOD: Duration = Duration::from_millis(500);
+/// Time without an accepted call after which rejected ones mean that the store serves other VMs only. Each VM reads the
+/// configuration twice a second.
+const MAX_REJECTING: Duration = Duration::from_secs(1);
+/// First and longest pause before a call that a busy store has rejected is repeated.
+const BUSY_PAUSE: (Duration, Duration) = (Duration::from_millis(40), Duration::from_millis(320));
 
 /// State of the store as seen by one VM.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -81,6 +90,10 @@
     unanswered_since: Option<Instant>,
     /// When the store was last seen slow or silent.
     last_unhealthy_at: Option<Instant>,
+    /// When the store last accepted a call.
+    last_accepted_at: Option<Instant>,
+    /// When the store last rejected a call as one too many.
+    last_rejected_at: Option<Instant>,
 }
 
 impl StoreHealth {
@@ -92,6 +105,7 @@
     /// Notes that the store answered a call. Returns whether that ends a silence.
     pub fn answered(&mut self, now: Instant, took: Duration) -> bool {
         let was_silent = self.refused(now);
+        self.last_accepted_at = Some(now);
         if self.times.len() == SAMPLES {
             self.times.pop_front();
         }
@@ -113,6 +127,33 @@
         was_silent
     }
 
+    /// Notes that the store rejected a call as one too many. Returns whether that ends a silence.
+    pub fn rejected(&mut self, now: Instant) -> bool {
+        self.last_rejected_at = Some(now);
+        self.refused(now)
+    }
+
+    /// Whether the store rejects calls as too many and accepts others, so that a rejected one may soon be accepted.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use tokio::time::Instant;
+    /// use vanillatrail::policy::store_health::StoreHealth;
+    /// let (start, second) = (Instant::now(), Duration::from_secs(1));
+    /// let mut health = StoreHealth::default();
+    /// health.answered(start, Duration::ZERO);
+    /// health.rejected(start + second / 2);
+    /// assert!(health.is_busy(start + second / 2));
+    /// health.rejected(start + second * 2);
+    /// assert!(!health.is_busy(start + second * 2), "it accepts no call of this VM");
+    /// ```
+    #[must_use]
+    pub fn is_busy(&self, now: Instant) -> bool {
+        let since = |at: Option<Instant>| at.map(|at| now.saturating_duration_since(at));
+        let rejects = since(self.last_rejected_at).is_some_and(|time| time < BUSY_PERIOD);
+        rejects && since(self.last_accepted_at).is_some_and(|time| time < MAX_REJECTING)
+    }
+
     /// The usual time of an answer; zero before the first five.
     #[must_use]
     pub fn usual_answer(&self) -> Duration {
@@ -200,6 +241,22 @@
     }
 }
 
+/// Pause before a call is repeated that a busy store has rejected `rejections` times in a row. `spread`, between 0 and 1,
+/// differs between calls.
+///
+/// ```
+/// use std::time::Duration;
+/// use vanillatrail::policy::store_health::busy_pause;
+/// assert_eq!(busy_pause(1, 0.5), Duration::from_millis(40));
+/// assert_eq!(busy_pause(2, 0.0), Duration::from_millis(40));
+/// assert_eq!(busy_pause(9, 1.0), Duration::from_millis(480));
+/// ```
+#[must_use]
+pub fn busy_pause(rejections: u32, spread: f64) -> Duration {
+    let doubled = BUSY_PAUSE.0 * 2_u32.saturating_pow(rejections.saturating_sub(1).min(8));
+    doubled.min(BUSY_PAUSE.1).mul_f64(0.5 + spread)
+}
+
 /// Until when a turn waits for a silent store before it uses an engine. Half of the rest of its time is for the engine.
 ///
 /// ```
--- /dev/null
+++ b/tests/busy_store.rs
@@ -0,0 +1,98 @@
+//! Programs while the store rejects calls as too many, through the binary.
+
+mod platform;
+
+use platform::program::{TOKENS_PER_EVENT, engine, turn_with_headers, wait_until_joined};
+use platform::{Backend, Store, Vm, until};
+use serde_json::json;
+use std::thread;
+use std::time::Duration;
+
+/// Tokens of a program of four turns.
+const BUDGET: u64 = 1_160;
+const TURN_EVENTS: u64 = 3;
+const SERVERS: usize = 24;
+
+/// Starts a store with a route that keeps conversations, and servers with room for all turns of a test.
+fn start_store(servers: &[Backend]) -> Store {
+    let store = Store::start();
+    let route = json!({ "retain": true, "canResume": false, "attempts": 1 });
+    store.configure(1, &[("/a/", "stream", route)]);
+    for (number, server) in servers.iter().enumerate() {
+        store.register(&format!("s{number}"), "pool", server.address, "ready");
+    }
+    store
+}
+
+/// Whether a turn was answered whole.
+fn is_served(vm: &Vm, program: &str, id: &str) -> bool {
+    let reply = turn_with_headers(vm, program, BUDGET, id, &[]);
+    let tokens = reply.text().matches("data:").count() as u64 * TOKENS_PER_EVENT;
+    let is_whole = reply.is_whole_success() && tokens == TURN_EVENTS * TOKENS_PER_EVENT;
+    if !is_whole {
+        println!("{id}: {} {}", reply.status, reply.text());
+    }
+    is_whole
+}
+
+/// Serves the first turn of each of these programs, which begin at this interval; returns how many were answered whole.
+fn serve_first_turns(vms: &[Vm], programs: usize, interval: Duration) -> usize {
+    thread::scope(|scope| {
+        let turns = (0..programs).map(|number| {
+            let vm = &vms[number % vms.len()];
+            scope.spawn(move || {
+                thread::sleep(interval * u32::try_from(number).expect("few programs"));
+                let program = format!("p{number}");
+                is_served(vm, &program, &program)
+            })
+        });
+        let turns: Vec<_> = turns.collect();
+        let served = turns.into_iter().map(|turn| turn.join().expect("no panic"));
+        served.filter(|served| *served).count()
+    })
+}
+
+/// A store that rejects calls beyond its rate must not be taken for one that is lost: turns were refused though their records
+/// would have been taken soon, and records went to other partitions and through other VMs, as still more calls.
+#[test]
+fn a_burst_above_the_rate_of_the_store_refuses_no_turn() {
+    let servers: Vec<_> = (0..SERVERS).map(|_| engine(TURN_EVENTS)).collect();
+    let store = start_store(&servers);
+    let vms: Vec<_> = (0..3).map(|_| Vm::start(&store)).collect();
+    wait_until_joined(&vms);
+    for number in 0..12 {
+        let id = format!("warm{number}");
+        until("the program has an owner", || is_served(&vms[0], &id, &id));
+    }
+    let detours = || store.request_count("/log-append", "keyed.detour");
+    let turn_detours = || store.request_count("/log-append", "keyed.turndetour");
+    let before = (detours(), turn_detours());
+    // The records of all turns take half of their deadline at this rate.
+    store.set_append_rate(Some(80.0));
+    let served = serve_first_turns(&vms, 90, Duration::from_millis(13));
+    assert_eq!(served, 90);
+    assert_eq!((detours(), turn_detours()), before);
+}
+
+/// A VM of which the store rejects every call must not wait for its records as at a busy store: others reach the store.
+#[test]
+fn turns_at_a_vm_whose_calls_are_all_rejected_are_served() {
+    let servers: Vec<_> = (0..SERVERS).map(|_| engine(TURN_EVENTS)).collect();
+    let store = start_store(&servers);
+    let own_endpoint = store.new_endpoint();
+    let vms = [
+        Vm::start(&own_endpoint),
+        Vm::start(&store),
+        Vm::start(&store),
+    ];
+    wait_until_joined(&vms);
+    for number in 0..12 {
+        let id = format!("warm{number}");
+        until("the program has an owner", || is_served(&vms[1], &id, &id));
+    }
+    own_endpoint.reject_all(true);
+    // Until the VM has handed its partitions over.
+    thread::sleep(Duration::from_secs(4));
+    let served = serve_first_turns(&vms[..1], 8, Duration::ZERO);
+    assert_eq!(served, 8);
+}
--- a/tests/platform/mod.rs
+++ b/tests/platform/mod.rs
@@ -6,6 +6,7 @@
 pub mod engine;
 pub mod fatal;
 pub mod program;
+pub mod rate;
 pub mod store;
 pub mod team;
 
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -1,5 +1,6 @@
 //! Fake of the store, with faults that tests can set.
 
+use super::rate::Rate;
 use super::{Request, listen, response, unused_address};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -46,6 +47,8 @@
     sent_bytes: Arc<Mutex<HashMap<String, u64>>>,
     /// Bytes a second that all reads of the newest records share in equal parts; 0 for no limit.
     read_bandwidth: Arc<AtomicU64>,
+    /// Limit of the calls; those beyond it are rejected with 429.
+    rate: Arc<Rate>,
 }
 
 /// Takes the time of a response that shares its bandwidth with `active` others.
@@ -97,6 +100,8 @@
         let unavailable_topic: Arc<Mutex<Option<String>>> = Arc::default();
         let read_bandwidth = Arc::new(AtomicU64::new(0));
         let (bandwidth, active_reads) = (Arc::clone(&read_bandwidth), AtomicUsize::new(0));
+        let rate: Arc<Rate> = Arc::default();
+        let call_rate = Arc::clone(&rate);
         let unavailable = Arc::clone(&unavailable_topic);
         let unavailable_partitions: Arc<Mutex<HashSet<(String, u64)>>> = Arc::default();
         let lost_partitions = Arc::clone(&unavailable_partitions);
@@ -140,6 +145,8 @@
                 }
                 let reply = if is_down.load(Ordering::Relaxed) || is_refused {
                     response("503 Service Unavailable", b"{}")
+                } else if !call_rate.allows(appends) {
+                    response("429 Too Many Requests", b"{}")
                 } else {
                     serve(&served, &request)
                 };
@@ -169,9 +176,20 @@
             unavailable_partitions,
             sent_bytes,
             read_bandwidth,
+            rate,
         }
     }
 
+    /// Rejects appends beyond this many a second; `None` accepts all.
+    pub fn set_append_rate(&self, per_second: Option<f64>) {
+        self.rate.set(per_second);
+    }
+
+    /// Rejects all requests as too many.
+    pub fn reject_all(&self, rejects: bool) {
+        self.rate.reject_all(rejects);
+    }
+
     /// Limits the bandwidth that all reads of the newest records share, in bytes a second; 0 for no limit.
     pub fn set_read_bandwidth(&self, bytes_per_second: u64) {
         self.read_bandwidth
