--- a/src/gateway/conversation/record.rs
+++ b/src/gateway/conversation/record.rs
@@ -132,7 +132,7 @@
         if recorded.await.is_some() {
             return RecordedVia::Store;
         }
-        if !conversations.store.borrow().observer().is_slow() {
+        if !observer.is_slow() && !observer.is_busy() {
             conversations.record_store_failure();
         }
         let fallback = async {
