--- a/src/gateway/conversation/record.rs
+++ b/src/gateway/conversation/record.rs
@@ -118,18 +118,15 @@
         let conversations = &self.conversations;
         let turn = Rc::clone(&queued.turn);
         let bucket = conversations.layout.bucket(&turn.id);
-        let store_timeout = if queued.is_failing() || conversations.is_store_down() {
-            STORE_DOWN_TIMEOUT
+        let (writer, observer) = (queued.writer(), conversations.observer());
+        let recorded = queued.wait_until_recorded();
+        let recorded = if writer.is_failing() || conversations.is_store_down() {
+            timeout(STORE_DOWN_TIMEOUT, recorded).await.ok()
         } else {
-            conversations
-                .store
-                .borrow()
-                .observer()
-                .scaled_timeout(STORE_TIMEOUT)
+            let limit = observer.scaled_timeout(STORE_TIMEOUT);
+            observer.wait_for_record(limit, recorded).await
         };
-        let observer = conversations.observer();
-        let recorded = observer.wait_for_record(store_timeout, queued.wait_until_recorded());
-        if recorded.await.is_some() {
+        if recorded.is_some() {
             return RecordedVia::Store;
         }
         if !observer.is_slow() && !observer.is_busy() {
@@ -138,7 +135,7 @@
         let fallback = async {
             let mut round = 0;
             loop {
-                if observer.is_busy() {
+                if observer.is_busy() && !writer.is_failing() {
                     // Calls through other ways would be rejected as well.
                     sleep(FALLBACK_RETRY_DELAY).await;
                     continue;
--- a/src/gateway/conversation/writer.rs
+++ b/src/gateway/conversation/writer.rs
@@ -39,6 +39,11 @@
 }
 
 impl BucketWriter {
+    /// Whether the last write failed, other than by a rejection of a busy store.
+    pub(super) fn is_failing(&self) -> bool {
+        self.failing.get()
+    }
+
     /// Applies a batch that the store has acknowledged.
     fn mark_recorded(&self, batch: &[Rc<Turn>]) {
         self.outbox.borrow_mut().mark_recorded(batch);
@@ -67,9 +72,9 @@
 }
 
 impl QueuedTurn {
-    /// Whether the last write of the turn's bucket failed.
-    pub(super) fn is_failing(&self) -> bool {
-        self.writer.failing.get()
+    /// The writer of the turn's bucket.
+    pub(super) fn writer(&self) -> Rc<BucketWriter> {
+        Rc::clone(&self.writer)
     }
 
     /// Waits until the turn's own partition has it.
--- a/src/gateway/tokens/fallback.rs
+++ b/src/gateway/tokens/fallback.rs
@@ -26,7 +26,7 @@
         partition: &Partition,
         replica: &Replica,
     ) -> bool {
-        if !self.may_try_fallback() {
+        if !self.may_try_fallback(partition) {
             return false;
         }
         let began = Instant::now();
@@ -60,11 +60,12 @@
     }
 
     /// Whether the fallback partitions may be tried. That the partitions of this VM fail does not tell: the store may serve
-    /// all others. After a failure one turn a second tries, and the others do not wait for it. A busy store would reject
-    /// most of the calls.
-    fn may_try_fallback(&self) -> bool {
+    /// all others. After a failure one turn a second tries, and the others do not wait for it. At a busy store the partition
+    /// itself takes the record soon, unless it fails for another reason.
+    fn may_try_fallback(&self, partition: &Partition) -> bool {
         let observer = self.store.observer();
-        if observer.silent_for().is_some() || observer.is_busy() {
+        let is_only_busy = observer.is_busy() && partition.failing_since.get().is_none();
+        if observer.silent_for().is_some() || is_only_busy {
             return false;
         }
         let failed_at = self.fallback_failed_at.get();
--- a/src/gateway/tokens/owner.rs
+++ b/src/gateway/tokens/owner.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 /// How long a turn waits for a takeover, which takes two calls to the store.
 pub(crate) const TAKEOVER_TIMEOUT: Duration = Duration::from_secs(1);
@@ -391,8 +391,13 @@
             fenced: ownership.fenced,
         };
         let limit = || partition.unrecorded_limit();
-        let observer = self.partitions.store.observer();
-        match observer.wait_for_record(store_timeout, durable).await {
+        let recorded = if store_timeout.is_zero() {
+            timeout(store_timeout, durable).await.ok()
+        } else {
+            let observer = self.partitions.store.observer();
+            observer.wait_for_record(store_timeout, durable).await
+        };
+        match recorded {
             Some(recorded) => {
                 self.send_replica_to_successor(replica).await;
                 recorded
