Show that programs which have used little are refused after a loss of all VMs

What was recorded ahead at a slow store and what may have been granted beyond it both count as spent.

--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -42,6 +42,37 @@
     );
 }
 
+/// Guards against a program that has used little and is refused for good after a loss of all VMs, since all of its budget was
+/// recorded ahead at a slow store, or counts as lost beyond the record.
+#[test]
+fn a_program_that_has_used_little_goes_on_after_a_loss_of_all_vms() {
+    const MOST: u64 = 286;
+    let now = Instant::now();
+    for budget in [2 * MOST, 3 * MOST, 900, 1_300, 2_200, 21_500] {
+        let turn = Request {
+            budget,
+            most: MOST,
+            seen: 0,
+        };
+        let mut ledger = Ledger::default();
+        let mut recorded = 0;
+        if let Verdict::Record(allowed) = ledger.reserve(now, "p", reservation(1), turn) {
+            ledger.mark_recorded("p", allowed);
+            recorded = allowed;
+        }
+        if let Some(allowed) = ledger.allowance_ahead("p", turn) {
+            ledger.mark_recorded("p", allowed);
+            recorded = allowed;
+        }
+        ledger.settle(now, reservation(1), 39);
+        let mut new_owner = Ledger::default();
+        new_owner.mark_incomplete(Unrecorded::Quarter, now + Duration::from_mins(1));
+        new_owner.restore(now, "p", recorded);
+        let verdict = new_owner.reserve(now, "p", reservation(2), turn);
+        assert_ne!(verdict, Verdict::Spent, "{recorded} of {budget} recorded");
+    }
+}
+
 /// A running turn is counted with its maximum, and with its actual usage once it has ended.
 #[test]
 fn running_turns_count_with_their_maximum_until_they_end() {
