--- a/tests/busy_store.rs
+++ b/tests/busy_store.rs
@@ -3,15 +3,19 @@
 mod platform;
 
 use platform::program::{engine, turn_with_headers, wait_until_joined};
-use platform::{Backend, Store, Vm, until};
+use platform::{Backend, Store, Vm, WAIT_TIMEOUT, until};
 use serde_json::json;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Tokens of a program of a hundred turns, more than VMs that take its partition over count as spent.
 const BUDGET: u64 = 29_000;
 const TURN_EVENTS: u64 = 3;
 const SERVERS: usize = 24;
+/// Partitions of programs at the store.
+const PARTITIONS: u64 = 4;
 /// Programs that begin while the store is busy.
 const PROGRAMS: usize = 90;
 
@@ -104,3 +108,46 @@
     let served = serve_first_turns(&vms[..1], 8, Duration::ZERO);
     assert_eq!(served, 8);
 }
+
+/// A partition that is lost while the store is busy must not be waited for like one whose record was rejected as one too many:
+/// its programs were refused for as long as the store was busy.
+#[test]
+fn a_lost_partition_at_a_busy_store_is_recorded_elsewhere() {
+    let servers: Vec<_> = (0..SERVERS).map(|_| engine(TURN_EVENTS)).collect();
+    let store = start_store(&servers);
+    let vms: Vec<_> = (0..3).map(|_| Vm::start(&store)).collect();
+    wait_until_joined(&vms);
+    wait_for_owners(&vms[0]);
+    store.set_unavailable_partitions(&[("keyed.allowance", 0)]);
+    store.set_append_rate(Some(40.0));
+    let in_lost_partition =
+        |program: &String| xxh3_64(program.as_bytes()).is_multiple_of(PARTITIONS);
+    let programs = (0..).map(|number| format!("lost{number}"));
+    let (is_over, end) = (AtomicBool::new(false), Instant::now() + 2 * WAIT_TIMEOUT);
+    thread::scope(|scope| {
+        for number in 0..12 {
+            let (vm, is_over) = (&vms[number % vms.len()], &is_over);
+            scope.spawn(move || {
+                // These have allowances, so that only their turns are to be recorded.
+                let program = format!("warm{number}");
+                for turn in 0.. {
+                    if is_over.load(Ordering::Relaxed) || Instant::now() > end {
+                        return;
+                    }
+                    let _ = is_served(vm, &program, &format!("{program}-{turn}"));
+                }
+            });
+        }
+        let vm = &vms[0];
+        until("the store rejects calls", || {
+            !vm.lines("event=store_rejected topic=keyed.turns")
+                .is_empty()
+        });
+        for program in programs.filter(in_lost_partition).take(3) {
+            until("a program of the lost partition is served", || {
+                is_served(vm, &program, &program)
+            });
+        }
+        is_over.store(true, Ordering::Relaxed);
+    });
+}
